--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Commands of the project; each creates the environment first if it is missing.
+PYTHON ?= python3
+VENV ?= .venv
+SEED ?= 1
+
+.PHONY: environment demo test lint prove prove-long
+
+environment: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+demo: environment
+	$(VENV)/bin/python demo/run.py
+
+test: environment
+	$(VENV)/bin/python -m pytest
+
+lint: environment
+	$(VENV)/bin/black --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
+
+prove: environment
+	$(VENV)/bin/python -m pytest tests/promises --seed=$(SEED)
+
+prove-long: environment
+	$(VENV)/bin/python -m pytest tests/promises -m prove_long --timeout=900
--- /dev/null
+++ b/samphirehall/__init__.py
@@ -0,0 +1,1 @@
+"""Serve language models from a limited fleet whose prompt-to-output mix shifts."""
--- /dev/null
+++ b/samphirehall/admission/authentication.py
@@ -0,0 +1,81 @@
+"""Which customer a request runs for."""
+
+from dataclasses import dataclass
+
+from samphirehall.configuration.documents import ANY, CustomerPart, RoutePart
+from samphirehall.configuration.version import Configuration
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import key_digest
+from samphirehall.core.results import (
+    KEY_MISSING,
+    KEY_UNKNOWN,
+    MODEL_FORBIDDEN,
+    NO_CONFIGURATION,
+    NO_ROUTE,
+)
+
+OPEN_CUSTOMER = "open"
+
+
+@dataclass(slots=True, frozen=True)
+class Caller:
+    """The customer that a request runs for, and the route it takes.
+
+    `key_digest` is empty on routes open to all.
+    """
+
+    customer: str
+    part: CustomerPart
+    route_name: str
+    route: RoutePart
+    key_digest: str
+
+
+def authenticate(configuration: Configuration, *, key: str | None, route_name: str) -> Caller:
+    """Return who calls.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration in force.
+    key : str, optional
+        Customer key as received.
+    route_name : str
+        Route that is asked for.
+
+    Raises
+    ------
+    SamphireError
+        No configuration, unknown route, missing or unknown key, or a route the
+        customer may not use.
+    """
+    if configuration.version == 0:
+        raise SamphireError(NO_CONFIGURATION, "no configuration is in force", retry_after=1.0)
+    route = configuration.route(route_name)
+    if route is None:
+        raise SamphireError(NO_ROUTE, f"no route {route_name!r}")
+    if key is None:
+        if not route.open:
+            raise SamphireError(KEY_MISSING, f"route {route_name!r} needs a bearer key")
+        return Caller(OPEN_CUSTOMER, CustomerPart(), route_name, route, "")
+    digest = key_digest(key)
+    customer = configuration.customer_of(digest)
+    part = configuration.customer(customer) if customer else None
+    if customer is None or part is None:
+        raise SamphireError(KEY_UNKNOWN, "the key is unknown or withdrawn")
+    if not _may_use(part, route_name, route):
+        raise SamphireError(MODEL_FORBIDDEN, f"customer {customer!r} may not use {route_name!r}")
+    return Caller(customer, part, route_name, route, digest)
+
+
+def _may_use(part: CustomerPart, route_name: str, route: RoutePart) -> bool:
+    if ANY not in part.routes and route_name not in part.routes:
+        return False
+    return route.kind != "model" or ANY in part.models or route.target in part.models
+
+
+def still_valid(configuration: Configuration, caller: Caller) -> bool:
+    """Return whether the key that a request came with is still in force."""
+    if not caller.key_digest:
+        return True
+    return configuration.customer_of(caller.key_digest) == caller.customer
--- /dev/null
+++ b/samphirehall/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers, and the order journal."""
--- /dev/null
+++ b/samphirehall/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' declarative configuration: documents, checks, versions and apply."""
--- /dev/null
+++ b/samphirehall/configuration/documents.py
@@ -0,0 +1,253 @@
+"""Parts of the operators' configuration, and reading them from TOML.
+
+A document has the tables ``customers``, ``models``, ``adapters``, ``routes``
+and ``fleet``. Each customer, model, adapter and route is a part of its own,
+so that a change travels as the changed parts only.
+"""
+
+import tomllib
+import typing
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import content_digest
+from samphirehall.core.results import CONFIGURATION_INVALID
+from samphirehall.core.types import Role
+from samphirehall.settings.loading import SettingsProblem, build_checked
+
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Rate = Annotated[float, Meta(gt=0)]
+ANY = "*"
+
+
+@dataclass(slots=True)
+class CustomerPart:
+    """``[customers.<name>]``: shares, limits and key digests of a customer.
+
+    ``weight`` is the customer's share against the others' weights;
+    ``models`` and ``routes`` list what it may use, ``"*"`` for everything.
+    """
+
+    weight: Annotated[float, Meta(gt=0, le=1000)] = 1.0
+    key_digests: list[Digest] = field(default_factory=list)
+    models: list[str] = field(default_factory=lambda: [ANY])
+    routes: list[str] = field(default_factory=lambda: [ANY])
+    requests_per_second: Rate | None = None
+    tokens_per_second: Rate | None = None
+    max_in_flight: Annotated[int, Meta(ge=1)] | None = None
+    serve_when_isolated_seconds: Annotated[float, Meta(ge=0)] | None = None
+
+
+@dataclass(slots=True)
+class ModelPart:
+    """``[models.<name>]``: a model and the version to be loaded."""
+
+    version: str
+    weight_bytes: Annotated[int, Meta(ge=1)] = 1_000_000_000
+    context_tokens: Annotated[int, Meta(ge=1)] = 131_072
+
+
+@dataclass(slots=True)
+class AdapterPart:
+    """``[adapters.<name>]``: an adapter of a model and its version."""
+
+    model: str
+    version: str
+    weight_bytes: Annotated[int, Meta(ge=1)] = 50_000_000
+
+
+@dataclass(slots=True)
+class RoutePart:
+    """``[routes.<name>]``: a public name that callers use.
+
+    ``kind`` is ``"model"`` for completions or ``"service"`` for a plain
+    service; ``target`` is the model, adapter or service behind the route.
+    """
+
+    kind: Literal["model", "service"]
+    target: str
+    open: bool = False
+    idempotent: bool = True
+    deadline_seconds: Annotated[float, Meta(gt=0, le=3600)] = 30.0
+    priority: Literal["urgent", "normal", "batch"] = "normal"
+    max_tokens: Annotated[int, Meta(ge=1)] = 4096
+
+
+@dataclass(slots=True)
+class FleetPart:
+    """``[fleet]``: rules for roles, endpoint counts and the cheap kind.
+
+    ``standard_floor`` and ``max_endpoints`` count engines a zone.
+    ``budget_per_hour`` is in the currency of the two costs.
+    """
+
+    standard_floor: Annotated[int, Meta(ge=0)] = 1
+    max_endpoints: Annotated[int, Meta(ge=0)] = 64
+    cheap_share: Annotated[float, Meta(ge=0, le=1)] = 0.5
+    standard_cost_per_hour: Rate = 4.0
+    cheap_cost_per_hour: Rate = 1.2
+    budget_per_hour: Rate | None = None
+    initial_role: Role = Role.MIXED
+    role_dwell_seconds: Rate = 60.0
+    role_change_seconds: Rate = 5.0
+    order_endpoints: bool = False
+    change_roles: bool = False
+
+
+Part = CustomerPart | ModelPart | AdapterPart | RoutePart | FleetPart
+
+PART_TYPES: dict[str, type] = {
+    "customers": CustomerPart,
+    "models": ModelPart,
+    "adapters": AdapterPart,
+    "routes": RoutePart,
+}
+FLEET = "fleet"
+
+
+class ConfigurationError(SamphireError):
+    """A configuration was refused as a whole; `problems` lists everything wrong."""
+
+    def __init__(self, problems: list[SettingsProblem]) -> None:
+        super().__init__(CONFIGURATION_INVALID, "; ".join(map(str, problems)))
+        self.problems = problems
+
+
+def read_documents(paths: Iterable[str | Path]) -> dict[str, dict[str, Any]]:
+    """Return the parsed TOML documents of files, by path.
+
+    Raises
+    ------
+    ConfigurationError
+        Lists every file that cannot be read or is not TOML.
+    """
+    problems: list[SettingsProblem] = []
+    documents = {}
+    for path in paths:
+        try:
+            documents[str(path)] = tomllib.loads(Path(path).read_text())
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+            problems.append(SettingsProblem(str(path), "file", str(path), f"TOML ({error})"))
+    if problems:
+        raise ConfigurationError(problems)
+    return documents
+
+
+def check_documents(documents: Mapping[str, Mapping[str, Any]]) -> dict[str, Part]:
+    """Return the parts of parsed documents, by part name.
+
+    Raises
+    ------
+    ConfigurationError
+        Lists every problem of all documents together.
+    """
+    problems: list[SettingsProblem] = []
+    parts: dict[str, Part] = {}
+    for file, document in documents.items():
+        for name, part in parse_document(document, file=file, problems=problems).items():
+            if name in parts:
+                problems.append(SettingsProblem(file, name, "", "defined only once"))
+            parts[name] = part
+    problems.extend(check_references(parts))
+    if problems:
+        raise ConfigurationError(problems)
+    return parts
+
+
+def parse_document(
+    document: Mapping[str, Any], *, file: str, problems: list[SettingsProblem]
+) -> dict[str, Part]:
+    """Return the parts of one parsed document; append what is wrong to `problems`."""
+    parts: dict[str, Part] = {}
+    for section, table in document.items():
+        part_type: type
+        if section == FLEET:
+            named, part_type = {FLEET: table}, FleetPart
+        elif section in PART_TYPES and isinstance(table, dict):
+            named = {f"{section}/{name}": body for name, body in table.items()}
+            part_type = PART_TYPES[section]
+        else:
+            allowed = "one of the tables " + ", ".join([*PART_TYPES, FLEET])
+            problems.append(SettingsProblem(file, section, table, allowed))
+            continue
+        for name, body in named.items():
+            if not isinstance(body, dict):
+                problems.append(SettingsProblem(file, name, body, "a table"))
+                continue
+            prefix = name.replace("/", ".") + "."
+            part = build_checked(part_type, body, file=file, prefix=prefix, problems=problems)
+            if part is not None:
+                parts[name] = part
+    return parts
+
+
+def check_references(parts: Mapping[str, Part]) -> list[SettingsProblem]:
+    """Return a problem for each name that no part defines and each key given twice."""
+    problems = []
+    owners: dict[str, str] = {}
+    for name, part in parts.items():
+        if isinstance(part, AdapterPart) and f"models/{part.model}" not in parts:
+            problems.append(_unknown(name, "model", part.model, parts, ("models",)))
+        if isinstance(part, RoutePart) and not _has_target(part, parts):
+            problems.append(_unknown(name, "target", part.target, parts, ("models", "adapters")))
+        if isinstance(part, CustomerPart):
+            problems.extend(_repeated_keys(name, part, owners))
+    return problems
+
+
+def _has_target(route: RoutePart, parts: Mapping[str, Part]) -> bool:
+    known = {f"models/{route.target}", f"adapters/{route.target}"}
+    return route.kind != "model" or bool(known & parts.keys())
+
+
+def _unknown(
+    name: str, key: str, value: str, parts: Mapping[str, Part], sections: tuple[str, ...]
+) -> SettingsProblem:
+    known = sorted(
+        other.partition("/")[2] for other in parts if other.partition("/")[0] in sections
+    )
+    allowed = f"one of {', '.join(sections)}: {', '.join(known) or 'none is defined'}"
+    return SettingsProblem("configuration", f"{name.replace('/', '.')}.{key}", value, allowed)
+
+
+def _repeated_keys(
+    name: str, part: CustomerPart, owners: dict[str, str]
+) -> Iterable[SettingsProblem]:
+    for digest in part.key_digests:
+        owner = owners.setdefault(digest, name)
+        if owner != name:
+            yield SettingsProblem(
+                "configuration", f"{name}.key_digests", digest, f"unique; also of {owner}"
+            )
+
+
+def part_type_of(name: str) -> type:
+    """Return the class of the part called `name`, such as ``"customers/coop"``."""
+    section = name.partition("/")[0]
+    if section == FLEET:
+        return FleetPart
+    if section not in PART_TYPES:
+        known = ", ".join([*PART_TYPES, FLEET])
+        raise ValueError(f"unknown part {name!r}; known sections: {known}")
+    return PART_TYPES[section]
+
+
+def encode_part(part: Part) -> bytes:
+    """Return the canonical bytes of a part."""
+    return msgspec.json.encode(part, order="sorted")
+
+
+def decode_part(name: str, content: bytes) -> Part:
+    """Return the part of canonical bytes."""
+    return typing.cast(Part, msgspec.json.decode(content, type=part_type_of(name)))
+
+
+def part_digest(part: Part) -> str:
+    """Return the digest that addresses a part."""
+    return content_digest(encode_part(part))
--- /dev/null
+++ b/samphirehall/core/frames.py
@@ -0,0 +1,107 @@
+"""Length-bounded msgpack frames over a byte stream.
+
+A frame is a 4-byte big-endian length followed by a msgpack array of the
+message's type name and its fields. Messages are dataclasses with slots.
+"""
+
+import struct
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import msgpack
+import msgspec
+from anyio.abc import ByteStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from samphirehall.core.errors import FrameError
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_LENGTH = struct.Struct(">I")
+
+
+class FrameStream:
+    """Typed messages over one byte stream.
+
+    Parameters
+    ----------
+    stream : ByteStream
+        Connection to the peer; owned by the caller.
+    message_types : iterable of type
+        Dataclasses that may arrive.
+    max_bytes : int
+        Longest frame accepted or sent, in bytes.
+    """
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        message_types: Iterable[type],
+        *,
+        max_bytes: int = MAX_FRAME_BYTES,
+    ) -> None:
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+        self._types = {message_type.__name__: message_type for message_type in message_types}
+        self._max_bytes = max_bytes
+        self._send_lock = anyio.Lock()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def send(self, message: Any) -> None:
+        """Send one message; concurrent senders take turns.
+
+        Raises
+        ------
+        FrameError
+            The message is longer than the limit.
+        """
+        frame = encode_frame(message, max_bytes=self._max_bytes)
+        async with self._send_lock:
+            await self._stream.send(frame)
+        self.bytes_sent += len(frame)
+
+    async def receive(self) -> Any:
+        """Return the next message.
+
+        Raises
+        ------
+        FrameError
+            The frame is too long, malformed or of an unknown type.
+        anyio.EndOfStream, anyio.IncompleteRead
+            The peer closed the stream.
+        """
+        (length,) = _LENGTH.unpack(await self._reader.receive_exactly(_LENGTH.size))
+        if length > self._max_bytes:
+            raise FrameError(f"frame of {length} bytes; at most {self._max_bytes} are allowed")
+        payload = await self._reader.receive_exactly(length)
+        self.bytes_received += _LENGTH.size + length
+        return decode_payload(payload, self._types)
+
+
+def encode_frame(message: Any, *, max_bytes: int = MAX_FRAME_BYTES) -> bytes:
+    """Return the frame of one message, length included."""
+    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    payload = msgpack.packb([type(message).__name__, fields])
+    if len(payload) > max_bytes:
+        raise FrameError(f"message of {len(payload)} bytes; at most {max_bytes} are allowed")
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def decode_payload(payload: bytes, message_types: dict[str, type]) -> Any:
+    """Return the message of one frame's payload.
+
+    Raises
+    ------
+    FrameError
+        The payload is malformed or names an unknown type.
+    """
+    try:
+        name, fields = msgpack.unpackb(payload)
+        message_type = message_types[name]
+        return msgspec.convert(fields, message_type)
+    except KeyError as error:
+        known = ", ".join(sorted(message_types))
+        raise FrameError(f"unknown message type {error}; known: {known}") from error
+    except (ValueError, TypeError, msgspec.ValidationError, msgpack.UnpackException) as error:
+        raise FrameError(f"malformed message: {error}") from error
--- /dev/null
+++ b/samphirehall/core/results.py
@@ -0,0 +1,175 @@
+"""Numbered result codes, shared by answers to callers, operators and process exits."""
+
+import enum
+from dataclasses import dataclass
+
+
+class RunState(enum.StrEnum):
+    """What is known about whether a request ran on an endpoint."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """One row of the result table.
+
+    Parameters
+    ----------
+    code : int
+        Number that callers, operators and logs see.
+    name : str
+        Short hyphenated name.
+    http_status : int
+        Status of an HTTP answer that carries this result.
+    run : RunState
+        What the result says about the request.
+    exit_status : int
+        Exit status, from 0 to 125, of a process that ends with this result.
+    summary : str
+        One sentence for the table in the documentation.
+    """
+
+    code: int
+    name: str
+    http_status: int
+    run: RunState
+    exit_status: int
+    summary: str
+
+
+_TABLE: dict[int, Result] = {}
+
+
+def _result(
+    code: int, name: str, http_status: int, run: RunState, exit_status: int, summary: str
+) -> Result:
+    result = Result(code, name, http_status, run, exit_status, summary)
+    if code in _TABLE:
+        raise ValueError(f"result code {code} stands for {_TABLE[code].name!r} and {name!r}")
+    _TABLE[code] = result
+    return result
+
+
+_NOT_RUN, _UNKNOWN, _RAN = RunState.NOT_RUN, RunState.UNKNOWN, RunState.RAN
+
+OK = _result(1000, "ok", 200, _RAN, 0, "The request ran and its whole answer follows.")
+REPLAYED = _result(
+    1001, "replayed", 200, _RAN, 0, "The stored outcome of an earlier attempt with this key."
+)
+
+BAD_REQUEST = _result(2000, "bad-request", 400, _NOT_RUN, 2, "The request could not be read.")
+TOO_LARGE = _result(2001, "too-large", 413, _NOT_RUN, 2, "The request is over its size limit.")
+KEY_MISSING = _result(2002, "key-missing", 401, _NOT_RUN, 2, "The route needs a customer key.")
+KEY_UNKNOWN = _result(
+    2003, "key-unknown", 401, _NOT_RUN, 2, "The customer key is unknown or withdrawn."
+)
+NO_ROUTE = _result(2004, "no-route", 404, _NOT_RUN, 2, "No route or model has this name.")
+MODEL_FORBIDDEN = _result(
+    2005, "model-forbidden", 403, _NOT_RUN, 2, "The customer may not use this model or route."
+)
+LIMIT_REACHED = _result(
+    2006, "limit-reached", 429, _NOT_RUN, 75, "The customer is over its own limit."
+)
+OVERLOADED = _result(
+    2007, "overloaded", 503, _NOT_RUN, 75, "The queue is full or the deadline cannot be met."
+)
+NO_ENDPOINT = _result(
+    2008, "no-endpoint", 503, _NOT_RUN, 75, "No endpoint can take the request now."
+)
+DEADLINE_NOT_RUN = _result(
+    2009, "deadline-not-run", 504, _NOT_RUN, 75, "The deadline passed before the request ran."
+)
+QUARANTINED = _result(
+    2010, "quarantined", 422, _NOT_RUN, 2, "The request has crashed endpoints and is refused."
+)
+STORE_UNAVAILABLE = _result(
+    2011, "store-unavailable", 503, _NOT_RUN, 75, "The claim could not be stored in time."
+)
+SHUTTING_DOWN = _result(
+    2012, "shutting-down", 503, _NOT_RUN, 75, "This host is shutting down; ask another."
+)
+NO_CONFIGURATION = _result(
+    2013, "no-configuration", 503, _NOT_RUN, 75, "This host has no configuration yet."
+)
+CLAIM_IN_PROGRESS = _result(
+    2014, "claim-in-progress", 409, _NOT_RUN, 75, "Another attempt with this key is running."
+)
+KEY_REUSED = _result(
+    2015,
+    "idempotency-key-reused",
+    422,
+    _NOT_RUN,
+    2,
+    "The idempotency key was used with another body.",
+)
+CALL_TIMEOUT = _result(
+    2016, "call-timeout", 408, _NOT_RUN, 2, "The caller did not send its request in time."
+)
+METHOD_NOT_ALLOWED = _result(
+    2017, "method-not-allowed", 405, _NOT_RUN, 2, "The path does not take this method."
+)
+INTERNAL_NOT_RUN = _result(
+    2099, "internal-not-run", 500, _NOT_RUN, 70, "A fault of this system before anything ran."
+)
+
+OUTCOME_UNKNOWN = _result(
+    3000, "outcome-unknown", 502, _UNKNOWN, 75, "The request may have run; nobody can tell."
+)
+DEADLINE_UNKNOWN = _result(
+    3001, "deadline-unknown", 504, _UNKNOWN, 75, "The deadline passed while the request ran."
+)
+INTERNAL_UNKNOWN = _result(
+    3099, "internal-unknown", 500, _UNKNOWN, 70, "A fault of this system after dispatch."
+)
+
+ENDPOINT_FAILED = _result(
+    4000, "endpoint-failed", 502, _RAN, 75, "The endpoint ran the request and reported an error."
+)
+STREAM_CUT = _result(
+    4001, "stream-cut", 502, _RAN, 75, "The stream broke and could not be continued."
+)
+
+SETTINGS_INVALID = _result(
+    5000, "settings-invalid", 400, _NOT_RUN, 78, "The settings file was refused."
+)
+CONFIGURATION_INVALID = _result(
+    5001, "configuration-invalid", 422, _NOT_RUN, 65, "The configuration was refused as a whole."
+)
+CONFIGURATION_CONFLICT = _result(
+    5002, "configuration-conflict", 409, _NOT_RUN, 75, "Another configuration won the race."
+)
+CONTROL_UNREACHABLE = _result(
+    5003, "control-unreachable", 503, _NOT_RUN, 69, "No control process answered."
+)
+PLATFORM_UNAVAILABLE = _result(
+    5004, "platform-unavailable", 503, _UNKNOWN, 69, "The platform's service did not answer."
+)
+NOT_FOUND = _result(5005, "not-found", 404, _NOT_RUN, 66, "No object has this name.")
+NOT_AUTHORIZED = _result(
+    5006, "not-authorized", 403, _NOT_RUN, 77, "The operator's token was refused."
+)
+LEASE_LOST = _result(
+    5007, "lease-lost", 409, _NOT_RUN, 75, "The process no longer holds the lease for this order."
+)
+CHECK_FAILED = _result(5008, "check-failed", 500, _RAN, 1, "A check or demonstration failed.")
+
+
+def table() -> tuple[Result, ...]:
+    """Return every result, ordered by code."""
+    return tuple(_TABLE[code] for code in sorted(_TABLE))
+
+
+def by_code(code: int) -> Result:
+    """Return the result with this code.
+
+    Raises
+    ------
+    ValueError
+        No result has the code.
+    """
+    if code not in _TABLE:
+        raise ValueError(f"unknown result code {code!r}; known codes: {sorted(_TABLE)}")
+    return _TABLE[code]
--- /dev/null
+++ b/samphirehall/core/serving.py
@@ -0,0 +1,71 @@
+"""Serving an ASGI application on a socket of ours."""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+from typing import Any
+
+import anyio
+import uvicorn
+
+BACKLOG = 4096
+START_POLL_SECONDS = 0.005
+KEEP_ALIVE_SECONDS = 75
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket at an IP number and port."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip("[]"), int(port)))
+    listener.listen(BACKLOG)
+    return listener
+
+
+@contextlib.asynccontextmanager
+async def serving(app: Any, address: str, *, backlog: int = BACKLOG) -> AsyncIterator[None]:
+    """Serve `app` at `address` inside the context; leaving it stops the server.
+
+    Parameters
+    ----------
+    app : ASGI application
+        Called for each request.
+    address : str
+        IP number and port.
+    backlog : int
+        Connections that may wait to be accepted.
+    """
+    config = uvicorn.Config(
+        app,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        backlog=backlog,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        timeout_graceful_shutdown=1,
+    )
+    server = _Server(config)
+    with bind(address) as listener:
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.serve, [listener])
+            while not server.started:
+                await anyio.sleep(START_POLL_SECONDS)
+            try:
+                yield
+            finally:
+                server.should_exit = True
--- /dev/null
+++ b/samphirehall/forwarding/app.py
@@ -0,0 +1,149 @@
+"""The callers' interface: an ASGI application."""
+
+import logging
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import key_digest, new_identifier
+from samphirehall.core.results import (
+    INTERNAL_UNKNOWN,
+    KEY_MISSING,
+    KEY_UNKNOWN,
+    METHOD_NOT_ALLOWED,
+    NO_ROUTE,
+    OK,
+    SHUTTING_DOWN,
+)
+from samphirehall.forwarding.answers import (
+    JSON,
+    Message,
+    Receive,
+    Scope,
+    Send,
+    result_headers,
+    send_error,
+    send_whole,
+)
+from samphirehall.forwarding.completion_answer import serve_completion
+from samphirehall.forwarding.context import EntryContext
+from samphirehall.forwarding.inbound import CallerGoneError, bearer_key
+from samphirehall.forwarding.service_call import PATH_PREFIX, serve_service
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+MODELS_PATH = "/v1/models"
+HTTP_UNAVAILABLE = 503
+
+_log = logging.getLogger(__name__)
+
+
+class EntryApp:
+    """ASGI application of an entry process.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared parts of the process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        request_id = new_identifier("req")
+        begun = False
+
+        async def send_noted(message: Message) -> None:
+            nonlocal begun
+            begun = True
+            await send(message)
+
+        try:
+            await self._serve(scope, receive, send_noted, request_id)
+        except CallerGoneError:
+            _log.info("caller-gone", extra={"request": request_id})
+        except SamphireError as error:
+            self._count_refusal(scope, error, request_id)
+            if not begun:
+                await send_error(send, error, request_id)
+        except Exception:
+            _log.exception("internal-error", extra={"request": request_id})
+            if not begun:
+                fault = SamphireError(INTERNAL_UNKNOWN, "a fault of this system")
+                await send_error(send, fault, request_id)
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send, request_id: str) -> None:
+        path = scope["path"]
+        if path in (CHAT_PATH, COMPLETIONS_PATH):
+            self._check_serving(scope, "POST")
+            chat = path == CHAT_PATH
+            route = await serve_completion(
+                self._context, scope, receive, send, request_id=request_id, chat=chat
+            )
+            self._context.metrics.requests.labels(route, OK.name).inc()
+        elif path.startswith(PATH_PREFIX):
+            self._check_serving(scope, scope["method"])
+            route = await serve_service(self._context, scope, receive, send, request_id=request_id)
+            self._context.metrics.requests.labels(route, OK.name).inc()
+        elif path == MODELS_PATH:
+            await self._list_models(scope, send, request_id)
+        elif path == "/healthz/live":
+            await send_whole(send, 200, [], b"live\n")
+        elif path == "/healthz/ready":
+            await self._ready(send)
+        elif path == "/metrics":
+            await self._metrics(send)
+        else:
+            raise SamphireError(NO_ROUTE, f"no path {path!r}")
+
+    def _check_serving(self, scope: Scope, method: str) -> None:
+        if scope["method"] != method:
+            raise SamphireError(METHOD_NOT_ALLOWED, f"{scope['method']}: use {method}")
+        if self._context.stopping:
+            raise SamphireError(SHUTTING_DOWN, "this host is shutting down", retry_after=1.0)
+
+    async def _list_models(self, scope: Scope, send: Send, request_id: str) -> None:
+        configuration = self._context.state.configuration
+        key = bearer_key(scope)
+        if key is None:
+            raise SamphireError(KEY_MISSING, "the list of models needs a bearer key")
+        customer = configuration.customer_of(key_digest(key))
+        part = configuration.customer(customer) if customer else None
+        if part is None:
+            raise SamphireError(KEY_UNKNOWN, "the key is unknown or withdrawn")
+        models = [
+            {"id": name, "object": "model", "owned_by": "samphirehall"}
+            for name, route in sorted(configuration.routes().items())
+            if route.kind == "model" and ("*" in part.routes or name in part.routes)
+        ]
+        body = msgspec.json.encode({"object": "list", "data": models})
+        await send_whole(send, 200, result_headers(OK, request_id, JSON), body)
+
+    async def _ready(self, send: Send) -> None:
+        ready = not self._context.stopping and self._context.state.configuration.version > 0
+        status, body = (200, b"ready\n") if ready else (HTTP_UNAVAILABLE, b"not ready\n")
+        await send_whole(send, status, [], body)
+
+    async def _metrics(self, send: Send) -> None:
+        metrics = self._context.metrics
+        metrics.open.set(self._context.admission.open_requests)
+        content_type = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
+        await send_whole(send, 200, content_type, generate_latest(metrics.registry))
+
+    def _count_refusal(self, scope: Scope, error: SamphireError, request_id: str) -> None:
+        self._context.metrics.requests.labels("", error.result.name).inc()
+        _log.info(
+            "refuse",
+            extra={
+                "reason": error.detail,
+                "result": error.result.code,
+                "run": error.result.run,
+                "request": request_id,
+                "path": scope["path"],
+            },
+        )
--- /dev/null
+++ b/samphirehall/forwarding/completion_answer.py
@@ -0,0 +1,205 @@
+"""Completion requests of callers, answered as a stream or as a whole."""
+
+import time
+from contextlib import aclosing
+
+import anyio
+import msgspec
+
+from samphirehall.admission.authentication import Caller, authenticate
+from samphirehall.admission.controller import AdmissionRequest
+from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import DEADLINE_NOT_RUN, DEADLINE_UNKNOWN, NO_ROUTE, OK
+from samphirehall.endpoints.events import decode_chunk, usage_of
+from samphirehall.forwarding.answers import (
+    ENDPOINT_HEADER,
+    EVENT_STREAM,
+    JSON,
+    Headers,
+    Receive,
+    Scope,
+    Send,
+    error_body,
+    result_headers,
+    send_body,
+    send_head,
+    send_whole,
+)
+from samphirehall.forwarding.completion import CompletionRun, run_completion
+from samphirehall.forwarding.context import EntryContext
+from samphirehall.forwarding.inbound import (
+    CallerGoneError,
+    bearer_key,
+    deadline_seconds,
+    parse_completion,
+    priority_of,
+    read_request_body,
+    refuse_key_in_body,
+)
+
+CALLER_STALL_SECONDS = 30.0
+
+
+async def serve_completion(
+    context: EntryContext,
+    scope: Scope,
+    receive: Receive,
+    send: Send,
+    *,
+    request_id: str,
+    chat: bool,
+) -> str:
+    """Serve one completion request and return its route's name.
+
+    Raises
+    ------
+    SamphireError
+        The request was refused before an answer was begun.
+    """
+    started = boot_seconds()
+    limits = context.settings.entry
+    body = await read_request_body(
+        receive, max_bytes=limits.max_body_bytes, timeout=limits.head_timeout_seconds
+    )
+    completion = parse_completion(body, chat=chat)
+    key = bearer_key(scope)
+    refuse_key_in_body(body, key)
+    caller = _completion_caller(context, key, completion.model)
+    allowed = deadline_seconds(scope, default=caller.route.deadline_seconds)
+    run = CompletionRun(
+        request_id,
+        caller,
+        completion,
+        priority_of(scope, default=caller.route.priority),
+        started + allowed,
+    )
+    admission = AdmissionRequest(
+        caller, run.priority, run.deadline, run.prompt_tokens, run.max_tokens
+    )
+    async with context.admission.admit(admission, now=started):
+        try:
+            await _answer(context, run, receive, send, started)
+        finally:
+            _meter(context, run)
+    return caller.route_name
+
+
+def _meter(context: EntryContext, run: CompletionRun) -> None:
+    if not run.payloads:
+        return
+    usage = usage_of(run.payloads[-1])
+    prompt_tokens = usage.prompt_tokens or run.prompt_tokens
+    completion_tokens = usage.completion_tokens or len(run.payloads)
+    context.meter.record(run.caller.customer, prompt_tokens, completion_tokens, now=wall_seconds())
+
+
+def _completion_caller(context: EntryContext, key: str | None, model: str) -> Caller:
+    caller = authenticate(context.state.configuration, key=key, route_name=model)
+    if caller.route.kind != "model":
+        raise SamphireError(NO_ROUTE, f"route {model!r} is a service, not a model")
+    return caller
+
+
+async def _answer(
+    context: EntryContext, run: CompletionRun, receive: Receive, send: Send, started: float
+) -> None:
+    """Answer until done, the deadline, or the caller has gone."""
+    with anyio.CancelScope() as scope:
+        scope.deadline = anyio.current_time() + run.deadline - boot_seconds()
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_caller, receive, group.cancel_scope)
+            if run.completion.stream:
+                await _answer_stream(context, run, send, started)
+            else:
+                await _answer_whole(context, run, send, started)
+            group.cancel_scope.cancel()
+    if scope.cancelled_caught:
+        result = DEADLINE_UNKNOWN if run.written else DEADLINE_NOT_RUN
+        raise SamphireError(result, "the deadline passed")
+
+
+async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def _answer_stream(
+    context: EntryContext, run: CompletionRun, send: Send, started: float
+) -> None:
+    begun = False
+    tokens = 0
+    try:
+        async with aclosing(run_completion(context, run)) as batches:
+            async for batch in batches:
+                if not begun:
+                    begun = True
+                    _observe_first(context, run, started)
+                    await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
+                tokens += len(batch.data)
+                with anyio.fail_after(CALLER_STALL_SECONDS):
+                    await send_body(send, batch.content, more=not batch.done)
+    except SamphireError as error:
+        if not begun:
+            raise
+        await _send_error_event(send, error, run)
+    except TimeoutError as error:
+        raise CallerGoneError from error
+    finally:
+        context.metrics.tokens.labels(run.caller.route_name).inc(tokens)
+
+
+async def _send_error_event(send: Send, error: SamphireError, run: CompletionRun) -> None:
+    """End a stream that cannot be whole: an error event and no end marker."""
+    body = error_body(error, run.request_id)
+    await send_body(send, b"event: error\ndata: " + body + b"\n\n")
+
+
+async def _answer_whole(
+    context: EntryContext, run: CompletionRun, send: Send, started: float
+) -> None:
+    async with aclosing(run_completion(context, run)) as batches:
+        async for _ in batches:
+            if len(run.payloads) == 1:
+                _observe_first(context, run, started)
+    context.metrics.tokens.labels(run.caller.route_name).inc(len(run.payloads))
+    body = whole_answer(run)
+    await send_whole(send, OK.http_status, _ok_headers(run, JSON), body)
+
+
+def whole_answer(run: CompletionRun) -> bytes:
+    """Return the OpenAI-compatible answer that the events add up to."""
+    chunks = [decode_chunk(payload) for payload in run.payloads]
+    text = "".join(chunk.text for chunk in chunks)
+    finish = next((chunk.finish_reason for chunk in reversed(chunks) if chunk.finish_reason), None)
+    usage = usage_of(run.payloads[-1])
+    choice: dict[str, object] = {"index": 0, "finish_reason": finish}
+    if run.completion.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return msgspec.json.encode(
+        {
+            "id": run.request_id,
+            "object": "chat.completion" if run.completion.chat else "text_completion",
+            "created": int(time.time()),
+            "model": run.completion.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+            },
+        }
+    )
+
+
+def _ok_headers(run: CompletionRun, content_type: bytes) -> Headers:
+    headers = result_headers(OK, run.request_id, content_type)
+    headers.append((ENDPOINT_HEADER, run.endpoints[-1].encode()))
+    return headers
+
+
+def _observe_first(context: EntryContext, run: CompletionRun, started: float) -> None:
+    context.metrics.first_token.labels(run.caller.route_name).observe(boot_seconds() - started)
--- /dev/null
+++ b/samphirehall/forwarding/inbound.py
@@ -0,0 +1,249 @@
+"""What a caller sent: bounded, timed reading, and the headers that matter."""
+
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, urlencode
+
+import anyio
+import msgspec
+
+from samphirehall.core.connections import header
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import KEY_PREFIX
+from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE
+from samphirehall.core.types import Priority
+from samphirehall.forwarding.answers import Headers, Receive, Scope
+
+DEADLINE_HEADER = b"samphire-deadline"
+PRIORITY_HEADER = b"samphire-priority"
+IDEMPOTENCY_HEADER = b"idempotency-key"
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_IDEMPOTENCY_KEY_LENGTH = 200
+BEARER = "bearer "
+SECRET_HEADERS = frozenset(
+    (b"authorization", b"proxy-authorization", b"x-api-key", b"api-key", b"cookie")
+)
+SECRET_PARAMETERS = frozenset(("key", "api_key", "apikey", "access_token", "token"))
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class ChatBody(msgspec.Struct):
+    """Body of a completion request, chat or plain; unknown fields are passed on."""
+
+    model: str
+    messages: list[dict[str, Any]] | None = None
+    prompt: str | list[str] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+
+@dataclass(slots=True)
+class Completion:
+    """A checked completion request.
+
+    Parameters
+    ----------
+    model : str
+        Public name that the caller asked for.
+    messages : list
+        Chat messages; a plain prompt is one user message.
+    max_tokens : int, optional
+        Most tokens the caller wants.
+    stream : bool
+        Whether the answer is to be streamed.
+    chat : bool
+        Whether the answer takes the chat form.
+    sampling : dict
+        Other parameters, passed on unread.
+    """
+
+    model: str
+    messages: list[dict[str, Any]]
+    max_tokens: int | None
+    stream: bool
+    chat: bool
+    sampling: dict[str, Any] = field(default_factory=dict)
+
+
+_KNOWN_FIELDS = frozenset(ChatBody.__struct_fields__)
+
+
+async def read_request_body(receive: Receive, *, max_bytes: int, timeout: float) -> bytes:
+    """Return the body of a request.
+
+    Raises
+    ------
+    SamphireError
+        The body is too long or does not arrive in time.
+    CallerGoneError
+        The caller closed its connection.
+    """
+    chunks: list[bytes] = []
+    length = 0
+    try:
+        with anyio.fail_after(timeout):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    raise CallerGoneError
+                chunk = message.get("body", b"")
+                length += len(chunk)
+                if length > max_bytes:
+                    raise SamphireError(TOO_LARGE, f"body over {max_bytes} bytes")
+                chunks.append(chunk)
+                if not message.get("more_body", False):
+                    return b"".join(chunks)
+    except TimeoutError as error:
+        raise SamphireError(CALL_TIMEOUT, f"no whole body within {timeout} s") from error
+
+
+def parse_completion(body: bytes, *, chat: bool) -> Completion:
+    """Return the checked completion request of a body.
+
+    Raises
+    ------
+    SamphireError
+        The body is not a completion request.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=ChatBody)
+        everything = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SamphireError(BAD_REQUEST, f"body: {error}") from error
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens
+    if max_tokens is not None and max_tokens < 1:
+        raise SamphireError(BAD_REQUEST, f"max_tokens = {max_tokens}: at least 1")
+    sampling = {name: value for name, value in everything.items() if name not in _KNOWN_FIELDS}
+    return Completion(
+        parsed.model, _messages(parsed, chat=chat), max_tokens, parsed.stream, chat, sampling
+    )
+
+
+def _messages(body: ChatBody, *, chat: bool) -> list[dict[str, Any]]:
+    if chat:
+        if not body.messages:
+            raise SamphireError(BAD_REQUEST, "messages: at least one message")
+        return body.messages
+    if body.prompt is None:
+        raise SamphireError(BAD_REQUEST, "prompt: a string or a list of strings")
+    prompt = body.prompt if isinstance(body.prompt, str) else "\n".join(body.prompt)
+    return [{"role": "user", "content": prompt}]
+
+
+def bearer_key(scope: Scope) -> str | None:
+    """Return the customer key of a request, or None."""
+    value = header(scope["headers"], b"authorization")
+    if value is not None and value.lower().startswith(BEARER):
+        return value[len(BEARER) :].strip() or None
+    return header(scope["headers"], b"x-api-key")
+
+
+def deadline_seconds(scope: Scope, *, default: float) -> float:
+    """Return the time a caller gives its request, at most the route's own.
+
+    Raises
+    ------
+    SamphireError
+        The header is not a number of seconds in range.
+    """
+    value = header(scope["headers"], DEADLINE_HEADER)
+    if value is None:
+        return default
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds <= MAX_DEADLINE_SECONDS:
+        detail = f"Samphire-Deadline = {value!r}: seconds from 0 to {MAX_DEADLINE_SECONDS:.0f}"
+        raise SamphireError(BAD_REQUEST, detail)
+    return min(seconds, default)
+
+
+def priority_of(scope: Scope, *, default: str) -> Priority:
+    """Return the priority of a request, never above the route's own.
+
+    Raises
+    ------
+    SamphireError
+        The header names no priority.
+    """
+    allowed = Priority[default.upper()]
+    value = header(scope["headers"], PRIORITY_HEADER)
+    if value is None:
+        return allowed
+    if value.upper() not in Priority.__members__:
+        names = ", ".join(name.lower() for name in Priority.__members__)
+        raise SamphireError(BAD_REQUEST, f"Samphire-Priority = {value!r}: one of {names}")
+    return max(allowed, Priority[value.upper()])
+
+
+def idempotency_key(scope: Scope) -> str | None:
+    """Return the idempotency key of a request, or None.
+
+    Raises
+    ------
+    SamphireError
+        The key is too long or not printable.
+    """
+    value = header(scope["headers"], IDEMPOTENCY_HEADER)
+    if value is None:
+        return None
+    if not 0 < len(value) <= MAX_IDEMPOTENCY_KEY_LENGTH or not value.isprintable():
+        detail = f"Idempotency-Key: 1 to {MAX_IDEMPOTENCY_KEY_LENGTH} printable characters"
+        raise SamphireError(BAD_REQUEST, detail)
+    return value
+
+
+def endpoint_headers(headers: Headers, key: str | None) -> Headers:
+    """Return the headers that an endpoint may see: none that could carry a key."""
+    secrets = [KEY_PREFIX.encode()]
+    if key:
+        secrets.append(key.encode("latin-1"))
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in SECRET_HEADERS
+        and name not in HOP_HEADERS
+        and not any(secret in value for secret in secrets)
+    ]
+
+
+def endpoint_query(query: bytes, key: str | None) -> str:
+    """Return the query string that an endpoint may see: no parameter that could carry a key."""
+    kept = [
+        (name, value)
+        for name, value in parse_qsl(query.decode("latin-1"), keep_blank_values=True)
+        if name.lower() not in SECRET_PARAMETERS
+        and KEY_PREFIX not in value + name
+        and not (key and key in value + name)
+    ]
+    return urlencode(kept)
+
+
+def refuse_key_in_body(body: bytes, key: str | None) -> None:
+    """Refuse a request whose body carries the caller's key.
+
+    Raises
+    ------
+    SamphireError
+        The body contains the key.
+    """
+    if key and key.encode("latin-1") in body:
+        raise SamphireError(BAD_REQUEST, "the body contains the customer key")
--- /dev/null
+++ b/samphirehall/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: arrivals, measurements and reports."""
--- /dev/null
+++ b/samphirehall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts that find each other and tell each other facts."""
--- /dev/null
+++ b/samphirehall/node/context.py
@@ -0,0 +1,91 @@
+"""What the services of a control process are given, and the registry they are found in.
+
+A service is an async function of one `ControlContext` that runs until it is
+cancelled. It registers itself by an entry point of the group
+``samphirehall.control_service``.
+"""
+
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any, TypeVar, cast
+
+import anyio
+from prometheus_client import CollectorRegistry
+
+from samphirehall.core.registry import Registry
+from samphirehall.node.state import NodeState
+from samphirehall.platform import Platform
+from samphirehall.settings import ControlSettings
+
+T = TypeVar("T")
+ControlService = Callable[["ControlContext"], Coroutine[Any, Any, None]]
+CONTROL_SERVICES: Registry[ControlService] = Registry("control_service")
+
+
+class ControlContext:
+    """Settings, platform, state and metrics of one control process.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Checked settings.
+    platform : Platform
+        Client of the platform.
+    state : NodeState
+        What this host knows.
+    metrics : CollectorRegistry
+        Registry of the process's metrics.
+    stack : AsyncExitStack
+        Owns what must be closed when the process ends.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        platform: Platform,
+        state: NodeState,
+        metrics: CollectorRegistry,
+        stack: AsyncExitStack,
+    ) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.state = state
+        self.metrics = metrics
+        self.stack = stack
+        self.stopping = anyio.Event()
+        self._before_stop: list[Callable[[], Coroutine[Any, Any, None]]] = []
+        self._provided: dict[type, Any] = {}
+        self._provision = anyio.Event()
+        self._status: dict[str, Callable[[], object]] = {}
+
+    def before_stop(self, action: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run `action` at a planned stop, such as releasing a lease."""
+        self._before_stop.append(action)
+
+    async def stop(self, seconds: float) -> None:
+        """Run the actions of a planned stop, for at most `seconds`."""
+        self.stopping.set()
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as group:
+                for action in self._before_stop:
+                    group.start_soon(action)
+
+    def provide(self, part: object) -> None:
+        """Offer an object to the other services, by its class."""
+        self._provided[type(part)] = part
+        event, self._provision = self._provision, anyio.Event()
+        event.set()
+
+    async def obtain(self, part_type: type[T]) -> T:
+        """Return the object of a class that another service provides; wait for it."""
+        while part_type not in self._provided:
+            await self._provision.wait()
+        return cast(T, self._provided[part_type])
+
+    def report_status(self, section: str, read: Callable[[], object]) -> None:
+        """Show the result of `read` as a section of ``samphirectl status``."""
+        self._status[section] = read
+
+    def status(self) -> dict[str, object]:
+        """Return every section of the status."""
+        return {section: read() for section, read in self._status.items()}
--- /dev/null
+++ b/samphirehall/node/state.py
@@ -0,0 +1,74 @@
+"""State of one host that its services share: configuration, endpoints and facts."""
+
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from samphirehall.configuration.version import EMPTY, Configuration
+from samphirehall.core.types import EndpointInfo
+from samphirehall.node.facts import FactBoard
+
+
+class NodeState:
+    """What a process of this host knows.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    zone : str
+        Its availability zone.
+    incarnation : int
+        Start of the process, in milliseconds since the epoch.
+    """
+
+    def __init__(self, host: str, zone: str, incarnation: int) -> None:
+        self.host = host
+        self.zone = zone
+        self.incarnation = incarnation
+        self.board = FactBoard(host, incarnation)
+        self._configuration = EMPTY
+        self._endpoints: dict[str, EndpointInfo] = {}
+        self._changed = anyio.Event()
+        self._configuration_listeners: list[Callable[[Configuration], None]] = []
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force on this host."""
+        return self._configuration
+
+    @property
+    def endpoints(self) -> dict[str, EndpointInfo]:
+        """Endpoints by name; replaced, never changed in place."""
+        return self._endpoints
+
+    def on_configuration(self, listener: Callable[[Configuration], None]) -> None:
+        """Call `listener` with each configuration that comes into force."""
+        self._configuration_listeners.append(listener)
+
+    def take_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is not newer; return whether it was."""
+        if configuration.version <= self._configuration.version:
+            return False
+        self._configuration = configuration
+        for listener in self._configuration_listeners:
+            listener(configuration)
+        self._notify()
+        return True
+
+    def take_endpoints(self, endpoints: Iterable[EndpointInfo]) -> bool:
+        """Replace the endpoint table; return whether it changed."""
+        table = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        if table == self._endpoints:
+            return False
+        self._endpoints = table
+        self._notify()
+        return True
+
+    async def wait_changed(self) -> None:
+        """Wait for the next change of configuration or endpoints."""
+        await self._changed.wait()
+
+    def _notify(self) -> None:
+        event, self._changed = self._changed, anyio.Event()
+        event.set()
--- /dev/null
+++ b/samphirehall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Roles, models and endpoint counts; drain and reclaim."""
--- /dev/null
+++ b/samphirehall/platform/client.py
@@ -0,0 +1,171 @@
+"""HTTP client of the platform."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.types import EndpointInfo, EndpointKind, HostInfo, UsageFigures
+from samphirehall.platform.table import Check, Row, TransactionResult, Write
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_NOT_FOUND = 404
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointOrder:
+    """Order to the platform for endpoints of one zone and kind.
+
+    Parameters
+    ----------
+    order_id : str
+        Idempotency key; the same order may be sent again.
+    fencing : int
+        Fencing number of the sender's lease.
+    holder : str
+        Incarnation of the sender.
+    zone : str
+        Availability zone.
+    kind : EndpointKind
+        Standard or cheap.
+    count : int
+        Endpoints wanted in all, not in addition.
+    """
+
+    order_id: str
+    fencing: int
+    holder: str
+    zone: str
+    kind: EndpointKind
+    count: int
+
+
+@dataclass(slots=True, frozen=True)
+class OrderAnswer:
+    """Answer to an order: whether it was taken, and why not."""
+
+    accepted: bool
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class UsageReport:
+    """Figures of one customer in one window.
+
+    Parameters
+    ----------
+    window : int
+        Start of the window in whole seconds since the epoch.
+    customer : str
+        Name of the customer.
+    figures : UsageFigures
+        What is billed.
+    fencing : int
+        Fencing number of the sender's lease.
+    holder : str
+        Incarnation of the sender.
+    """
+
+    window: int
+    customer: str
+    figures: UsageFigures
+    fencing: int
+    holder: str
+
+
+@dataclass(slots=True, frozen=True)
+class _Transaction:
+    checks: list[Check]
+    writes: list[Write]
+
+
+class Platform:
+    """The platform's service at one address.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    timeout : float
+        Seconds to wait for an answer.
+    """
+
+    def __init__(self, address: str, *, timeout: float = 2.0) -> None:
+        self._pool = ConnectionPool(address, connect_timeout=timeout, read_timeout=timeout)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
+        """Apply a transaction; see `Table.transact`."""
+        body = _Transaction(list(checks), list(writes))
+        return await self._call("POST", "/table/transact", body, TransactionResult)
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the rows that exist among `keys`."""
+        rows = await self._call("POST", "/table/read", {"keys": list(keys)}, list[Row])
+        return {row.key: row for row in rows}
+
+    async def scan(self, prefix: str, *, limit: int = 1000) -> list[Row]:
+        """Return rows whose key starts with `prefix`, ordered by key."""
+        body = {"prefix": prefix, "limit": limit}
+        return await self._call("POST", "/table/scan", body, list[Row])
+
+    async def put_object(self, digest: str, content: bytes) -> None:
+        """Store an object under its digest; storing it again is harmless."""
+        await self._send("PUT", f"/objects/{digest}", content)
+
+    async def get_object(self, digest: str) -> bytes:
+        """Return an object.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            No answer, or no such object yet.
+        """
+        status, content = await self._send("GET", f"/objects/{digest}", None)
+        if status != HTTP_OK:
+            raise PlatformUnavailableError(f"object {digest}: status {status}")
+        return content
+
+    async def hosts(self) -> list[HostInfo]:
+        """Return the lagging list of live and leaving hosts."""
+        return await self._call("GET", "/hosts", None, list[HostInfo])
+
+    async def endpoints(self) -> list[EndpointInfo]:
+        """Return the lagging list of endpoints in all zones."""
+        return await self._call("GET", "/endpoints", None, list[EndpointInfo])
+
+    async def order_endpoints(self, order: EndpointOrder) -> OrderAnswer:
+        """Order endpoints; the same `order_id` may be sent again."""
+        return await self._call("POST", "/endpoint-orders", order, OrderAnswer)
+
+    async def report_usage(self, report: UsageReport) -> OrderAnswer:
+        """Report figures of one window; the same figures may be sent again."""
+        return await self._call("POST", "/usage-reports", report, OrderAnswer)
+
+    async def _call(self, method: str, path: str, body: Any, answer_type: type[T]) -> T:
+        content = None if body is None else msgspec.json.encode(body)
+        status, answer = await self._send(method, path, content)
+        if status not in (HTTP_OK, HTTP_CONFLICT):
+            raise PlatformUnavailableError(f"{method} {path}: status {status}")
+        try:
+            return msgspec.json.decode(answer, type=answer_type)
+        except msgspec.DecodeError as error:
+            raise PlatformUnavailableError(f"{method} {path}: {error}") from error
+
+    async def _send(self, method: str, path: str, content: bytes | None) -> tuple[int, bytes]:
+        try:
+            async with self._pool.request(method, path, content=content) as response:
+                answer = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
+                return response.status, answer
+        except (*TRANSPORT_ERRORS, ValueError) as error:
+            raise PlatformUnavailableError(f"{method} {path}: {error!r}") from error
--- /dev/null
+++ b/samphirehall/platform/table.py
@@ -0,0 +1,98 @@
+"""The platform's transactional table, as its users see it.
+
+Every row has a version that grows by one with each write. A transaction
+checks versions and writes rows, all or nothing. An answer may be lost after
+the transaction has taken effect: the caller then gets
+`PlatformUnavailableError` and has to read back.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+ABSENT = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """One row.
+
+    Parameters
+    ----------
+    key : str
+        Slash-separated name.
+    version : int
+        Number of writes since the row was absent.
+    value : object
+        JSON value.
+    """
+
+    key: str
+    version: int
+    value: Any
+
+
+@dataclass(slots=True, frozen=True)
+class Check:
+    """Condition of a transaction: `key` has `version` (`ABSENT` for no row)."""
+
+    key: str
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """New value of a row; None deletes it."""
+
+    key: str
+    value: Any
+
+
+@dataclass(slots=True, frozen=True)
+class TransactionResult:
+    """Outcome of a transaction.
+
+    Parameters
+    ----------
+    committed : bool
+        Whether all checks held and all writes took effect.
+    conflicts : tuple of Row
+        Present rows of the checks that failed; an absent row has version 0.
+    versions : dict
+        Versions of the written rows.
+    """
+
+    committed: bool
+    conflicts: tuple[Row, ...] = ()
+    versions: dict[str, int] | None = None
+
+
+class Table(Protocol):
+    """What the users of the table need; implemented by `Platform` and by test tables."""
+
+    async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
+        """Apply a transaction.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            No answer; the transaction may have taken effect.
+        """
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the rows that exist among `keys`.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            No answer.
+        """
+
+    async def scan(self, prefix: str, *, limit: int = 1000) -> list[Row]:
+        """Return rows whose key starts with `prefix`, ordered by key.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            No answer.
+        """
--- /dev/null
+++ b/samphirehall/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: one thin module a binary."""
--- /dev/null
+++ b/samphirehall/programs/control.py
@@ -0,0 +1,60 @@
+"""``samphire-control``: membership, configuration, orders and reports of one host."""
+
+import logging
+from contextlib import AsyncExitStack
+
+import anyio
+import fire
+from prometheus_client import CollectorRegistry
+
+from samphirehall.core.log import configure_logging
+from samphirehall.node.context import CONTROL_SERVICES, ControlContext
+from samphirehall.node.state import NodeState
+from samphirehall.platform import Platform
+from samphirehall.programs.running import (
+    load_or_exit,
+    new_incarnation,
+    run_daemon,
+    wait_for_stop,
+)
+from samphirehall.settings import ControlSettings
+
+STOP_SECONDS = 5.0
+
+_log = logging.getLogger(__name__)
+
+
+async def serve(settings: ControlSettings) -> None:
+    """Run every control service until told to stop."""
+    state = NodeState(settings.host.id, settings.host.zone, new_incarnation())
+    async with AsyncExitStack() as stack:
+        platform = Platform(settings.platform.address, timeout=settings.platform.timeout_seconds)
+        stack.push_async_callback(platform.aclose)
+        context = ControlContext(settings, platform, state, CollectorRegistry(), stack)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        for name in CONTROL_SERVICES.names():
+            group.start_soon(CONTROL_SERVICES.get(name), context, name=name)
+        _log.info("serving", extra={"services": CONTROL_SERVICES.names()})
+        await wait_for_stop()
+        await context.stop(STOP_SECONDS)
+        group.cancel_scope.cancel()
+
+
+def run(settings: str, check: bool = False) -> None:
+    """Run the control process of this host.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the TOML settings file.
+    check : bool
+        Only check the settings.
+    """
+    loaded = load_or_exit(settings, ControlSettings, check=check)
+    configure_logging(loaded.logging.level, host=loaded.host.id, program="samphire-control")
+    run_daemon(lambda: serve(loaded))
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(run, name="samphire-control")
--- /dev/null
+++ b/samphirehall/programs/ctl.py
@@ -0,0 +1,238 @@
+"""``samphirectl``: the operators' command line."""
+
+import json
+import os
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import fire
+import msgspec
+
+from samphirehall.configuration.documents import (
+    ConfigurationError,
+    check_documents,
+    encode_part,
+    read_documents,
+)
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import key_digest, new_customer_key
+from samphirehall.core.results import CONTROL_UNREACHABLE, by_code
+
+TIMEOUT_SECONDS = 30.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+HTTP_OK = 200
+ADDRESS_VARIABLE = "SAMPHIRE_CONTROL"
+TOKEN_VARIABLE = "SAMPHIRE_OPERATOR_TOKEN"
+DEFAULT_ADDRESS = "127.0.0.1:7001"
+
+
+class ControlClient:
+    """Calls one control process after the other until one answers.
+
+    Parameters
+    ----------
+    addresses : str
+        Comma-separated IP numbers and ports of operators' interfaces.
+    """
+
+    def __init__(self, addresses: str) -> None:
+        self._addresses = addresses.split(",")
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Return the decoded answer of the first control process that answers.
+
+        Raises
+        ------
+        SamphireError
+            None answered, or the call was refused.
+        """
+        return anyio.run(self._call, method, path, body)
+
+    async def _call(self, method: str, path: str, body: Any) -> Any:
+        content = None if body is None else msgspec.json.encode(body)
+        headers = {}
+        if token := os.environ.get(TOKEN_VARIABLE):
+            headers[b"Authorization"] = f"Bearer {token}".encode()
+        failures = []
+        for address in self._addresses:
+            pool = ConnectionPool(address, read_timeout=TIMEOUT_SECONDS)
+            try:
+                async with pool.request(method, path, headers=headers, content=content) as answer:
+                    raw = await read_body(answer, max_bytes=MAX_ANSWER_BYTES)
+                    status = answer.status
+            except TRANSPORT_ERRORS as error:
+                failures.append(f"{address}: {error!r}")
+                continue
+            finally:
+                await pool.aclose()
+            return _decode(status, raw)
+        raise SamphireError(CONTROL_UNREACHABLE, "; ".join(failures))
+
+
+def _decode(status: int, raw: bytes) -> Any:
+    answer = json.loads(raw)
+    if status != HTTP_OK:
+        error = answer["error"]
+        detail = "\n  ".join([error["message"], *error["problems"]])
+        raise SamphireError(by_code(error["code"]), detail)
+    return answer
+
+
+def _paths(files: tuple[str, ...]) -> list[str]:
+    return [str(file) for file in files]
+
+
+class ConfigurationCommands:
+    """Check, compare, apply and show the declarative configuration."""
+
+    def __init__(self, client: ControlClient) -> None:
+        self._client = client
+
+    def check(self, *files: str) -> str:
+        """Check TOML files without applying them."""
+        parts = check_documents(read_documents(_paths(files)))
+        return f"ok: {len(parts)} parts"
+
+    def diff(self, *files: str) -> str:
+        """Show what applying the files would change."""
+        parts = check_documents(read_documents(_paths(files)))
+        shown = self._client.call("GET", "/configuration")
+        held = shown["parts"]
+        new = {name: json.loads(encode_part(part)) for name, part in parts.items()}
+        lines = [f"against version {shown['version']}:"]
+        lines += [f"+ {name} {json.dumps(new[name])}" for name in sorted(new.keys() - held.keys())]
+        lines += [f"- {name}" for name in sorted(held.keys() - new.keys())]
+        for name in sorted(new.keys() & held.keys()):
+            lines += _changed_keys(name, held[name], new[name])
+        return "\n".join(lines)
+
+    def apply(self, *files: str, base: int | None = None, author: str = "") -> str:
+        """Put the files in force as a whole, or refuse them as a whole.
+
+        Parameters
+        ----------
+        *files : str
+            TOML files that together are the whole configuration.
+        base : int, optional
+            Version the change was made from; another one in force is a conflict.
+        author : str, optional
+            Name for the history; the login name if it is left out.
+        """
+        documents = read_documents(_paths(files))
+        body = {
+            "documents": documents,
+            "author": author or os.environ.get("USER", "operator"),
+            "base_version": base,
+        }
+        answer = self._client.call("POST", "/configuration", body)
+        lines = [f"accepted: version {answer['version']}"]
+        if answer["hosts_in_force"]:
+            lines.append("in force on: " + ", ".join(answer["hosts_in_force"]))
+        if answer["hosts_unknown"]:
+            lines.append("could not be asked: " + ", ".join(answer["hosts_unknown"]))
+        return "\n".join(lines)
+
+    def show(self) -> str:
+        """Show the configuration in force on the host that is asked."""
+        return json.dumps(self._client.call("GET", "/configuration"), indent=2)
+
+    def history(self) -> str:
+        """List accepted versions, newest first."""
+        rows = [
+            [row["version"], row["author"], round(row["applied_at"]), row["manifest"][:12]]
+            for row in self._client.call("GET", "/configuration/history")
+        ]
+        return format_table(["VERSION", "AUTHOR", "APPLIED AT", "MANIFEST"], rows)
+
+
+class KeyCommands:
+    """Issue customer keys."""
+
+    def new(self) -> str:
+        """Make a key: it is shown once, its digest goes into ``key_digests``."""
+        key = new_customer_key()
+        return f"key (shown once): {key}\ndigest: {key_digest(key)}"
+
+    def digest(self, key: str) -> str:
+        """Show the digest of a key."""
+        return key_digest(key)
+
+
+class Commands:
+    """Operate samphirehall.
+
+    Parameters
+    ----------
+    control : str
+        Comma-separated addresses of control processes; the environment variable
+        SAMPHIRE_CONTROL if left out. SAMPHIRE_OPERATOR_TOKEN holds the token.
+    """
+
+    def __init__(self, control: str = "") -> None:
+        addresses = control or os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS)
+        self._client = ControlClient(addresses)
+        self.config = ConfigurationCommands(self._client)
+        self.key = KeyCommands()
+
+    def status(self, json: bool = False) -> str:
+        """Show hosts, leases, endpoints, versions and what is unhealthy.
+
+        Parameters
+        ----------
+        json : bool
+            Print the whole status as JSON.
+        """
+        status = self._client.call("GET", "/status")
+        return _dump(status) if json else format_status(status)
+
+
+def _dump(value: Any) -> str:
+    return json.dumps(value, indent=2)
+
+
+def _changed_keys(name: str, held: dict[str, Any], new: dict[str, Any]) -> Iterable[str]:
+    for key in sorted(held.keys() | new.keys()):
+        if held.get(key) != new.get(key):
+            yield f"~ {name}.{key}: {json.dumps(held.get(key))} -> {json.dumps(new.get(key))}"
+
+
+def format_table(heads: list[str], rows: list[list[Any]]) -> str:
+    """Return rows under their heads, in aligned columns."""
+    cells = [heads, *[[str(cell) for cell in row] for row in rows]]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(heads))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def format_status(status: dict[str, Any]) -> str:
+    """Return the status as readable text."""
+    lines = [
+        f"host {status['host']} in zone {status['zone']}, "
+        f"configuration version {status['configuration']}",
+        "",
+    ]
+    endpoints = [
+        [item["endpoint_id"], item["zone"], item["protocol"], item["kind"], item["state"]]
+        for item in status["endpoints"]
+    ]
+    lines.append(format_table(["ENDPOINT", "ZONE", "PROTOCOL", "KIND", "STATE"], endpoints))
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    try:
+        fire.Fire(Commands, name="samphirectl")
+    except ConfigurationError as error:
+        for problem in error.problems:
+            print(f"{error.result.code} {error.result.name}: {problem}", file=sys.stderr)
+        sys.exit(error.result.exit_status)
+    except SamphireError as error:
+        print(error, file=sys.stderr)
+        sys.exit(error.result.exit_status)
--- /dev/null
+++ b/samphirehall/programs/entry.py
@@ -0,0 +1,104 @@
+"""``samphire-entry``: the data path of one host."""
+
+import logging
+import random
+from contextlib import AsyncExitStack
+
+import anyio
+import fire
+from prometheus_client import CollectorRegistry
+
+from samphirehall.admission.controller import AdmissionController
+from samphirehall.core.log import configure_logging
+from samphirehall.core.serving import serving
+from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.forwarding.app import EntryApp
+from samphirehall.forwarding.claims import ClaimStore
+from samphirehall.forwarding.context import EntryContext
+from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.node.link import follow_link
+from samphirehall.node.state import NodeState
+from samphirehall.platform import Platform
+from samphirehall.programs.running import (
+    load_or_exit,
+    new_incarnation,
+    run_daemon,
+    wait_for_stop,
+)
+from samphirehall.routing.fleet import Fleet
+from samphirehall.routing.policy import ROUTING_POLICIES
+from samphirehall.settings import EntrySettings
+from samphirehall.usage.meter import UsageMeter
+
+DRAIN_POLL_SECONDS = 0.05
+
+_log = logging.getLogger(__name__)
+
+
+async def serve(settings: EntrySettings) -> None:
+    """Serve callers until told to stop, then finish what runs."""
+    incarnation = new_incarnation()
+    state = NodeState(f"{settings.host.id}/entry", settings.host.zone, incarnation)
+    async with AsyncExitStack() as stack:
+        platform = Platform(settings.platform.address, timeout=settings.platform.timeout_seconds)
+        stack.push_async_callback(platform.aclose)
+        pools = EndpointPools(stall_timeout=settings.entry.stall_seconds)
+        stack.push_async_callback(pools.aclose)
+        context = EntryContext(
+            settings=settings,
+            state=state,
+            pools=pools,
+            fleet=Fleet(state),
+            choose=ROUTING_POLICIES.get(settings.routing.policy)(),
+            admission=AdmissionController(max_open=settings.entry.max_open_requests),
+            claims=ClaimStore(platform),
+            metrics=EntryMetrics(CollectorRegistry()),
+            meter=UsageMeter(),
+            random_source=random.Random(incarnation),
+        )
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(follow_link, settings.entry.control, state)
+        group.start_soon(_close_old_pools, context)
+        await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
+        _log.info("serving", extra={"listen": settings.entry.listen})
+        await wait_for_stop()
+        await _shut_down(context)
+        group.cancel_scope.cancel()
+
+
+async def _shut_down(context: EntryContext) -> None:
+    """Turn not ready, let the balancer move on, and finish what runs."""
+    limits = context.settings.entry
+    _log.info("shutdown-begin", extra={"open": context.admission.open_requests})
+    context.stopping = True
+    with anyio.move_on_after(limits.shutdown_limit_seconds):
+        while context.admission.open_requests:
+            await anyio.sleep(DRAIN_POLL_SECONDS)
+    _log.info("shutdown-end", extra={"open": context.admission.open_requests})
+
+
+async def _close_old_pools(context: EntryContext) -> None:
+    while True:
+        await context.state.wait_changed()
+        endpoints = context.state.endpoints.values()
+        await context.pools.keep_only(endpoint.address for endpoint in endpoints)
+
+
+def run(settings: str, check: bool = False) -> None:
+    """Serve callers on this host.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the TOML settings file.
+    check : bool
+        Only check the settings.
+    """
+    loaded = load_or_exit(settings, EntrySettings, check=check)
+    configure_logging(loaded.logging.level, host=loaded.host.id, program="samphire-entry")
+    run_daemon(lambda: serve(loaded))
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(run, name="samphire-entry")
--- /dev/null
+++ b/samphirehall/programs/running.py
@@ -0,0 +1,63 @@
+"""What all daemons share: settings, logging, signals and exit status."""
+
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+import uvloop
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.settings.loading import SettingsError, load_settings
+
+T = TypeVar("T")
+
+
+def load_or_exit(path: str, settings_type: type[T], *, check: bool) -> T:
+    """Return the settings of a file; exit with the result's status if they are refused.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    settings_type : type
+        Dataclass of the file's tables.
+    check : bool
+        Whether to exit after checking.
+    """
+    try:
+        settings = load_settings(path, settings_type)
+    except SettingsError as error:
+        for problem in error.problems:
+            print(f"{error.result.code} {error.result.name}: {problem}", file=sys.stderr)
+        sys.exit(error.result.exit_status)
+    if check:
+        print(f"{path}: ok")
+        sys.exit(0)
+    return settings
+
+
+def new_incarnation() -> int:
+    """Return the incarnation of a process that starts now, in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+def run_daemon(main: Callable[[], Awaitable[None]]) -> None:
+    """Run an async main function and exit with the status of its result."""
+    try:
+        anyio.run(main, backend_options={"loop_factory": uvloop.new_event_loop})
+    except* SamphireError as group:
+        error = group.exceptions[0]
+        print(error, file=sys.stderr)
+        if isinstance(error, SamphireError):
+            sys.exit(error.result.exit_status)
+        raise
+
+
+async def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
--- /dev/null
+++ b/samphirehall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint that serves a request."""
--- /dev/null
+++ b/samphirehall/settings/loading.py
@@ -0,0 +1,131 @@
+"""Reading and checking a settings file, with every error at once."""
+
+import dataclasses
+import ipaddress
+import tomllib
+import typing
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import SETTINGS_INVALID
+
+T = TypeVar("T")
+
+MAX_PORT = 65_535
+
+
+@dataclass(slots=True, frozen=True)
+class SettingsProblem:
+    """One thing wrong with a settings file."""
+
+    file: str
+    key: str
+    value: object
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key} = {self.value!r}: {self.allowed}"
+
+
+class SettingsError(SamphireError):
+    """A settings file was refused; `problems` lists everything wrong with it."""
+
+    def __init__(self, problems: list[SettingsProblem]) -> None:
+        super().__init__(SETTINGS_INVALID, "; ".join(map(str, problems)))
+        self.problems = problems
+
+
+def load_settings(path: str | Path, settings_type: type[T]) -> T:
+    """Return the checked settings of a TOML file.
+
+    Parameters
+    ----------
+    path : str or Path
+        File to read.
+    settings_type : type
+        Dataclass whose fields are the tables allowed.
+
+    Raises
+    ------
+    SettingsError
+        Lists every unknown key, wrong type, range and address together.
+    """
+    file = str(path)
+    try:
+        document = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        problem = SettingsProblem(file, "file", file, f"a readable file ({error.strerror})")
+        raise SettingsError([problem]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([SettingsProblem(file, "file", file, f"TOML ({error})")]) from error
+    problems: list[SettingsProblem] = []
+    settings = build_checked(settings_type, document, file=file, prefix="", problems=problems)
+    if problems:
+        raise SettingsError(problems)
+    return typing.cast(T, settings)
+
+
+def build_checked(
+    table_type: type,
+    document: dict[str, Any],
+    *,
+    file: str,
+    prefix: str,
+    problems: list[SettingsProblem],
+) -> Any:
+    """Return an instance of `table_type`, or None after appending to `problems`."""
+    hints = typing.get_type_hints(table_type, include_extras=True)
+    known = {item.name: item for item in dataclasses.fields(table_type)}
+    before = len(problems)
+    for key in document.keys() - known.keys():
+        allowed = "unknown key; allowed: " + ", ".join(sorted(known))
+        problems.append(SettingsProblem(file, prefix + key, document[key], allowed))
+    values: dict[str, Any] = {}
+    for name, item in known.items():
+        if name in document:
+            values[name] = _check_value(
+                hints[name], document[name], file=file, key=prefix + name, problems=problems
+            )
+        elif item.default is item.default_factory is dataclasses.MISSING:
+            problems.append(SettingsProblem(file, prefix + name, None, "required"))
+    return table_type(**values) if len(problems) == before else None
+
+
+def _check_value(
+    hint: Any, value: Any, *, file: str, key: str, problems: list[SettingsProblem]
+) -> Any:
+    if dataclasses.is_dataclass(hint):
+        if not isinstance(value, dict):
+            problems.append(SettingsProblem(file, key, value, "a table"))
+            return None
+        return build_checked(
+            typing.cast(type, hint), value, file=file, prefix=key + ".", problems=problems
+        )
+    try:
+        checked = msgspec.convert(value, hint)
+    except msgspec.ValidationError as error:
+        problems.append(SettingsProblem(file, key, value, str(error)))
+        return None
+    if _is_address(hint) and not valid_address(checked):
+        allowed = "an IP number and a port from 1 to 65535, such as 10.0.0.7:8000"
+        problems.append(SettingsProblem(file, key, value, allowed))
+    return checked
+
+
+def _is_address(hint: Any) -> bool:
+    metadata = getattr(hint, "__metadata__", ())
+    return any((item.extra or {}).get("format") == "address" for item in metadata)
+
+
+def valid_address(address: str) -> bool:
+    """Return whether `address` is an IP number and a port."""
+    number, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(number.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdigit() and 1 <= int(port) <= MAX_PORT
--- /dev/null
+++ b/samphirehall/settings/tables.py
@@ -0,0 +1,120 @@
+"""Tables and keys of the settings files, with units and ranges."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+Address = Annotated[str, Meta(extra={"format": "address"})]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Bytes = Annotated[int, Meta(ge=1, le=1 << 30)]
+LogLevel = Literal["debug", "info", "warning", "error"]
+
+
+@dataclass(slots=True)
+class HostTable:
+    """``[host]``: who and where this host is."""
+
+    id: Name
+    zone: Name
+    region: Name = "local"
+
+
+@dataclass(slots=True)
+class PlatformTable:
+    """``[platform]``: the platform's service."""
+
+    address: Address
+    timeout_seconds: Seconds = 2.0
+
+
+@dataclass(slots=True)
+class LoggingTable:
+    """``[logging]``: verbosity of the log on standard error."""
+
+    level: LogLevel = "info"
+
+
+@dataclass(slots=True)
+class EntryTable:
+    """``[entry]``: the callers' interface and its bounds."""
+
+    listen: Address
+    control: Address
+    max_body_bytes: Bytes = 8 * 1024 * 1024
+    max_open_requests: Count = 4096
+    head_timeout_seconds: Seconds = 10.0
+    stall_seconds: Seconds = 5.0
+    shutdown_grace_seconds: Seconds = 5.0
+    shutdown_limit_seconds: Seconds = 600.0
+
+
+@dataclass(slots=True)
+class RoutingTable:
+    """``[routing]``: which policy chooses endpoints."""
+
+    policy: Name = "least-in-flight"
+    block_tokens: Count = 1024
+
+
+@dataclass(slots=True)
+class EntrySettings:
+    """Settings of ``samphire-entry``."""
+
+    host: HostTable
+    platform: PlatformTable
+    entry: EntryTable
+    routing: RoutingTable = field(default_factory=RoutingTable)
+    logging: LoggingTable = field(default_factory=LoggingTable)
+
+
+@dataclass(slots=True)
+class ControlTable:
+    """``[control]``: what the control process listens on.
+
+    ``operator`` serves ``samphirectl`` over HTTP, ``link`` the entry of the
+    same host, ``mesh`` the peers.
+    """
+
+    operator: Address
+    link: Address
+    mesh: Address
+    operator_token_digest: str = ""
+    poll_seconds: Seconds = 1.0
+
+
+@dataclass(slots=True)
+class MeshTable:
+    """``[mesh]``: how hosts talk to each other."""
+
+    key: Annotated[str, Meta(min_length=16)]
+    heartbeat_seconds: Seconds = 1.0
+    suspect_seconds: Seconds = 4.0
+    byte_budget_per_second: Bytes = 4096
+    delegates: Count = 2
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
+
+
+@dataclass(slots=True)
+class LeaseTable:
+    """``[lease]``: times of the leases; see docs/design/0002-authority.md."""
+
+    ttl_seconds: Seconds = 6.0
+    margin_seconds: Seconds = 1.0
+    delivery_limit_seconds: Seconds = 2.0
+
+
+@dataclass(slots=True)
+class ControlSettings:
+    """Settings of ``samphire-control``."""
+
+    host: HostTable
+    platform: PlatformTable
+    control: ControlTable
+    mesh: MeshTable
+    lease: LeaseTable = field(default_factory=LeaseTable)
+    logging: LoggingTable = field(default_factory=LoggingTable)
--- /dev/null
+++ b/samphirehall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, model engines and plain services, with fault switches."""
--- /dev/null
+++ b/samphirehall/standins/platform.py
@@ -0,0 +1,293 @@
+"""Stand-in of the platform: table, objects, hosts, endpoints, orders and usage in memory."""
+
+import dataclasses
+import logging
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.types import EndpointInfo, EndpointState, HostInfo
+from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
+from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
+
+START_SECONDS = 1.0
+STATUS_UNAVAILABLE = 503
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Fault switches; probabilities from 0 to 1, times in seconds.
+
+    `outage` refuses every call, `delay` slows each, `lose_answer` drops the
+    answer of a write that took effect, `hide_cheap` makes the cheap kind
+    unavailable.
+    """
+
+    outage: bool = False
+    delay: float = 0.0
+    lose_answer: float = 0.0
+    hide_cheap: bool = False
+
+
+@dataclass(slots=True)
+class Topology:
+    """Hosts and endpoints that the platform lists."""
+
+    hosts: list[HostInfo] = field(default_factory=list)
+    endpoints: list[EndpointInfo] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Transaction:
+    checks: list[Check]
+    writes: list[Write]
+
+
+@dataclass(slots=True)
+class _Keys:
+    keys: list[str]
+
+
+@dataclass(slots=True)
+class _Scan:
+    prefix: str
+    limit: int = 1000
+
+
+@dataclass(slots=True)
+class EndpointChange:
+    """A change to the list of endpoints, for tests and demonstrations."""
+
+    endpoint_id: str
+    state: EndpointState
+    leaving_in: float | None = None
+
+
+class MemoryTable:
+    """The transactional table, in memory."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._versions: dict[str, int] = {}
+        self.reads = 0
+        self.transactions = 0
+
+    def transact(self, checks: list[Check], writes: list[Write]) -> TransactionResult:
+        """Apply a transaction, all or nothing."""
+        self.transactions += 1
+        conflicts = tuple(
+            self._rows.get(check.key, Row(check.key, ABSENT, None))
+            for check in checks
+            if self._version(check.key) != check.version
+        )
+        if conflicts:
+            return TransactionResult(False, conflicts)
+        return TransactionResult(True, (), {write.key: self._write(write) for write in writes})
+
+    def read(self, keys: list[str]) -> list[Row]:
+        """Return the rows that exist among `keys`."""
+        self.reads += 1
+        return [self._rows[key] for key in keys if key in self._rows]
+
+    def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Return rows whose key starts with `prefix`, ordered by key."""
+        self.reads += 1
+        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        return [self._rows[key] for key in keys[:limit]]
+
+    def _version(self, key: str) -> int:
+        return self._rows[key].version if key in self._rows else ABSENT
+
+    def _write(self, write: Write) -> int:
+        version = self._versions.get(write.key, ABSENT) + 1
+        self._versions[write.key] = version
+        if write.value is None:
+            self._rows.pop(write.key, None)
+        else:
+            self._rows[write.key] = Row(write.key, version, write.value)
+        return version
+
+
+class PlatformStandin:
+    """The platform's service.
+
+    Parameters
+    ----------
+    topology : Topology
+        Hosts and endpoints to list at first.
+    seed : int
+        Seed of the fault switches.
+    """
+
+    def __init__(self, topology: Topology, *, seed: int = 0) -> None:
+        self.table = MemoryTable()
+        self.faults = PlatformFaults()
+        self.usage: dict[tuple[int, str], UsageReport] = {}
+        self.usage_conflicts: list[UsageReport] = []
+        self.orders: dict[str, EndpointOrder] = {}
+        self._objects: dict[str, bytes] = {}
+        self._hosts = {host.host_id: host for host in topology.hosts}
+        self._endpoints = {item.endpoint_id: item for item in topology.endpoints}
+        self._starting: dict[str, float] = {}
+        self._leaving_until: dict[str, float] = {}
+        self._fencing = 0
+        self._random = random.Random(seed)
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/table/transact", self._transact, methods=["POST"]),
+            Route("/table/read", self._read, methods=["POST"]),
+            Route("/table/scan", self._scan, methods=["POST"]),
+            Route("/objects/{digest}", self._put_object, methods=["PUT"]),
+            Route("/objects/{digest}", self._get_object, methods=["GET"]),
+            Route("/hosts", self._list_hosts, methods=["GET"]),
+            Route("/endpoints", self._list_endpoints, methods=["GET"]),
+            Route("/endpoint-orders", self._order, methods=["POST"]),
+            Route("/usage-reports", self._report, methods=["POST"]),
+            Route("/admin/faults", self._set_faults, methods=["PUT"]),
+            Route("/admin/hosts", self._set_hosts, methods=["PUT"]),
+            Route("/admin/endpoints", self._change_endpoint, methods=["POST"]),
+            Route("/admin/usage", self._list_usage, methods=["GET"]),
+            Route("/admin/counts", self._counts, methods=["GET"]),
+        ]
+        return Starlette(routes=routes)
+
+    async def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=_Transaction)
+        if refused := await self._fault():
+            return refused
+        result = self.table.transact(body.checks, body.writes)
+        if self._random.random() < self.faults.lose_answer:
+            return Response(status_code=STATUS_UNAVAILABLE)
+        return _json(result)
+
+    async def _read(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=_Keys)
+        return await self._fault() or _json(self.table.read(body.keys))
+
+    async def _scan(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=_Scan)
+        return await self._fault() or _json(self.table.scan(body.prefix, body.limit))
+
+    async def _put_object(self, request: Request) -> Response:
+        content = await request.body()
+        if refused := await self._fault():
+            return refused
+        self._objects[request.path_params["digest"]] = content
+        return _json(True)
+
+    async def _get_object(self, request: Request) -> Response:
+        if refused := await self._fault():
+            return refused
+        content = self._objects.get(request.path_params["digest"])
+        return Response(status_code=404) if content is None else Response(content)
+
+    async def _list_hosts(self, request: Request) -> Response:
+        return await self._fault() or _json(list(self._hosts.values()))
+
+    async def _list_endpoints(self, request: Request) -> Response:
+        return await self._fault() or _json(self._current_endpoints(boot_seconds()))
+
+    async def _order(self, request: Request) -> Response:
+        order = msgspec.json.decode(await request.body(), type=EndpointOrder)
+        if refused := await self._fault():
+            return refused
+        if order.fencing < self._fencing:
+            return _json(OrderAnswer(False, f"fencing number {order.fencing} < {self._fencing}"))
+        self._fencing = order.fencing
+        if order.order_id not in self.orders:
+            self.orders[order.order_id] = order
+            self._carry_out(order, boot_seconds())
+        return _json(OrderAnswer(True))
+
+    async def _report(self, request: Request) -> Response:
+        report = msgspec.json.decode(await request.body(), type=UsageReport)
+        if refused := await self._fault():
+            return refused
+        key = (report.window, report.customer)
+        held = self.usage.setdefault(key, report)
+        if held.figures != report.figures:
+            self.usage_conflicts.append(report)
+            return _json(OrderAnswer(False, "the window was reported with other figures"))
+        if self._random.random() < self.faults.lose_answer:
+            return Response(status_code=STATUS_UNAVAILABLE)
+        return _json(OrderAnswer(True))
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = msgspec.json.decode(await request.body(), type=PlatformFaults)
+        _log.info("platform-faults", extra={"faults": msgspec.to_builtins(self.faults)})
+        return _json(self.faults)
+
+    async def _set_hosts(self, request: Request) -> Response:
+        hosts = msgspec.json.decode(await request.body(), type=list[HostInfo])
+        self._hosts = {host.host_id: host for host in hosts}
+        return _json(True)
+
+    async def _change_endpoint(self, request: Request) -> Response:
+        change = msgspec.json.decode(await request.body(), type=EndpointChange)
+        endpoint = self._endpoints[change.endpoint_id]
+        if change.leaving_in is not None:
+            self._leaving_until[change.endpoint_id] = boot_seconds() + change.leaving_in
+        self._endpoints[change.endpoint_id] = _with_state(endpoint, change.state)
+        return _json(True)
+
+    async def _list_usage(self, request: Request) -> Response:
+        return _json({"reports": list(self.usage.values()), "conflicts": self.usage_conflicts})
+
+    async def _counts(self, request: Request) -> Response:
+        return _json({"reads": self.table.reads, "transactions": self.table.transactions})
+
+    async def _fault(self) -> Response | None:
+        if self.faults.delay:
+            await anyio.sleep(self.faults.delay)
+        return Response(status_code=STATUS_UNAVAILABLE) if self.faults.outage else None
+
+    def _current_endpoints(self, now: float) -> list[EndpointInfo]:
+        for name, ready_at in list(self._starting.items()):
+            if now >= ready_at:
+                del self._starting[name]
+                self._endpoints[name] = _with_state(self._endpoints[name], EndpointState.READY)
+        listed = []
+        for name, endpoint in self._endpoints.items():
+            until = self._leaving_until.get(name)
+            if endpoint.state is EndpointState.LEAVING and until is not None:
+                endpoint = _with_state(endpoint, EndpointState.LEAVING, leaving_in=until - now)
+            if endpoint.state not in (EndpointState.OFF, EndpointState.GONE):
+                listed.append(endpoint)
+        return listed
+
+    def _carry_out(self, order: EndpointOrder, now: float) -> None:
+        group = [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.zone == order.zone and endpoint.kind == order.kind
+        ]
+        running = [e for e in group if e.state in (EndpointState.READY, EndpointState.STARTING)]
+        spare = [e for e in group if e.state in (EndpointState.OFF, EndpointState.GONE)]
+        hidden = self.faults.hide_cheap and order.kind == "cheap"
+        for endpoint in [] if hidden else spare[: max(0, order.count - len(running))]:
+            self._endpoints[endpoint.endpoint_id] = _with_state(endpoint, EndpointState.STARTING)
+            self._starting[endpoint.endpoint_id] = now + START_SECONDS
+        for endpoint in running[order.count :]:
+            self._endpoints[endpoint.endpoint_id] = _with_state(endpoint, EndpointState.LEAVING)
+
+
+def _with_state(
+    endpoint: EndpointInfo, state: EndpointState, *, leaving_in: float | None = None
+) -> EndpointInfo:
+    return dataclasses.replace(endpoint, state=state, leaving_in=leaving_in)
+
+
+def _json(value: Any) -> Response:
+    return Response(msgspec.json.encode(value), media_type="application/json")
--- /dev/null
+++ b/samphirehall/standins/service.py
@@ -0,0 +1,89 @@
+"""Stand-in of a plain service: a booking desk that counts how often each booking ran."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+
+@dataclass(slots=True)
+class ServiceFaults:
+    """Fault switches; times in seconds.
+
+    `delay` slows each call, `lose_answer` runs the call and closes without an
+    answer, `stall` runs it and stays silent.
+    """
+
+    delay: float = 0.0
+    lose_answer: bool = False
+    stall: bool = False
+
+
+@dataclass(slots=True)
+class ServiceCall:
+    """One call that the service ran."""
+
+    service: str
+    method: str
+    path: str
+    body: str
+    key_seen: bool
+
+
+class ServiceStandin:
+    """A plain service.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Name of the endpoint.
+    """
+
+    def __init__(self, endpoint_id: str) -> None:
+        self.endpoint_id = endpoint_id
+        self.faults = ServiceFaults()
+        self.calls: list[ServiceCall] = []
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        methods = ["GET", "POST", "PUT", "DELETE"]
+        return Starlette(
+            routes=[
+                Route("/admin/faults", self._set_faults, methods=["PUT"]),
+                Route("/admin/calls", self._list_calls, methods=["GET"]),
+                Route("/state", self._state, methods=["GET"]),
+                Route("/{path:path}", self._serve, methods=methods),
+            ]
+        )
+
+    async def _serve(self, request: Request) -> Response:
+        body = (await request.body()).decode(errors="replace")
+        key_seen = "authorization" in request.headers or "sk-samphire-" in str(request.url)
+        call = ServiceCall(self.endpoint_id, request.method, request.url.path, body, key_seen)
+        self.calls.append(call)
+        await anyio.sleep(self.faults.delay)
+        while self.faults.stall:
+            await anyio.sleep(0.05)
+        if self.faults.lose_answer:
+            raise ConnectionAbortedError("the answer is lost on purpose")
+        answer = {"service": self.endpoint_id, "path": call.path, "echo": body}
+        return _json({**answer, "number": len(self.calls)})
+
+    async def _state(self, request: Request) -> Response:
+        return _json({"endpoint_id": self.endpoint_id, "calls": len(self.calls)})
+
+    async def _list_calls(self, request: Request) -> Response:
+        return _json(self.calls)
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = msgspec.json.decode(await request.body(), type=ServiceFaults)
+        return _json(self.faults)
+
+
+def _json(value: Any) -> Response:
+    return Response(msgspec.json.encode(value), media_type="application/json")
--- /dev/null
+++ b/samphirehall/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Meters, windows and reports of what customers used."""
