Decide roles, counts and models of a zone, and poll its engines

Cause: nothing used the engines' own reports, and no rule said when a role change pays. Weighed: thresholds on queue lengths (they oscillate with lagging reports) and an optimiser over all role assignments (many changes at once, each taking an engine away).

--- a/samphirehall/configuration/documents.py
+++ b/samphirehall/configuration/documents.py
@@ -84,7 +84,9 @@
     """``[fleet]``: rules for roles, endpoint counts and the cheap kind.
 
     ``standard_floor`` and ``max_endpoints`` count engines a zone.
-    ``budget_per_hour`` is in the currency of the two costs.
+    ``budget_per_hour`` is in the currency of the two costs, the token rates are
+    those of one engine that does nothing else. ``order_endpoints``,
+    ``change_roles`` and ``place_models`` let the system give such orders.
     """
 
     standard_floor: Annotated[int, Meta(ge=0)] = 1
@@ -96,8 +98,12 @@
     initial_role: Role = Role.MIXED
     role_dwell_seconds: Rate = 60.0
     role_change_seconds: Rate = 5.0
+    prefill_tokens_per_second: Rate = 8_000.0
+    decode_tokens_per_second: Rate = 1_500.0
+    weight_store_bytes_per_second: Rate = 2_000_000_000.0
     order_endpoints: bool = False
     change_roles: bool = False
+    place_models: bool = False
 
 
 Part = CustomerPart | ModelPart | AdapterPart | RoutePart | FleetPart
--- /dev/null
+++ b/samphirehall/core/rendezvous.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: who of many does a thing, agreed on without a word.
+
+Source of the idea: Thaler and Ravishankar, "A Name-Based Mapping Scheme for
+Rendezvous", 1996.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def ranked(members: Iterable[str], subject: str) -> list[str]:
+    """Return the members by their claim to a subject, the strongest first."""
+    return sorted(members, key=lambda member: (_weight(member, subject), member), reverse=True)
+
+
+def is_chosen(member: str, members: Iterable[str], subject: str, *, count: int = 1) -> bool:
+    """Return whether `member` is among the `count` members with the strongest claim."""
+    own = (_weight(member, subject), member)
+    stronger = sum(
+        1 for other in members if other != member and (_weight(other, subject), other) > own
+    )
+    return stronger < count
+
+
+def _weight(member: str, subject: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{member}\x00{subject}".encode())
--- /dev/null
+++ b/samphirehall/placement/polling.py
@@ -0,0 +1,176 @@
+"""Control service: ask engines about themselves and tell the other hosts.
+
+The endpoints of a zone are divided among its hosts by rendezvous hashing, so
+that each is asked by one host. The interval grows with the endpoints of the
+zone, so that what their reports cost stays bounded.
+"""
+
+import logging
+from collections.abc import Iterable
+
+import anyio
+import msgspec
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.log import log_decision
+from samphirehall.core.rendezvous import is_chosen
+from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState
+from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.endpoints.protocol import EngineReport
+from samphirehall.node.context import ControlContext
+from samphirehall.node.facts import FactKind
+from samphirehall.node.state import NodeState
+
+BASE_INTERVAL_SECONDS = 1.0
+REPORTS_PER_SECOND_AND_ZONE = 40.0
+REPORT_LIFETIME_INTERVALS = 4.0
+DOWN_AFTER_FAILURES = 3
+DOWN_LIFETIME_SECONDS = 5.0
+LEAVING_LIFETIME_SECONDS = 120.0
+POLL_TIMEOUT_SECONDS = 1.0
+MAX_REPORT_BYTES = 64 * 1024
+HTTP_OK = 200
+
+_log = logging.getLogger(__name__)
+
+
+def poll_interval(endpoints_in_zone: int) -> float:
+    """Return the seconds between two reports of one engine."""
+    return max(BASE_INTERVAL_SECONDS, endpoints_in_zone / REPORTS_PER_SECOND_AND_ZONE)
+
+
+def assigned_endpoints(state: NodeState, *, now: float) -> list[EndpointInfo]:
+    """Return the engines of the zone that this host asks."""
+    hosts = {state.host, *hosts_of_zone(state, now=now)}
+    return [
+        endpoint
+        for endpoint in engines_of_zone(state)
+        if is_chosen(state.host, hosts, endpoint.endpoint_id)
+    ]
+
+
+def engines_of_zone(state: NodeState) -> list[EndpointInfo]:
+    """Return the engines of this host's zone."""
+    return [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.zone == state.zone and endpoint.protocol is EndpointProtocol.ENGINE
+    ]
+
+
+def hosts_of_zone(state: NodeState, *, now: float) -> Iterable[str]:
+    """Return the live hosts of this host's zone."""
+    for fact in state.board.current(FactKind.HOST, now=now):
+        if isinstance(fact.value, dict) and fact.value.get("zone") == state.zone:
+            yield fact.key
+
+
+class ReportPoller:
+    """Asks the engines assigned to this host.
+
+    Parameters
+    ----------
+    state : NodeState
+        Where reports are published.
+    pools : EndpointPools
+        Connections to the engines.
+    """
+
+    def __init__(self, state: NodeState, pools: EndpointPools) -> None:
+        self._state = state
+        self._pools = pools
+        self._failures: dict[str, int] = {}
+        self._leaving: set[str] = set()
+
+    async def poll(self, endpoint: EndpointInfo, *, interval: float) -> None:
+        """Ask one engine and publish what it says, or that it is down."""
+        report = await _ask(self._pools.at(endpoint.address))
+        now = boot_seconds()
+        if report is None:
+            self._note_failure(endpoint, now)
+            return
+        self._failures.pop(endpoint.endpoint_id, None)
+        self._state.board.publish(
+            FactKind.ENGINE_REPORT,
+            endpoint.endpoint_id,
+            msgspec.to_builtins(report),
+            lifetime=interval * REPORT_LIFETIME_INTERVALS,
+            now=now,
+        )
+        if report.leaving:
+            self.note_leaving(endpoint.endpoint_id, "engine says so", now=now)
+
+    def note_leaving(self, endpoint_id: str, source: str, *, now: float) -> None:
+        """Tell all hosts, once, that an endpoint takes no new work."""
+        if endpoint_id in self._leaving:
+            return
+        self._leaving.add(endpoint_id)
+        log_decision(_log, "endpoint-leaving", source, endpoint=endpoint_id)
+        self._state.board.publish(
+            FactKind.ENDPOINT_LEAVING,
+            endpoint_id,
+            source,
+            lifetime=LEAVING_LIFETIME_SECONDS,
+            now=now,
+        )
+
+    def note_listed(self, endpoints: Iterable[EndpointInfo], *, now: float) -> None:
+        """Take note of what the platform lists as leaving, and of what came back."""
+        for endpoint in endpoints:
+            if endpoint.state is EndpointState.LEAVING:
+                self.note_leaving(endpoint.endpoint_id, "platform lists it", now=now)
+            elif endpoint.state is EndpointState.STARTING:
+                self._leaving.discard(endpoint.endpoint_id)
+
+    def _note_failure(self, endpoint: EndpointInfo, now: float) -> None:
+        failures = self._failures.get(endpoint.endpoint_id, 0) + 1
+        self._failures[endpoint.endpoint_id] = failures
+        if failures < DOWN_AFTER_FAILURES:
+            return
+        if failures == DOWN_AFTER_FAILURES:
+            log_decision(
+                _log, "endpoint-down", f"{failures} polls failed", endpoint=endpoint.endpoint_id
+            )
+        self._state.board.publish(
+            FactKind.ENDPOINT_DOWN,
+            endpoint.endpoint_id,
+            failures,
+            lifetime=DOWN_LIFETIME_SECONDS,
+            now=now,
+        )
+
+
+async def _ask(pool: ConnectionPool) -> EngineReport | None:
+    try:
+        with anyio.fail_after(POLL_TIMEOUT_SECONDS):
+            async with pool.request("GET", "/state") as response:
+                body = await read_body(response, max_bytes=MAX_REPORT_BYTES)
+                if response.status != HTTP_OK:
+                    return None
+                return msgspec.json.decode(body, type=EngineReport)
+    except (*TRANSPORT_ERRORS, TimeoutError, ValueError):
+        return None
+
+
+async def run_polling(context: ControlContext) -> None:
+    """Poll the engines assigned to this host until cancelled."""
+    state = context.state
+    pools = EndpointPools(connect_timeout=POLL_TIMEOUT_SECONDS, stall_timeout=POLL_TIMEOUT_SECONDS)
+    context.stack.push_async_callback(pools.aclose)
+    poller = ReportPoller(state, pools)
+    context.provide(poller)
+    while True:
+        now = boot_seconds()
+        poller.note_listed(state.endpoints.values(), now=now)
+        endpoints = assigned_endpoints(state, now=now)
+        interval = poll_interval(len(engines_of_zone(state)))
+        async with anyio.create_task_group() as group:
+            for endpoint in endpoints:
+                group.start_soon(_poll_one, poller, endpoint, interval)
+        await pools.keep_only(endpoint.address for endpoint in endpoints)
+        await anyio.sleep(max(0.0, interval - (boot_seconds() - now)))
+
+
+async def _poll_one(poller: ReportPoller, endpoint: EndpointInfo, interval: float) -> None:
+    await poller.poll(endpoint, interval=interval)
--- /dev/null
+++ b/tests/placement/test_demand.py
@@ -0,0 +1,30 @@
+"""Demand: sums over entries, and an average that a burst does not move."""
+
+import pytest
+
+from samphirehall.node.facts import FactBoard, FactKind
+from samphirehall.placement.demand import Demand, DemandAverage, demand_by_model
+
+
+class TestDemandByModel:
+    def test_adds_up_what_entries_publish(self):
+        board = FactBoard("host-a", 1)
+        for host, rate in (("host-a", 10.0), ("host-b", 32.0)):
+            board.owner = host
+            value = {"prefill_tokens_per_second": rate, "waiting": 1}
+            board.publish(FactKind.DEMAND, "answer", value, lifetime=5, now=0)
+        demand = demand_by_model(board.current(FactKind.DEMAND, now=1))
+        assert demand == {"answer": Demand(42.0, 0.0, 2)}
+
+
+class TestDemandAverage:
+    def test_follows_a_step_slowly(self):
+        average = DemandAverage(time_constant=10)
+        average.update({"answer": Demand(100, 10)}, now=0)
+        after = average.update({"answer": Demand(200, 10)}, now=1)
+        assert after["answer"].prefill_tokens_per_second == pytest.approx(110)
+
+    def test_forgets_a_model_without_demand(self):
+        average = DemandAverage(time_constant=1)
+        average.update({"answer": Demand(100, 10)}, now=0)
+        assert average.update({}, now=10)["answer"] == Demand(0, 0, 0)
