Keep leases with fencing numbers in the platform's table

Cause: endpoint orders, engine orders and usage reports may each come from one process only, and no host is set aside for control.

--- a/samphirehall/authority/__init__.py
+++ b/samphirehall/authority/__init__.py
@@ -1,1 +1,1 @@
-"""Leases with fencing numbers, and the order journal."""
+"""Leases with fencing numbers, and the journal of orders given under them."""
--- /dev/null
+++ b/samphirehall/authority/service.py
@@ -0,0 +1,80 @@
+"""Control service: this host's part in the leases of its region and availability zone."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+from prometheus_client import Gauge
+
+from samphirehall.authority.candidates import candidate_rank, first_poll_seconds, poll_seconds
+from samphirehall.authority.keeper import LeaseKeeper
+from samphirehall.authority.lease import PLATFORM_SCOPE, LeaseTimes, engines_scope
+from samphirehall.authority.leases import Leases
+from samphirehall.core.clock import boot_seconds
+from samphirehall.node.context import ControlContext
+from samphirehall.node.facts import FactKind
+from samphirehall.node.state import NodeState
+from samphirehall.settings.tables import LeaseTable
+
+
+def lease_times(table: LeaseTable) -> LeaseTimes:
+    """Return the times of a settings table."""
+    return LeaseTimes(table.ttl_seconds, table.margin_seconds, table.delivery_limit_seconds)
+
+
+async def run_leases(context: ControlContext) -> None:
+    """Keep the leases of this host's scopes until cancelled."""
+    state = context.state
+    times = lease_times(context.settings.lease)
+    holder = f"{state.host}/{state.incarnation}"
+    random_source = random.Random(holder)
+    scopes = (PLATFORM_SCOPE, engines_scope(state.zone))
+    keepers = [LeaseKeeper(context.platform, scope, holder=holder, times=times) for scope in scopes]
+    leases = Leases(keepers)
+    context.provide(leases)
+    context.report_status("leases", lambda: leases.status(now=boot_seconds()))
+    _count_held(context, leases)
+    for keeper in keepers:
+        context.before_stop(keeper.release)
+    async with anyio.create_task_group() as group:
+        for keeper in keepers:
+            group.start_soon(_keep, state, keeper, times, random_source)
+
+
+async def _keep(
+    state: NodeState, keeper: LeaseKeeper, times: LeaseTimes, random_source: random.Random
+) -> None:
+    rank = _own_rank(state, keeper.scope)
+    interval = times.renewal_interval
+    await anyio.sleep(first_poll_seconds(rank(), interval, random_source=random_source))
+    await keeper.run(lambda: poll_seconds(rank(), interval, random_source=random_source))
+
+
+def _own_rank(state: NodeState, scope: str) -> Callable[[], int]:
+    def rank() -> int:
+        return candidate_rank(state.host, _candidates(state, scope, now=boot_seconds()), scope)
+
+    return rank
+
+
+def _candidates(state: NodeState, scope: str, *, now: float) -> Iterable[str]:
+    """Yield the live hosts that are candidates: all of the region, or those of the zone."""
+    for fact in state.board.current(FactKind.HOST, now=now):
+        zone = fact.value.get("zone") if isinstance(fact.value, dict) else None
+        if scope == PLATFORM_SCOPE or zone == state.zone:
+            yield fact.key
+
+
+def _count_held(context: ControlContext, leases: Leases) -> None:
+    gauge = Gauge(
+        "samphire_lease_held",
+        "Whether this host has the right in a scope.",
+        ["scope"],
+        registry=context.metrics,
+    )
+    for scope in leases.scopes:
+        gauge.labels(scope).set_function(_is_held(leases, scope))
+
+
+def _is_held(leases: Leases, scope: str) -> Callable[[], float]:
+    return lambda: float(leases.holds(scope, now=boot_seconds()))
--- /dev/null
+++ b/tests/authority/test_candidates.py
@@ -0,0 +1,38 @@
+"""Candidates of a lease."""
+
+import random
+
+import pytest
+
+from samphirehall.authority.candidates import (
+    LONGEST_POLL_SECONDS,
+    candidate_rank,
+    first_poll_seconds,
+    poll_seconds,
+)
+
+HOSTS = [f"host-{number}" for number in range(420)]
+
+
+class TestCandidateRank:
+    def test_every_host_has_its_own_rank(self):
+        ranks = sorted(candidate_rank(host, HOSTS, "platform") for host in HOSTS)
+        assert ranks == list(range(len(HOSTS)))
+
+    def test_unlisted_host_is_a_candidate(self):
+        assert 0 <= candidate_rank("new", HOSTS, "platform") <= len(HOSTS)
+
+
+class TestPollSeconds:
+    @pytest.mark.parametrize("rank", [0, 1, 5, 400])
+    def test_later_ranks_look_more_rarely(self, rank):
+        seconds = poll_seconds(rank, 2.0, random_source=random.Random(1))
+        assert seconds == pytest.approx(min(2.0 * (rank + 1), LONGEST_POLL_SECONDS), rel=0.1)
+
+    def test_reads_of_all_candidates_stay_few(self):
+        source = random.Random(1)
+        reads = sum(1 / poll_seconds(rank, 2.0, random_source=source) for rank in range(420))
+        assert reads < 20.0
+
+    def test_first_candidate_looks_at_once(self):
+        assert first_poll_seconds(0, 2.0, random_source=random.Random(1)) == 0.0
