Show endpoints with role, load and health, and drain one by name

Cause: the status listed what the platform lists and nothing of what the engines say. Change: the pollers' reports become a section of the status; `samphirectl endpoints` and `drain`. Ruled out: an order by whichever host is asked (only the holder of the zone's lease may give one).

--- a/samphirehall/node/operator_api.py
+++ b/samphirehall/node/operator_api.py
@@ -121,7 +121,6 @@
         "zone": state.zone,
         "incarnation": state.incarnation,
         "configuration": state.configuration.version,
-        "endpoints": list(state.endpoints.values()),
         **context.status(),
     }
 
--- a/samphirehall/placement/polling.py
+++ b/samphirehall/placement/polling.py
@@ -15,12 +15,13 @@
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
 from samphirehall.core.log import log_decision
 from samphirehall.core.rendezvous import is_chosen
-from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState
+from samphirehall.core.types import EndpointInfo, EndpointState
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.endpoints.protocol import EngineReport
 from samphirehall.node.context import ControlContext
 from samphirehall.node.facts import FactKind
 from samphirehall.node.state import NodeState
+from samphirehall.placement.views import endpoint_statuses, engines_of_zone
 
 BASE_INTERVAL_SECONDS = 1.0
 REPORTS_PER_SECOND_AND_ZONE = 40.0
@@ -50,15 +51,6 @@
     ]
 
 
-def engines_of_zone(state: NodeState) -> list[EndpointInfo]:
-    """Return the engines of this host's zone."""
-    return [
-        endpoint
-        for endpoint in state.endpoints.values()
-        if endpoint.zone == state.zone and endpoint.protocol is EndpointProtocol.ENGINE
-    ]
-
-
 def hosts_of_zone(state: NodeState, *, now: float) -> Iterable[str]:
     """Return the live hosts of this host's zone."""
     for fact in state.board.current(FactKind.HOST, now=now):
@@ -81,7 +73,7 @@
         self._state = state
         self._pools = pools
         self._failures: dict[str, int] = {}
-        self._leaving: set[str] = set()
+        self._leaving: dict[str, float] = {}
 
     async def poll(self, endpoint: EndpointInfo, *, interval: float) -> None:
         """Ask one engine and publish what it says, or that it is down."""
@@ -102,10 +94,11 @@
             self.note_leaving(endpoint.endpoint_id, "engine says so", now=now)
 
     def note_leaving(self, endpoint_id: str, source: str, *, now: float) -> None:
-        """Tell all hosts, once, that an endpoint takes no new work."""
-        if endpoint_id in self._leaving:
+        """Tell all hosts that an endpoint takes no new work, again before they forget."""
+        told_at = self._leaving.get(endpoint_id)
+        if told_at is not None and now - told_at < LEAVING_LIFETIME_SECONDS / 2:
             return
-        self._leaving.add(endpoint_id)
+        self._leaving[endpoint_id] = now
         log_decision(_log, "endpoint-leaving", source, endpoint=endpoint_id)
         self._state.board.publish(
             FactKind.ENDPOINT_LEAVING,
@@ -121,7 +114,7 @@
             if endpoint.state is EndpointState.LEAVING:
                 self.note_leaving(endpoint.endpoint_id, "platform lists it", now=now)
             elif endpoint.state is EndpointState.STARTING:
-                self._leaving.discard(endpoint.endpoint_id)
+                self._leaving.pop(endpoint.endpoint_id, None)
 
     def _note_failure(self, endpoint: EndpointInfo, now: float) -> None:
         failures = self._failures.get(endpoint.endpoint_id, 0) + 1
@@ -160,6 +153,7 @@
     context.stack.push_async_callback(pools.aclose)
     poller = ReportPoller(state, pools)
     context.provide(poller)
+    context.report_status("endpoints", lambda: endpoint_statuses(state, now=boot_seconds()))
     while True:
         now = boot_seconds()
         poller.note_listed(state.endpoints.values(), now=now)
--- a/samphirehall/placement/views.py
+++ b/samphirehall/placement/views.py
@@ -4,11 +4,10 @@
 
 import msgspec
 
-from samphirehall.core.types import EndpointInfo, EndpointState, Role
+from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState, Role
 from samphirehall.endpoints.protocol import EngineReport
 from samphirehall.node.facts import FactKind
 from samphirehall.node.state import NodeState
-from samphirehall.placement.polling import engines_of_zone
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,14 +28,86 @@
         return self.report.role
 
 
-def reported_engines(state: NodeState, *, now: float) -> list[EngineView]:
-    """Return the engines of the zone that are ready and have a report that still holds."""
+def engines_of_zone(state: NodeState) -> list[EndpointInfo]:
+    """Return the engines of this host's zone."""
+    return [
+        endpoint
+        for endpoint in state.endpoints.values()
+        if endpoint.zone == state.zone and endpoint.protocol is EndpointProtocol.ENGINE
+    ]
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointStatus:
+    """One endpoint in ``samphirectl endpoints``; engine fields are None for services."""
+
+    endpoint_id: str
+    zone: str
+    protocol: str
+    kind: str
+    state: str
+    role: str | None
+    models: list[str]
+    running: int | None
+    waiting: int | None
+    health: str
+
+
+HEALTHY = "ok"
+
+
+def endpoint_statuses(state: NodeState, *, now: float) -> list[EndpointStatus]:
+    """Return every endpoint with what this host knows of its health."""
+    reports = newest_reports(state, now=now)
+    down = {fact.key for fact in state.board.current(FactKind.ENDPOINT_DOWN, now=now)}
+    leaving = {fact.key for fact in state.board.current(FactKind.ENDPOINT_LEAVING, now=now)}
+    return [
+        _status(info, reports.get(info.endpoint_id), down=down, leaving=leaving)
+        for info in state.endpoints.values()
+    ]
+
+
+def _status(
+    info: EndpointInfo, report: EngineReport | None, *, down: set[str], leaving: set[str]
+) -> EndpointStatus:
+    return EndpointStatus(
+        info.endpoint_id,
+        info.zone,
+        info.protocol,
+        info.kind,
+        info.state,
+        report.role if report else None,
+        report.models if report else list(info.models),
+        report.load.running if report else None,
+        report.load.waiting if report else None,
+        _health(info.endpoint_id, report, down=down, leaving=leaving),
+    )
+
+
+def _health(
+    endpoint_id: str, report: EngineReport | None, *, down: set[str], leaving: set[str]
+) -> str:
+    if endpoint_id in down:
+        return "down"
+    if endpoint_id in leaving:
+        return "leaving"
+    return "changing" if report is not None and report.changing else HEALTHY
+
+
+def newest_reports(state: NodeState, *, now: float) -> dict[str, EngineReport]:
+    """Return the newest report of each engine that still holds."""
     newest: dict[str, EngineReport] = {}
     for fact in state.board.current(FactKind.ENGINE_REPORT, now=now):
         report = msgspec.convert(fact.value, EngineReport)
         held = newest.get(fact.key)
         if held is None or report.load.measured_at >= held.load.measured_at:
             newest[fact.key] = report
+    return newest
+
+
+def reported_engines(state: NodeState, *, now: float) -> list[EngineView]:
+    """Return the engines of the zone that are ready and have a report that still holds."""
+    newest = newest_reports(state, now=now)
     leaving = {fact.key for fact in state.board.current(FactKind.ENDPOINT_LEAVING, now=now)}
     return [
         EngineView(info, newest[info.endpoint_id])
--- a/samphirehall/programs/ctl.py
+++ b/samphirehall/programs/ctl.py
@@ -20,6 +20,7 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import key_digest, new_customer_key
 from samphirehall.core.results import CONTROL_UNREACHABLE, by_code
+from samphirehall.programs.ctl_tables import format_endpoints, format_status, format_table
 
 TIMEOUT_SECONDS = 30.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -177,6 +178,28 @@
         self.config = ConfigurationCommands(self._client)
         self.key = KeyCommands()
 
+    def endpoints(self, json: bool = False) -> str:
+        """List endpoints with role, load and health.
+
+        Parameters
+        ----------
+        json : bool
+            Print the list as JSON.
+        """
+        listed = self._client.call("GET", "/status")["endpoints"]
+        return _dump(listed) if json else format_endpoints(listed)
+
+    def drain(self, endpoint: str) -> str:
+        """Give an endpoint no new work and let what runs end.
+
+        Parameters
+        ----------
+        endpoint : str
+            Name of the endpoint.
+        """
+        self._client.call("POST", f"/endpoints/{endpoint}/drain")
+        return f"{endpoint}: takes no new work from now on"
+
     def status(self, json: bool = False) -> str:
         """Show hosts, leases, endpoints, versions and what is unhealthy.
 
@@ -199,32 +222,6 @@
             yield f"~ {name}.{key}: {json.dumps(held.get(key))} -> {json.dumps(new.get(key))}"
 
 
-def format_table(heads: list[str], rows: list[list[Any]]) -> str:
-    """Return rows under their heads, in aligned columns."""
-    cells = [heads, *[[str(cell) for cell in row] for row in rows]]
-    widths = [max(len(row[column]) for row in cells) for column in range(len(heads))]
-    lines = [
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
-        for row in cells
-    ]
-    return "\n".join(line.rstrip() for line in lines)
-
-
-def format_status(status: dict[str, Any]) -> str:
-    """Return the status as readable text."""
-    lines = [
-        f"host {status['host']} in zone {status['zone']}, "
-        f"configuration version {status['configuration']}",
-        "",
-    ]
-    endpoints = [
-        [item["endpoint_id"], item["zone"], item["protocol"], item["kind"], item["state"]]
-        for item in status["endpoints"]
-    ]
-    lines.append(format_table(["ENDPOINT", "ZONE", "PROTOCOL", "KIND", "STATE"], endpoints))
-    return "\n".join(lines)
-
-
 def main() -> None:
     """Entry point of the binary."""
     try:
--- /dev/null
+++ b/samphirehall/programs/ctl_tables.py
@@ -0,0 +1,80 @@
+"""Readable tables of ``samphirectl``."""
+
+from typing import Any
+
+MISSING = "-"
+
+
+def format_table(heads: list[str], rows: list[list[Any]]) -> str:
+    """Return rows under their heads, in aligned columns."""
+    cells = [heads, *[[_cell(value) for value in row] for row in rows]]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(heads))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _cell(value: Any) -> str:
+    if value is None or value == "":
+        return MISSING
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or MISSING
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    return str(value)
+
+
+def format_rows(items: list[dict[str, Any]], columns: dict[str, str]) -> str:
+    """Return items as a table.
+
+    Parameters
+    ----------
+    items : list of dict
+        One item a row.
+    columns : dict
+        Key of each column and its head.
+    """
+    rows = [[item.get(key) for key in columns] for item in items]
+    return format_table(list(columns.values()), rows)
+
+
+def format_endpoints(endpoints: list[dict[str, Any]]) -> str:
+    """Return endpoints as a table."""
+    columns = {
+        "endpoint_id": "ENDPOINT",
+        "zone": "ZONE",
+        "protocol": "PROTOCOL",
+        "kind": "KIND",
+        "state": "STATE",
+        "role": "ROLE",
+        "models": "MODELS",
+        "running": "RUNNING",
+        "waiting": "WAITING",
+        "health": "HEALTH",
+    }
+    return format_rows(endpoints, columns)
+
+
+def format_status(status: dict[str, Any]) -> str:
+    """Return the status as readable text, what is unhealthy first."""
+    lines = [
+        f"host {status['host']} in zone {status['zone']}, "
+        f"configuration version {status['configuration']}"
+    ]
+    lines += [f"UNHEALTHY: {problem}" for problem in unhealthy(status)] or ["all healthy"]
+    lines += ["", format_endpoints(status["endpoints"])]
+    return "\n".join(lines)
+
+
+def unhealthy(status: dict[str, Any]) -> list[str]:
+    """Return one line for each thing that is wrong."""
+    problems = [
+        f"endpoint {item['endpoint_id']} is {item['health']}"
+        for item in status["endpoints"]
+        if item["health"] != "ok"
+    ]
+    if status["configuration"] == 0:
+        problems.append("no configuration is in force")
+    return problems
--- /dev/null
+++ b/tests/settings/test_loading.py
@@ -0,0 +1,80 @@
+"""Settings files are refused with every problem at once."""
+
+import pytest
+
+from samphirehall.settings import EntrySettings, load_settings
+from samphirehall.settings.loading import SettingsError, valid_address
+
+GOOD = """
+[host]
+id = "host-a"
+zone = "prairie-1"
+
+[platform]
+address = "127.0.0.1:9000"
+
+[entry]
+listen = "127.0.0.1:8000"
+control = "127.0.0.1:8001"
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "entry.toml"
+    path.write_text(text)
+    return load_settings(path, EntrySettings)
+
+
+def problems_of(tmp_path, text):
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, text)
+    return {problem.key: problem.allowed for problem in caught.value.problems}
+
+
+class TestLoadSettings:
+    def test_takes_a_good_file_with_defaults(self, tmp_path):
+        settings = load(tmp_path, GOOD)
+        assert settings.host.zone == "prairie-1"
+        assert settings.entry.max_open_requests == 4096
+
+    def test_lists_every_problem_together(self, tmp_path):
+        text = GOOD.replace('"127.0.0.1:9000"', '"platform.example:9000"').replace(
+            'id = "host-a"', 'id = "Host A"\ncolour = "red"'
+        )
+        problems = problems_of(tmp_path, text + "stall_seconds = -1\n")
+        assert set(problems) == {
+            "host.id",
+            "host.colour",
+            "platform.address",
+            "entry.stall_seconds",
+        }
+        assert "id, region, zone" in problems["host.colour"]
+        assert "IP number" in problems["platform.address"]
+
+    @pytest.mark.parametrize(
+        "text, key",
+        [
+            ("not toml", "file"),
+            (GOOD.replace("[platform]", "[platforms]"), "platform"),
+            (GOOD.replace('"127.0.0.1:8000"', "8000"), "entry.listen"),
+            (GOOD + "[host.deep]\n", "host.deep"),
+        ],
+    )
+    def test_names_the_key(self, tmp_path, text, key):
+        assert key in problems_of(tmp_path, text)
+
+    def test_names_a_missing_file(self, tmp_path):
+        with pytest.raises(SettingsError, match="a readable file"):
+            load_settings(tmp_path / "none.toml", EntrySettings)
+
+
+class TestValidAddress:
+    @pytest.mark.parametrize("address", ["10.0.0.7:8000", "[::1]:1", "127.0.0.1:65535"])
+    def test_accepts(self, address):
+        assert valid_address(address)
+
+    @pytest.mark.parametrize(
+        "address", ["localhost:80", "10.0.0.7", "10.0.0.7:0", "10.0.0.7:65536", ":80", "1.2.3:4"]
+    )
+    def test_refuses(self, address):
+        assert not valid_address(address)
