Give the engine stand-in a timing model

Cause: routing, admission and role changes cannot be measured against an engine whose streams do not slow each other. Change: one loop an engine steps a continuous batch; prefill is chunked and shares the step; prefix cache in blocks with LRU and late, lossy events; KV export and import; reclaim notice; role changes stand the batch still; load reports lag. Tokens stay a function of model, prompt and index; the prompt is now hashed once an answer. Ruled out: a sleep for each stream, which costs one timer a token and cannot show interference of prefill and decode.

--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -1,5 +1,6 @@
 """``samphire-standin``: small stand-ins of the platform, engines and plain services."""
 
+import dataclasses
 import logging
 import os
 import tomllib
@@ -12,10 +13,12 @@
 
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
+from samphirehall.core.types import Role
 from samphirehall.programs.running import run_daemon, wait_for_stop
 from samphirehall.standins.engine import EngineStandin
 from samphirehall.standins.platform import PlatformStandin, Topology
 from samphirehall.standins.service import ServiceStandin
+from samphirehall.standins.timing import EngineTiming
 
 CRASH_STATUS = 70
 
@@ -30,6 +33,7 @@
 
 async def _serve_engine(engine: EngineStandin, listen: str) -> None:
     async with serving(engine.app(), listen), anyio.create_task_group() as group:
+        group.start_soon(engine.run)
         group.start_soon(_crash_when_told, engine)
         await wait_for_stop()
         group.cancel_scope.cancel()
@@ -40,6 +44,24 @@
     os._exit(CRASH_STATUS)
 
 
+def engine_timing(options: dict[str, float]) -> EngineTiming:
+    """Return the timing model of command-line options.
+
+    Raises
+    ------
+    SystemExit
+        An option is unknown or out of type; the message lists those known.
+    """
+    known = [item.name for item in dataclasses.fields(EngineTiming)]
+    unknown = sorted(options.keys() - set(known))
+    if unknown:
+        raise SystemExit(f"unknown options {unknown}; known: {', '.join(known)}")
+    try:
+        return msgspec.convert(options, EngineTiming)
+    except msgspec.ValidationError as error:
+        raise SystemExit(f"timing option: {error}") from error
+
+
 class Standins:
     """Stand-ins for tests, demonstrations and measurements; never for production."""
 
@@ -61,10 +83,20 @@
         run_daemon(lambda: _serve(platform.app(), listen))
 
     def engine(
-        self, listen: str, name: str, models: str = "answer", checks_fencing: bool = True
+        self,
+        listen: str,
+        name: str,
+        models: str = "answer",
+        checks_fencing: bool = True,
+        role: str = "mixed",
+        **timing: float,
     ) -> None:
         """Serve a model engine.
 
+        Every constant of the timing model is an option of its own, such as
+        ``--time_scale=10`` or ``--max_batch=32``; an unknown one is answered
+        with those that are known.
+
         Parameters
         ----------
         listen : str
@@ -75,10 +107,20 @@
             Models loaded at first, comma-separated.
         checks_fencing : bool
             Whether orders with an old fencing number are refused.
+        role : str
+            Role at first: ``mixed``, ``prefill`` or ``decode``.
+        **timing
+            Constants of the timing model.
         """
         configure_logging("info", host=name, program="samphire-standin")
         loaded = list(models) if isinstance(models, tuple | list) else str(models).split(",")
-        engine = EngineStandin(name, loaded, checks_fencing=checks_fencing)
+        engine = EngineStandin(
+            name,
+            loaded,
+            checks_fencing=checks_fencing,
+            role=Role(role),
+            timing=engine_timing(timing),
+        )
         run_daemon(lambda: _serve_engine(engine, listen))
 
     def service(self, listen: str, name: str) -> None:
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -5,11 +5,13 @@
 """
 
 import logging
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
+import httpcore
 import msgspec
 import xxhash
 from starlette.applications import Starlette
@@ -18,16 +20,27 @@
 from starlette.routing import Route
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.types import EngineLoad, Role
+from samphirehall.core.connections import ConnectionPool, read_body
+from samphirehall.core.types import EngineLoad, Priority, Role
 from samphirehall.endpoints.protocol import (
     EngineOrder,
     EngineOrderAnswer,
     EngineReport,
     EngineRequest,
 )
+from samphirehall.routing.blocks import block_hashes, prompt_text, token_count
+from samphirehall.standins.batch import Batch, Sequence
+from samphirehall.standins.prefix_cache import PrefixCache
+from samphirehall.standins.timing import EngineTiming
 
 VOCABULARY = 9973
-KEPT_STREAMS = 512
+KEPT_STREAMS = 4096
+MAX_EVENTS_A_WRITE = 64
+SAMPLE_SECONDS = 0.05
+KV_ANSWER_SECONDS = 1.0
+MAX_KV_ANSWER_BYTES = 4096
+STATUS_UNAVAILABLE = 503
+STATUS_NOT_FOUND = 404
 POISON_MARK = "POISON"
 
 _log = logging.getLogger(__name__)
@@ -47,29 +60,37 @@
 
 
 @dataclass(slots=True)
-class EngineTiming:
-    """Constants of the timing model.
+class LeavingNotice:
+    """Notice that the engine is taken away in so many seconds."""
+
+    seconds: float
 
-    Parameters
-    ----------
-    prefill_tokens_per_second : float
-        Prompt tokens prefilled a second by a whole engine.
-    token_seconds : float
-        Time between two tokens of one stream.
-    role_change_seconds : float
-        Time for which a role change takes the engine away.
-    """
 
-    prefill_tokens_per_second: float = 200_000.0
-    token_seconds: float = 0.002
-    role_change_seconds: float = 2.0
+@dataclass(slots=True, frozen=True)
+class ExportedCache:
+    """KV cache that an engine holds for another: tokens covered."""
+
+    tokens: int
 
 
 @dataclass(slots=True)
 class _Stream:
     request: EngineRequest
-    tokens: list[str] = field(default_factory=list)
-    cancelled: bool = False
+    sequence: Sequence
+    source: "_TokenSource"
+
+
+class _TokenSource:
+    """Tokens of one prompt; the prompt is hashed once."""
+
+    def __init__(self, model: str, prompt: str) -> None:
+        self._hash = xxhash.xxh3_64(f"{model}\x00{prompt}\x00".encode())
+
+    def at(self, index: int) -> str:
+        """Return the token at `index`, the same as `token_at`."""
+        copy = self._hash.copy()
+        copy.update(str(index).encode())
+        return f" w{copy.intdigest() % VOCABULARY}"
 
 
 def token_at(model: str, prompt: str, index: int) -> str:
@@ -78,11 +99,6 @@
     return f" w{digest % VOCABULARY}"
 
 
-def prompt_text(messages: list[Any]) -> str:
-    """Return the text of all messages."""
-    return "\n".join(str(message.get("content", "")) for message in messages)
-
-
 class EngineStandin:
     """A model engine.
 
@@ -94,6 +110,8 @@
         Models loaded at first, as ``name@version``.
     checks_fencing : bool
         Whether orders with an old fencing number are refused.
+    role : Role
+        Role at first.
     timing : EngineTiming
         Constants of the timing model.
     """
@@ -104,67 +122,102 @@
         models: list[str],
         *,
         checks_fencing: bool = True,
+        role: Role = Role.MIXED,
         timing: EngineTiming | None = None,
     ) -> None:
         self.endpoint_id = endpoint_id
         self.faults = EngineFaults()
         self.orders: list[EngineOrder] = []
+        self.crashed = anyio.Event()
         self._timing = timing or EngineTiming()
         self._checks_fencing = checks_fencing
-        self._report = EngineReport(endpoint_id, models=list(models))
+        self._report = EngineReport(endpoint_id, role=role, models=list(models))
         self._streams: dict[str, _Stream] = {}
-        self._running = 0
+        self._exports: dict[str, tuple[float, int]] = {}
+        self._loads: deque[EngineLoad] = deque()
+        self._cache = PrefixCache(self._timing)
+        self._batch = Batch(self._timing, self._cache, paused=self._is_paused)
         self._changing_until = 0.0
-        self.crashed = anyio.Event()
+        self._leaves_at: float | None = None
 
     def app(self) -> Starlette:
-        """Return the ASGI application."""
+        """Return the ASGI application; `run` must run beside it."""
         routes = [
             Route("/v1/chat/completions", self._complete, methods=["POST"]),
             Route("/v1/streams/{request_id}", self._resume, methods=["GET"]),
             Route("/v1/streams/{request_id}", self._cancel, methods=["DELETE"]),
+            Route("/kv/{request_id}", self._export, methods=["GET"]),
             Route("/state", self._state, methods=["GET"]),
+            Route("/cache-events", self._cache_events, methods=["GET"]),
             Route("/orders", self._order, methods=["POST"]),
             Route("/admin/faults", self._set_faults, methods=["PUT"]),
+            Route("/admin/leaving", self._set_leaving, methods=["POST"]),
             Route("/admin/orders", self._list_orders, methods=["GET"]),
         ]
         return Starlette(routes=routes)
 
+    async def run(self) -> None:
+        """Step the batch and sample the load until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._batch.run)
+            while True:
+                self._sample(boot_seconds())
+                if self._leaves_at is not None and boot_seconds() >= self._leaves_at:
+                    self.crashed.set()
+                await anyio.sleep(SAMPLE_SECONDS)
+
     async def _complete(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=EngineRequest)
-        if self.faults.reject or self._is_changing():
-            return Response(status_code=503)
-        if POISON_MARK in prompt_text(body.messages):
+        if self.faults.reject or self._is_changing() or self._report.leaving:
+            return Response(status_code=STATUS_UNAVAILABLE)
+        prompt = prompt_text(body.messages)
+        if POISON_MARK in prompt:
             self.crashed.set()
         request_id = request.headers["x-request-id"]
+        priority = Priority(int(request.headers.get("x-priority", Priority.NORMAL)))
+        sequence = self._new_sequence(request_id, body, prompt, priority)
+        sequence.imported = await self._import(request_id, body, sequence)
         self._forget_old_streams()
-        stream = self._streams[request_id] = _Stream(body)
+        stream = _Stream(body, sequence, _TokenSource(body.model, prompt))
+        self._streams[request_id] = stream
+        self._batch.add(sequence)
         return StreamingResponse(
-            self._generate(request_id, stream, start=len(body.prior_tokens)),
-            media_type="text/event-stream",
+            self._events(stream, start=len(body.prior_tokens)), media_type="text/event-stream"
         )
 
     async def _resume(self, request: Request) -> Response:
-        request_id = request.path_params["request_id"]
-        stream = self._streams.get(request_id)
-        if stream is None:
-            return Response(status_code=404)
+        stream = self._streams.get(request.path_params["request_id"])
+        if stream is None or stream.sequence.cancelled:
+            return Response(status_code=STATUS_NOT_FOUND)
         last = int(request.headers["last-event-id"].rpartition(":")[2])
         return StreamingResponse(
-            self._generate(request_id, stream, start=last + 1), media_type="text/event-stream"
+            self._events(stream, start=last + 1), media_type="text/event-stream"
         )
 
     async def _cancel(self, request: Request) -> Response:
         stream = self._streams.pop(request.path_params["request_id"], None)
         if stream is not None:
-            stream.cancelled = True
+            stream.sequence.cancelled = True
+            stream.sequence.notify()
         return Response(status_code=204)
 
+    async def _export(self, request: Request) -> Response:
+        self._forget_old_exports(boot_seconds())
+        held = self._exports.pop(request.path_params["request_id"], None)
+        if held is None:
+            return Response(status_code=STATUS_NOT_FOUND)
+        return _json(ExportedCache(held[1]))
+
     async def _state(self, request: Request) -> Response:
         self._report.changing = self._is_changing()
-        self._report.load = EngineLoad(running=self._running, measured_at=boot_seconds())
+        if self._loads:
+            self._report.load = self._loads[0]
         return _json(self._report)
 
+    async def _cache_events(self, request: Request) -> Response:
+        after = int(request.query_params.get("after", 0))
+        return _json(self._cache.events(after=after, now=boot_seconds()))
+
     async def _order(self, request: Request) -> Response:
         order = msgspec.json.decode(await request.body(), type=EngineOrder)
         if self._checks_fencing and order.fencing < self._report.fencing:
@@ -178,41 +231,129 @@
         self.faults = msgspec.json.decode(await request.body(), type=EngineFaults)
         return _json(self.faults)
 
+    async def _set_leaving(self, request: Request) -> Response:
+        notice = msgspec.json.decode(await request.body(), type=LeavingNotice)
+        self._report.leaving = True
+        self._leaves_at = boot_seconds() + notice.seconds
+        return _json(notice)
+
     async def _list_orders(self, request: Request) -> Response:
         return _json(self.orders)
 
-    async def _generate(
-        self, request_id: str, stream: _Stream, *, start: int
-    ) -> AsyncIterator[bytes]:
-        body = stream.request
-        prompt = prompt_text(body.messages)
-        self._running += 1
+    def _new_sequence(
+        self, request_id: str, body: EngineRequest, prompt: str, priority: Priority
+    ) -> Sequence:
+        start = len(body.prior_tokens)
+        exports = self._report.role is Role.PREFILL and body.max_tokens > start + 1
+        hashes = block_hashes(body.model, prompt, block_tokens=self._timing.cache_block_tokens)
+        return Sequence(
+            request_id,
+            token_count(prompt) + start,
+            hashes,
+            start,
+            start + 1 if exports else body.max_tokens,
+            priority,
+            unread_since=boot_seconds(),
+        )
+
+    async def _import(self, request_id: str, body: EngineRequest, sequence: Sequence) -> bool:
+        """Import the KV cache that another engine holds; return whether it was had."""
+        if body.kv_source is None:
+            return False
+        pool = ConnectionPool(body.kv_source, read_timeout=KV_ANSWER_SECONDS)
         try:
-            await anyio.sleep(len(prompt) / 4 / self._timing.prefill_tokens_per_second)
-            for index in range(start, body.max_tokens):
-                await anyio.sleep(self._timing.token_seconds)
-                while self.faults.stall:
-                    await anyio.sleep(self._timing.token_seconds)
-                if stream.cancelled or self._is_cut(index - start):
+            async with pool.request("GET", f"/kv/{request_id}") as response:
+                if response.status != 200:
+                    return False
+                content = await read_body(response, max_bytes=MAX_KV_ANSWER_BYTES)
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+            return False
+        finally:
+            await pool.aclose()
+        tokens = msgspec.json.decode(content, type=ExportedCache).tokens
+        await anyio.sleep(self._timing.transfer_seconds(tokens))
+        sequence.unread_since = boot_seconds()
+        return True
+
+    async def _events(self, stream: _Stream, *, start: int) -> AsyncIterator[bytes]:
+        """Yield the events from `start` on; several in one write when they are due together."""
+        sequence, body = stream.sequence, stream.request
+        event = _event_writer(sequence.request_id, body.model, stream.source)
+        index = start
+        sequence.readers += 1
+        try:
+            while True:
+                due = min(sequence.next_index, index + MAX_EVENTS_A_WRITE)
+                if self._is_stalled() or (due <= index and not sequence.finished):
+                    await self._wait(sequence)
+                    continue
+                cut = self.faults.cut_after
+                if cut is not None:
+                    due = min(due, start + cut)
+                if due > index:
+                    yield b"".join([event(number) for number in range(index, due)])
+                    index = due
+                if cut is not None and index >= start + cut:
                     return
-                yield _event(request_id, index, body.model, token_at(body.model, prompt, index))
-            yield _last_event(request_id, body.max_tokens, len(prompt) // 4)
+                if sequence.finished and index >= sequence.next_index:
+                    break
+            if sequence.cancelled:
+                return
+            if sequence.last_index < body.max_tokens:
+                self._hold_export(sequence)
+                return
+            yield _last_event(sequence.request_id, body.max_tokens, sequence.prompt_tokens)
         finally:
-            self._running -= 1
+            sequence.readers -= 1
+            sequence.unread_since = boot_seconds()
+
+    async def _wait(self, sequence: Sequence) -> None:
+        if self._is_stalled():
+            await anyio.sleep(SAMPLE_SECONDS)
+            return
+        await sequence.wait_changed()
+
+    def _hold_export(self, sequence: Sequence) -> None:
+        self._exports[sequence.request_id] = (boot_seconds(), sequence.prompt_tokens)
+
+    def _forget_old_exports(self, now: float) -> None:
+        limit = now - self._timing.scaled(self._timing.kv_kept_seconds)
+        self._exports = {key: held for key, held in self._exports.items() if held[0] > limit}
+
+    def _sample(self, now: float) -> None:
+        """Measure the load, and drop measurements older than the one to report."""
+        self._loads.append(
+            EngineLoad(
+                running=self._batch.running,
+                waiting=self._batch.waiting,
+                queued_prompt_tokens=self._batch.queued_prompt_tokens,
+                cached_tokens=self._cache.tokens,
+                cache_capacity_tokens=self._timing.cache_capacity_tokens,
+                measured_at=now,
+            )
+        )
+        reported = now - self._timing.scaled(self._timing.report_lag_seconds)
+        while len(self._loads) > 1 and self._loads[1].measured_at <= reported:
+            self._loads.popleft()
 
-    def _is_cut(self, sent: int) -> bool:
-        return self.faults.cut_after is not None and sent >= self.faults.cut_after
+    def _is_stalled(self) -> bool:
+        return self.faults.stall
 
     def _is_changing(self) -> bool:
         return boot_seconds() < self._changing_until
 
+    def _is_paused(self) -> bool:
+        return self.faults.stall or self._is_changing()
+
     def _carry_out(self, order: EngineOrder) -> None:
         self.orders.append(order)
         self._report.order_id, self._report.fencing = order.order_id, order.fencing
         match order.action:
             case "set-role":
                 self._report.role = Role(order.argument)
-                self._changing_until = boot_seconds() + self._timing.role_change_seconds
+                change_seconds = self._timing.scaled(self._timing.role_change_seconds)
+                self._changing_until = boot_seconds() + change_seconds
+                self._cache.clear(now=boot_seconds())
             case "load-model":
                 self._report.models.append(order.argument)
             case "unload-model":
@@ -225,12 +366,15 @@
             del self._streams[next(iter(self._streams))]
 
 
-def _event(request_id: str, index: int, model: str, token: str) -> bytes:
-    return (
-        f'id: {request_id}:{index}\ndata: {{"id":"{request_id}","object":"chat.completion.chunk",'
-        f'"model":"{model}","choices":[{{"index":0,"delta":{{"content":"{token}"}},'
-        '"finish_reason":null}]}\n\n'
-    ).encode()
+def _event_writer(request_id: str, model: str, source: _TokenSource) -> Callable[[int], bytes]:
+    """Return a function that writes the event at an index."""
+    middle = (
+        f'\ndata: {{"id":"{request_id}","object":"chat.completion.chunk",'
+        f'"model":"{model}","choices":[{{"index":0,"delta":{{"content":"'
+    )
+    tail = '"},"finish_reason":null}]}\n\n'
+    head = f"id: {request_id}:"
+    return lambda index: f"{head}{index}{middle}{source.at(index)}{tail}".encode()
 
 
 def _last_event(request_id: str, tokens: int, prompt_tokens: int) -> bytes:
