--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 demo: environment
-	$(VENV)/bin/python demo/run.py
+	$(VENV)/bin/python -m demo.run
 
 test: environment
 	$(VENV)/bin/python -m pytest
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -109,13 +109,15 @@
     folder : Path
         Where settings and logs are written.
     hosts, endpoints : list
-        What to start; addresses are filled in with free ports.
+        What to start; addresses are filled in with free ports. Endpoints of
+        `listed_only` are listed by the platform, but not started.
     """
 
     def __init__(self, folder: Path, hosts: list[Host], endpoints: list[Endpoint]) -> None:
         self.folder = folder
         self.hosts = hosts
         self.endpoints = endpoints
+        self.listed_only: list[Endpoint] = []
         self.programs: dict[str, Program] = {}
         self.extra_settings: dict[str, str] = {"entry": "", "control": ""}
         ports = iter(free_ports(1 + 4 * len(hosts) + len(endpoints)))
@@ -209,7 +211,8 @@
             f'mesh_address = "{host.mesh}"\noperator_address = "{host.operator}"\n'
             for host in self.hosts
         ]
-        return "\n".join([*hosts, *map(_endpoint_table, self.endpoints)])
+        endpoints = [*self.endpoints, *self.listed_only]
+        return "\n".join([*hosts, *map(_endpoint_table, endpoints)])
 
 
 def _endpoint_table(endpoint: Endpoint) -> str:
--- a/demo/run.py
+++ b/demo/run.py
@@ -6,8 +6,7 @@
 import tempfile
 from pathlib import Path
 
-from cluster import Answer, Cluster, Endpoint, Host, call, wait_ready
-
+from demo.cluster import Answer, Cluster, Endpoint, Host, call, wait_ready
 from samphirehall.standins.engine import token_at
 
 PROMPT = "Lot 14, rose, dried in August: is it fit for the wedding on Saturday?"
