Survive the loss of any one process of the demonstration

Cause: after the stand-in of the platform was killed, hosts that restarted had no configuration; the stand-in kept its table in memory, which the platform's own service does not. Ruled out: a fault of the watch (it kept the version it had) and of the link.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -179,6 +179,7 @@
             "platform",
             f"--listen={self.platform}",
             f"--topology={self.folder / 'topology.toml'}",
+            f"--journal={self.folder / 'platform.journal'}",
         )
         for endpoint in self.endpoints:
             arguments = [endpoint.protocol, f"--listen={endpoint.address}"]
--- a/demo/run.py
+++ b/demo/run.py
@@ -113,16 +113,22 @@
                 print(f"  {entry['host']}: {entry['endpoint']}: {entry['reason']}")
 
 
-def main() -> int:
-    """Run the demonstration; return 0 only if every answer was whole and right."""
+def demo_cluster(folder: Path) -> Cluster:
+    """Return two hosts, two engines and one plain service in two zones."""
     hosts = [Host("host-a", "prairie-1"), Host("host-b", "prairie-2")]
     endpoints = [
         Endpoint("engine-1", "engine", "prairie-1", ["answer"]),
         Endpoint("engine-2", "engine", "prairie-2", ["answer"]),
         Endpoint("desk-1", "service", "prairie-1", ["order-desk"]),
     ]
+    return Cluster(folder, hosts, endpoints)
+
+
+def main() -> int:
+    """Run the demonstration; return 0 only if every answer was whole and right."""
     with tempfile.TemporaryDirectory() as folder:
-        cluster = Cluster(Path(folder), hosts, endpoints)
+        cluster = demo_cluster(Path(folder))
+        hosts = cluster.hosts
         try:
             cluster.start()
             keys = apply_configuration(cluster)
--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -16,6 +16,7 @@
 from samphirehall.core.types import Role
 from samphirehall.programs.running import run_daemon, wait_for_stop
 from samphirehall.standins.engine import EngineStandin
+from samphirehall.standins.journal import Journal
 from samphirehall.standins.platform import PlatformStandin, Topology
 from samphirehall.standins.service import ServiceStandin
 from samphirehall.standins.timing import EngineTiming
@@ -65,7 +66,7 @@
 class Standins:
     """Stand-ins for tests, demonstrations and measurements; never for production."""
 
-    def platform(self, listen: str, topology: str, seed: int = 0) -> None:
+    def platform(self, listen: str, topology: str, seed: int = 0, journal: str = "") -> None:
         """Serve the platform: table, objects, hosts, endpoints, orders and usage.
 
         Parameters
@@ -76,10 +77,16 @@
             TOML file that lists ``hosts`` and ``endpoints``.
         seed : int
             Seed of the fault switches.
+        journal : str
+            File that keeps what was written over a restart; empty for none.
         """
         configure_logging("info", host="platform", program="samphire-standin")
         document = tomllib.loads(Path(topology).read_text())
-        platform = PlatformStandin(msgspec.convert(document, Topology), seed=seed)
+        platform = PlatformStandin(
+            msgspec.convert(document, Topology),
+            seed=seed,
+            journal=Journal(Path(journal) if journal else None),
+        )
         run_daemon(lambda: _serve(platform.app(), listen))
 
     def engine(
--- /dev/null
+++ b/samphirehall/standins/journal.py
@@ -0,0 +1,35 @@
+"""Append-only journal that lets a stand-in of the platform survive being killed."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import msgspec
+
+
+class Journal:
+    """Records in a file, replayed at the next start.
+
+    Parameters
+    ----------
+    path : Path, optional
+        File of the journal; None keeps nothing.
+    """
+
+    def __init__(self, path: Path | None) -> None:
+        self._path = path
+        self._file = None if path is None else path.open("ab", buffering=0)
+
+    def append(self, kind: str, value: Any) -> None:
+        """Write one record; it survives the end of the process."""
+        if self._file is not None:
+            builtins = msgspec.to_builtins(value, builtin_types=(bytes,))
+            self._file.write(msgpack.packb([kind, builtins]))
+
+    def replay(self) -> Iterator[tuple[str, Any]]:
+        """Yield the kind and value of every record, oldest first."""
+        if self._path is None:
+            return
+        with self._path.open("rb") as file:
+            yield from msgpack.Unpacker(file, max_buffer_size=0)
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -17,6 +17,7 @@
 from samphirehall.core.types import EndpointInfo, EndpointState, HostInfo
 from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
+from samphirehall.standins.journal import Journal
 
 START_SECONDS = 1.0
 STATUS_UNAVAILABLE = 503
@@ -127,9 +128,13 @@
         Hosts and endpoints to list at first.
     seed : int
         Seed of the fault switches.
+    journal : Journal, optional
+        Keeps what was written, as the platform's own service does.
     """
 
-    def __init__(self, topology: Topology, *, seed: int = 0) -> None:
+    def __init__(
+        self, topology: Topology, *, seed: int = 0, journal: Journal | None = None
+    ) -> None:
         self.table = MemoryTable()
         self.faults = PlatformFaults()
         self.usage: dict[tuple[int, str], UsageReport] = {}
@@ -142,6 +147,9 @@
         self._leaving_until: dict[str, float] = {}
         self._fencing = 0
         self._random = random.Random(seed)
+        self._journal = journal or Journal(None)
+        for kind, value in self._journal.replay():
+            self._restore(kind, value)
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
@@ -168,6 +176,8 @@
         if refused := await self._fault():
             return refused
         result = self.table.transact(body.checks, body.writes)
+        if result.committed:
+            self._journal.append("rows", body.writes)
         if self._random.random() < self.faults.lose_answer:
             return Response(status_code=STATUS_UNAVAILABLE)
         return _json(result)
@@ -184,7 +194,10 @@
         content = await request.body()
         if refused := await self._fault():
             return refused
-        self._objects[request.path_params["digest"]] = content
+        digest = request.path_params["digest"]
+        if digest not in self._objects:
+            self._journal.append("object", (digest, content))
+        self._objects[digest] = content
         return _json(True)
 
     async def _get_object(self, request: Request) -> Response:
@@ -208,6 +221,7 @@
         self._fencing = order.fencing
         if order.order_id not in self.orders:
             self.orders[order.order_id] = order
+            self._journal.append("order", order)
             self._carry_out(order, boot_seconds())
         return _json(OrderAnswer(True))
 
@@ -216,6 +230,8 @@
         if refused := await self._fault():
             return refused
         key = (report.window, report.customer)
+        if key not in self.usage:
+            self._journal.append("usage", report)
         held = self.usage.setdefault(key, report)
         if held.figures != report.figures:
             self.usage_conflicts.append(report)
@@ -248,6 +264,20 @@
     async def _counts(self, request: Request) -> Response:
         return _json({"reads": self.table.reads, "transactions": self.table.transactions})
 
+    def _restore(self, kind: str, value: Any) -> None:
+        match kind:
+            case "rows":
+                self.table.transact([], msgspec.convert(value, list[Write]))
+            case "object":
+                self._objects[value[0]] = value[1]
+            case "order":
+                order = msgspec.convert(value, EndpointOrder)
+                self.orders[order.order_id] = order
+                self._fencing = max(self._fencing, order.fencing)
+            case "usage":
+                report = msgspec.convert(value, UsageReport)
+                self.usage[report.window, report.customer] = report
+
     async def _fault(self) -> Response | None:
         if self.faults.delay:
             await anyio.sleep(self.faults.delay)
