Add the load tool with seeded open-loop arrivals and checked answers

Cause: no policy can be compared without the same arrivals for each, and a latency that counts from the time of arrival. Tokens of the stand-in moved to a module of their own; the load tool may use it.

--- /dev/null
+++ b/benchmarks/common.py
@@ -0,0 +1,110 @@
+"""What the benchmarks share: a cluster on loopback with customers, and its targets."""
+
+import re
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "demo"))
+
+from cluster import Cluster, Endpoint, Host, wait_ready
+
+from samphirehall.load.scenario import Targets
+
+ZONES = ("prairie-1", "prairie-2", "prairie-3")
+
+
+@dataclass(slots=True)
+class Setup:
+    """What a benchmark starts.
+
+    Parameters
+    ----------
+    customers : dict of str to float
+        Weight of each customer.
+    engines, hosts : int
+        Numbers, spread over `zones` in turn.
+    timing : dict of str to float
+        Constants of the engines' timing model.
+    routing, admission : dict of str to object
+        Keys of the entries' settings tables, as TOML values.
+    """
+
+    customers: dict[str, float]
+    engines: int = 4
+    hosts: int = 2
+    zones: tuple[str, ...] = ZONES[:1]
+    timing: dict[str, float] = field(default_factory=dict)
+    routing: dict[str, str] = field(default_factory=dict)
+    admission: dict[str, str] = field(default_factory=dict)
+    deadline_seconds: float = 60.0
+
+
+@contextmanager
+def running(setup: Setup) -> Iterator[tuple[Cluster, Targets]]:
+    """Run a cluster inside the context; yield it and its targets."""
+    zones = setup.zones
+    hosts = [Host(f"host-{n}", zones[n % len(zones)]) for n in range(setup.hosts)]
+    options = [f"--{name}={value}" for name, value in setup.timing.items()]
+    endpoints = [
+        Endpoint(f"engine-{n}", "engine", zones[n % len(zones)], ["answer"], options=options)
+        for n in range(setup.engines)
+    ]
+    endpoints.append(Endpoint("desk-1", "service", zones[0], ["order-desk"]))
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(Path(folder), hosts, endpoints)
+        cluster.extra_settings["entry"] = _tables(setup)
+        try:
+            cluster.start()
+            keys = _apply(cluster, setup)
+            for host in hosts:
+                wait_ready(host.entry)
+            yield cluster, _targets(cluster, keys)
+        finally:
+            cluster.stop()
+            cluster.kill_all()
+
+
+def _tables(setup: Setup) -> str:
+    lines = []
+    for name, table in (("routing", setup.routing), ("admission", setup.admission)):
+        if table:
+            lines += ["", f"[{name}]", *(f"{key} = {value}" for key, value in table.items())]
+    return "\n".join(lines) + "\n"
+
+
+def _apply(cluster: Cluster, setup: Setup) -> dict[str, str]:
+    lines, keys = [], {}
+    for customer, weight in setup.customers.items():
+        output = cluster.ctl("key", "new").stdout
+        keys[customer] = re.findall(r"key \(shown once\): (\S+)", output)[0]
+        digest = re.findall(r"digest: (\S+)", output)[0]
+        lines += [f"[customers.{customer}]", f"weight = {weight}", f'key_digests = ["{digest}"]']
+    lines += ["[models.answer]", 'version = "1"']
+    lines += ["[routes.answer]", 'kind = "model"', 'target = "answer"']
+    lines += ['priority = "urgent"', f"deadline_seconds = {setup.deadline_seconds}"]
+    lines += ["[routes.stock]", 'kind = "service"', 'target = "order-desk"']
+    lines += ["[routes.bookings]", 'kind = "service"', 'target = "order-desk"']
+    lines += ["idempotent = false"]
+    path = cluster.folder / "configuration.toml"
+    path.write_text("\n".join(lines) + "\n")
+    done = cluster.ctl("config", "apply", str(path), "--author=benchmark")
+    if done.returncode:
+        raise RuntimeError(f"the configuration was refused: {done.stderr}")
+    return keys
+
+
+def _targets(cluster: Cluster, keys: dict[str, str]) -> Targets:
+    return Targets(
+        entries=[host.entry for host in cluster.hosts],
+        keys=keys,
+        endpoints={endpoint.name: endpoint.address for endpoint in cluster.endpoints},
+        processes={
+            name: program.process.pid
+            for name, program in cluster.programs.items()
+            if program.process is not None
+        },
+    )
--- /dev/null
+++ b/samphirehall/load/caller.py
@@ -0,0 +1,256 @@
+"""One request of a caller: send it, read the answer, check every token."""
+
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, header, read_body
+from samphirehall.core.results import OK, REPLAYED, RunState
+from samphirehall.endpoints.events import BrokenStreamError, decode_chunk
+from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.endpoints.protocol import DONE, EngineRequest
+from samphirehall.load.arrivals import Arrival, prompt_of
+from samphirehall.load.outcome import Outcome
+from samphirehall.load.scenario import Scenario, Targets, Workload
+from samphirehall.standins.tokens import TokenSource
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+SPARE_SECONDS = 5.0
+MIN_BACKOFF_SECONDS = 0.1
+EVENT_END = b"\n\n"
+
+Caller = Callable[[Arrival, float], Coroutine[Any, Any, Outcome]]
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Answer to one attempt."""
+
+    code: int = 0
+    run: str = ""
+    retry_after: float | None = None
+    whole: bool = False
+    wrong: bool = False
+
+
+class RetryBudget:
+    """Bounds repeated requests to a share of all.
+
+    Parameters
+    ----------
+    share : float
+        Retries allowed for each request, from 0 to 1.
+    """
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._left = 1.0
+
+    def note_request(self) -> None:
+        """Count a request, which earns a part of a retry."""
+        self._left = min(10.0, self._left + self._share)
+
+    def take(self) -> bool:
+        """Return whether one more retry is allowed, and count it."""
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
+def entry_caller(
+    scenario: Scenario, targets: Targets, pools: EndpointPools, *, seed: int
+) -> Caller:
+    """Return the caller that goes through the entries, each in turn by chance."""
+    budget = RetryBudget(scenario.retry_budget)
+    source = random.Random(seed)
+
+    async def call(arrival: Arrival, due: float) -> Outcome:
+        workload = scenario.workloads[arrival.workload]
+        outcome = Outcome(arrival.customer, arrival.workload, arrival.at)
+        deadline = due + workload.deadline_seconds
+        budget.note_request()
+        while True:
+            pool = pools.at(source.choice(targets.entries))
+            left = deadline - boot_seconds()
+            with anyio.move_on_after(left + SPARE_SECONDS):
+                attempt = await _attempt(
+                    pool, arrival, workload, outcome, targets, due=due, left=left, seed=seed
+                )
+                if not _repeats(attempt, outcome, scenario, budget):
+                    return _closed(outcome, attempt, arrival, due, workload)
+                outcome.retries += 1
+                wait = max(MIN_BACKOFF_SECONDS, attempt.retry_after or 0.0)
+                await anyio.sleep(wait * source.uniform(1.0, 1.5))
+                if boot_seconds() < deadline:
+                    continue
+                return _closed(outcome, attempt, arrival, due, workload)
+            return _closed(outcome, _Attempt(), arrival, due, workload)
+
+    return call
+
+
+def direct_caller(
+    scenario: Scenario, addresses: list[str], pools: EndpointPools, *, seed: int
+) -> Caller:
+    """Return the caller that asks engines themselves, each in turn."""
+    turn = 0
+
+    async def call(arrival: Arrival, due: float) -> Outcome:
+        nonlocal turn
+        turn += 1
+        workload = scenario.workloads[arrival.workload]
+        outcome = Outcome(arrival.customer, arrival.workload, arrival.at)
+        prompt = prompt_of(arrival, workload, seed=seed)
+        body = msgspec.json.encode(
+            EngineRequest(workload.route, _messages(prompt), arrival.output_tokens)
+        )
+        headers = {b"x-request-id": f"direct-{seed}-{arrival.number}".encode()}
+        pool = pools.at(addresses[turn % len(addresses)])
+        attempt = _Attempt()
+        with anyio.move_on_after(workload.deadline_seconds + SPARE_SECONDS):
+            try:
+                async with pool.request(
+                    "POST", "/v1/chat/completions", headers=headers, content=body
+                ) as response:
+                    attempt.code = OK.code if response.status == 200 else response.status
+                    await _read_tokens(response, arrival, workload, outcome, attempt, prompt, due)
+            except (*TRANSPORT_ERRORS, BrokenStreamError):
+                attempt.code = 0
+        return _closed(outcome, attempt, arrival, due, workload)
+
+    return call
+
+
+async def _attempt(
+    pool: ConnectionPool,
+    arrival: Arrival,
+    workload: Workload,
+    outcome: Outcome,
+    targets: Targets,
+    *,
+    due: float,
+    left: float,
+    seed: int,
+) -> _Attempt:
+    headers = {
+        b"Authorization": f"Bearer {targets.keys[arrival.customer]}".encode(),
+        b"Samphire-Deadline": f"{max(0.001, left):.3f}".encode(),
+        b"Samphire-Priority": workload.priority.encode(),
+        b"Content-Type": b"application/json",
+    }
+    attempt = _Attempt()
+    prompt = ""
+    if workload.kind == "completion":
+        prompt = prompt_of(arrival, workload, seed=seed)
+        method, path, content = "POST", "/v1/chat/completions", _chat(workload, arrival, prompt)
+    else:
+        method, path, content = _service_call(workload, arrival)
+        headers[b"Idempotency-Key"] = f"{seed}-{arrival.number}".encode()
+    try:
+        async with pool.request(
+            method, path, headers=headers, content=content, read_timeout=left + SPARE_SECONDS
+        ) as response:
+            _read_head(response, attempt)
+            if attempt.code == OK.code and workload.kind == "completion":
+                await _read_tokens(response, arrival, workload, outcome, attempt, prompt, due)
+            else:
+                body = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
+                attempt.whole = attempt.code in (OK.code, REPLAYED.code) and bool(body)
+    except TRANSPORT_ERRORS:
+        attempt.code, attempt.run = 0, RunState.UNKNOWN
+    except BrokenStreamError:
+        attempt.run = RunState.RAN
+    return attempt
+
+
+async def _read_tokens(
+    response: httpcore.Response,
+    arrival: Arrival,
+    workload: Workload,
+    outcome: Outcome,
+    attempt: _Attempt,
+    prompt: str,
+    due: float,
+) -> None:
+    """Read a stream to its end and compare every token."""
+    expected = TokenSource(workload.route, prompt)
+    rest, count, done = b"", 0, False
+    last: float | None = None
+    async for chunk in response.aiter_stream():
+        *events, rest = (rest + chunk).split(EVENT_END)
+        now = boot_seconds()
+        for event in events:
+            _, _, data = event.partition(b"data: ")
+            if event.startswith(b"event: error"):
+                raise BrokenStreamError("error event")
+            if data == DONE:
+                done = True
+                continue
+            text = decode_chunk(data).text
+            if not text:
+                continue
+            if text != expected.at(count):
+                attempt.wrong = True
+            count += 1
+            if last is None:
+                outcome.first_token = now - due
+            else:
+                outcome.gaps.append(now - last)
+            last = now
+    attempt.wrong = attempt.wrong or count > arrival.output_tokens
+    attempt.whole = done and not attempt.wrong and count == arrival.output_tokens
+    if not attempt.whole:
+        attempt.run = RunState.RAN
+
+
+def _read_head(response: httpcore.Response, attempt: _Attempt) -> None:
+    attempt.code = int(header(response.headers, b"samphire-result") or 0)
+    attempt.run = header(response.headers, b"samphire-run") or ""
+    retry_after = header(response.headers, b"retry-after")
+    attempt.retry_after = float(retry_after) if retry_after else None
+
+
+def _repeats(attempt: _Attempt, outcome: Outcome, scenario: Scenario, budget: RetryBudget) -> bool:
+    if attempt.whole or attempt.run != RunState.NOT_RUN or attempt.retry_after is None:
+        return False
+    return outcome.retries < scenario.caller_retries and budget.take()
+
+
+def _closed(
+    outcome: Outcome, attempt: _Attempt, arrival: Arrival, due: float, workload: Workload
+) -> Outcome:
+    outcome.seconds = boot_seconds() - due
+    outcome.code, outcome.run = attempt.code, attempt.run
+    outcome.whole, outcome.wrong = attempt.whole, attempt.wrong
+    outcome.in_time = outcome.seconds <= workload.deadline_seconds
+    if attempt.whole and workload.kind == "completion":
+        outcome.tokens = arrival.prompt_tokens + arrival.output_tokens
+    return outcome
+
+
+def _messages(prompt: str) -> list[Any]:
+    return [{"role": "user", "content": prompt}]
+
+
+def _chat(workload: Workload, arrival: Arrival, prompt: str) -> bytes:
+    body = {
+        "model": workload.route,
+        "messages": _messages(prompt),
+        "max_tokens": arrival.output_tokens,
+        "stream": True,
+    }
+    return msgspec.json.encode(body)
+
+
+def _service_call(workload: Workload, arrival: Arrival) -> tuple[str, str, bytes]:
+    path = f"/services/{workload.route}{workload.path}"
+    if workload.kind == "lookup":
+        return "GET", path, b""
+    return "POST", path, msgspec.json.encode({"booking": arrival.number})
--- /dev/null
+++ b/samphirehall/load/faults.py
@@ -0,0 +1,69 @@
+"""Faults on a timeline: switches on stand-ins, signals to processes that were named."""
+
+import logging
+import os
+import signal
+
+import anyio
+import msgspec
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.connections import TRANSPORT_ERRORS, read_body
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import SETTINGS_INVALID
+from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.load.scenario import Fault, Scenario, Targets
+
+SIGNALS = {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "resume": signal.SIGCONT}
+MAX_ANSWER_BYTES = 64 * 1024
+
+_log = logging.getLogger(__name__)
+
+
+def check_faults(scenario: Scenario, targets: Targets) -> None:
+    """Refuse a scenario whose faults name what the targets lack.
+
+    Raises
+    ------
+    SamphireError
+        Lists the first unknown target and those known.
+    """
+    for fault in scenario.faults:
+        known = targets.endpoints if fault.action == "call" else targets.processes
+        if fault.target not in known:
+            allowed = ", ".join(sorted(known)) or "none is given"
+            detail = f"fault at {fault.at} s: target {fault.target!r}: one of {allowed}"
+            raise SamphireError(SETTINGS_INVALID, detail)
+
+
+async def run_faults(
+    scenario: Scenario, targets: Targets, pools: EndpointPools, *, begin: float
+) -> None:
+    """Bring about each fault at its time.
+
+    Parameters
+    ----------
+    scenario, targets
+        Timeline, and what it names.
+    pools : EndpointPools
+        Connections to the stand-ins.
+    begin : float
+        Boot clock in seconds at which the run starts.
+    """
+    for fault in sorted(scenario.faults, key=lambda item: item.at):
+        await anyio.sleep(max(0.0, begin + fault.at - boot_seconds()))
+        _log.info("fault", extra={"at": fault.at, "action": fault.action, "target": fault.target})
+        if fault.action == "call":
+            await _switch(fault, targets, pools)
+        else:
+            os.kill(targets.processes[fault.target], SIGNALS[fault.action])
+
+
+async def _switch(fault: Fault, targets: Targets, pools: EndpointPools) -> None:
+    pool = pools.at(targets.endpoints[fault.target])
+    content = msgspec.json.encode(fault.body)
+    try:
+        async with pool.request(fault.method, fault.path, content=content) as response:
+            await read_body(response, max_bytes=MAX_ANSWER_BYTES)
+    except TRANSPORT_ERRORS as error:
+        _log.warning("fault-failed", extra={"target": fault.target, "reason": repr(error)})
--- /dev/null
+++ b/samphirehall/load/outcome.py
@@ -0,0 +1,145 @@
+"""What became of each request, and histograms over many."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 3
+MICROSECONDS = 1_000_000
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of one request.
+
+    Parameters
+    ----------
+    customer, workload : str
+        Names in the scenario.
+    at : float
+        Arrival, in seconds after the start.
+    code : int
+        Result code of the last attempt; 0 if no answer came.
+    run : str
+        What the refusal said about running; empty on success.
+    whole : bool
+        Whether the whole and right answer came.
+    wrong : bool
+        Whether an answer came that was not the right one.
+    in_time : bool
+        Whether it came before the deadline, counted from the arrival.
+    retries : int
+        Attempts after the first.
+    seconds : float
+        Time from arrival to the end.
+    first_token : float, optional
+        Seconds from arrival to the first token.
+    gaps : list of float
+        Seconds between tokens as they arrived.
+    tokens : int
+        Prompt and output tokens of a whole answer.
+    """
+
+    customer: str
+    workload: str
+    at: float
+    code: int = 0
+    run: str = ""
+    whole: bool = False
+    wrong: bool = False
+    in_time: bool = False
+    retries: int = 0
+    seconds: float = 0.0
+    first_token: float | None = None
+    gaps: list[float] = field(default_factory=list)
+    tokens: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether the answer was whole, right and in time."""
+        return self.whole and self.in_time
+
+
+class Histogram:
+    """Durations in seconds, kept in microseconds."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+
+    def record(self, seconds: float) -> None:
+        """Count one duration."""
+        self._histogram.record_value(max(LOWEST_MICROSECONDS, round(seconds * MICROSECONDS)))
+
+    def percentile(self, percent: float) -> float | None:
+        """Return a percentile in seconds, or None if nothing was recorded."""
+        if not self._histogram.get_total_count():
+            return None
+        return float(self._histogram.get_value_at_percentile(percent)) / MICROSECONDS
+
+
+@dataclass(slots=True)
+class Summary:
+    """Figures over many requests.
+
+    Parameters
+    ----------
+    requests, good, whole, late, wrong, retries : int
+        Requests by what became of them; `late` are whole but after the deadline.
+    tokens : int
+        Prompt and output tokens of good answers.
+    codes : Counter of (int, str)
+        Requests that got no whole answer, by result code and run state.
+    first_token, between_tokens : Histogram
+        Durations in seconds.
+    """
+
+    requests: int = 0
+    good: int = 0
+    whole: int = 0
+    late: int = 0
+    wrong: int = 0
+    retries: int = 0
+    tokens: int = 0
+    codes: Counter[tuple[int, str]] = field(default_factory=Counter)
+    first_token: Histogram = field(default_factory=Histogram)
+    between_tokens: Histogram = field(default_factory=Histogram)
+
+    def add(self, outcome: Outcome) -> None:
+        """Count one request."""
+        self.requests += 1
+        self.good += outcome.good
+        self.whole += outcome.whole
+        self.late += outcome.whole and not outcome.in_time
+        self.wrong += outcome.wrong
+        self.retries += outcome.retries
+        if outcome.good:
+            self.tokens += outcome.tokens
+        if not outcome.whole:
+            self.codes[outcome.code, outcome.run] += 1
+        if outcome.first_token is not None:
+            self.first_token.record(outcome.first_token)
+        for gap in outcome.gaps:
+            self.between_tokens.record(gap)
+
+
+def summarize(outcomes: Iterable[Outcome]) -> Summary:
+    """Return the figures of all outcomes."""
+    summary = Summary()
+    for outcome in outcomes:
+        summary.add(outcome)
+    return summary
+
+
+def by_customer(outcomes: Iterable[Outcome]) -> dict[str, Summary]:
+    """Return the figures of each customer, by name."""
+    summaries: dict[str, Summary] = {}
+    for outcome in outcomes:
+        summaries.setdefault(outcome.customer, Summary()).add(outcome)
+    return dict(sorted(summaries.items()))
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -13,7 +13,6 @@
 import anyio
 import httpcore
 import msgspec
-import xxhash
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
@@ -32,8 +31,10 @@
 from samphirehall.standins.batch import Batch, Sequence
 from samphirehall.standins.prefix_cache import PrefixCache
 from samphirehall.standins.timing import EngineTiming
+from samphirehall.standins.tokens import TokenSource, token_at
+
+__all__ = ["EngineFaults", "EngineStandin", "token_at"]
 
-VOCABULARY = 9973
 KEPT_STREAMS = 4096
 MAX_EVENTS_A_WRITE = 64
 SAMPLE_SECONDS = 0.05
@@ -77,26 +78,7 @@
 class _Stream:
     request: EngineRequest
     sequence: Sequence
-    source: "_TokenSource"
-
-
-class _TokenSource:
-    """Tokens of one prompt; the prompt is hashed once."""
-
-    def __init__(self, model: str, prompt: str) -> None:
-        self._hash = xxhash.xxh3_64(f"{model}\x00{prompt}\x00".encode())
-
-    def at(self, index: int) -> str:
-        """Return the token at `index`, the same as `token_at`."""
-        copy = self._hash.copy()
-        copy.update(str(index).encode())
-        return f" w{copy.intdigest() % VOCABULARY}"
-
-
-def token_at(model: str, prompt: str, index: int) -> str:
-    """Return the token that every engine gives at `index`."""
-    digest = xxhash.xxh3_64_intdigest(f"{model}\x00{prompt}\x00{index}".encode())
-    return f" w{digest % VOCABULARY}"
+    source: TokenSource
 
 
 class EngineStandin:
@@ -178,7 +160,7 @@
         sequence = self._new_sequence(request_id, body, prompt, priority)
         sequence.imported = await self._import(request_id, body, sequence)
         self._forget_old_streams()
-        stream = _Stream(body, sequence, _TokenSource(body.model, prompt))
+        stream = _Stream(body, sequence, TokenSource(body.model, prompt))
         self._streams[request_id] = stream
         self._batch.add(sequence)
         return StreamingResponse(
@@ -366,7 +348,7 @@
             del self._streams[next(iter(self._streams))]
 
 
-def _event_writer(request_id: str, model: str, source: _TokenSource) -> Callable[[int], bytes]:
+def _event_writer(request_id: str, model: str, source: TokenSource) -> Callable[[int], bytes]:
     """Return a function that writes the event at an index."""
     middle = (
         f'\ndata: {{"id":"{request_id}","object":"chat.completion.chunk",'
