Commit claims in groups and keep every refusal true

Cause: a claim cost one transaction each, an ambiguous insert was simply sent again, and a claim given up at the deadline stayed open for ever, so that its key could never run although the caller had been told "not run".

Ruled out: a second write before the dispatch that would tell "claimed" from "dispatched". It doubles the writes of every booking and only helps when a host dies in the few milliseconds between. Clearing an abandoned claim by reading first: a write still on its way may land after the read.

Change: GroupCommit keeps one transaction in flight; what arrives meanwhile rides in the next. A conflict splits the batch, a lost answer is read back by the attempt id. A claim given up after it was sent is replaced by a refused row, which also shuts out a late write; a refused row may be claimed again by compare-and-set. The path of a service call keeps its percent-encoding and may not carry a key; repeatable calls draw on a retry budget; the key is checked again before each dispatch. claim-in-progress becomes 3002 with run state unknown: the booking may run.

--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -94,9 +94,6 @@
 NO_CONFIGURATION = _result(
     2013, "no-configuration", 503, _NOT_RUN, 75, "This host has no configuration yet."
 )
-CLAIM_IN_PROGRESS = _result(
-    2014, "claim-in-progress", 409, _NOT_RUN, 75, "Another attempt with this key is running."
-)
 KEY_REUSED = _result(
     2015,
     "idempotency-key-reused",
@@ -121,6 +118,9 @@
 DEADLINE_UNKNOWN = _result(
     3001, "deadline-unknown", 504, _UNKNOWN, 75, "The deadline passed while the request ran."
 )
+CLAIM_IN_PROGRESS = _result(
+    3002, "claim-in-progress", 409, _UNKNOWN, 75, "Another attempt with this key is running."
+)
 INTERNAL_UNKNOWN = _result(
     3099, "internal-unknown", 500, _UNKNOWN, 70, "A fault of this system after dispatch."
 )
@@ -131,6 +131,12 @@
 STREAM_CUT = _result(
     4001, "stream-cut", 502, _RAN, 75, "The stream broke and could not be continued."
 )
+OUTCOME_NOT_KEPT = _result(
+    4002, "outcome-not-kept", 409, _RAN, 75, "The request ran; its answer was too long to keep."
+)
+ENDPOINT_CRASHED = _result(
+    4003, "endpoint-crashed", 422, _RAN, 2, "The endpoints that ran the request crashed."
+)
 
 SETTINGS_INVALID = _result(
     5000, "settings-invalid", 400, _NOT_RUN, 78, "The settings file was refused."
--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -29,7 +29,7 @@
 from samphirehall.forwarding.completion_answer import serve_completion
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import CallerGoneError, bearer_key
-from samphirehall.forwarding.service_call import PATH_PREFIX, serve_service
+from samphirehall.forwarding.service_answer import PATH_PREFIX, serve_service
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
--- a/samphirehall/forwarding/context.py
+++ b/samphirehall/forwarding/context.py
@@ -7,6 +7,7 @@
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.state import NodeState
 from samphirehall.routing.fleet import Fleet
 from samphirehall.routing.policy import RoutingPolicy
@@ -28,4 +29,5 @@
     metrics: EntryMetrics
     meter: UsageMeter
     random_source: random.Random
+    retry_budget: RetryBudget
     stopping: bool = False
--- /dev/null
+++ b/samphirehall/forwarding/service_answer.py
@@ -0,0 +1,171 @@
+"""Service requests of callers: reading, admission, repeatable calls and the answer."""
+
+from urllib.parse import quote
+
+import anyio
+
+from samphirehall.admission.authentication import authenticate
+from samphirehall.admission.controller import AdmissionRequest
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.connections import NOT_WRITTEN_ERRORS, TRANSPORT_ERRORS
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.identifiers import KEY_PREFIX
+from samphirehall.core.results import (
+    BAD_REQUEST,
+    DEADLINE_NOT_RUN,
+    DEADLINE_UNKNOWN,
+    NO_ENDPOINT,
+    NO_ROUTE,
+    OK,
+    OUTCOME_UNKNOWN,
+)
+from samphirehall.forwarding.answers import (
+    ENDPOINT_HEADER,
+    Receive,
+    Scope,
+    Send,
+    result_headers,
+    send_whole,
+)
+from samphirehall.forwarding.context import EntryContext
+from samphirehall.forwarding.inbound import (
+    bearer_key,
+    deadline_seconds,
+    endpoint_headers,
+    endpoint_query,
+    idempotency_key,
+    priority_of,
+    read_request_body,
+    refuse_key_in_body,
+)
+from samphirehall.forwarding.retry_budget import retry_pause
+from samphirehall.forwarding.service_call import (
+    ServiceAnswer,
+    ServiceCall,
+    check_dispatch,
+    choose_service,
+    dispatch,
+    note_failure,
+)
+from samphirehall.forwarding.service_once import call_once
+from samphirehall.routing.policy import NoEndpointError
+
+PATH_PREFIX = "/services/"
+PATH_SAFE = "/:@!$&'()*+,;=-._~%"
+MAX_ATTEMPTS = 3
+
+
+async def serve_service(
+    context: EntryContext, scope: Scope, receive: Receive, send: Send, *, request_id: str
+) -> str:
+    """Serve one call of a plain service and return its route's name.
+
+    Raises
+    ------
+    SamphireError
+        The call was refused or its outcome is not known.
+    """
+    started = boot_seconds()
+    call = await _read_call(context, scope, receive, request_id=request_id, started=started)
+    route = call.caller.route
+    admission = AdmissionRequest(
+        call.caller, priority_of(scope, default=route.priority), call.deadline
+    )
+    async with context.admission.admit(admission, now=started):
+        if route.idempotent or call.method in ("GET", "HEAD"):
+            answer, result = await call_repeatable(context, call), OK
+        else:
+            answer, result = await call_once(context, call, idempotency_key(scope))
+    headers = result_headers(result, request_id, answer.content_type)
+    headers.append((ENDPOINT_HEADER, answer.endpoint.encode()))
+    await send_whole(send, answer.status, headers, answer.body)
+    return call.caller.route_name
+
+
+async def _read_call(
+    context: EntryContext, scope: Scope, receive: Receive, *, request_id: str, started: float
+) -> ServiceCall:
+    limits = context.settings.entry
+    route_name = scope["path"].removeprefix(PATH_PREFIX).partition("/")[0]
+    key = bearer_key(scope)
+    caller = authenticate(context.state.configuration, key=key, route_name=route_name)
+    if caller.route.kind != "service":
+        raise SamphireError(NO_ROUTE, f"route {route_name!r} is a model, not a service")
+    path = endpoint_path(scope, key)
+    body = await read_request_body(
+        receive, max_bytes=limits.max_body_bytes, timeout=limits.head_timeout_seconds
+    )
+    refuse_key_in_body(body, key)
+    query = endpoint_query(scope["query_string"], key)
+    return ServiceCall(
+        request_id,
+        caller,
+        scope["method"],
+        f"{path}?{query}" if query else path,
+        endpoint_headers(scope["headers"], key),
+        body,
+        started + deadline_seconds(scope, default=caller.route.deadline_seconds),
+    )
+
+
+def endpoint_path(scope: Scope, key: str | None) -> str:
+    """Return the path that the endpoint sees: what follows the route's name.
+
+    Raises
+    ------
+    SamphireError
+        The path could carry a customer key.
+    """
+    decoded = scope["path"]
+    if KEY_PREFIX in decoded or (key and key in decoded):
+        raise SamphireError(BAD_REQUEST, "the path contains a customer key")
+    raw = scope.get("raw_path") or decoded.encode()
+    rest = raw.decode("latin-1").removeprefix(PATH_PREFIX).partition("/")[2]
+    return "/" + quote(rest, safe=PATH_SAFE, encoding="latin-1")
+
+
+async def call_repeatable(context: EntryContext, call: ServiceCall) -> ServiceAnswer:
+    """Call a service whose calls may be repeated; try other endpoints on failure.
+
+    Raises
+    ------
+    SamphireError
+        No endpoint answered.
+    """
+    failed: set[str] = set()
+    written = False
+    context.retry_budget.earn()
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt and not context.retry_budget.spend(now=boot_seconds()):
+            raise _no_answer(written, "the host's retry budget is spent")
+        _check_again(context, call, written)
+        try:
+            endpoint = choose_service(context, call, failed)
+        except NoEndpointError as error:
+            raise _no_answer(written, str(error)) from error
+        try:
+            return await dispatch(context, call, endpoint)
+        except NOT_WRITTEN_ERRORS as error:
+            note_failure(context, call, endpoint, error)
+        except TRANSPORT_ERRORS as error:
+            written = True
+            note_failure(context, call, endpoint, error)
+        failed.add(endpoint.endpoint_id)
+        context.metrics.retries.labels("service").inc()
+        await anyio.sleep(retry_pause(attempt, random_source=context.random_source))
+    raise _no_answer(written, f"{MAX_ATTEMPTS} attempts failed")
+
+
+def _check_again(context: EntryContext, call: ServiceCall, written: bool) -> None:
+    try:
+        check_dispatch(context, call)
+    except SamphireError as error:
+        if not written:
+            raise
+        result = DEADLINE_UNKNOWN if error.result is DEADLINE_NOT_RUN else OUTCOME_UNKNOWN
+        raise SamphireError(result, error.detail) from error
+
+
+def _no_answer(written: bool, detail: str) -> SamphireError:
+    result = OUTCOME_UNKNOWN if written else NO_ENDPOINT
+    return SamphireError(result, detail, retry_after=1.0)
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.admission.controller import AdmissionController
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
 from samphirehall.endpoints.pools import EndpointPools
@@ -16,6 +17,7 @@
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
 from samphirehall.platform import Platform
@@ -55,10 +57,13 @@
             metrics=EntryMetrics(CollectorRegistry()),
             meter=UsageMeter(),
             random_source=random.Random(incarnation),
+            retry_budget=RetryBudget(now=boot_seconds()),
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
+        group.start_soon(context.claims.run)
+        group.start_soon(context.claims.clean_forever)
         await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
         _log.info("serving", extra={"listen": settings.entry.listen})
         await wait_for_stop()
