--- /dev/null
+++ b/samphirehall/placement/service.py
@@ -0,0 +1,139 @@
+"""Control service: the holder of a zone's lease carries out the placement decisions."""
+
+import logging
+from collections.abc import Iterable
+from typing import Protocol
+
+import anyio
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError, SamphireError
+from samphirehall.core.log import log_decision
+from samphirehall.core.types import EndpointInfo, EndpointKind, EndpointState
+from samphirehall.node.context import ControlContext
+from samphirehall.node.facts import FactKind
+from samphirehall.placement.demand import demand_by_model
+from samphirehall.placement.drain import Drain, forget_drain, read_drains
+from samphirehall.placement.models import ModelOrder
+from samphirehall.placement.roles import RoleChange
+from samphirehall.placement.views import EngineView, newest_reports, reported_engines
+from samphirehall.placement.zone import CountOrder, PlacementOrder, ZonePlacement
+
+STEP_SECONDS = 2.0
+SET_ROLE = "set-role"
+DRAIN = "drain"
+
+_log = logging.getLogger(__name__)
+
+
+class Orders(Protocol):
+    """What placement needs of the order journal."""
+
+    def holds(self, zone: str, *, now: float) -> bool:
+        """Return whether this process may order the engines of a zone."""
+
+    async def submit(
+        self, endpoint: EndpointInfo, action: str, argument: str, *, now: float
+    ) -> None:
+        """Give an engine an order.
+
+        Raises
+        ------
+        SamphireError
+            The lease is lost, or an order to the endpoint is not settled yet.
+        """
+
+    async def endpoints(self, zone: str, kind: EndpointKind, count: int, *, now: float) -> None:
+        """Order endpoints from the platform; raises like `submit`."""
+
+
+class PlacementStep:
+    """Carries out placement of this host's zone, one step at a time.
+
+    Parameters
+    ----------
+    context : ControlContext
+        Settings, platform and state.
+    orders : Orders
+        Order journal.
+    """
+
+    def __init__(self, context: ControlContext, orders: Orders) -> None:
+        self._context = context
+        self._orders = orders
+        self._placement = ZonePlacement(context.state.zone)
+
+    @property
+    def role_changes(self) -> int:
+        """Role changes ordered so far by this process."""
+        return self._placement.role_changes
+
+    async def run(self, *, now: float) -> None:
+        """Decide and give orders, if this process holds the zone's lease."""
+        state = self._context.state
+        if not self._orders.holds(state.zone, now=now):
+            return
+        engines = reported_engines(state, now=now)
+        await self._carry_out_drains(now=now)
+        demand = demand_by_model(state.board.current(FactKind.DEMAND, now=now))
+        listed = [item for item in state.endpoints.values() if item.zone == state.zone]
+        chosen = self._placement.decide(engines, listed, demand, state.configuration, now=now)
+        for order in chosen:
+            await self._give(order, engines, now=now)
+
+    async def _give(
+        self, order: PlacementOrder, engines: Iterable[EngineView], *, now: float
+    ) -> None:
+        infos = {engine.endpoint_id: engine.info for engine in engines}
+        _log_order(order, self._context.state.zone)
+        try:
+            match order:
+                case RoleChange(endpoint_id, role):
+                    await self._orders.submit(infos[endpoint_id], SET_ROLE, role, now=now)
+                    self._placement.note_role_change(order, now=now)
+                case ModelOrder(endpoint_id, action, model):
+                    await self._orders.submit(infos[endpoint_id], action, model, now=now)
+                case CountOrder(kind, count):
+                    zone = self._context.state.zone
+                    await self._orders.endpoints(zone, kind, count, now=now)
+                    self._placement.note_count(order, now=now)
+        except SamphireError as error:
+            log_decision(_log, "order-refused", error.detail, result=error.result.code)
+
+    async def _carry_out_drains(self, *, now: float) -> None:
+        state = self._context.state
+        for drain in await read_drains(self._context.platform, state.zone):
+            endpoint = state.endpoints.get(drain.endpoint_id)
+            if endpoint is None or endpoint.state is EndpointState.GONE:
+                await forget_drain(self._context.platform, drain)
+                continue
+            await self._drain(drain, endpoint, now=now)
+
+    async def _drain(self, drain: Drain, endpoint: EndpointInfo, *, now: float) -> None:
+        report = newest_reports(self._context.state, now=now).get(drain.endpoint_id)
+        if report is not None and report.leaving:
+            return
+        try:
+            await self._orders.submit(endpoint, DRAIN, "", now=now)
+        except SamphireError as error:
+            log_decision(_log, "order-refused", error.detail, endpoint=drain.endpoint_id)
+
+
+def _log_order(order: PlacementOrder, zone: str) -> None:
+    match order:
+        case RoleChange(endpoint_id, role, reason):
+            log_decision(_log, "role", reason, zone=zone, endpoint=endpoint_id, role=role)
+        case ModelOrder(endpoint_id, action, model, reason):
+            log_decision(_log, action, reason, zone=zone, endpoint=endpoint_id, model=model)
+        case CountOrder(kind, count, reason):
+            log_decision(_log, "endpoint-count", reason, zone=zone, kind=kind, count=count)
+
+
+async def step_until_cancelled(step: PlacementStep) -> None:
+    """Take one step after the other; a platform that is out only delays them."""
+    while True:
+        try:
+            await step.run(now=boot_seconds())
+        except PlatformUnavailableError as error:
+            _log.warning("platform-unavailable", extra={"reason": str(error)})
+        await anyio.sleep(STEP_SECONDS)
