Send orders in two parts and close the read of a paused sender

Cause: endpoints that do not check fencing numbers would carry out an order whose sender was paused between its check and its write. Ruled out: checking the right before the call only, since dialing and the head may take long; a pooled connection, since its kernel may hold bytes for longer than the delivery limit. Orders to the platform and usage reports take the same check between head and body.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -7,7 +7,7 @@
 
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 
 import anyio
@@ -166,6 +166,20 @@
             await connection.aclose()
 
 
+async def body_after(content: bytes, recheck: Callable[[], None]) -> AsyncIterator[bytes]:
+    """Yield a body after a check that may raise; the head has been sent by then.
+
+    Parameters
+    ----------
+    content : bytes
+        The whole body.
+    recheck : callable
+        Raises unless the body may still go out.
+    """
+    recheck()
+    yield content
+
+
 async def read_body(response: httpcore.Response, *, max_bytes: int) -> bytes:
     """Return the whole body of an answer.
 
--- a/samphirehall/platform/client.py
+++ b/samphirehall/platform/client.py
@@ -1,12 +1,12 @@
 """HTTP client of the platform."""
 
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import msgspec
 
-from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, body_after, read_body
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.types import EndpointInfo, EndpointKind, HostInfo, UsageFigures
 from samphirehall.platform.table import Check, Row, TransactionResult, Write
@@ -144,17 +144,45 @@
         """Return the lagging list of endpoints in all zones."""
         return await self._call("GET", "/endpoints", None, list[EndpointInfo])
 
-    async def order_endpoints(self, order: EndpointOrder) -> OrderAnswer:
-        """Order endpoints; the same `order_id` may be sent again."""
-        return await self._call("POST", "/endpoint-orders", order, OrderAnswer)
-
-    async def report_usage(self, report: UsageReport) -> OrderAnswer:
-        """Report figures of one window; the same figures may be sent again."""
-        return await self._call("POST", "/usage-reports", report, OrderAnswer)
-
-    async def _call(self, method: str, path: str, body: Any, answer_type: type[T]) -> T:
+    async def order_endpoints(
+        self, order: EndpointOrder, *, recheck: Callable[[], None] | None = None
+    ) -> OrderAnswer:
+        """Order endpoints; the same `order_id` may be sent again.
+
+        Parameters
+        ----------
+        order : EndpointOrder
+            What to have.
+        recheck : callable, optional
+            Raises unless the sender still has its right; called between head and body.
+        """
+        return await self._call("POST", "/endpoint-orders", order, OrderAnswer, recheck=recheck)
+
+    async def report_usage(
+        self, report: UsageReport, *, recheck: Callable[[], None] | None = None
+    ) -> OrderAnswer:
+        """Report figures of one window; the same figures may be sent again.
+
+        Parameters
+        ----------
+        report : UsageReport
+            What is billed.
+        recheck : callable, optional
+            Raises unless the sender still has its right; called between head and body.
+        """
+        return await self._call("POST", "/usage-reports", report, OrderAnswer, recheck=recheck)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        answer_type: type[T],
+        *,
+        recheck: Callable[[], None] | None = None,
+    ) -> T:
         content = None if body is None else msgspec.json.encode(body)
-        status, answer = await self._send(method, path, content)
+        status, answer = await self._send(method, path, content, recheck=recheck)
         if status not in (HTTP_OK, HTTP_CONFLICT):
             raise PlatformUnavailableError(f"{method} {path}: status {status}")
         try:
@@ -162,9 +190,21 @@
         except msgspec.DecodeError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
 
-    async def _send(self, method: str, path: str, content: bytes | None) -> tuple[int, bytes]:
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None,
+        *,
+        recheck: Callable[[], None] | None = None,
+    ) -> tuple[int, bytes]:
+        headers: dict[bytes, bytes] = {}
+        body: bytes | AsyncIterator[bytes] | None = content
+        if content is not None and recheck is not None:
+            headers[b"Content-Length"] = str(len(content)).encode()
+            body = body_after(content, recheck)
         try:
-            async with self._pool.request(method, path, content=content) as response:
+            async with self._pool.request(method, path, headers=headers, content=body) as response:
                 answer = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                 return response.status, answer
         except (*TRANSPORT_ERRORS, ValueError) as error:
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -30,6 +30,7 @@
 from samphirehall.routing.blocks import block_hashes, prompt_text, token_count
 from samphirehall.standins.batch import Batch, Sequence
 from samphirehall.standins.prefix_cache import PrefixCache
+from samphirehall.standins.reading import read_closed, read_order_body
 from samphirehall.standins.timing import EngineTiming
 from samphirehall.standins.tokens import TokenSource, token_at
 
@@ -201,12 +202,16 @@
         return _json(self._cache.events(after=after, now=boot_seconds()))
 
     async def _order(self, request: Request) -> Response:
-        order = msgspec.json.decode(await request.body(), type=EngineOrder)
+        body = await read_order_body(request)
+        if body is None:
+            return read_closed()
+        order = msgspec.json.decode(body, type=EngineOrder)
         if self._checks_fencing and order.fencing < self._report.fencing:
             reason = f"fencing number {order.fencing} < {self._report.fencing}"
             return _json(EngineOrderAnswer(False, reason))
         if order.order_id != self._report.order_id:
             self._carry_out(order)
+        self._report.fencing = max(self._report.fencing, order.fencing)
         return _json(EngineOrderAnswer(True))
 
     async def _set_faults(self, request: Request) -> Response:
@@ -329,7 +334,7 @@
 
     def _carry_out(self, order: EngineOrder) -> None:
         self.orders.append(order)
-        self._report.order_id, self._report.fencing = order.order_id, order.fencing
+        self._report.order_id = order.order_id
         match order.action:
             case "set-role":
                 self._report.role = Role(order.argument)
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -18,6 +18,7 @@
 from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
 from samphirehall.standins.journal import Journal
+from samphirehall.standins.reading import read_closed, read_order_body
 
 START_SECONDS = 1.0
 STATUS_UNAVAILABLE = 503
@@ -213,7 +214,10 @@
         return await self._fault() or _json(self._current_endpoints(boot_seconds()))
 
     async def _order(self, request: Request) -> Response:
-        order = msgspec.json.decode(await request.body(), type=EndpointOrder)
+        body = await read_order_body(request)
+        if body is None:
+            return read_closed()
+        order = msgspec.json.decode(body, type=EndpointOrder)
         if refused := await self._fault():
             return refused
         if order.fencing < self._fencing:
@@ -226,7 +230,10 @@
         return _json(OrderAnswer(True))
 
     async def _report(self, request: Request) -> Response:
-        report = msgspec.json.decode(await request.body(), type=UsageReport)
+        body = await read_order_body(request)
+        if body is None:
+            return read_closed()
+        report = msgspec.json.decode(body, type=UsageReport)
         if refused := await self._fault():
             return refused
         key = (report.window, report.customer)
