--- /dev/null
+++ b/samphirehall/authority/endpoint_counts.py
@@ -0,0 +1,168 @@
+"""Orders for endpoints: journaled by a zone's holder, sent by the platform scope's holder."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from samphirehall.authority.journal import JournaledOrder, OrderJournal
+from samphirehall.authority.lease import PLATFORM_SCOPE, LeaseLostError, Right, engines_scope
+from samphirehall.authority.leases import Leases
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.identifiers import new_identifier
+from samphirehall.core.log import log_decision
+from samphirehall.core.types import EndpointKind
+from samphirehall.platform.client import EndpointOrder, OrderAnswer
+from samphirehall.platform.table import Table
+
+JOURNAL_NAME = "endpoints"
+
+_log = logging.getLogger(__name__)
+
+
+class SendEndpointOrder(Protocol):
+    """Sends an order to the platform; see `Platform.order_endpoints`."""
+
+    def __call__(
+        self, order: EndpointOrder, *, recheck: Callable[[], None] | None = None
+    ) -> Awaitable[OrderAnswer]:
+        """Send the order."""
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointCountRow:
+    """An order for endpoints as the journal keeps it.
+
+    Parameters
+    ----------
+    order_id : str
+        Idempotency key.
+    subject : str
+        Zone and kind.
+    zone : str
+        Availability zone.
+    kind : EndpointKind
+        Standard or cheap.
+    count : int
+        Endpoints wanted in all.
+    fencing : int
+        Fencing number of the zone's lease under which the order was journaled.
+    """
+
+    order_id: str
+    subject: str
+    zone: str
+    kind: EndpointKind
+    count: int
+    fencing: int
+
+
+class EndpointCounts:
+    """Orders for endpoints of all zones.
+
+    Parameters
+    ----------
+    leases : Leases
+        Rights of this process.
+    table : Table
+        Where the journal is kept.
+    send : callable
+        Sends an order to the platform.
+    clock : callable
+        Boot clock in seconds.
+    """
+
+    def __init__(
+        self,
+        leases: Leases,
+        table: Table,
+        *,
+        send: SendEndpointOrder,
+        clock: Callable[[], float] = boot_seconds,
+    ) -> None:
+        self._leases = leases
+        self._journal = OrderJournal(table, JOURNAL_NAME, EndpointCountRow)
+        self._send_order = send
+        self._clock = clock
+
+    async def submit(self, zone: str, kind: EndpointKind, count: int, *, now: float) -> None:
+        """Journal an order for endpoints of a zone; the platform scope's holder sends it.
+
+        Parameters
+        ----------
+        zone : str
+            Availability zone whose lease this process holds.
+        kind : EndpointKind
+            Standard or cheap.
+        count : int
+            Endpoints wanted in all.
+        now : float
+            Boot clock in seconds.
+
+        Raises
+        ------
+        LeaseLostError
+            This process does not hold the zone's lease.
+        OrderPendingError
+            The platform has not taken the earlier order of this zone and kind.
+        PlatformUnavailableError
+            The store did not answer; the order may still be journaled.
+        """
+        right = self._leases.right(engines_scope(zone), now=now)
+        subject = f"{zone}/{kind}"
+        held = await self._journal.open_order(subject)
+        if held is not None and held.order.count == count:
+            return
+        order = EndpointCountRow(new_identifier("ord"), subject, zone, kind, count, right.fencing)
+        await self._journal.append(right, order)
+        self._log("endpoint-order-journaled", "placement decided", order)
+
+    async def carry_out(self, *, now: float) -> int:
+        """Send every open order; return how many there are.
+
+        Parameters
+        ----------
+        now : float
+            Boot clock in seconds.
+        """
+        if not self._leases.holds(PLATFORM_SCOPE, now=now):
+            return 0
+        right = self._leases.right(PLATFORM_SCOPE, now=now)
+        orders = await self._journal.open_orders()
+        for journaled in orders:
+            await self._carry_out_one(right, journaled)
+        return len(orders)
+
+    async def _carry_out_one(
+        self, right: Right, journaled: JournaledOrder[EndpointCountRow]
+    ) -> None:
+        row = journaled.order
+        order = EndpointOrder(
+            row.order_id, right.fencing, right.holder, row.zone, row.kind, row.count
+        )
+        recheck = self._leases.recheck(right, clock=self._clock)
+        try:
+            answer = await self._send_order(order, recheck=recheck)
+        except PlatformUnavailableError as error:
+            self._log("endpoint-order-unanswered", str(error), row)
+            return
+        except LeaseLostError as error:
+            self._log("endpoint-order-held-back", error.detail, row)
+            return
+        if not answer.accepted:
+            self._log("endpoint-order-refused", answer.reason, row)
+            return
+        if await self._journal.settle(right, journaled):
+            self._log("endpoint-order-settled", "the platform took it", row)
+
+    def _log(self, event: str, reason: str, order: EndpointCountRow) -> None:
+        log_decision(
+            _log,
+            event,
+            reason,
+            order=order.order_id,
+            zone=order.zone,
+            kind=order.kind,
+            count=order.count,
+        )
--- /dev/null
+++ b/samphirehall/authority/journal.py
@@ -0,0 +1,157 @@
+"""Journal of orders in the platform's table.
+
+An order is journaled in one transaction that also checks the lease row. Each
+subject has at most one open order; the next waits until that one is settled.
+The ``last`` row of a subject is never deleted and its version is the order's
+sequence number, so that a late write about an earlier order has no effect.
+"""
+
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+import msgspec
+
+from samphirehall.authority.lease import LeaseLostError, Right
+from samphirehall.core.errors import PlatformUnavailableError, SamphireError
+from samphirehall.core.results import ORDER_PENDING
+from samphirehall.platform.table import ABSENT, Check, Row, Table, Write
+
+MAX_OPEN_ORDERS = 10_000
+
+
+class OrderRow(Protocol):
+    """What the journal needs of an order; a dataclass of JSON values."""
+
+    @property
+    def order_id(self) -> str:
+        """Idempotency key of the order."""
+
+    @property
+    def subject(self) -> str:
+        """What the order is about; one open order a subject."""
+
+
+O = TypeVar("O", bound=OrderRow)  # noqa: E741
+
+
+class OrderPendingError(SamphireError):
+    """An earlier order about the same subject is not settled yet.
+
+    Parameters
+    ----------
+    subject : str
+        What the order is about.
+    reason : str
+        What it waits for.
+    """
+
+    def __init__(self, subject: str, reason: str) -> None:
+        super().__init__(ORDER_PENDING, f"{subject}: {reason}", retry_after=1.0)
+        self.subject = subject
+
+
+@dataclass(slots=True, frozen=True)
+class JournaledOrder(Generic[O]):
+    """An order in the journal.
+
+    Parameters
+    ----------
+    order : object
+        The order itself.
+    sequence : int
+        Number of the order among those of its subject.
+    """
+
+    order: O
+    sequence: int
+
+
+class OrderJournal(Generic[O]):
+    """Orders of one kind.
+
+    Parameters
+    ----------
+    table : Table
+        Where the journal is kept.
+    name : str
+        Name of the journal, such as ``"engines/prairie-1"``.
+    order_type : type
+        Dataclass of the orders.
+    """
+
+    def __init__(self, table: Table, name: str, order_type: type[O]) -> None:
+        self._table = table
+        self._name = name
+        self._order_type = order_type
+
+    async def open_order(self, subject: str) -> JournaledOrder[O] | None:
+        """Return the open order about a subject, or None."""
+        key = self._open_key(subject)
+        row = (await self._table.read([key])).get(key)
+        return None if row is None else self._decode(row)
+
+    async def open_orders(self) -> list[JournaledOrder[O]]:
+        """Return every open order."""
+        rows = await self._table.scan(self._open_key(""), limit=MAX_OPEN_ORDERS)
+        return [self._decode(row) for row in rows]
+
+    async def append(self, right: Right, order: O) -> None:
+        """Journal an order under a right.
+
+        Raises
+        ------
+        LeaseLostError
+            Another process has taken over.
+        OrderPendingError
+            An earlier order about the subject is open.
+        PlatformUnavailableError
+            Nobody can tell yet; the order may still be journaled.
+        """
+        open_key, last_key = self._open_key(order.subject), self._last_key(order.subject)
+        rows = await self._table.read([open_key, last_key])
+        if open_key in rows:
+            held = self._decode(rows[open_key]).order
+            raise OrderPendingError(order.subject, f"order {held.order_id} is not settled")
+        version = rows[last_key].version if last_key in rows else ABSENT
+        value = msgspec.to_builtins(JournaledOrder(order, version + 1))
+        checks = [right.check, Check(open_key, ABSENT), Check(last_key, version)]
+        writes = [Write(open_key, value), Write(last_key, value)]
+        try:
+            result = await self._table.transact(checks, writes)
+        except PlatformUnavailableError:
+            if await self._is_last(order):
+                return
+            raise
+        if not result.committed:
+            _raise_conflict(right, order, result.conflicts)
+
+    async def settle(self, right: Right, journaled: JournaledOrder[O]) -> bool:
+        """Close an open order under a right; return whether that took effect.
+
+        An answer that is lost needs no care: the next look at the open orders tells.
+        """
+        subject = journaled.order.subject
+        checks = [right.check, Check(self._last_key(subject), journaled.sequence)]
+        result = await self._table.transact(checks, [Write(self._open_key(subject), None)])
+        return result.committed
+
+    async def _is_last(self, order: O) -> bool:
+        last_key = self._last_key(order.subject)
+        row = (await self._table.read([last_key])).get(last_key)
+        return row is not None and self._decode(row).order.order_id == order.order_id
+
+    def _open_key(self, subject: str) -> str:
+        return f"orders/open/{self._name}/{subject}"
+
+    def _last_key(self, subject: str) -> str:
+        return f"orders/last/{self._name}/{subject}"
+
+    def _decode(self, row: Row) -> JournaledOrder[O]:
+        order = msgspec.convert(row.value["order"], self._order_type)
+        return JournaledOrder(order, row.value["sequence"])
+
+
+def _raise_conflict(right: Right, order: OrderRow, conflicts: tuple[Row, ...]) -> None:
+    if any(row.key == right.check.key for row in conflicts):
+        raise LeaseLostError(right.scope, "another process has taken over")
+    raise OrderPendingError(order.subject, "another order was journaled first")
--- a/samphirehall/authority/leases.py
+++ b/samphirehall/authority/leases.py
@@ -1,6 +1,6 @@
 """The leases of one host, by scope."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from samphirehall.authority.keeper import LeaseKeeper
@@ -73,6 +73,24 @@
             return False
         return True
 
+    def recheck(self, right: Right, *, clock: Callable[[], float]) -> Callable[[], None]:
+        """Return a check that this process still has the very right it started with.
+
+        Parameters
+        ----------
+        right : Right
+            Right under which an order is sent.
+        clock : callable
+            Boot clock in seconds, read at each check.
+        """
+
+        def check() -> None:
+            current = self.right(right.scope, now=clock())
+            if current.fencing != right.fencing:
+                raise LeaseLostError(right.scope, f"fencing number {right.fencing} is over")
+
+        return check
+
     def status(self, *, now: float) -> list[LeaseStatus]:
         """Return each lease as this host knows it."""
         return [self._status_of(scope, keeper, now) for scope, keeper in self._keepers.items()]
--- /dev/null
+++ b/samphirehall/authority/orders.py
@@ -0,0 +1,113 @@
+"""Control service: the orders that this host may give."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+
+from samphirehall.authority.endpoint_counts import EndpointCounts
+from samphirehall.authority.engine_orders import EngineOrders
+from samphirehall.authority.lease import engines_scope
+from samphirehall.authority.leases import Leases
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.types import EndpointInfo, EndpointKind
+from samphirehall.endpoints.orders import ask_report, send_order
+from samphirehall.endpoints.protocol import (
+    EngineAction,
+    EngineOrder,
+    EngineOrderAnswer,
+    EngineReport,
+)
+from samphirehall.node.context import ControlContext
+
+PASS_SECONDS = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class Orders:
+    """Gives orders under the leases of this process.
+
+    Parameters
+    ----------
+    leases : Leases
+        Rights of this process.
+    engines : EngineOrders
+        Orders to the engines of this host's zone.
+    counts : EndpointCounts
+        Orders for endpoints.
+    """
+
+    def __init__(self, leases: Leases, engines: EngineOrders, counts: EndpointCounts) -> None:
+        self._leases = leases
+        self._engines = engines
+        self._counts = counts
+        self._submitted = anyio.Event()
+        self.open_engine_orders = 0
+        self.open_count_orders = 0
+
+    def holds(self, zone: str, *, now: float) -> bool:
+        """Return whether this process may order the engines of a zone."""
+        return self._leases.holds(engines_scope(zone), now=now)
+
+    async def submit(
+        self, endpoint: EndpointInfo, action: EngineAction, argument: str, *, now: float
+    ) -> None:
+        """Give an engine an order; see `EngineOrders.submit`."""
+        await self._engines.submit(endpoint, action, argument, now=now)
+        self._wake()
+
+    async def endpoints(self, zone: str, kind: EndpointKind, count: int, *, now: float) -> None:
+        """Order endpoints from the platform; see `EndpointCounts.submit`."""
+        await self._counts.submit(zone, kind, count, now=now)
+        self._wake()
+
+    async def run(self) -> None:
+        """Carry open orders to their end until cancelled."""
+        while True:
+            submitted = self._submitted
+            try:
+                self.open_engine_orders = await self._engines.carry_out(now=boot_seconds())
+                self.open_count_orders = await self._counts.carry_out(now=boot_seconds())
+            except PlatformUnavailableError as error:
+                _log.warning("platform-unavailable", extra={"reason": str(error)})
+            with anyio.move_on_after(PASS_SECONDS):
+                await submitted.wait()
+
+    def _wake(self) -> None:
+        event, self._submitted = self._submitted, anyio.Event()
+        event.set()
+
+
+async def run_orders(context: ControlContext) -> None:
+    """Carry out orders of this host's scopes until cancelled."""
+    leases = await context.obtain(Leases)
+    limit = context.settings.lease.delivery_limit_seconds
+    state = context.state
+
+    async def send(
+        address: str, order: EngineOrder, recheck: Callable[[], None]
+    ) -> EngineOrderAnswer:
+        return await send_order(address, order, recheck=recheck, limit=limit)
+
+    async def ask(address: str) -> EngineReport | None:
+        return await ask_report(address, limit=limit)
+
+    engines = EngineOrders(
+        state.zone,
+        leases,
+        context.platform,
+        endpoints=lambda: state.endpoints,
+        send=send,
+        ask=ask,
+        delivery_limit=limit,
+    )
+    counts = EndpointCounts(leases, context.platform, send=context.platform.order_endpoints)
+    orders = Orders(leases, engines, counts)
+    context.provide(orders)
+    context.report_status(
+        "orders",
+        lambda: {"engine": orders.open_engine_orders, "endpoints": orders.open_count_orders},
+    )
+    await orders.run()
--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -161,6 +161,9 @@
     5007, "lease-lost", 409, _NOT_RUN, 75, "The process no longer holds the lease for this order."
 )
 CHECK_FAILED = _result(5008, "check-failed", 500, _RAN, 1, "A check or demonstration failed.")
+ORDER_PENDING = _result(
+    5020, "order-pending", 409, _NOT_RUN, 75, "An earlier order to the endpoint is not settled."
+)
 
 
 def table() -> tuple[Result, ...]:
--- a/samphirehall/endpoints/protocol.py
+++ b/samphirehall/endpoints/protocol.py
@@ -15,6 +15,8 @@
 LAST_EVENT_HEADER = b"last-event-id"
 DONE = b"[DONE]"
 
+EngineAction = Literal["set-role", "load-model", "unload-model", "drain"]
+
 
 @dataclass(slots=True)
 class EngineRequest:
@@ -96,7 +98,7 @@
 
     order_id: str
     fencing: int
-    action: Literal["set-role", "load-model", "unload-model", "drain"]
+    action: EngineAction
     argument: str = ""
 
 
--- a/tests/authority/lease_world.py
+++ b/tests/authority/lease_world.py
@@ -16,6 +16,8 @@
 class Process:
     """One stepped process with a clock of its own."""
 
+    scope = "s"
+
     def __init__(self, world, name, rate):
         self.rate = rate
         self.task = None
@@ -25,7 +27,7 @@
         self._world = world
         self._offset = 1000.0 * len(name)
         self.keeper = LeaseKeeper(
-            world.table, "s", holder=name, times=TIMES, clock=self.clock, sleep=sleep_call
+            world.table, self.scope, holder=name, times=TIMES, clock=self.clock, sleep=sleep_call
         )
 
     @property
@@ -45,6 +47,8 @@
 class LeaseWorld:
     """Lets time pass and calls fail; asserts that rights never meet."""
 
+    process_type = Process
+
     def __init__(self, rates):
         self.table = SteppedTable()
         self.now = 0.0
@@ -109,7 +113,7 @@
 
     def _new_process(self, rate):
         self._names += 1
-        return Process(self, "p" * self._names, rate)
+        return self.process_type(self, "p" * self._names, rate)
 
     def _note(self, process):
         right = process.right()
--- /dev/null
+++ b/tests/authority/test_journal.py
@@ -0,0 +1,91 @@
+"""The order journal against a table whose writes come late or twice."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from samphirehall.authority.journal import JournaledOrder, OrderJournal, OrderPendingError
+from samphirehall.authority.lease import LeaseLostError, Right, lease_key
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.platform.table import ABSENT, Check, Write
+from tests.support.steps import SteppedTable, SteppedTask
+from tests.support.table import FaultyTable, TableFaults
+
+pytestmark = pytest.mark.anyio
+
+
+RIGHT = Right("s", "me", 1, 5.0, version=1)
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    order_id: str
+    subject: str = "engine-1"
+
+
+async def new_journal():
+    table = FaultyTable()
+    await table.transact([Check(lease_key("s"), ABSENT)], [Write(lease_key("s"), "me")])
+    return table, OrderJournal(table, "s", Order), RIGHT
+
+
+class TestAppend:
+    async def test_open_order_holds_up_the_next(self):
+        _, journal, right = await new_journal()
+        await journal.append(right, Order("a"))
+        with pytest.raises(OrderPendingError, match="order a"):
+            await journal.append(right, Order("b"))
+
+    async def test_former_holder_journals_nothing(self):
+        table, journal, right = await new_journal()
+        await table.transact([], [Write(lease_key("s"), "other")])
+        with pytest.raises(LeaseLostError):
+            await journal.append(right, Order("a"))
+        assert await journal.open_orders() == []
+
+    def test_lost_answer_is_settled_by_reading(self):
+        table = SteppedTable()
+        table.store.transact([], [Write(lease_key("s"), "me")])
+        append = SteppedTask(OrderJournal(table, "s", Order).append(RIGHT, Order("a")), table)
+        append.answer()
+        append.take_effect()
+        append.lose(late=False)
+        append.run()
+        assert table.value("orders/open/s/engine-1")["order"]["order_id"] == "a"
+
+    def test_late_write_does_not_follow_a_newer_order(self):
+        table = SteppedTable()
+        table.store.transact([], [Write(lease_key("s"), "me")])
+        journal = OrderJournal(table, "s", Order)
+        late = SteppedTask(journal.append(RIGHT, Order("a")), table)
+        late.answer()
+        late.lose(late=True)
+        with pytest.raises(PlatformUnavailableError):
+            late.run()
+        SteppedTask(journal.append(RIGHT, Order("b")), table).run()
+        assert SteppedTask(journal.settle(RIGHT, JournaledOrder(Order("b"), 1)), table).run()
+        table.apply_late(0)
+        assert SteppedTask(journal.open_orders(), table).run() == []
+
+
+class TestSettle:
+    async def test_late_settlement_spares_a_newer_order(self):
+        table, journal, right = await new_journal()
+        await journal.append(right, Order("a"))
+        journaled = (await journal.open_orders())[0]
+        table.faults = TableFaults(late=1.0)
+        with pytest.raises(PlatformUnavailableError):
+            await journal.settle(right, journaled)
+        table.faults = TableFaults()
+        assert await journal.settle(right, journaled)
+        await journal.append(right, Order("b"))
+        table.settle()
+        assert [item.order.order_id for item in await journal.open_orders()] == ["b"]
+
+    async def test_former_holder_settles_nothing(self):
+        table, journal, right = await new_journal()
+        await journal.append(right, Order("a"))
+        journaled = (await journal.open_orders())[0]
+        await table.transact([], [Write(lease_key("s"), "other")])
+        assert not await journal.settle(right, journaled)
+        assert await journal.open_orders() == [journaled]
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -1,6 +1,6 @@
 """Coroutines stepped by hand, so that a test chooses every interleaving of table calls."""
 
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -24,10 +24,16 @@
 
 @dataclass(slots=True)
 class SteppedTable:
-    """A `Table` whose calls take effect and answer only when a test says so."""
+    """A `Table` whose calls take effect and answer only when a test says so.
+
+    `handlers` carry out calls of other names, such as those to an engine;
+    `watch` is called with each transaction just before it takes effect.
+    """
 
     store: MemoryTable = field(default_factory=MemoryTable)
     late: list[Call] = field(default_factory=list)
+    handlers: dict[str, Callable] = field(default_factory=dict)
+    watch: Callable[[list[Check], list[Write]], None] | None = None
 
     async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
         return await Call("transact", (list(checks), list(writes)))
@@ -43,7 +49,10 @@
         """Let a call reach the store, unless it did before."""
         if not call.done:
             call.done = True
-            call.answer = getattr(self.store, call.name)(*call.arguments)
+            if call.name == "transact" and self.watch is not None:
+                self.watch(*call.arguments)
+            handler = self.handlers.get(call.name) or getattr(self.store, call.name)
+            call.answer = handler(*call.arguments)
 
     def apply_late(self, index: int) -> None:
         """Let one of the lost calls reach the store now."""
