--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -160,13 +160,11 @@
 
     def ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run ``samphirectl`` against all control processes."""
-        controls = ",".join(host.operator for host in self.hosts)
-        return subprocess.run(
-            [str(BIN / "samphirectl"), f"--control={controls}", *arguments],
-            capture_output=True,
-            text=True,
-            timeout=60,
-        )
+        return run_ctl(",".join(host.operator for host in self.hosts), arguments)
+
+    def ctl_of(self, host: Host, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run ``samphirectl`` against the control process of one host."""
+        return run_ctl(host.operator, arguments)
 
     def _add(self, name: str, binary: str, *arguments: str) -> None:
         log = self.folder / f"{name}.log"
@@ -216,6 +214,16 @@
         return "\n".join([*hosts, *map(_endpoint_table, endpoints)])
 
 
+def run_ctl(controls: str, arguments: tuple[str, ...]) -> subprocess.CompletedProcess[str]:
+    """Run ``samphirectl`` against comma-separated control processes."""
+    return subprocess.run(
+        [str(BIN / "samphirectl"), f"--control={controls}", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
 def _endpoint_table(endpoint: Endpoint) -> str:
     values = {
         "endpoint_id": endpoint.name,
--- a/samphirehall/load/caller.py
+++ b/samphirehall/load/caller.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, header, read_body
+from samphirehall.core.connections import (
+    NOT_WRITTEN_ERRORS,
+    TRANSPORT_ERRORS,
+    ConnectionPool,
+    header,
+    read_body,
+)
 from samphirehall.core.results import OK, REPLAYED, RunState
 from samphirehall.endpoints.events import BrokenStreamError, decode_chunk
 from samphirehall.endpoints.pools import EndpointPools
@@ -23,6 +29,7 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 SPARE_SECONDS = 5.0
 MIN_BACKOFF_SECONDS = 0.1
+BALANCER_SECONDS = 3.0
 EVENT_END = b"\n\n"
 
 Caller = Callable[[Arrival, float], Coroutine[Any, Any, Outcome]]
@@ -35,6 +42,7 @@
     code: int = 0
     run: str = ""
     retry_after: float | None = None
+    refused: bool = False
     whole: bool = False
     wrong: bool = False
 
@@ -64,12 +72,43 @@
         return True
 
 
+class Balancer:
+    """Entries in turn by chance, without those that lately refused a connection.
+
+    Parameters
+    ----------
+    entries : list of str
+        Addresses of the entries.
+    source : random.Random
+        Seeded source of the choice.
+    """
+
+    def __init__(self, entries: list[str], source: random.Random) -> None:
+        self._entries = entries
+        self._source = source
+        self._refused_at: dict[str, float] = {}
+
+    def choose(self, *, now: float) -> str:
+        """Return the address of an entry."""
+        healthy = [
+            entry
+            for entry in self._entries
+            if now - self._refused_at.get(entry, float("-inf")) >= BALANCER_SECONDS
+        ]
+        return self._source.choice(healthy or self._entries)
+
+    def note_refused(self, entry: str, *, now: float) -> None:
+        """Leave out an entry that refused a connection, for a while."""
+        self._refused_at[entry] = now
+
+
 def entry_caller(
     scenario: Scenario, targets: Targets, pools: EndpointPools, *, seed: int
 ) -> Caller:
     """Return the caller that goes through the entries, each in turn by chance."""
     budget = RetryBudget(scenario.retry_budget)
     source = random.Random(seed)
+    balancer = Balancer(targets.entries, source)
 
     async def call(arrival: Arrival, due: float) -> Outcome:
         workload = scenario.workloads[arrival.workload]
@@ -77,12 +116,15 @@
         deadline = due + workload.deadline_seconds
         budget.note_request()
         while True:
-            pool = pools.at(source.choice(targets.entries))
-            left = deadline - boot_seconds()
+            now = boot_seconds()
+            pool = pools.at(balancer.choose(now=now))
+            left = deadline - now
             with anyio.move_on_after(left + SPARE_SECONDS):
                 attempt = await _attempt(
                     pool, arrival, workload, outcome, targets, due=due, left=left, seed=seed
                 )
+                if attempt.refused:
+                    balancer.note_refused(pool.address, now=boot_seconds())
                 if not _repeats(attempt, outcome, scenario, budget):
                     return _closed(outcome, attempt, arrival, due, workload)
                 outcome.retries += 1
@@ -163,6 +205,9 @@
             else:
                 body = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                 attempt.whole = attempt.code in (OK.code, REPLAYED.code) and bool(body)
+    except NOT_WRITTEN_ERRORS:
+        attempt.refused = True
+        attempt.code, attempt.run, attempt.retry_after = 0, RunState.NOT_RUN, 0.0
     except TRANSPORT_ERRORS:
         attempt.code, attempt.run = 0, RunState.UNKNOWN
     except BrokenStreamError:
