Route by earliest estimated finish over an index of prompt prefixes

Change: reports, leaving and down facts go into one view an endpoint by a listener; estimates are the last report corrected by own calls; chained block hashes once a request; a bounded index of holders; policy prefix-aware, now the default, compares holders and a random few; probation doubles and one request probes; a prompt is prefilled apart with KV transfer where that is sooner.

--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -31,8 +31,9 @@
 )
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import Completion
-from samphirehall.routing.fleet import RoutingRequest
-from samphirehall.routing.policy import NoEndpointError
+from samphirehall.routing.blocks import block_hashes, prompt_text
+from samphirehall.routing.fleet import OutstandingCall, RoutingRequest
+from samphirehall.routing.policy import NoEndpointError, RoutingDecision
 
 MAX_ATTEMPTS = 4
 RESUMES_PER_ENDPOINT = 1
@@ -75,6 +76,15 @@
     payloads: list[bytes] = field(default_factory=list)
     endpoints: list[str] = field(default_factory=list)
     written: bool = False
+    _block_hashes: list[int] | None = None
+
+    def block_hashes(self, *, block_tokens: int) -> list[int]:
+        """Return the chained hashes of the prompt's blocks; worked out once."""
+        if self._block_hashes is None:
+            text = prompt_text(self.completion.messages)
+            target = self.caller.route.target
+            self._block_hashes = block_hashes(target, text, block_tokens=block_tokens)
+        return self._block_hashes
 
     @property
     def prompt_tokens(self) -> int:
@@ -107,11 +117,20 @@
     reader = EventReader(run.request_id)
     failed: set[str] = set()
     for attempt in range(MAX_ATTEMPTS):
-        endpoint = _choose(context, run, failed)
+        decision, request = _choose(context, run, failed)
+        endpoint = decision.endpoint.info
         if attempt:
             context.metrics.retries.labels("completion").inc()
         try:
-            async for batch in _on_endpoint(context, run, endpoint, reader):
+            kv_source = None
+            if decision.prefill is not None:
+                async for batch in _prefill_apart(context, run, decision, request, reader):
+                    yield batch
+                if reader.done:
+                    return
+                kv_source = decision.prefill.info.address if reader.next_index else None
+            call = _begin_prefill(context, decision, request, kv_source)
+            async for batch in _on_endpoint(context, run, endpoint, reader, call, kv_source):
                 yield batch
             return
         except _AttemptFailedError as error:
@@ -123,7 +142,9 @@
     raise _exhausted(run, f"{MAX_ATTEMPTS} attempts failed")
 
 
-def _choose(context: EntryContext, run: CompletionRun, failed: set[str]) -> EndpointInfo:
+def _choose(
+    context: EntryContext, run: CompletionRun, failed: set[str]
+) -> tuple[RoutingDecision, RoutingRequest]:
     now = boot_seconds()
     target = run.caller.route.target
     candidates = context.fleet.candidates(target, EndpointProtocol.ENGINE, excluded=failed, now=now)
@@ -131,9 +152,15 @@
         target,
         context.state.zone,
         run.deadline,
-        prompt_tokens=run.prompt_tokens,
-        output_tokens=run.max_tokens,
+        run.block_hashes(block_tokens=context.settings.routing.block_tokens),
+        run.prompt_tokens,
+        run.max_tokens,
+        run.priority,
     )
+    if not run.payloads:
+        request.prefill_candidates = context.fleet.prefill_candidates(
+            target, excluded=failed, now=now
+        )
     try:
         decision = context.choose(candidates, request, now=now, random_source=context.random_source)
     except NoEndpointError as error:
@@ -147,13 +174,80 @@
         target=target,
         endpoint=decision.endpoint.info.endpoint_id,
         candidates=len(candidates),
+        prefill=decision.prefill.info.endpoint_id if decision.prefill else None,
         estimate=decision.estimate,
     )
-    return decision.endpoint.info
+    return decision, request
+
+
+def _begin_prefill(
+    context: EntryContext,
+    decision: RoutingDecision,
+    request: RoutingRequest,
+    kv_source: str | None,
+) -> OutstandingCall:
+    """Count the prompt on the endpoint chosen; all of it counts as cached if it is imported."""
+    imported = kv_source is not None
+    return context.fleet.begin_prefill(
+        decision.endpoint.info.endpoint_id,
+        request,
+        cached_tokens=request.prompt_tokens if imported else decision.cached_tokens,
+        estimate=0.0 if decision.prefill else decision.first_token,
+        now=boot_seconds(),
+    )
+
+
+async def _prefill_apart(
+    context: EntryContext,
+    run: CompletionRun,
+    decision: RoutingDecision,
+    request: RoutingRequest,
+    reader: EventReader,
+) -> AsyncIterator[EventBatch]:
+    """Let a prefill engine read the prompt; it gives the first token and keeps the KV cache.
+
+    If it fails, nothing was yielded and the other engine does the whole work.
+    """
+    assert decision.prefill is not None
+    endpoint = decision.prefill.info
+    call = context.fleet.begin_prefill(
+        endpoint.endpoint_id,
+        request,
+        cached_tokens=decision.cached_tokens,
+        estimate=decision.first_token,
+        now=boot_seconds(),
+    )
+    pool = context.pools.at(endpoint.address)
+    context.fleet.begin(endpoint.endpoint_id)
+    try:
+        async for batch in _read_events(run, endpoint, pool, reader, resume=False):
+            context.fleet.end_prefill(call, answered=True, now=boot_seconds())
+            yield batch
+    except BrokenStreamError as error:
+        reader.restart()
+        if reader.next_index == 0:
+            context.fleet.suspect(endpoint.endpoint_id, now=boot_seconds())
+            _log_retry(run, endpoint, error, reader)
+    except (*TRANSPORT_ERRORS, _AttemptFailedError) as error:
+        run.written = run.written or not isinstance(error, NOT_WRITTEN_ERRORS)
+        reader.restart()
+        context.fleet.suspect(endpoint.endpoint_id, now=boot_seconds())
+        _log_retry(run, endpoint, error, reader)
+    except GeneratorExit:
+        await _cancel(run, pool)
+        raise
+    finally:
+        context.fleet.end_prefill(call, answered=False, now=boot_seconds())
+        context.fleet.end(endpoint.endpoint_id)
 
 
 async def _on_endpoint(
-    context: EntryContext, run: CompletionRun, endpoint: EndpointInfo, reader: EventReader
+    context: EntryContext,
+    run: CompletionRun,
+    endpoint: EndpointInfo,
+    reader: EventReader,
+    call: OutstandingCall,
+    kv_source: str | None,
 ) -> AsyncIterator[EventBatch]:
     """Run one attempt: first a call, then resumes while the endpoint still answers."""
     pool = context.pools.at(endpoint.address)
@@ -161,7 +255,11 @@
     try:
         for resume in range(RESUMES_PER_ENDPOINT + 1):
             try:
-                async for batch in _read_events(run, endpoint, pool, reader, resume=resume > 0):
+                events = _read_events(
+                    run, endpoint, pool, reader, resume=resume > 0, kv_source=kv_source
+                )
+                async for batch in events:
+                    context.fleet.end_prefill(call, answered=True, now=boot_seconds())
                     yield batch
                 context.fleet.trust(endpoint.endpoint_id)
                 return
@@ -177,6 +275,7 @@
         await _cancel(run, pool)
         raise
     finally:
+        context.fleet.end_prefill(call, answered=False, now=boot_seconds())
         context.fleet.end(endpoint.endpoint_id)
 
 
@@ -187,8 +286,9 @@
     reader: EventReader,
     *,
     resume: bool,
+    kv_source: str | None = None,
 ) -> AsyncIterator[EventBatch]:
-    async with _call(run, endpoint, pool, reader, resume=resume) as response:
+    async with _call(run, endpoint, pool, reader, resume=resume, kv_source=kv_source) as response:
         run.written = True
         if response.status != HTTP_OK:
             raise _AttemptFailedError(f"status {response.status}")
@@ -208,6 +308,7 @@
     reader: EventReader,
     *,
     resume: bool,
+    kv_source: str | None,
 ) -> AbstractAsyncContextManager[httpcore.Response]:
     request_id = run.request_id.encode()
     if resume:
@@ -220,10 +321,12 @@
         PRIORITY_HEADER: str(int(run.priority)).encode(),
         b"Content-Type": b"application/json",
     }
-    return pool.request("POST", "/v1/chat/completions", headers=headers, content=_body(run))
+    return pool.request(
+        "POST", "/v1/chat/completions", headers=headers, content=_body(run, kv_source)
+    )
 
 
-def _body(run: CompletionRun) -> bytes:
+def _body(run: CompletionRun, kv_source: str | None) -> bytes:
     return msgspec.json.encode(
         EngineRequest(
             run.caller.route.target,
@@ -231,6 +334,7 @@
             run.max_tokens,
             tokens_of(run.payloads),
             run.completion.sampling,
+            kv_source,
         )
     )
 
--- a/samphirehall/load/runner.py
+++ b/samphirehall/load/runner.py
@@ -148,4 +148,5 @@
         report = msgspec.json.decode(body, type=EngineReport)
     except (*TRANSPORT_ERRORS, TimeoutError, msgspec.MsgspecError):
         return
-    roles[name] = "changing" if report.changing else str(report.role)
+    if report.load.cache_capacity_tokens:
+        roles[name] = "changing" if report.changing else str(report.role)
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -26,7 +26,7 @@
     wait_for_stop,
 )
 from samphirehall.routing.fleet import Fleet
-from samphirehall.routing.policy import ROUTING_POLICIES
+from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
 from samphirehall.usage.meter import UsageMeter
 
@@ -44,12 +44,13 @@
         stack.push_async_callback(platform.aclose)
         pools = EndpointPools(stall_timeout=settings.entry.stall_seconds)
         stack.push_async_callback(pools.aclose)
+        fleet = Fleet(state)
         context = EntryContext(
             settings=settings,
             state=state,
             pools=pools,
-            fleet=Fleet(state),
-            choose=ROUTING_POLICIES.get(settings.routing.policy)(),
+            fleet=fleet,
+            choose=routing_policy(settings.routing, fleet),
             admission=AdmissionController(max_open=settings.entry.max_open_requests),
             claims=ClaimStore(platform),
             metrics=EntryMetrics(CollectorRegistry()),
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -1,59 +1,55 @@
-"""Endpoints as the entry sees them: what the platform lists, corrected by its own calls."""
+"""Endpoints as the entry sees them: listed, reported by engines, corrected by its own calls."""
 
-from collections import Counter
-from dataclasses import dataclass, field
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
 
-from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState
+import msgspec
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.types import EndpointInfo, EndpointProtocol, Role
 from samphirehall.endpoints.protocol import EngineReport
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.state import NodeState
+from samphirehall.routing.prefix_index import PrefixIndex
+from samphirehall.routing.view import EndpointView, RoutingRequest
 
-SUSPECT_SECONDS = 2.0
+__all__ = ["EndpointView", "Fleet", "RoutingRequest"]
 
 
 @dataclass(slots=True)
-class EndpointView:
-    """One endpoint as a candidate.
+class OutstandingCall:
+    """One call of this host on an endpoint, from before the first byte to its end.
 
     Parameters
     ----------
-    info : EndpointInfo
-        What the platform lists.
-    in_flight : int
-        Requests of this host on the endpoint.
-    report : EngineReport, optional
-        What the engine last said about itself.
+    view : EndpointView
+        Where it runs.
+    hashes : sequence of int
+        Blocks that the endpoint will hold once it has prefilled them.
+    tokens : int
+        Prompt tokens to prefill that still count as pending.
+    estimate : float
+        Estimated seconds to the first token; 0 if there is none.
+    begun_at : float
+        Boot clock in seconds.
     """
 
-    info: EndpointInfo
-    in_flight: int = 0
-    report: EngineReport | None = None
+    view: EndpointView
+    hashes: Sequence[int]
+    tokens: int
+    estimate: float
+    begun_at: float
 
 
-@dataclass(slots=True)
-class RoutingRequest:
-    """What a routing policy knows of a request.
+@dataclass(slots=True, frozen=True)
+class _Usable:
+    """Endpoints of one target by what they can be asked; holds until `valid_until`."""
 
-    Parameters
-    ----------
-    target : str
-        Model, adapter or service.
-    zone : str
-        Availability zone of the host.
-    deadline : float
-        Boot clock in seconds.
-    block_hashes : list of int
-        Hashes of the prompt's blocks, each covering all before it.
-    prompt_tokens, output_tokens : int
-        Estimates.
-    """
-
-    target: str
-    zone: str
-    deadline: float
-    block_hashes: list[int] = field(default_factory=list)
-    prompt_tokens: int = 0
-    output_tokens: int = 0
+    trusted: list[EndpointView]
+    whole: list[EndpointView]
+    prefill: list[EndpointView]
+    valid_until: float
 
 
 class Fleet:
@@ -66,9 +62,17 @@
     """
 
     def __init__(self, state: NodeState) -> None:
+        self.prefixes = PrefixIndex()
         self._state = state
-        self._in_flight: Counter[str] = Counter()
-        self._suspect_until: dict[str, float] = {}
+        self._views: dict[str, EndpointView] = {}
+        self._table: dict[str, EndpointInfo] | None = None
+        self._usable_lists: dict[tuple[str, EndpointProtocol], _Usable] = {}
+        now = boot_seconds()
+        self._refresh()
+        for kind in (FactKind.ENGINE_REPORT, FactKind.ENDPOINT_LEAVING, FactKind.ENDPOINT_DOWN):
+            for fact in state.board.current(kind, now=now):
+                self._take_fact(fact)
+        state.board.listen(self._take_fact)
 
     def candidates(
         self,
@@ -80,48 +84,192 @@
     ) -> list[EndpointView]:
         """Return the endpoints that serve `target` and take new work.
 
-        Suspected endpoints are left out unless no other is there.
+        Prefill engines are left out, as they give no whole answer. Suspected
+        endpoints are left out unless no other is there.
         """
-        leaving = self._named(FactKind.ENDPOINT_LEAVING, now)
-        views = [
-            self._view(info)
-            for info in self._state.endpoints.values()
-            if info.protocol is protocol
-            and info.state is EndpointState.READY
-            and target in info.models
-            and info.endpoint_id not in excluded
-            and info.endpoint_id not in leaving
+        usable = self._usable(target, protocol, now)
+        if not excluded:
+            return usable.trusted or usable.whole
+        kept = _without(usable.trusted, excluded)
+        return kept or _without(usable.whole, excluded)
+
+    def prefill_candidates(
+        self, target: str, *, excluded: frozenset[str] | set[str], now: float
+    ) -> list[EndpointView]:
+        """Return the trusted prefill engines that serve `target` and take new work."""
+        usable = self._usable(target, EndpointProtocol.ENGINE, now)
+        return _without(usable.prefill, excluded) if excluded else usable.prefill
+
+    def engines(self, *, now: float) -> list[EndpointView]:
+        """Return every engine that takes new work."""
+        self._refresh()
+        return [
+            view
+            for view in self._views.values()
+            if view.info.protocol is EndpointProtocol.ENGINE and view.takes_work(now)
         ]
-        trusted = [view for view in views if not self.is_suspect(view.info.endpoint_id, now=now)]
-        return trusted or views
+
+    def find(self, endpoint_id: str) -> EndpointView | None:
+        """Return the view of an endpoint, or None."""
+        return self._views.get(endpoint_id)
 
     def is_suspect(self, endpoint_id: str, *, now: float) -> bool:
         """Return whether a recent call to the endpoint failed."""
-        return self._suspect_until.get(endpoint_id, 0.0) > now
+        return self._view(endpoint_id).is_suspect(now)
 
     def suspect(self, endpoint_id: str, *, now: float) -> None:
-        """Avoid an endpoint for a while."""
-        self._suspect_until[endpoint_id] = now + SUSPECT_SECONDS
+        """Avoid an endpoint for a while, longer after each failure."""
+        view = self._views.get(endpoint_id)
+        if view is not None:
+            view.suspect(now=now)
+            self._usable_lists.clear()
 
     def trust(self, endpoint_id: str) -> None:
         """Stop avoiding an endpoint that answered."""
-        self._suspect_until.pop(endpoint_id, None)
+        view = self._views.get(endpoint_id)
+        if view is not None and view.failures:
+            view.trust()
+            self._usable_lists.clear()
 
     def begin(self, endpoint_id: str) -> None:
         """Count a call that is about to be made."""
-        self._in_flight[endpoint_id] += 1
+        view = self._view(endpoint_id)
+        if view.failures:
+            self._usable_lists.clear()
+        view.in_flight += 1
+        view.running_since_report += 1
 
     def end(self, endpoint_id: str) -> None:
         """Count a call that is over."""
-        self._in_flight[endpoint_id] -= 1
+        view = self._views[endpoint_id]
+        if view.failures:
+            self._usable_lists.clear()
+        view.in_flight -= 1
+        view.running_since_report -= 1
 
     def in_flight(self, endpoint_id: str) -> int:
         """Return this host's calls in flight on an endpoint."""
-        return self._in_flight[endpoint_id]
+        return self._view(endpoint_id).in_flight
+
+    def begin_prefill(
+        self,
+        endpoint_id: str,
+        request: RoutingRequest,
+        *,
+        cached_tokens: int,
+        estimate: float,
+        now: float,
+    ) -> OutstandingCall:
+        """Count the prompt tokens that an endpoint is about to prefill.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Where the request goes.
+        request : RoutingRequest
+            Prompt and its blocks.
+        cached_tokens : int
+            Prompt tokens thought to need no prefill.
+        estimate : float
+            Estimated seconds to the first token; 0 for none.
+        now : float
+            Boot clock in seconds.
+        """
+        view = self._view(endpoint_id)
+        tokens = max(0, request.prompt_tokens - cached_tokens)
+        view.pending_tokens += tokens
+        view.pending_since_report += tokens
+        return OutstandingCall(view, request.block_hashes, tokens, estimate, now)
+
+    def end_prefill(self, call: OutstandingCall, *, answered: bool, now: float) -> None:
+        """Count a prompt as prefilled, or given up; counts once, however often it is called."""
+        if call.begun_at < 0:
+            return
+        view = call.view
+        view.pending_tokens -= call.tokens
+        view.pending_since_report = max(0, view.pending_since_report - call.tokens)
+        if answered:
+            self.prefixes.store(view.info.endpoint_id, call.hashes)
+            if call.estimate > 0:
+                view.note_slowness((now - call.begun_at) / call.estimate, now=now)
+        call.begun_at = -1.0
+
+    def _usable(self, target: str, protocol: EndpointProtocol, now: float) -> _Usable:
+        """Return the lists for a target, made anew only after something changed."""
+        self._refresh()
+        held = self._usable_lists.get((target, protocol))
+        if held is None or held.valid_until <= now:
+            held = self._usable_lists[target, protocol] = self._list(target, protocol, now)
+        return held
+
+    def _list(self, target: str, protocol: EndpointProtocol, now: float) -> _Usable:
+        serving = [
+            view
+            for view in self._views.values()
+            if view.info.protocol is protocol and target in view.info.models
+        ]
+        valid_until = min((view.next_change(now) for view in serving), default=math.inf)
+        usable = [view for view in serving if view.takes_work(now)]
+        trusted = [view for view in usable if not view.is_suspect(now)]
+        return _Usable(
+            trusted=[view for view in trusted if view.role is not Role.PREFILL],
+            whole=[view for view in usable if view.role is not Role.PREFILL],
+            prefill=[view for view in trusted if view.role is Role.PREFILL],
+            valid_until=valid_until,
+        )
+
+    def _refresh(self) -> None:
+        """Bring the views up to a new endpoint table."""
+        table = self._state.endpoints
+        if table is self._table:
+            return
+        self._table = table
+        self._usable_lists.clear()
+        for endpoint_id, info in table.items():
+            view = self._views.get(endpoint_id)
+            if view is None:
+                self._views[endpoint_id] = EndpointView(info)
+            else:
+                view.info = info
+        for endpoint_id in self._views.keys() - table.keys():
+            if not self._views[endpoint_id].in_flight:
+                del self._views[endpoint_id]
+        self.prefixes.keep_only(set(table))
+
+    def _view(self, endpoint_id: str) -> EndpointView:
+        self._refresh()
+        return self._views[endpoint_id]
+
+    def _take_fact(self, fact: Fact) -> None:
+        if fact.kind not in (
+            FactKind.ENGINE_REPORT,
+            FactKind.ENDPOINT_LEAVING,
+            FactKind.ENDPOINT_DOWN,
+        ):
+            return
+        self._refresh()
+        view = self._views.get(fact.key)
+        if view is None:
+            return
+        now = boot_seconds()
+        match fact.kind:
+            case FactKind.ENDPOINT_LEAVING:
+                view.leaving_until = now + fact.lifetime
+                self._usable_lists.clear()
+            case FactKind.ENDPOINT_DOWN:
+                view.down_until = now + fact.lifetime
+                self._usable_lists.clear()
+            case FactKind.ENGINE_REPORT:
+                self._take_report(view, msgspec.convert(fact.value, EngineReport), now)
+
+    def _take_report(self, view: EndpointView, report: EngineReport, now: float) -> None:
+        before = (view.role, view.takes_work(now))
+        if report.role is not view.role:
+            self.prefixes.forget(view.info.endpoint_id)
+        view.take_report(report, now=now)
+        if (view.role, view.takes_work(now)) != before:
+            self._usable_lists.clear()
 
-    def _view(self, info: EndpointInfo) -> EndpointView:
-        return EndpointView(info, self._in_flight[info.endpoint_id])
 
-    def _named(self, kind: FactKind, now: float) -> set[str]:
-        facts: list[Fact] = self._state.board.current(kind, now=now)
-        return {fact.key for fact in facts}
+def _without(views: list[EndpointView], excluded: frozenset[str] | set[str]) -> list[EndpointView]:
+    return [view for view in views if view.info.endpoint_id not in excluded]
--- a/samphirehall/routing/policy.py
+++ b/samphirehall/routing/policy.py
@@ -2,10 +2,12 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from samphirehall.core.registry import Registry
-from samphirehall.routing.fleet import EndpointView, RoutingRequest
+from samphirehall.routing.estimate import EngineRates, Preferences
+from samphirehall.routing.prefix_index import PrefixIndex
+from samphirehall.routing.view import EndpointView, RoutingRequest
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,15 +22,56 @@
         Seconds until it would be finished, as far as the policy estimates them.
     reason : str
         Why, for the log line.
+    prefill : EndpointView, optional
+        Engine that prefills first and hands its KV cache to `endpoint`.
+    first_token : float
+        Estimated seconds to the first token; 0 if there is no estimate.
+    cached_tokens : int
+        Prompt tokens thought to need no prefill.
     """
 
     endpoint: EndpointView
     estimate: float
     reason: str
+    prefill: EndpointView | None = None
+    first_token: float = 0.0
+    cached_tokens: int = 0
+
+
+FindEndpoint = Callable[[str], EndpointView | None]
+
+
+def _find_none(endpoint_id: str) -> EndpointView | None:
+    return None
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingSetup:
+    """What a policy is made from.
+
+    Parameters
+    ----------
+    index : PrefixIndex
+        Which endpoints hold which blocks.
+    rates : EngineRates
+        Rates of the engines.
+    preferences : Preferences
+        What a less wanted zone or kind has to make up for.
+    block_tokens : int
+        Tokens of a block.
+    find : callable
+        Returns the view of an endpoint by its name, or None.
+    """
+
+    index: PrefixIndex = field(default_factory=PrefixIndex)
+    rates: EngineRates = field(default_factory=EngineRates)
+    preferences: Preferences = field(default_factory=Preferences)
+    block_tokens: int = 1024
+    find: FindEndpoint = _find_none
 
 
 RoutingPolicy = Callable[..., RoutingDecision]
-ROUTING_POLICIES: Registry[Callable[[], RoutingPolicy]] = Registry("routing")
+ROUTING_POLICIES: Registry[Callable[[RoutingSetup], RoutingPolicy]] = Registry("routing")
 
 
 class NoEndpointError(Exception):
@@ -40,7 +83,7 @@
         self.considered = considered
 
 
-def least_in_flight() -> RoutingPolicy:
+def least_in_flight(setup: RoutingSetup) -> RoutingPolicy:
     """Return the policy that picks the endpoint with the fewest calls of this host."""
 
     def choose(
@@ -60,7 +103,7 @@
     return choose
 
 
-def round_robin() -> RoutingPolicy:
+def round_robin(setup: RoutingSetup) -> RoutingPolicy:
     """Return the policy that takes each endpoint in turn."""
     turn = 0
 
--- /dev/null
+++ b/samphirehall/routing/setup.py
@@ -0,0 +1,36 @@
+"""The routing policy that a host's settings name."""
+
+from samphirehall.routing.estimate import EngineRates, Preferences
+from samphirehall.routing.fleet import Fleet
+from samphirehall.routing.policy import ROUTING_POLICIES, RoutingPolicy, RoutingSetup
+from samphirehall.settings.tables import RoutingTable
+
+
+def engine_rates(table: RoutingTable) -> EngineRates:
+    """Return the engines' rates that estimates use."""
+    return EngineRates(
+        prefill_tokens_per_second=table.prefill_tokens_per_second,
+        token_seconds=table.token_seconds,
+        sequence_seconds=table.sequence_seconds,
+        max_batch=table.max_batch,
+        transfer_tokens_per_second=table.transfer_tokens_per_second,
+        transfer_seconds=table.transfer_seconds,
+    )
+
+
+def routing_policy(table: RoutingTable, fleet: Fleet) -> RoutingPolicy:
+    """Return the policy that ``[routing]`` names, over this host's fleet.
+
+    Raises
+    ------
+    UnknownPluginError
+        No policy has the name; the message lists the known ones.
+    """
+    setup = RoutingSetup(
+        fleet.prefixes,
+        engine_rates(table),
+        Preferences(table.other_zone_seconds, table.other_kind_seconds),
+        table.block_tokens,
+        fleet.find,
+    )
+    return ROUTING_POLICIES.get(table.policy)(setup)
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -10,6 +10,8 @@
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Bytes = Annotated[int, Meta(ge=1, le=1 << 30)]
+Rate = Annotated[float, Meta(gt=0, le=1e9)]
+Waiting = Annotated[float, Meta(ge=0, le=3600)]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
 
@@ -53,10 +55,21 @@
 
 @dataclass(slots=True)
 class RoutingTable:
-    """``[routing]``: which policy chooses endpoints."""
+    """``[routing]``: which policy chooses endpoints, and what engines are estimated to do.
 
-    policy: Name = "least-in-flight"
+    Rates are tokens a second, other times seconds; see docs/design/0007-routing.md.
+    """
+
+    policy: Name = "prefix-aware"
     block_tokens: Count = 1024
+    prefill_tokens_per_second: Rate = 50_000.0
+    token_seconds: Seconds = 0.005
+    sequence_seconds: Seconds = 0.0001
+    max_batch: Count = 256
+    transfer_tokens_per_second: Rate = 500_000.0
+    transfer_seconds: Seconds = 0.01
+    other_zone_seconds: Waiting = 0.02
+    other_kind_seconds: Waiting = 0.25
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/routing/helpers.py
@@ -0,0 +1,52 @@
+"""Fleets and requests for the tests of routing."""
+
+import msgspec
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.types import EndpointInfo, EndpointKind, EndpointProtocol, EngineLoad, Role
+from samphirehall.endpoints.protocol import EngineReport
+from samphirehall.node.facts import FactKind
+from samphirehall.node.state import NodeState
+from samphirehall.routing.fleet import Fleet
+from samphirehall.routing.policy import RoutingSetup
+from samphirehall.routing.prefix_aware import prefix_aware
+from samphirehall.routing.view import RoutingRequest
+
+LIFETIME = 60.0
+
+
+def engine(name, *, zone="z1", role=Role.MIXED, kind=EndpointKind.STANDARD):
+    return EndpointInfo(
+        name, "127.0.0.1:1", zone, EndpointProtocol.ENGINE, kind, role, models=("answer",)
+    )
+
+
+def fleet_of(*infos):
+    state = NodeState("host", "z1", 1)
+    state.take_endpoints(infos)
+    return Fleet(state), state
+
+
+def publish_report(state, name, *, queued=0, running=0, **fields):
+    load = EngineLoad(running=running, queued_prompt_tokens=queued)
+    report = EngineReport(name, load=load, **fields)
+    value = msgspec.to_builtins(report)
+    now = boot_seconds()
+    state.board.publish(FactKind.ENGINE_REPORT, name, value, lifetime=LIFETIME, now=now)
+
+
+def candidates_of(fleet, *, excluded=frozenset(), now=None):
+    now = boot_seconds() if now is None else now
+    return fleet.candidates("answer", EndpointProtocol.ENGINE, excluded=excluded, now=now)
+
+
+def names(views):
+    return sorted(view.info.endpoint_id for view in views)
+
+
+def request(**fields):
+    return RoutingRequest("answer", "z1", boot_seconds() + 60, **fields)
+
+
+def policy_over(fleet, **fields):
+    return prefix_aware(RoutingSetup(fleet.prefixes, find=fleet.find, **fields))
--- /dev/null
+++ b/tests/routing/test_fleet.py
@@ -0,0 +1,102 @@
+import dataclasses
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.types import EndpointState, Role
+from samphirehall.node.facts import FactKind
+from tests.routing.helpers import (
+    LIFETIME,
+    candidates_of,
+    engine,
+    fleet_of,
+    names,
+    publish_report,
+    request,
+)
+
+
+class TestCandidates:
+    @given(
+        excluded=st.sets(st.sampled_from("abcdef")),
+        leaving=st.sets(st.sampled_from("abcdef")),
+        suspects=st.sets(st.sampled_from("abcdef")),
+        states=st.lists(st.sampled_from(list(EndpointState)), min_size=6, max_size=6),
+    )
+    def test_never_excluded_nor_leaving_nor_unready(self, excluded, leaving, suspects, states):
+        infos = [
+            dataclasses.replace(engine(name), state=state)
+            for name, state in zip("abcdef", states, strict=True)
+        ]
+        fleet, state = fleet_of(*infos)
+        now = boot_seconds()
+        for name in leaving:
+            state.board.publish(FactKind.ENDPOINT_LEAVING, name, "", lifetime=LIFETIME, now=now)
+        for name in suspects:
+            fleet.suspect(name, now=now)
+        found = set(names(candidates_of(fleet, excluded=excluded)))
+        ready = {info.endpoint_id for info in infos if info.state is EndpointState.READY}
+        usable = ready - excluded - leaving
+        assert found == (usable - suspects or usable)
+
+    @pytest.mark.parametrize("fields", [{"leaving": True}, {"changing": True}])
+    def test_engine_that_says_it_takes_nothing_is_left_out(self, fields):
+        fleet, state = fleet_of(engine("a"), engine("b"))
+        publish_report(state, "a", **fields)
+        assert names(candidates_of(fleet)) == ["b"]
+
+    def test_prefill_engine_is_only_offered_for_prefill(self):
+        fleet, state = fleet_of(engine("a"), engine("b", role=Role.PREFILL))
+        assert names(candidates_of(fleet)) == ["a"]
+        now = boot_seconds()
+        assert names(fleet.prefill_candidates("answer", excluded=set(), now=now)) == ["b"]
+        publish_report(state, "b", role=Role.MIXED)
+        assert names(candidates_of(fleet)) == ["a", "b"]
+
+    def test_new_table_replaces_the_old(self):
+        fleet, state = fleet_of(engine("a"))
+        state.take_endpoints([engine("b")])
+        assert names(candidates_of(fleet)) == ["b"]
+
+
+class TestProbation:
+    def test_grows_with_each_failure_and_ends_with_success(self):
+        fleet, _ = fleet_of(engine("a"), engine("b"))
+        fleet.suspect("a", now=0.0)
+        assert not fleet.is_suspect("a", now=1.5)
+        fleet.suspect("a", now=2.0)
+        assert fleet.is_suspect("a", now=3.5)
+        fleet.trust("a")
+        assert not fleet.is_suspect("a", now=3.5)
+
+    def test_one_request_probes(self):
+        fleet, _ = fleet_of(engine("a"), engine("b"))
+        fleet.suspect("a", now=0.0)
+        assert names(candidates_of(fleet, now=1.5)) == ["a", "b"]
+        fleet.begin("a")
+        assert names(candidates_of(fleet, now=1.5)) == ["b"]
+
+
+class TestPrefillAccounting:
+    def test_counts_once_and_learns_the_prefix(self):
+        fleet, _ = fleet_of(engine("a"))
+        view = candidates_of(fleet)[0]
+        asked = request(block_hashes=[1, 2], prompt_tokens=100)
+        call = fleet.begin_prefill("a", asked, cached_tokens=40, estimate=0.0, now=0.0)
+        assert view.pending_tokens == 60
+        fleet.end_prefill(call, answered=True, now=1.0)
+        fleet.end_prefill(call, answered=False, now=2.0)
+        assert view.pending_tokens == 0
+        assert fleet.prefixes.matches([1, 2, 3]) == {"a": 2}
+
+    def test_call_outlives_its_endpoint(self):
+        fleet, state = fleet_of(engine("a"))
+        fleet.begin("a")
+        call = fleet.begin_prefill("a", request(), cached_tokens=0, estimate=0.0, now=0.0)
+        state.take_endpoints([])
+        fleet.end_prefill(call, answered=False, now=1.0)
+        fleet.end("a")
+        fleet.suspect("a", now=1.0)
+        assert candidates_of(fleet) == []
