--- a/samphirehall/node/facts.py
+++ b/samphirehall/node/facts.py
@@ -6,9 +6,13 @@
 
 import enum
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
+import xxhash
+
+KEPT_KINDS_END = 6
+
 
 class FactKind(enum.IntEnum):
     """Kinds of facts; a lower number is disseminated first."""
@@ -23,6 +27,11 @@
     ENGINE_REPORT = 7
     DEMAND = 8
 
+    @property
+    def kept_in_step(self) -> bool:
+        """Whether peers compare what they hold of this kind, besides sending what is new."""
+        return self < KEPT_KINDS_END
+
 
 @dataclass(slots=True, frozen=True)
 class Fact:
@@ -64,12 +73,32 @@
         """Order among facts of the same identity."""
         return (self.incarnation, self.counter)
 
+    @property
+    def fingerprint(self) -> int:
+        """64-bit hash of identity and order; equal for the same fact on every host."""
+        text = f"{int(self.kind)}|{self.key}|{self.owner}|{self.incarnation}|{self.counter}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
 
 Listener = Callable[[Fact], None]
 
 
+@dataclass(slots=True, frozen=True)
+class HeldFact:
+    """A fact and the boot clock, in seconds, until which it holds."""
+
+    fact: Fact
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class _Subscription:
+    listener: Listener
+    source: object
+
+
 class FactBoard:
-    """All facts known to a process.
+    """All facts known to a process, indexed by kind and key.
 
     Parameters
     ----------
@@ -83,13 +112,35 @@
         self.owner = owner
         self.incarnation = incarnation
         self._counter = 0
-        self._facts: dict[tuple[int, str, str], tuple[Fact, float]] = {}
-        self._listeners: list[Listener] = []
+        self._held: dict[FactKind, dict[str, dict[str, HeldFact]]] = {kind: {} for kind in FactKind}
+        self._digest = 0
+        self._subscriptions: list[_Subscription] = []
+
+    @property
+    def digest(self) -> int:
+        """Hash of all facts held of the kinds that peers keep in step."""
+        return self._digest
 
-    def listen(self, listener: Listener) -> Callable[[], None]:
-        """Call `listener` with every new fact; return a function that stops this."""
-        self._listeners.append(listener)
-        return lambda: self._listeners.remove(listener)
+    def listen(self, listener: Listener, *, source: object = None) -> Callable[[], None]:
+        """Call `listener` with every new fact; return a function that stops this.
+
+        Parameters
+        ----------
+        listener : callable
+            Called with each fact that is published or merged.
+        source : object, optional
+            Facts merged from this very source are left out, so that they are
+            not sent back to where they came from.
+        """
+        subscription = _Subscription(listener, source)
+        self._subscriptions.append(subscription)
+
+        def stop() -> None:
+            self._subscriptions = [
+                other for other in self._subscriptions if other is not subscription
+            ]
+
+        return stop
 
     def publish(self, kind: FactKind, key: str, value: Any, *, lifetime: float, now: float) -> Fact:
         """Publish a fact of this host.
@@ -105,44 +156,88 @@
         """
         self._counter += 1
         fact = Fact(kind, key, self.owner, self.incarnation, self._counter, value, lifetime)
-        self._store(fact, now)
+        self._store(fact, now, None)
         return fact
 
-    def merge(self, fact: Fact, *, now: float) -> bool:
-        """Take a fact from another process; return whether it was news."""
-        held = self._facts.get(fact.identity)
-        if held is not None and held[0].order >= fact.order:
+    def merge(self, fact: Fact, *, now: float, source: object = None) -> bool:
+        """Take a fact from another process; return whether it was news.
+
+        Parameters
+        ----------
+        fact : Fact
+            What was received.
+        now : float
+            Boot clock in seconds.
+        source : object, optional
+            Where it came from; see `listen`.
+        """
+        held = self._held[fact.kind].get(fact.key, {}).get(fact.owner)
+        if held is not None and held.fact.order >= fact.order:
             return False
-        self._store(fact, now)
+        self._store(fact, now, source)
         return True
 
     def current(self, kind: FactKind, *, now: float) -> list[Fact]:
         """Return the facts of a kind that still hold."""
-        return [fact for fact, until in self._facts.values() if fact.kind == kind and until > now]
+        return [
+            held.fact
+            for owners in self._held[kind].values()
+            for held in owners.values()
+            if held.until > now
+        ]
+
+    def about(self, kind: FactKind, key: str, *, now: float) -> list[Fact]:
+        """Return the facts of a kind and key that still hold, one an owner."""
+        owners = self._held[kind].get(key)
+        if not owners:
+            return []
+        return [held.fact for held in owners.values() if held.until > now]
 
     def holds(self, kind: FactKind, key: str, *, now: float) -> bool:
         """Return whether any owner's fact of this kind and key still holds."""
-        return any(fact.key == key for fact in self.current(kind, now=now))
+        owners = self._held[kind].get(key)
+        return owners is not None and any(held.until > now for held in owners.values())
+
+    def held(self, *, now: float) -> Iterable[HeldFact]:
+        """Yield every fact that still holds, most urgent kinds first."""
+        for kind in FactKind:
+            for owners in list(self._held[kind].values()):
+                for held in list(owners.values()):
+                    if held.until > now:
+                        yield held
 
     def remaining(self, *, now: float) -> Iterable[Fact]:
         """Yield every fact that still holds, with the lifetime that is left."""
-        for fact, until in list(self._facts.values()):
-            if until > now:
-                yield Fact(
-                    fact.kind,
-                    fact.key,
-                    fact.owner,
-                    fact.incarnation,
-                    fact.counter,
-                    fact.value,
-                    until - now,
-                )
+        for held in self.held(now=now):
+            yield replace(held.fact, lifetime=held.until - now)
 
     def prune(self, *, now: float) -> None:
         """Forget facts that no longer hold."""
-        self._facts = {key: held for key, held in self._facts.items() if held[1] > now}
-
-    def _store(self, fact: Fact, now: float) -> None:
-        self._facts[fact.identity] = (fact, now + fact.lifetime)
-        for listener in list(self._listeners):
-            listener(fact)
+        for kind, keys in self._held.items():
+            ended = [
+                held.fact
+                for owners in keys.values()
+                for held in owners.values()
+                if held.until <= now
+            ]
+            for fact in ended:
+                self._forget(kind, fact)
+
+    def _forget(self, kind: FactKind, fact: Fact) -> None:
+        owners = self._held[kind][fact.key]
+        del owners[fact.owner]
+        if not owners:
+            del self._held[kind][fact.key]
+        if kind.kept_in_step:
+            self._digest ^= fact.fingerprint
+
+    def _store(self, fact: Fact, now: float, source: object) -> None:
+        owners = self._held[fact.kind].setdefault(fact.key, {})
+        if fact.kind.kept_in_step:
+            if fact.owner in owners:
+                self._digest ^= owners[fact.owner].fact.fingerprint
+            self._digest ^= fact.fingerprint
+        owners[fact.owner] = HeldFact(fact, now + fact.lifetime)
+        for subscription in self._subscriptions:
+            if source is None or subscription.source is not source:
+                subscription.listener(fact)
--- a/samphirehall/node/link_service.py
+++ b/samphirehall/node/link_service.py
@@ -3,23 +3,40 @@
 import anyio
 
 from samphirehall.node.context import ControlContext
-from samphirehall.node.link import serve_link
+from samphirehall.node.link import LinkReport, serve_link
 
 
-async def run_link(context: ControlContext) -> None:
-    """Serve the entry processes of this host until cancelled."""
-    host, _, port = context.settings.control.link.rpartition(":")
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-    connected = 0
+class EntryLinks:
+    """The entries connected to this control process."""
+
+    def __init__(self) -> None:
+        self._reports: list[LinkReport] = []
+
+    @property
+    def connected(self) -> int:
+        """Entries connected now."""
+        return len(self._reports)
 
-    async def serve(stream: anyio.abc.SocketStream) -> None:
-        nonlocal connected
-        connected += 1
+    def version_in_force(self, own_version: int) -> int:
+        """Return the version in force in this control process and in each connected entry."""
+        return min([own_version, *[report.version for report in self._reports]])
+
+    async def serve(self, stream: anyio.abc.SocketStream, context: ControlContext) -> None:
+        """Serve one entry until it disconnects."""
+        report = LinkReport()
+        self._reports.append(report)
         try:
-            await serve_link(stream, context.state)
+            await serve_link(stream, context.state, report)
         finally:
-            connected -= 1
+            self._reports.remove(report)
+
 
-    context.report_status("link", lambda: {"entries": connected})
+async def run_link(context: ControlContext) -> None:
+    """Serve the entry processes of this host until cancelled."""
+    host, _, port = context.settings.control.link.rpartition(":")
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+    links = EntryLinks()
+    context.provide(links)
+    context.report_status("link", lambda: {"entries": links.connected})
     async with listener:
-        await listener.serve(serve)
+        await listener.serve(lambda stream: links.serve(stream, context))
--- a/samphirehall/node/state.py
+++ b/samphirehall/node/state.py
@@ -6,7 +6,8 @@
 
 from samphirehall.configuration.version import EMPTY, Configuration
 from samphirehall.core.types import EndpointInfo
-from samphirehall.node.facts import FactBoard
+from samphirehall.node.facts import FactBoard, FactKind
+from samphirehall.node.verification import Verification
 
 
 class NodeState:
@@ -27,7 +28,9 @@
         self.zone = zone
         self.incarnation = incarnation
         self.board = FactBoard(host, incarnation)
+        self.verification = Verification(zone)
         self._configuration = EMPTY
+        self._heard_version = 0
         self._endpoints: dict[str, EndpointInfo] = {}
         self._changed = anyio.Event()
         self._configuration_listeners: list[Callable[[Configuration], None]] = []
@@ -37,6 +40,11 @@
         """Configuration in force on this host."""
         return self._configuration
 
+    @property
+    def heard_version(self) -> int:
+        """Highest configuration version that any host or the store has shown to be in force."""
+        return max(self._heard_version, self._configuration.version)
+
     @property
     def endpoints(self) -> dict[str, EndpointInfo]:
         """Endpoints by name; replaced, never changed in place."""
@@ -56,6 +64,25 @@
         self._notify()
         return True
 
+    def hear_version(self, version: int) -> bool:
+        """Take note of a version in force elsewhere; return whether this host lacks it."""
+        if version > self.heard_version:
+            self._heard_version = version
+            self._notify()
+        return self._configuration.version < self._heard_version
+
+    def is_withdrawn(self, digest: str, *, now: float) -> bool:
+        """Return whether a customer key was withdrawn ahead of the configuration.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the customer key.
+        now : float
+            Boot clock in seconds.
+        """
+        return self.board.holds(FactKind.KEY_WITHDRAWN, digest, now=now)
+
     def take_endpoints(self, endpoints: Iterable[EndpointInfo]) -> bool:
         """Replace the endpoint table; return whether it changed."""
         table = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
--- /dev/null
+++ b/samphirehall/node/verification.py
@@ -0,0 +1,122 @@
+"""Since when a host knows that its configuration is the newest, and what that allows.
+
+A host is *verified* at a moment if, after that moment, either the store showed
+that no newer version is in force, or every other availability zone answered
+and none of them reaches the store, so that nobody can apply one. The boot
+clock counts suspension: a host that was paused finds itself unverified.
+"""
+
+from dataclasses import dataclass
+
+NEVER = float("-inf")
+RESUME_CHECK_SECONDS = 3.0
+PAUSE_SECONDS = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class ServingDecision:
+    """Whether a customer may be served now, and why."""
+
+    allowed: bool
+    reason: str
+
+
+class Verification:
+    """When this host last knew that its configuration was the newest.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._confirmed_at = NEVER
+        self._contacts: dict[str, float] = {}
+        self._last_tick: float | None = None
+        self._resumed_at = NEVER
+
+    @property
+    def confirmed_at(self) -> float:
+        """Boot clock, in seconds, at which the configuration was last known to be the newest."""
+        return self._confirmed_at
+
+    @property
+    def resumed_at(self) -> float:
+        """Boot clock, in seconds, at which the process last noticed that it had been paused."""
+        return self._resumed_at
+
+    def confirm(self, at: float) -> None:
+        """Take note that the configuration held was the newest at `at`."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def contact(self, zone: str, at: float) -> None:
+        """Take note that a host of `zone`, which holds no newer version, answered after `at`."""
+        self._contacts[zone] = max(self._contacts.get(zone, NEVER), at)
+
+    def verified_at(self, zones: frozenset[str], *, now: float) -> float:
+        """Return when this host last knew that nobody can have a newer configuration.
+
+        Parameters
+        ----------
+        zones : frozenset of str
+            Zones from which an operator could apply one: all others; the own
+            one if it is the only zone; none if this is the only host.
+        now : float
+            Boot clock in seconds.
+        """
+        if not zones:
+            return now
+        contacts = [self._contacts.get(zone, NEVER) for zone in zones]
+        return max(self._confirmed_at, min(contacts))
+
+    def tick(self, now: float) -> bool:
+        """Note that the process runs; return whether it had been paused before."""
+        paused = self._last_tick is not None and now - self._last_tick > PAUSE_SECONDS
+        if paused:
+            self._resumed_at = now
+        self._last_tick = now
+        return paused
+
+    def was_just_paused(self, now: float) -> bool:
+        """Return whether a pause ended and nothing has been verified since."""
+        if self._last_tick is not None and now - self._last_tick > PAUSE_SECONDS:
+            return True
+        return self._confirmed_at < self._resumed_at and (
+            now - self._resumed_at < RESUME_CHECK_SECONDS
+        )
+
+
+def decide_serving(
+    verification: Verification,
+    *,
+    limit: float | None,
+    default_limit: float,
+    notice: float,
+    now: float,
+) -> ServingDecision:
+    """Decide whether a customer is served, given how old this host's knowledge is.
+
+    Parameters
+    ----------
+    verification : Verification
+        When the host last knew that its configuration was the newest.
+    limit : float, optional
+        Seconds for which this customer is served in an isolated zone.
+    default_limit : float
+        The same for customers that set none.
+    notice : float
+        Seconds without verification after which the host counts as isolated.
+    now : float
+        Boot clock in seconds.
+    """
+    if verification.was_just_paused(now):
+        return ServingDecision(False, "paused, and not verified since")
+    age = now - verification.confirmed_at
+    if age <= notice:
+        return ServingDecision(True, "verified")
+    allowed = default_limit if limit is None else limit
+    if age <= notice + allowed:
+        return ServingDecision(True, "isolated, within the customer's limit")
+    return ServingDecision(False, "isolated for longer than the customer's limit")
--- /dev/null
+++ b/tests/node/test_verification.py
@@ -0,0 +1,73 @@
+"""Whether a host that may be isolated still serves a customer."""
+
+import pytest
+
+from samphirehall.node.verification import (
+    PAUSE_SECONDS,
+    RESUME_CHECK_SECONDS,
+    Verification,
+    decide_serving,
+)
+
+NOTICE = 15.0
+DEFAULT = 300.0
+
+
+def decide(verification, now, limit=None):
+    return decide_serving(
+        verification, limit=limit, default_limit=DEFAULT, notice=NOTICE, now=now
+    ).allowed
+
+
+class TestDecideServing:
+    @pytest.mark.parametrize(
+        ("age", "limit", "allowed"),
+        [
+            (NOTICE, 0.0, True),
+            (NOTICE + 0.1, 0.0, False),
+            (NOTICE + DEFAULT, None, True),
+            (NOTICE + DEFAULT + 0.1, None, False),
+            (NOTICE + 900, 1000.0, True),
+        ],
+    )
+    def test_limit_is_the_customers(self, age, limit, allowed):
+        verification = Verification("zone-1")
+        verification.confirm(100.0)
+        assert decide(verification, 100.0 + age, limit) is allowed
+
+    def test_host_that_never_verified_does_not_serve(self):
+        assert not decide(Verification("zone-1"), 100.0)
+
+    def test_paused_host_checks_before_it_serves(self):
+        verification = Verification("zone-1")
+        verification.confirm(100.0)
+        verification.tick(100.0)
+        resumed = 100.0 + PAUSE_SECONDS + 1
+        assert not decide(verification, resumed), "before the first tick after the pause"
+        assert verification.tick(resumed)
+        assert not decide(verification, resumed + 0.1), "before anything was verified"
+        verification.confirm(resumed + 0.2)
+        assert decide(verification, resumed + 0.3)
+
+    def test_paused_and_isolated_host_falls_back_to_the_limit(self):
+        verification = Verification("zone-1")
+        verification.confirm(100.0)
+        verification.tick(100.0)
+        verification.tick(130.0)
+        later = 130.0 + RESUME_CHECK_SECONDS
+        assert decide(verification, later)
+        assert not decide(verification, later, limit=0.0)
+
+
+class TestVerifiedAt:
+    def test_store_out_for_all_is_told_from_isolation(self):
+        verification = Verification("zone-1")
+        verification.confirm(10.0)
+        verification.contact("zone-2", 50.0)
+        others = frozenset(("zone-2", "zone-3"))
+        assert verification.verified_at(others, now=60.0) == 10.0, "zone-3 may still reach the store"
+        verification.contact("zone-3", 40.0)
+        assert verification.verified_at(others, now=60.0) == 40.0
+
+    def test_only_host_is_always_verified(self):
+        assert Verification("zone-1").verified_at(frozenset(), now=60.0) == 60.0
