Connect hosts in a mesh that spreads facts and configuration

Cause: hosts knew nothing of each other; each polled the platform alone, so a withdrawn key or a leaving endpoint was known on one host only. Ruled out: random gossip (a fact takes several rounds and arrives several times over) and one tree (one silent connection cuts a branch). Facts go from their owner straight to the peers of its zone and to one delegate in each other zone, which passes them on there; each arrives about once. Change: membership/ with hello by HMAC both ways, optional TLS, heartbeats that slow down to keep the byte budget, acknowledged urgent facts with a fresh dial when a connection went silent, comparison of digests after a cut, configuration pushed as changed parts in pieces, the endpoint list read by two hosts a zone, a report of each zone, and a gate that keeps a restarted host from putting in force less than anyone has heard of. Before: no mesh.

--- a/samphirehall/core/frames.py
+++ b/samphirehall/core/frames.py
@@ -1,9 +1,11 @@
 """Length-bounded msgpack frames over a byte stream.
 
 A frame is a 4-byte big-endian length followed by a msgpack array of the
-message's type name and its fields. Messages are dataclasses with slots.
+message's type name and an array of its fields in their order. Messages are
+dataclasses with slots.
 """
 
+import dataclasses
 import struct
 from collections.abc import Iterable
 from typing import Any
@@ -18,6 +20,7 @@
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
+_FIELD_NAMES: dict[type, tuple[str, ...]] = {}
 
 
 class FrameStream:
@@ -48,9 +51,14 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    async def send(self, message: Any) -> None:
+    async def send(self, message: Any) -> int:
         """Send one message; concurrent senders take turns.
 
+        Returns
+        -------
+        int
+            Bytes of the frame.
+
         Raises
         ------
         FrameError
@@ -60,6 +68,7 @@
         async with self._send_lock:
             await self._stream.send(frame)
         self.bytes_sent += len(frame)
+        return len(frame)
 
     async def receive(self) -> Any:
         """Return the next message.
@@ -81,7 +90,10 @@
 
 def encode_frame(message: Any, *, max_bytes: int = MAX_FRAME_BYTES) -> bytes:
     """Return the frame of one message, length included."""
-    fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    fields = [
+        msgspec.to_builtins(getattr(message, name), builtin_types=(bytes,))
+        for name in _field_names(type(message))
+    ]
     payload = msgpack.packb([type(message).__name__, fields])
     if len(payload) > max_bytes:
         raise FrameError(f"message of {len(payload)} bytes; at most {max_bytes} are allowed")
@@ -99,9 +111,18 @@
     try:
         name, fields = msgpack.unpackb(payload)
         message_type = message_types[name]
-        return msgspec.convert(fields, message_type)
+        named = dict(zip(_field_names(message_type), fields, strict=True))
+        return msgspec.convert(named, message_type)
     except KeyError as error:
         known = ", ".join(sorted(message_types))
         raise FrameError(f"unknown message type {error}; known: {known}") from error
     except (ValueError, TypeError, msgspec.ValidationError, msgpack.UnpackException) as error:
         raise FrameError(f"malformed message: {error}") from error
+
+
+def _field_names(message_type: type) -> tuple[str, ...]:
+    names = _FIELD_NAMES.get(message_type)
+    if names is None:
+        names = tuple(item.name for item in dataclasses.fields(message_type))
+        _FIELD_NAMES[message_type] = names
+    return names
--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -155,6 +155,13 @@
     5007, "lease-lost", 409, _NOT_RUN, 75, "The process no longer holds the lease for this order."
 )
 CHECK_FAILED = _result(5008, "check-failed", 500, _RAN, 1, "A check or demonstration failed.")
+MESH_PROTOCOL = _result(
+    5020, "mesh-protocol", 426, _NOT_RUN, 78, "The peer speaks no protocol version of this host."
+)
+MESH_KEY = _result(5021, "mesh-key", 403, _NOT_RUN, 77, "The peer does not hold the mesh key.")
+MESH_OLD_INCARNATION = _result(
+    5022, "mesh-old-incarnation", 409, _NOT_RUN, 75, "A newer process of this host is connected."
+)
 
 
 def table() -> tuple[Result, ...]:
--- a/samphirehall/membership/__init__.py
+++ b/samphirehall/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Hosts that find each other and tell each other facts."""
+"""Peers: finding other hosts, talking to them, and telling them what is new."""
--- /dev/null
+++ b/samphirehall/membership/comparison.py
@@ -0,0 +1,40 @@
+"""Comparing what two hosts hold, so that a healed partition converges."""
+
+from samphirehall.membership.mesh import Mesh, kept_fingerprints
+from samphirehall.membership.messages import Held
+from samphirehall.membership.peer import Peer
+from samphirehall.membership.wire import outgoing
+
+MISMATCHES_BEFORE_COMPARISON = 3
+COMPARISON_SECONDS = 1.0
+FINGERPRINT_BYTES = 8
+
+
+def compare_digests(mesh: Mesh, peer: Peer, *, now: float) -> None:
+    """Ask a peer for what this host lacks, if their digests differ for long.
+
+    A new connection is compared at once. Only one peer is asked a second, since
+    what the first one sends usually settles the difference with the others.
+    """
+    if peer.beat is None or peer.beat.digest == mesh.state.board.digest:
+        peer.mismatches = 0
+        return
+    is_new = peer.mismatches == 0 and peer.beat.echo == 0
+    peer.mismatches += 1
+    due = is_new or peer.mismatches >= MISMATCHES_BEFORE_COMPARISON
+    if due and now - mesh.compared_at >= COMPARISON_SECONDS:
+        mesh.compared_at = now
+        peer.mismatches = 0
+        peer.enqueue(Held(kept_fingerprints(mesh.state, now=now)))
+
+
+def answer_held(mesh: Mesh, peer: Peer, fingerprints: bytes, *, now: float) -> None:
+    """Send a peer the facts whose fingerprints it does not hold."""
+    held_there = {
+        int.from_bytes(fingerprints[start : start + FINGERPRINT_BYTES], "big")
+        for start in range(0, len(fingerprints), FINGERPRINT_BYTES)
+    }
+    for held in mesh.state.board.held(now=now):
+        if held.fact.kind.kept_in_step and held.fact.fingerprint not in held_there:
+            crossed = not held.fact.owner.startswith(mesh.state.host)
+            peer.push(outgoing(held.fact, until=held.until, crossed=crossed))
--- /dev/null
+++ b/samphirehall/membership/directory.py
@@ -0,0 +1,157 @@
+"""Hosts that this one knows of: from the platform's lagging list and from other hosts."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from samphirehall.core.rendezvous import ranked
+from samphirehall.core.types import HostInfo, HostState
+from samphirehall.node.facts import Fact, FactBoard, FactKind
+
+HOST_FACT_SECONDS = 600.0
+HOST_FACT_REFRESH_SECONDS = 200.0
+LEAVING_FACT_SECONDS = 30.0
+MISSES_BEFORE_FORGOTTEN = 3
+
+
+@dataclass(slots=True)
+class _Missing:
+    order: tuple[int, int]
+    count: int = 0
+
+
+@dataclass(slots=True)
+class _Ranking:
+    members: frozenset[str]
+    order: list[str] = field(default_factory=list)
+
+
+def host_value(info: HostInfo) -> dict[str, str]:
+    """Return the value of the fact in which a host presents itself."""
+    return {
+        "zone": info.zone,
+        "mesh": info.mesh_address,
+        "operator": info.operator_address,
+        "state": info.state.value,
+    }
+
+
+def host_of_fact(fact: Fact) -> HostInfo | None:
+    """Return the host that a fact presents, or None if the fact is malformed."""
+    value: Any = fact.value
+    if not isinstance(value, Mapping) or fact.key != fact.owner:
+        return None
+    try:
+        return HostInfo(
+            fact.key,
+            value["zone"],
+            value["mesh"],
+            value["operator"],
+            HostState(value["state"]),
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+class Directory:
+    """Known hosts besides this one.
+
+    A host is known while the platform lists it, while it is connected, or while
+    its own fact holds; the fact of a host that several lists in a row leave out
+    no longer counts.
+
+    Parameters
+    ----------
+    own : HostInfo
+        This host.
+    board : FactBoard
+        Facts of all hosts.
+    """
+
+    def __init__(self, own: HostInfo, board: FactBoard) -> None:
+        self._own = own
+        self._has_list = False
+        self._board = board
+        self._listed: dict[str, HostInfo] = {}
+        self._missing: dict[str, _Missing] = {}
+        self._hosts: dict[str, HostInfo] = {}
+        self._rankings: dict[str, _Ranking] = {}
+
+    @property
+    def has_list(self) -> bool:
+        """Whether the platform's list has been read."""
+        return self._has_list
+
+    @property
+    def own(self) -> HostInfo:
+        """Host that the directory belongs to."""
+        return self._own
+
+    @property
+    def hosts(self) -> Mapping[str, HostInfo]:
+        """Known hosts besides this one, as of the last `refresh`."""
+        return self._hosts
+
+    @property
+    def other_zones(self) -> frozenset[str]:
+        """Availability zones of known hosts besides this host's own."""
+        return frozenset(info.zone for info in self._hosts.values()) - {self._own.zone}
+
+    def in_zone(self, zone: str) -> list[HostInfo]:
+        """Return known hosts of a zone that are not leaving."""
+        return [
+            info
+            for info in self._hosts.values()
+            if info.zone == zone and info.state is HostState.LIVE
+        ]
+
+    def take_list(
+        self, listed: Iterable[HostInfo], *, connected: frozenset[str], now: float
+    ) -> None:
+        """Take the platform's list.
+
+        Parameters
+        ----------
+        listed : iterable of HostInfo
+            The list, which may lag.
+        connected : frozenset of str
+            Hosts connected now; the list does not make them unknown.
+        now : float
+            Boot clock in seconds.
+        """
+        self._listed = {info.host_id: info for info in listed}
+        self._has_list = True
+        for fact in self._board.current(FactKind.HOST, now=now):
+            if fact.key in self._listed or fact.key in connected:
+                self._missing.pop(fact.key, None)
+                continue
+            missing = self._missing.get(fact.key)
+            if missing is None or missing.order < fact.order:
+                missing = self._missing[fact.key] = _Missing(fact.order)
+            missing.count += 1
+        self.refresh(now=now)
+
+    def refresh(self, *, now: float) -> None:
+        """Work out the known hosts again."""
+        hosts = dict(self._listed)
+        for fact in self._board.current(FactKind.HOST, now=now):
+            info = host_of_fact(fact)
+            if info is not None and not self._is_forgotten(fact):
+                hosts[info.host_id] = info
+        hosts.pop(self._own.host_id, None)
+        self._hosts = hosts
+
+    def delegates(self, zone: str) -> list[str]:
+        """Return the hosts of another zone in the order in which this host prefers them."""
+        members = frozenset(info.host_id for info in self.in_zone(zone))
+        ranking = self._rankings.get(zone)
+        if ranking is None or ranking.members != members:
+            ranking = _Ranking(members, ranked(members, self._own.host_id))
+            self._rankings[zone] = ranking
+        return ranking.order
+
+    def _is_forgotten(self, fact: Fact) -> bool:
+        missing = self._missing.get(fact.key)
+        if missing is None or missing.order < fact.order:
+            return False
+        return missing.count >= MISSES_BEFORE_FORGOTTEN
--- /dev/null
+++ b/samphirehall/membership/handshake.py
@@ -0,0 +1,143 @@
+"""Opening of a connection: both ends prove that they hold the mesh key.
+
+Each end sends a nonce and gets back an HMAC over everything that both have
+said, with the role of its sender, so that no proof can be reflected or used
+again on another connection.
+"""
+
+import hashlib
+import hmac
+import secrets
+from dataclasses import dataclass
+
+import anyio
+import msgpack
+
+from samphirehall.core.errors import FrameError, SamphireError
+from samphirehall.core.frames import FrameStream
+from samphirehall.core.results import MESH_KEY, MESH_PROTOCOL, Result, by_code
+from samphirehall.membership.messages import PROTOCOL, Challenge, Hello, Proof, Refused
+
+NONCE_BYTES = 16
+HANDSHAKE_SECONDS = 3.0
+_DIALLER, _LISTENER = b"dialler", b"listener"
+
+
+@dataclass(slots=True, frozen=True)
+class Identity:
+    """Who is at one end.
+
+    Parameters
+    ----------
+    host, zone : str
+        Name of the host and its availability zone.
+    incarnation : int
+        Start of its process, in milliseconds since the epoch.
+    """
+
+    host: str
+    zone: str
+    incarnation: int
+
+
+@dataclass(slots=True, frozen=True)
+class Opened:
+    """A connection whose other end holds the key.
+
+    Parameters
+    ----------
+    peer : Identity
+        Who is at the other end.
+    dialler : str
+        Host that dialled.
+    fresh : bool
+        Whether it replaces a connection that went silent.
+    """
+
+    peer: Identity
+    dialler: str
+    fresh: bool
+
+
+async def open_as_dialler(
+    frames: FrameStream, own: Identity, key: str, *, fresh: bool, protocol: int = PROTOCOL
+) -> Opened:
+    """Open a connection that this host dialled.
+
+    Raises
+    ------
+    SamphireError
+        One end refused the other.
+    """
+    with anyio.fail_after(HANDSHAKE_SECONDS):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = Hello(protocol, own.host, own.zone, own.incarnation, nonce, fresh)
+        await frames.send(hello)
+        answer = await frames.receive()
+        if isinstance(answer, Refused):
+            raise SamphireError(by_code(answer.code), f"refused by the peer: {answer.detail}")
+        if not isinstance(answer, Challenge):
+            raise FrameError(f"{type(answer).__name__} in place of a challenge")
+        if answer.protocol != protocol:
+            raise SamphireError(MESH_PROTOCOL, _known(answer.protocol))
+        if not hmac.compare_digest(answer.proof, _proof(key, _LISTENER, hello, answer)):
+            await _refuse(frames, MESH_KEY, "the answer was not made with this mesh key")
+        await frames.send(Proof(_proof(key, _DIALLER, hello, answer)))
+    peer = Identity(answer.host, answer.zone, answer.incarnation)
+    return Opened(peer, own.host, fresh)
+
+
+async def open_as_listener(frames: FrameStream, own: Identity, key: str) -> Opened:
+    """Open a connection that another host dialled.
+
+    Raises
+    ------
+    SamphireError
+        The peer was refused, or refused this host.
+    """
+    with anyio.fail_after(HANDSHAKE_SECONDS):
+        hello = await frames.receive()
+        if not isinstance(hello, Hello):
+            raise FrameError(f"{type(hello).__name__} in place of a hello")
+        if hello.protocol != PROTOCOL:
+            await _refuse(frames, MESH_PROTOCOL, _known(hello.protocol))
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        open_end = Challenge(PROTOCOL, own.host, own.zone, own.incarnation, nonce, b"")
+        proof = _proof(key, _LISTENER, hello, open_end)
+        challenge = Challenge(PROTOCOL, own.host, own.zone, own.incarnation, nonce, proof)
+        await frames.send(challenge)
+        answer = await frames.receive()
+        if isinstance(answer, Refused):
+            raise SamphireError(by_code(answer.code), f"refused by the peer: {answer.detail}")
+        if not isinstance(answer, Proof) or not hmac.compare_digest(
+            answer.proof, _proof(key, _DIALLER, hello, challenge)
+        ):
+            await _refuse(frames, MESH_KEY, "the proof was not made with this mesh key")
+    peer = Identity(hello.host, hello.zone, hello.incarnation)
+    return Opened(peer, hello.host, hello.fresh)
+
+
+def _proof(key: str, role: bytes, hello: Hello, challenge: Challenge) -> bytes:
+    said = msgpack.packb(
+        [
+            role,
+            [hello.protocol, hello.host, hello.zone, hello.incarnation, hello.nonce, hello.fresh],
+            [
+                challenge.protocol,
+                challenge.host,
+                challenge.zone,
+                challenge.incarnation,
+                challenge.nonce,
+            ],
+        ]
+    )
+    return hmac.digest(key.encode(), said, hashlib.sha256)
+
+
+def _known(protocol: int) -> str:
+    return f"unknown protocol version {protocol}; known: {PROTOCOL}"
+
+
+async def _refuse(frames: FrameStream, result: Result, detail: str) -> None:
+    await frames.send(Refused(result.code, detail))
+    raise SamphireError(result, detail)
--- /dev/null
+++ b/samphirehall/membership/hosts.py
@@ -0,0 +1,91 @@
+"""What is known of each host: for the status and for the answer to an apply."""
+
+from dataclasses import dataclass
+
+from samphirehall.core.types import HostInfo, HostState
+from samphirehall.membership.mesh import Mesh
+from samphirehall.membership.zone_report import ZoneReport, reports
+from samphirehall.node.in_force import HostsInForce
+
+
+@dataclass(slots=True, frozen=True)
+class HostStatus:
+    """One host in the status.
+
+    Parameters
+    ----------
+    host, zone : str
+        Name and availability zone.
+    state : str
+        ``live``, ``leaving``, ``down`` or ``unknown``.
+    heard_seconds_ago : float, optional
+        Seconds since something came from it over a connection of this host.
+    configuration : int
+        Configuration version in force there; 0 if it is not known.
+    mesh_address, operator_address : str
+        IP numbers and ports.
+    """
+
+    host: str
+    zone: str
+    state: str
+    heard_seconds_ago: float | None
+    configuration: int
+    mesh_address: str
+    operator_address: str
+
+
+def host_statuses(mesh: Mesh, *, now: float) -> list[HostStatus]:
+    """Return the status of every known host, this one included."""
+    own = mesh.directory.own
+    known = [own, *mesh.directory.hosts.values()]
+    by_zone = reports(mesh.state.board, now=now)
+    return sorted(
+        (_status(mesh, info, by_zone.get(info.zone), now=now) for info in known),
+        key=lambda status: (status.zone, status.host),
+    )
+
+
+def hosts_in_force(mesh: Mesh, version: int, *, now: float) -> HostsInForce:
+    """Return which hosts have a version or a later one in force, and which have not said so."""
+    statuses = host_statuses(mesh, now=now)
+    return HostsInForce(
+        [status.host for status in statuses if status.configuration >= version],
+        [status.host for status in statuses if status.configuration < version],
+    )
+
+
+def _status(mesh: Mesh, info: HostInfo, report: ZoneReport | None, *, now: float) -> HostStatus:
+    reported = report.version_of(info.host_id) if report else 0
+    peer = mesh.peers.get(info.host_id)
+    lost = mesh.lost.get(info.host_id)
+    heard: float | None = None
+    if info.host_id == mesh.state.host:
+        state, version, heard = "live", mesh.version_in_force, 0.0
+    elif peer is not None:
+        state, version, heard = "live", max(peer.version, reported), now - peer.last_heard
+    else:
+        state = _state_from_report(info.host_id, report)
+        version = reported
+        if lost is not None:
+            heard = now - lost.last_heard
+    if info.state is HostState.LEAVING:
+        state = "leaving"
+    rounded = None if heard is None else round(heard, 1)
+    return HostStatus(
+        info.host_id,
+        info.zone,
+        state,
+        rounded,
+        version,
+        info.mesh_address,
+        info.operator_address,
+    )
+
+
+def _state_from_report(host: str, report: ZoneReport | None) -> str:
+    if report is not None and host in report.hosts:
+        return "live"
+    if report is not None and host in report.down:
+        return "down"
+    return "unknown"
--- /dev/null
+++ b/samphirehall/membership/mesh.py
@@ -0,0 +1,276 @@
+"""The connected peers of a host and what it passes on between them."""
+
+import logging
+from dataclasses import dataclass
+
+from samphirehall.configuration.version import Configuration
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.log import log_decision
+from samphirehall.core.results import MESH_OLD_INCARNATION
+from samphirehall.core.types import HostState
+from samphirehall.membership.budget import ByteBudget
+from samphirehall.membership.directory import Directory
+from samphirehall.membership.handshake import Identity, Opened
+from samphirehall.membership.outbox import is_urgent
+from samphirehall.membership.pacing import beat_interval
+from samphirehall.membership.peer import Peer
+from samphirehall.membership.transfer import RecentConfigurations
+from samphirehall.membership.wire import Outgoing, outgoing
+from samphirehall.node.facts import Fact
+from samphirehall.node.gate import ConfigurationGate
+from samphirehall.node.link_service import EntryLinks
+from samphirehall.node.state import NodeState
+from samphirehall.settings.tables import MeshTable
+
+SENT_SHARE = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class Lost:
+    """A peer whose connection ended.
+
+    Parameters
+    ----------
+    at : float
+        Boot clock in seconds.
+    silent : bool
+        Whether the connection was given up because nothing came.
+    last_heard : float
+        Boot clock in seconds.
+    version : int
+        Configuration version that the peer last had in force.
+    unacknowledged : tuple of Outgoing
+        Urgent facts that may not have arrived.
+    """
+
+    at: float
+    silent: bool
+    last_heard: float
+    version: int
+    unacknowledged: tuple[Outgoing, ...]
+
+
+class Mesh:
+    """Connected peers of one host.
+
+    Parameters
+    ----------
+    settings : MeshTable
+        Key, budget and times.
+    state : NodeState
+        What this host knows.
+    directory : Directory
+        Known hosts.
+    gate : ConfigurationGate
+        Where configurations from peers are offered.
+    entries : EntryLinks
+        Entries of this host.
+    now : float
+        Boot clock in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: MeshTable,
+        state: NodeState,
+        directory: Directory,
+        gate: ConfigurationGate,
+        entries: EntryLinks,
+        *,
+        now: float,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.directory = directory
+        self.gate = gate
+        self.identity = Identity(state.host, state.zone, state.incarnation)
+        self.budget = ByteBudget(settings.byte_budget_per_second * SENT_SHARE, now=now)
+        self.recent = RecentConfigurations()
+        self.peers: dict[str, Peer] = {}
+        self.lost: dict[str, Lost] = {}
+        self.wanted_from: str | None = None
+        self.wanted_until = 0.0
+        self.compared_at = 0.0
+        self.reads_list = True
+        self.list_sender = ""
+        self._closed_sent = 0
+        self._closed_received = 0
+        self._entries = entries
+        self.stop_listening = state.board.listen(self._on_fact, source=self)
+        state.on_configuration(self._on_configuration)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to peers since the start, without headers of the network."""
+        return self._closed_sent + sum(peer.frames.bytes_sent for peer in self.peers.values())
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes received from peers since the start, without headers of the network."""
+        return self._closed_received + sum(
+            peer.frames.bytes_received for peer in self.peers.values()
+        )
+
+    @property
+    def version_in_force(self) -> int:
+        """Configuration version in force in all processes of this host."""
+        return self._entries.version_in_force(self.state.configuration.version)
+
+    @property
+    def beat_interval(self) -> float:
+        """Seconds between heartbeats to each peer."""
+        return beat_interval(self.settings, peers=len(self.peers))
+
+    @property
+    def patience(self) -> float:
+        """Seconds of silence after which peers are to suspect this host."""
+        return self.beat_interval * self.settings.suspect_heartbeats
+
+    @property
+    def verifying_zones(self) -> frozenset[str]:
+        """Zones from which a newer configuration could come; see `Verification.verified_at`."""
+        others = self.directory.other_zones
+        if others:
+            return others
+        return frozenset((self.state.zone,)) if self.directory.hosts else frozenset()
+
+    def zone_peers(self) -> list[Peer]:
+        """Return connected peers of this host's zone."""
+        return [peer for peer in self.peers.values() if peer.zone == self.state.zone]
+
+    def live_in_zone(self, *, now: float) -> set[str]:
+        """Return the hosts of the zone that are connected, or were a moment ago; with itself."""
+        live = {peer.host for peer in self.zone_peers()}
+        live.add(self.state.host)
+        for info in self.directory.in_zone(self.state.zone):
+            lost = self.lost.get(info.host_id)
+            if lost is not None and now - lost.at <= self.settings.heartbeat_seconds:
+                live.add(info.host_id)
+        return live - self._leaving()
+
+    def reaches_all(self) -> bool:
+        """Return whether this host is connected to all its zone and to each other zone."""
+        zones = {peer.zone for peer in self.peers.values()}
+        if not self.directory.other_zones <= zones:
+            return False
+        mates = {info.host_id for info in self.directory.in_zone(self.state.zone)}
+        return mates <= self.peers.keys()
+
+    def admit(self, peer: Peer, opened: Opened) -> None:
+        """Make a connection the one to its host.
+
+        Raises
+        ------
+        SamphireError
+            Another connection to this host is kept.
+        """
+        held = self.peers.get(peer.host)
+        if peer.host == self.state.host:
+            raise SamphireError(MESH_OLD_INCARNATION, f"host id {peer.host!r} is this host's own")
+        if held is not None:
+            self._replace(held, opened)
+        lost = self.lost.pop(peer.host, None)
+        self.peers[peer.host] = peer
+        self._greet(peer, lost)
+
+    def drop(self, peer: Peer, *, silent: bool, now: float) -> None:
+        """Forget a connection that ended."""
+        self._closed_sent += peer.frames.bytes_sent
+        self._closed_received += peer.frames.bytes_received
+        if self.peers.get(peer.host) is not peer:
+            return
+        del self.peers[peer.host]
+        unacknowledged = tuple(peer.unacknowledged())
+        self.lost[peer.host] = Lost(now, silent, peer.last_heard, peer.version, unacknowledged)
+        if self.wanted_from == peer.host:
+            self.wanted_from = None
+
+    def receive(self, peer: Peer, fact: Fact, *, relay: bool, now: float) -> None:
+        """Take a fact from a peer and pass it on to those whom its owner does not reach."""
+        if not self.state.board.merge(fact, now=now, source=self):
+            return
+        crossed = peer.zone != self.state.zone
+        if not crossed and not relay:
+            return
+        item = outgoing(fact, until=now + fact.lifetime, crossed=crossed)
+        for other in list(self.peers.values()):
+            same_zone = other.zone == self.state.zone
+            if other is peer or other.host == _host_of(fact.owner):
+                continue
+            if (crossed and same_zone) or (relay and is_urgent(fact.kind)):
+                other.push(item)
+
+    def wake_beats(self) -> None:
+        """Tell every peer at once what this host has in force."""
+        now = boot_seconds()
+        for peer in self.peers.values():
+            peer.beat_due = now
+            peer.wake()
+
+    def _replace(self, held: Peer, opened: Opened) -> None:
+        newer = opened.peer.incarnation > held.identity.incarnation
+        same = opened.peer.incarnation == held.identity.incarnation
+        preferred = min(self.state.host, held.host)
+        takes_over = opened.fresh or opened.dialler == held.dialler or opened.dialler == preferred
+        if not newer and not (same and takes_over):
+            raise SamphireError(
+                MESH_OLD_INCARNATION, f"another connection to {held.host!r} is kept"
+            )
+        log_decision(_log, "peer-replaced", "newer connection", peer=held.host, fresh=opened.fresh)
+        held.scope.cancel()
+
+    def _greet(self, peer: Peer, lost: Lost | None) -> None:
+        now = boot_seconds()
+        for item in lost.unacknowledged if lost else ():
+            peer.push(item)
+        for held in self.state.board.held(now=now):
+            if self._is_own(held.fact):
+                peer.push(outgoing(held.fact, until=held.until))
+
+    def _on_fact(self, fact: Fact) -> None:
+        if not self._is_own(fact):
+            return
+        item = outgoing(fact, until=boot_seconds() + fact.lifetime)
+        chosen = self._bulk_targets()
+        for peer in self.peers.values():
+            if is_urgent(fact.kind) or peer.zone == self.state.zone or peer.host in chosen:
+                peer.push(item)
+
+    def _bulk_targets(self) -> set[str]:
+        """Return one connected peer of each other zone."""
+        chosen: dict[str, str] = {}
+        for peer in self.peers.values():
+            if peer.zone != self.state.zone:
+                held = chosen.get(peer.zone)
+                dialled = peer.dialler == self.state.host
+                if held is None or (dialled and self.peers[held].dialler != self.state.host):
+                    chosen[peer.zone] = peer.host
+        return set(chosen.values())
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self.recent.keep(configuration)
+        self.wake_beats()
+
+    def _is_own(self, fact: Fact) -> bool:
+        return _host_of(fact.owner) == self.state.host
+
+    def _leaving(self) -> set[str]:
+        hosts = self.directory.hosts.values()
+        return {info.host_id for info in hosts if info.state is HostState.LEAVING}
+
+
+def _host_of(owner: str) -> str:
+    """Return the host of an owner such as ``host-a`` or ``host-a/entry``."""
+    return owner.partition("/")[0]
+
+
+def kept_fingerprints(state: NodeState, *, now: float) -> bytes:
+    """Return the fingerprints of all facts that peers keep in step, 8 bytes each."""
+    return b"".join(
+        held.fact.fingerprint.to_bytes(8, "big")
+        for held in state.board.held(now=now)
+        if held.fact.kind.kept_in_step
+    )
--- /dev/null
+++ b/samphirehall/membership/peer.py
@@ -0,0 +1,170 @@
+"""One connected peer: what it said last, and what waits to be sent to it."""
+
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+
+from samphirehall.core.frames import FrameStream
+from samphirehall.core.types import EndpointInfo
+from samphirehall.membership.handshake import Opened
+from samphirehall.membership.messages import (
+    Acknowledged,
+    Beat,
+    Change,
+    EndpointsChange,
+    Held,
+    Wanted,
+)
+from samphirehall.membership.outbox import Outbox
+from samphirehall.membership.transfer import ChangeAssembly
+from samphirehall.membership.wire import Outgoing
+
+TENTHS = 10
+Queued = Change | EndpointsChange | Held | Wanted
+
+
+class SilentPeerError(Exception):
+    """The peer is connected but does not answer."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unacknowledged:
+    """Urgent facts that a peer has not acknowledged.
+
+    Parameters
+    ----------
+    number : int
+        Number of the message that carried them.
+    deadline : float
+        Boot clock in seconds by which an answer must have come.
+    items : tuple of Outgoing
+        The facts, to be sent again on a new connection.
+    """
+
+    number: int
+    deadline: float
+    items: tuple[Outgoing, ...]
+
+
+class Peer:
+    """State of one open connection to another host.
+
+    Parameters
+    ----------
+    opened : Opened
+        Who is at the other end.
+    frames : FrameStream
+        The connection.
+    patience : float
+        Seconds of silence allowed until the peer names its own.
+    now : float
+        Boot clock in seconds.
+    """
+
+    def __init__(self, opened: Opened, frames: FrameStream, *, patience: float, now: float) -> None:
+        self.identity = opened.peer
+        self.dialler = opened.dialler
+        self.frames = frames
+        self.outbox = Outbox()
+        self.queue: deque[Queued] = deque()
+        self.patience = patience
+        self.connected_at = now
+        self.last_heard = now
+        self.beat: Beat | None = None
+        self.beat_due = now
+        self.mismatches = 0
+        self.bulk_granted = False
+        self.granted_at = 0.0
+        self.assembly = ChangeAssembly()
+        self.sent_endpoints: dict[str, EndpointInfo] = {}
+        self.endpoints_told: dict[str, EndpointInfo] | None = None
+        self.received_endpoints: dict[str, EndpointInfo] = {}
+        self.scope = anyio.CancelScope()
+        self._acknowledge = 0
+        self._next_number = 1
+        self._unacknowledged: deque[Unacknowledged] = deque()
+        self._work = anyio.Event()
+
+    @property
+    def host(self) -> str:
+        """Name of the peer."""
+        return self.identity.host
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of the peer."""
+        return self.identity.zone
+
+    @property
+    def version(self) -> int:
+        """Configuration version in force on the peer, as far as it said."""
+        return self.beat.version if self.beat else 0
+
+    def wake(self) -> None:
+        """Let the writing task look for work."""
+        self._work.set()
+
+    async def wait_for_work(self, seconds: float) -> None:
+        """Wait until there may be work, for at most `seconds`."""
+        with anyio.move_on_after(seconds):
+            await self._work.wait()
+        self._work = anyio.Event()
+
+    def push(self, item: Outgoing) -> None:
+        """Let a fact wait to be sent."""
+        self.outbox.push(item)
+        if self.outbox.has_urgent:
+            self.wake()
+
+    def enqueue(self, message: Queued) -> None:
+        """Let a message wait to be sent."""
+        self.queue.append(message)
+        self.wake()
+
+    def note_received(self, number: int) -> None:
+        """Remember to acknowledge facts."""
+        if number:
+            self._acknowledge = number
+            self.wake()
+
+    def take_acknowledgement(self) -> Acknowledged | None:
+        """Return the acknowledgement that waits, if any."""
+        if not self._acknowledge:
+            return None
+        message = Acknowledged(self._acknowledge)
+        self._acknowledge = 0
+        return message
+
+    def number_sent(self, items: list[Outgoing], *, deadline: float) -> int:
+        """Return the number of a message with urgent facts, and expect its acknowledgement."""
+        number = self._next_number
+        self._next_number += 1
+        self._unacknowledged.append(Unacknowledged(number, deadline, tuple(items)))
+        return number
+
+    def take_acknowledged(self, number: int) -> None:
+        """Forget facts that have arrived."""
+        while self._unacknowledged and self._unacknowledged[0].number <= number:
+            self._unacknowledged.popleft()
+
+    def unacknowledged(self) -> list[Outgoing]:
+        """Return the urgent facts that may not have arrived."""
+        return [item for sent in self._unacknowledged for item in sent.items]
+
+    def check_answers(self, now: float) -> None:
+        """Check that acknowledgements are not overdue.
+
+        Raises
+        ------
+        SilentPeerError
+            The connection has gone silent.
+        """
+        if self._unacknowledged and self._unacknowledged[0].deadline <= now:
+            raise SilentPeerError(f"{self.host} did not acknowledge urgent facts")
+
+    def next_deadline(self) -> float:
+        """Return the boot clock, in seconds, at which the writing task is due again."""
+        if not self._unacknowledged:
+            return self.beat_due
+        return min(self.beat_due, self._unacknowledged[0].deadline)
--- /dev/null
+++ b/samphirehall/membership/transport.py
@@ -0,0 +1,80 @@
+"""Connections between hosts: TCP, or TLS if the settings name certificates."""
+
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import ByteStream, SocketAttribute
+from anyio.streams.tls import TLSListener, TLSStream
+
+from samphirehall.core.connections import SOCKET_OPTIONS
+from samphirehall.settings.tables import MeshTable
+
+DIAL_SECONDS = 2.0
+Serve = Callable[[ByteStream], Awaitable[None]]
+
+
+def uses_tls(mesh: MeshTable) -> bool:
+    """Return whether the settings ask for TLS."""
+    return bool(mesh.tls_certificate)
+
+
+def tls_context(mesh: MeshTable, *, server: bool) -> ssl.SSLContext:
+    """Return the TLS context; both ends need a certificate of the authority.
+
+    The peer's name is proved by the mesh key, so host names are not checked.
+    """
+    purpose = ssl.Purpose.CLIENT_AUTH if server else ssl.Purpose.SERVER_AUTH
+    context = ssl.create_default_context(purpose, cafile=mesh.tls_authority)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(mesh.tls_certificate, mesh.tls_key)
+    return context
+
+
+async def dial(address: str, mesh: MeshTable) -> ByteStream:
+    """Return a new connection to a peer.
+
+    Raises
+    ------
+    OSError, TimeoutError, ssl.SSLError
+        The peer cannot be reached, or its certificate is not of the authority.
+    """
+    host, _, port = address.rpartition(":")
+    with anyio.fail_after(DIAL_SECONDS):
+        stream = await anyio.connect_tcp(host.strip("[]"), int(port))
+        _set_options(stream.extra(SocketAttribute.raw_socket))
+        if not uses_tls(mesh):
+            return stream
+        return await TLSStream.wrap(
+            stream,
+            server_side=False,
+            ssl_context=tls_context(mesh, server=False),
+            standard_compatible=False,
+        )
+
+
+async def listen(address: str, mesh: MeshTable, serve: Serve) -> None:
+    """Serve peers that dial this host, until cancelled."""
+    host, _, port = address.rpartition(":")
+    tcp = await anyio.create_tcp_listener(local_host=host.strip("[]"), local_port=int(port))
+
+    async def serve_one(stream: ByteStream) -> None:
+        _set_options(stream.extra(SocketAttribute.raw_socket))
+        await serve(stream)
+
+    async with tcp:
+        if uses_tls(mesh):
+            context = tls_context(mesh, server=True)
+            secured = TLSListener(
+                tcp, context, standard_compatible=False, handshake_timeout=DIAL_SECONDS
+            )
+            await secured.serve(serve_one)
+        else:
+            await tcp.serve(serve_one)
+
+
+def _set_options(raw: socket.socket) -> None:
+    for level, name, value in SOCKET_OPTIONS:
+        raw.setsockopt(level, name, value)
--- a/samphirehall/node/context.py
+++ b/samphirehall/node/context.py
@@ -12,7 +12,10 @@
 import anyio
 from prometheus_client import CollectorRegistry
 
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.registry import Registry
+from samphirehall.node.gate import ConfigurationGate
+from samphirehall.node.in_force import HostsInForce, ReadHostsInForce
 from samphirehall.node.state import NodeState
 from samphirehall.platform import Platform
 from samphirehall.settings import ControlSettings
@@ -25,6 +28,10 @@
 class ControlContext:
     """Settings, platform, state and metrics of one control process.
 
+    `poll_interval` gives the seconds until the next poll of the store, or None
+    while other hosts poll; `read_hosts_in_force` gives the hosts on which a
+    configuration version is in force.
+
     Parameters
     ----------
     settings : ControlSettings
@@ -52,6 +59,9 @@
         self.state = state
         self.metrics = metrics
         self.stack = stack
+        self.gate = ConfigurationGate(state, started_at=boot_seconds())
+        self.poll_interval: Callable[[float], float | None] = self._every_host_polls
+        self.read_hosts_in_force: ReadHostsInForce = self._only_this_host
         self.stopping = anyio.Event()
         self._before_stop: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self._provided: dict[type, Any] = {}
@@ -89,3 +99,11 @@
     def status(self) -> dict[str, object]:
         """Return every section of the status."""
         return {section: read() for section, read in self._status.items()}
+
+    def _every_host_polls(self, now: float) -> float | None:
+        return self.settings.control.poll_seconds
+
+    def _only_this_host(self, version: int) -> HostsInForce:
+        in_force = self.state.configuration.version >= version
+        hosts = [self.state.host]
+        return HostsInForce(hosts, []) if in_force else HostsInForce([], hosts)
--- /dev/null
+++ b/samphirehall/node/gate.py
@@ -0,0 +1,105 @@
+"""What a host that has just started may put in force.
+
+An earlier process of this host may have had any version in force that was ever
+heard of. So nothing is put in force before the store, or the peers that can be
+asked, have said which version is the newest; and nothing lower than that.
+"""
+
+from samphirehall.configuration.version import Configuration
+from samphirehall.node.state import NodeState
+
+PEERS_ASKED_SECONDS = 3.0
+
+
+class ConfigurationGate:
+    """Holds back configurations until the host knows which is the newest.
+
+    Parameters
+    ----------
+    state : NodeState
+        Where configurations come into force.
+    started_at : float
+        Boot clock, in seconds, of the start of the process.
+    """
+
+    def __init__(self, state: NodeState, *, started_at: float) -> None:
+        self._state = state
+        self._started_at = started_at
+        self._candidate: Configuration | None = None
+        self._store_answered = False
+        self._peer_answered = False
+        self._all_answered = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether something is in force already."""
+        return self._state.configuration.version > 0
+
+    @property
+    def held(self) -> Configuration:
+        """Newest configuration that this host can pass on."""
+        in_force = self._state.configuration
+        if self._candidate is None or self._candidate.version <= in_force.version:
+            return in_force
+        return self._candidate
+
+    def offer(self, configuration: Configuration, *, now: float) -> bool:
+        """Take a configuration from the store or a peer; return whether it came into force."""
+        if configuration.version <= self.held.version:
+            return False
+        self._candidate = configuration
+        self._state.hear_version(configuration.version)
+        return self._open(now)
+
+    def store_answered(self, *, now: float) -> bool:
+        """Take note that the store said which version is the newest."""
+        self._store_answered = True
+        return self._open(now)
+
+    def peer_answered(self, *, all_answered: bool, now: float) -> bool:
+        """Take note that a peer said which versions it has heard of.
+
+        Parameters
+        ----------
+        all_answered : bool
+            Whether every known host of the zone has said so by now.
+        now : float
+            Boot clock in seconds.
+        """
+        self._peer_answered = True
+        self._all_answered = self._all_answered or all_answered
+        return self._open(now)
+
+    def _open(self, now: float) -> bool:
+        candidate = self._candidate
+        if candidate is None or not may_put_in_force(
+            candidate.version,
+            is_open=self.is_open,
+            heard=self._state.heard_version,
+            store_answered=self._store_answered,
+            peers_answered=self._all_answered
+            or (self._peer_answered and now - self._started_at > PEERS_ASKED_SECONDS),
+        ):
+            return False
+        return self._state.take_configuration(candidate)
+
+
+def may_put_in_force(
+    version: int, *, is_open: bool, heard: int, store_answered: bool, peers_answered: bool
+) -> bool:
+    """Decide whether a version may come into force on this host.
+
+    Parameters
+    ----------
+    version : int
+        Version that the host has whole.
+    is_open : bool
+        Whether this process has had one in force.
+    heard : int
+        Highest version known to be in force somewhere.
+    store_answered, peers_answered : bool
+        Who has said which version is the newest.
+    """
+    if is_open:
+        return True
+    return version >= heard and (store_answered or peers_answered)
--- a/samphirehall/node/state.py
+++ b/samphirehall/node/state.py
@@ -13,6 +13,8 @@
 class NodeState:
     """What a process of this host knows.
 
+    `zone_hosts` are the live hosts of its zone, itself included.
+
     Parameters
     ----------
     host : str
@@ -29,6 +31,7 @@
         self.incarnation = incarnation
         self.board = FactBoard(host, incarnation)
         self.verification = Verification(zone)
+        self.zone_hosts: frozenset[str] = frozenset((host,))
         self._configuration = EMPTY
         self._heard_version = 0
         self._endpoints: dict[str, EndpointInfo] = {}
--- a/samphirehall/node/watch.py
+++ b/samphirehall/node/watch.py
@@ -1,36 +1,72 @@
 """Control service: follow the platform's configuration pointer and endpoint list."""
 
 import logging
+import random
 
 import anyio
 
 from samphirehall.configuration.store import fetch_configuration, read_pointer
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.node.context import ControlContext
 
+IDLE_SECONDS = 0.5
+LEAST_SECONDS = 0.02
+MAX_BACKOFF_FACTOR = 8.0
+JITTER = 0.2
+
 _log = logging.getLogger(__name__)
 
 
 async def run_watch(context: ControlContext) -> None:
-    """Poll the platform until cancelled; go on with what is known while it is out."""
+    """Poll the platform until cancelled, when it is this host's turn.
+
+    While the platform is out, what is known stays in force, and polls become
+    rarer.
+    """
+    random_source = random.Random(context.state.incarnation)
+    backoff = 1.0
+    due = 0.0
     while True:
-        try:
-            await poll_configuration(context)
-            context.state.take_endpoints(await context.platform.endpoints())
-        except PlatformUnavailableError as error:
-            _log.warning("platform-unavailable", extra={"reason": str(error)})
-        await anyio.sleep(context.settings.control.poll_seconds)
+        now = boot_seconds()
+        interval = context.poll_interval(now)
+        if interval is not None and due <= now:
+            backoff = await _poll(context, backoff)
+            spread = random_source.uniform(1.0 - JITTER, 1.0 + JITTER)
+            due = now + interval * backoff * spread
+        wait = due - boot_seconds() if interval is not None else IDLE_SECONDS
+        await anyio.sleep(min(max(wait, LEAST_SECONDS), IDLE_SECONDS))
+
+
+async def _poll(context: ControlContext, backoff: float) -> float:
+    try:
+        await poll_configuration(context)
+        context.state.take_endpoints(await context.platform.endpoints())
+    except PlatformUnavailableError as error:
+        if backoff == 1.0:
+            log_decision(_log, "platform-unavailable", str(error))
+        return min(backoff * 2, MAX_BACKOFF_FACTOR)
+    if backoff > 1.0:
+        log_decision(_log, "platform-available", "a poll was answered")
+    return 1.0
 
 
 async def poll_configuration(context: ControlContext) -> bool:
     """Fetch the configuration in force if it is newer; return whether it was."""
+    asked_at = boot_seconds()
     pointer, _ = await read_pointer(context.platform)
-    state = context.state
-    if pointer is None or pointer.version <= state.configuration.version:
+    state, gate = context.state, context.gate
+    version = 0 if pointer is None else pointer.version
+    state.hear_version(version)
+    gate.store_answered(now=boot_seconds())
+    if pointer is None or version <= gate.held.version:
+        if version <= state.configuration.version:
+            state.verification.confirm(asked_at)
         return False
-    configuration = await fetch_configuration(context.platform, pointer, state.configuration)
-    taken = state.take_configuration(configuration)
+    configuration = await fetch_configuration(context.platform, pointer, gate.held)
+    taken = gate.offer(configuration, now=boot_seconds())
     if taken:
-        log_decision(_log, "configuration", "newer pointer", version=pointer.version)
+        state.verification.confirm(asked_at)
+        log_decision(_log, "configuration", "newer pointer", version=version)
     return taken
--- a/samphirehall/placement/polling.py
+++ b/samphirehall/placement/polling.py
@@ -41,23 +41,15 @@
     return max(BASE_INTERVAL_SECONDS, endpoints_in_zone / REPORTS_PER_SECOND_AND_ZONE)
 
 
-def assigned_endpoints(state: NodeState, *, now: float) -> list[EndpointInfo]:
+def assigned_endpoints(state: NodeState) -> list[EndpointInfo]:
     """Return the engines of the zone that this host asks."""
-    hosts = {state.host, *hosts_of_zone(state, now=now)}
     return [
         endpoint
         for endpoint in engines_of_zone(state)
-        if is_chosen(state.host, hosts, endpoint.endpoint_id)
+        if is_chosen(state.host, state.zone_hosts, endpoint.endpoint_id)
     ]
 
 
-def hosts_of_zone(state: NodeState, *, now: float) -> Iterable[str]:
-    """Return the live hosts of this host's zone."""
-    for fact in state.board.current(FactKind.HOST, now=now):
-        if isinstance(fact.value, dict) and fact.value.get("zone") == state.zone:
-            yield fact.key
-
-
 class ReportPoller:
     """Asks the engines assigned to this host.
 
@@ -157,7 +149,7 @@
     while True:
         now = boot_seconds()
         poller.note_listed(state.endpoints.values(), now=now)
-        endpoints = assigned_endpoints(state, now=now)
+        endpoints = assigned_endpoints(state)
         interval = poll_interval(len(engines_of_zone(state)))
         async with anyio.create_task_group() as group:
             for endpoint in endpoints:
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -59,6 +59,18 @@
     block_tokens: Count = 1024
 
 
+@dataclass(slots=True)
+class IsolationTable:
+    """``[isolation]``: serving while nobody can say whether the configuration is the newest.
+
+    After ``notice_seconds`` without word the host counts as isolated; a
+    customer that sets no limit of its own is served for ``serve_seconds`` more.
+    """
+
+    notice_seconds: Seconds = 20.0
+    serve_seconds: Annotated[float, Meta(ge=0, le=604_800)] = 300.0
+
+
 @dataclass(slots=True)
 class EntrySettings:
     """Settings of ``samphire-entry``."""
@@ -67,6 +79,7 @@
     platform: PlatformTable
     entry: EntryTable
     routing: RoutingTable = field(default_factory=RoutingTable)
+    isolation: IsolationTable = field(default_factory=IsolationTable)
     logging: LoggingTable = field(default_factory=LoggingTable)
 
 
@@ -87,13 +100,21 @@
 
 @dataclass(slots=True)
 class MeshTable:
-    """``[mesh]``: how hosts talk to each other."""
+    """``[mesh]``: how hosts talk to each other.
+
+    ``byte_budget_per_second`` counts bytes sent and received;
+    ``heartbeat_seconds`` is the least time between heartbeats, which grows
+    with the peers to keep the budget; ``delegates`` are the hosts of each other
+    zone that this one stays connected to. The three ``tls_`` files are given
+    together or not at all.
+    """
 
     key: Annotated[str, Meta(min_length=16)]
     heartbeat_seconds: Seconds = 1.0
-    suspect_seconds: Seconds = 4.0
+    suspect_heartbeats: Annotated[int, Meta(ge=2, le=100)] = 3
+    acknowledge_seconds: Seconds = 1.5
     byte_budget_per_second: Bytes = 4096
-    delegates: Count = 2
+    delegates: Annotated[int, Meta(ge=1, le=8)] = 1
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
--- a/tests/node/test_verification.py
+++ b/tests/node/test_verification.py
@@ -65,7 +65,9 @@
         verification.confirm(10.0)
         verification.contact("zone-2", 50.0)
         others = frozenset(("zone-2", "zone-3"))
-        assert verification.verified_at(others, now=60.0) == 10.0, "zone-3 may still reach the store"
+        assert (
+            verification.verified_at(others, now=60.0) == 10.0
+        ), "zone-3 may still reach the store"
         verification.contact("zone-3", 40.0)
         assert verification.verified_at(others, now=60.0) == 40.0
 
--- /dev/null
+++ b/tests/support/mesh.py
@@ -0,0 +1,201 @@
+"""Small meshes on loopback: nodes in this process, connections that a test can break."""
+
+import contextlib
+import itertools
+import os
+import random
+
+import anyio
+
+from samphirehall.configuration.version import Configuration
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.types import HostInfo
+from samphirehall.membership.conversation import converse
+from samphirehall.membership.dialing import Dialer
+from samphirehall.membership.directory import Directory
+from samphirehall.membership.mesh import Mesh
+from samphirehall.membership.service import _pace_bulk, _tick
+from samphirehall.membership.transport import listen
+from samphirehall.node.facts import FactKind
+from samphirehall.node.gate import ConfigurationGate
+from samphirehall.node.link_service import EntryLinks
+from samphirehall.node.state import NodeState
+from samphirehall.settings.tables import MeshTable
+
+KEY = "a key for tests only"
+STEP = 0.02
+LOOPBACK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}.1"
+_PORTS = itertools.count(20_000)
+
+
+async def eventually(condition, seconds=10.0):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(STEP)
+
+
+def next_port() -> int:
+    """Return a port of this process's own loopback address, below the ephemeral ones."""
+    return next(_PORTS)
+
+
+def mesh_settings(**changes) -> MeshTable:
+    values = {"key": KEY, "heartbeat_seconds": 0.1, "byte_budget_per_second": 1_000_000}
+    return MeshTable(**{"acknowledge_seconds": 0.5, **values, **changes})
+
+
+class Relay:
+    """TCP relay in front of a node; it can refuse, cut, or go silent on what is open."""
+
+    def __init__(self, target: int):
+        self.port = next_port()
+        self.target = target
+        self.refuses = False
+        self.silent = False
+        self.accepted = 0
+        self._open = []
+
+    async def run(self):
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK, local_port=self.port)
+        await listener.serve(self._serve)
+
+    def cut(self):
+        """Break what is open and refuse what comes."""
+        self.refuses = True
+        for scope in self._open:
+            scope.cancel()
+
+    def heal(self):
+        self.refuses = False
+
+    def silence_open(self):
+        """Lose whatever goes over connections open now, without closing them."""
+        for scope in self._open:
+            scope.silent = True
+
+    async def _serve(self, stream):
+        if self.refuses:
+            await stream.aclose()
+            return
+        self.accepted += 1
+        async with stream, await anyio.connect_tcp(LOOPBACK, self.target) as onward:
+            with anyio.CancelScope() as scope:
+                pair = _Pair(scope)
+                self._open.append(pair)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._pump, stream, onward, pair)
+                    group.start_soon(self._pump, onward, stream, pair)
+            self._open.remove(pair)
+
+    async def _pump(self, source, sink, pair):
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async for chunk in source:
+                if not pair.silent:
+                    await sink.send(chunk)
+        if not pair.silent:
+            pair.cancel()
+
+
+class _Pair:
+    def __init__(self, scope):
+        self._scope = scope
+        self.silent = False
+
+    def cancel(self):
+        self._scope.cancel()
+
+
+class _LimitedDialer(Dialer):
+    """A dialer that cannot reach some hosts."""
+
+    unreachable: set[str]
+
+    def targets(self, *, now):
+        found = super().targets(now=now)
+        return [info for info in found if info.host_id not in self.unreachable]
+
+
+class Node:
+    """One host: mesh, dialer and a relay in front of its listener."""
+
+    def __init__(self, host: str, zone: str, settings: MeshTable, *, incarnation: int = 1):
+        port = next_port()
+        self.relay = Relay(port)
+        self.port = port
+        self.info = HostInfo(host, zone, f"{LOOPBACK}:{self.relay.port}")
+        self.state = NodeState(host, zone, incarnation)
+        now = boot_seconds()
+        self.gate = ConfigurationGate(self.state, started_at=now)
+        self.directory = Directory(self.info, self.state.board)
+        self.mesh = Mesh(settings, self.state, self.directory, self.gate, EntryLinks(), now=now)
+        self.scope = anyio.CancelScope()
+        self.unreachable: set[str] = set()
+        self._settings = settings
+
+    @property
+    def host(self):
+        return self.info.host_id
+
+    def know(self, nodes):
+        listed = [node.info for node in nodes]
+        self.directory.take_list(listed, connected=frozenset(), now=boot_seconds())
+
+    async def run(self):
+        async def serve(stream):
+            await converse(self.mesh, stream, dialled=False)
+
+        dialer = _LimitedDialer(self.mesh, random_source=random.Random(self.host))
+        dialer.unreachable = self.unreachable
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.relay.run)
+                group.start_soon(listen, f"{LOOPBACK}:{self.port}", self._settings, serve)
+                group.start_soon(dialer.run)
+                group.start_soon(_pace_bulk, self.mesh)
+                group.start_soon(_tick, self.mesh)
+
+    def withdraw(self, digest: str):
+        self.state.board.publish(
+            FactKind.KEY_WITHDRAWN, digest, None, lifetime=60.0, now=boot_seconds()
+        )
+
+    def knows_withdrawn(self, digest: str) -> bool:
+        return self.state.is_withdrawn(digest, now=boot_seconds())
+
+
+class Group:
+    """Nodes of several zones; each knows all at the start."""
+
+    def __init__(self, group, zones: dict[str, int], **settings):
+        self._group = group
+        self._settings = mesh_settings(**settings)
+        self.nodes = [
+            Node(f"{zone}-{number}", zone, self._settings)
+            for zone, count in zones.items()
+            for number in range(count)
+        ]
+
+    def __getitem__(self, host: str) -> Node:
+        return next(node for node in self.nodes if node.host == host)
+
+    async def start(self):
+        for node in self.nodes:
+            node.know(self.nodes)
+            self._group.start_soon(node.run)
+        await eventually(lambda: all(node.mesh.reaches_all() for node in self.nodes))
+
+    def add(self, host: str, zone: str, *, incarnation=1, settings=None, known=None) -> Node:
+        node = Node(host, zone, settings or self._settings, incarnation=incarnation)
+        node.know(self.nodes if known is None else known)
+        self.nodes.append(node)
+        self._group.start_soon(node.run)
+        return node
+
+    def apply(self, host: str, configuration: Configuration):
+        node = self[host]
+        node.gate.store_answered(now=boot_seconds())
+        node.gate.offer(configuration, now=boot_seconds())
+
+    def stop(self):
+        for node in self.nodes:
+            node.scope.cancel()
