--- a/samphirehall/programs/ctl_tables.py
+++ b/samphirehall/programs/ctl_tables.py
@@ -70,6 +70,12 @@
     return format_rows(hosts, columns)
 
 
+def format_leases(leases: list[dict[str, Any]]) -> str:
+    """Return leases as a table."""
+    columns = {"scope": "LEASE", "holder": "HOLDER", "fencing": "FENCING", "held": "HELD HERE"}
+    return format_rows(leases, columns)
+
+
 def format_in_force(answer: dict[str, Any]) -> list[str]:
     """Return one line for the hosts with a change in force, and one for the others."""
     lines = []
@@ -87,6 +93,8 @@
         f"configuration version {status['configuration']}"
     ]
     lines += [f"UNHEALTHY: {problem}" for problem in unhealthy(status)] or ["all healthy"]
+    lines += ["", format_hosts(status.get("hosts", []))]
+    lines += ["", format_leases(status.get("leases", []))]
     lines += ["", format_endpoints(status["endpoints"])]
     return "\n".join(lines)
 
@@ -98,6 +106,16 @@
         for item in status["endpoints"]
         if item["health"] != "ok"
     ]
+    problems += [
+        f"host {item['host']} is {item['state']}"
+        for item in status.get("hosts", [])
+        if item["state"] != "live"
+    ]
+    problems += [
+        f"host {item['host']} has configuration version {item['configuration']}"
+        for item in status.get("hosts", [])
+        if item["state"] == "live" and item["configuration"] != status["configuration"]
+    ]
     if status["configuration"] == 0:
         problems.append("no configuration is in force")
     return problems
--- a/tests/programs/test_ctl_tables.py
+++ b/tests/programs/test_ctl_tables.py
@@ -6,6 +6,12 @@
     "host": "host-a",
     "zone": "prairie-1",
     "configuration": 3,
+    "hosts": [
+        {"host": "host-a", "zone": "prairie-1", "state": "live", "configuration": 3},
+        {"host": "host-b", "zone": "prairie-2", "state": "suspect", "configuration": 3},
+        {"host": "host-c", "zone": "prairie-3", "state": "live", "configuration": 2},
+    ],
+    "leases": [{"scope": "platform", "holder": "host-a", "fencing": 4, "held": True}],
     "endpoints": [
         {"endpoint_id": "engine-1", "zone": "prairie-1", "models": ["answer"], "health": "down"}
     ],
@@ -22,4 +28,8 @@
 class TestFormatStatus:
     def test_says_what_is_unhealthy_first(self):
         lines = format_status(STATUS).splitlines()
-        assert lines[1] == "UNHEALTHY: endpoint engine-1 is down"
+        assert lines[1:4] == [
+            "UNHEALTHY: endpoint engine-1 is down",
+            "UNHEALTHY: host host-b is suspect",
+            "UNHEALTHY: host host-c has configuration version 2",
+        ]
