--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -86,7 +86,7 @@
     """Return a host whose control process holds a lease, by its own status."""
     for host in cluster.hosts:
         status = json.loads(cluster.ctl_of(host, "status", "--json").stdout)
-        if any(lease.get("held") for lease in status.get("leases", [])):
+        if any(lease.get("ends_in") for lease in status.get("leases", [])):
             return host.name
     return cluster.hosts[0].name
 
--- a/samphirehall/programs/ctl_tables.py
+++ b/samphirehall/programs/ctl_tables.py
@@ -72,7 +72,7 @@
 
 def format_leases(leases: list[dict[str, Any]]) -> str:
     """Return leases as a table."""
-    columns = {"scope": "LEASE", "holder": "HOLDER", "fencing": "FENCING", "held": "HELD HERE"}
+    columns = {"scope": "LEASE", "holder": "HOLDER", "fencing": "FENCING", "ends_in": "HELD HERE S"}
     return format_rows(leases, columns)
 
 
--- a/tests/programs/test_ctl_tables.py
+++ b/tests/programs/test_ctl_tables.py
@@ -11,7 +11,7 @@
         {"host": "host-b", "zone": "prairie-2", "state": "suspect", "configuration": 3},
         {"host": "host-c", "zone": "prairie-3", "state": "live", "configuration": 2},
     ],
-    "leases": [{"scope": "platform", "holder": "host-a", "fencing": 4, "held": True}],
+    "leases": [{"scope": "platform", "holder": "host-a", "fencing": 4, "ends_in": 4.5}],
     "endpoints": [
         {"endpoint_id": "engine-1", "zone": "prairie-1", "models": ["answer"], "health": "down"}
     ],
