--- a/samphirehall/programs/ctl.py
+++ b/samphirehall/programs/ctl.py
@@ -1,5 +1,6 @@
 """``samphirectl``: the operators' command line."""
 
+import argparse
 import json
 import os
 import re
@@ -195,11 +196,9 @@
 class Commands:
     """Operate samphirehall.
 
-    Parameters
-    ----------
-    control : str
-        Comma-separated addresses of control processes; the environment variable
-        SAMPHIRE_CONTROL if left out. SAMPHIRE_OPERATOR_TOKEN holds the token.
+    ``--control=ADDRESSES`` names control processes, comma-separated; without it
+    the environment variable SAMPHIRE_CONTROL does. SAMPHIRE_OPERATOR_TOKEN holds
+    the operator's token.
     """
 
     def __init__(self, control: str = "") -> None:
@@ -263,10 +262,19 @@
             yield f"~ {name}.{key}: {json.dumps(held.get(key))} -> {json.dumps(new.get(key))}"
 
 
+def split_control(arguments: list[str]) -> tuple[str, list[str]]:
+    """Return the value of ``--control`` and the other arguments."""
+    parser = argparse.ArgumentParser(add_help=False, allow_abbrev=False)
+    parser.add_argument("--control", default="")
+    options, command = parser.parse_known_args(arguments)
+    return options.control, command
+
+
 def main() -> None:
     """Entry point of the binary."""
     try:
-        fire.Fire(Commands, name="samphirectl")
+        control, command = split_control(sys.argv[1:])
+        fire.Fire(Commands(control), command=command, name="samphirectl")
     except ConfigurationError as error:
         for problem in error.problems:
             print(f"{error.result.code} {error.result.name}: {problem}", file=sys.stderr)
--- a/samphirehall/programs/load.py
+++ b/samphirehall/programs/load.py
@@ -107,4 +107,4 @@
 
 def main() -> None:
     """Entry point of the binary."""
-    fire.Fire(LoadTool, name="samphire-load")
+    fire.Fire(LoadTool(), name="samphire-load")
--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -146,4 +146,4 @@
 
 def main() -> None:
     """Entry point of the binary."""
-    fire.Fire(Standins, name="samphire-standin")
+    fire.Fire(Standins(), name="samphire-standin")
