Admit by weighted fair queues, deadlines and the engines' own limits

Cause: with every request dispatched at once, a large customer fills the engines' queues and answers come late for all. Policies fair and none.

--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -10,9 +10,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "demo"))
 
+import anyio
 from cluster import Cluster, Endpoint, Host, wait_ready
 
-from samphirehall.load.scenario import Targets
+from samphirehall.load.runner import Run, run_entries
+from samphirehall.load.scenario import Scenario, Targets
 
 ZONES = ("prairie-1", "prairie-2", "prairie-3")
 
@@ -108,3 +110,45 @@
             if program.process is not None
         },
     )
+
+
+SLOW_ENGINE = {
+    "step_base_seconds": 0.02,
+    "decode_sequence_seconds": 0.002,
+    "prefill_tokens_per_second": 20_000,
+    "max_batch": 16,
+    "cache_capacity_tokens": 65_536,
+}
+SLOW_RATES = {
+    "token_seconds": "0.02",
+    "sequence_seconds": "0.002",
+    "prefill_tokens_per_second": "20000.0",
+    "max_batch": "16",
+}
+
+
+def run_once(setup: Setup, scenario: Scenario, *, seed: int) -> Run:
+    """Start a cluster, run a scenario through its entries and stop it."""
+
+    async def run(targets: Targets) -> Run:
+        return await run_entries(scenario, targets, seed=seed)
+
+    with running(setup) as (_, targets):
+        return anyio.run(run, targets)
+
+
+def max_min_shares(
+    demands: dict[str, float], weights: dict[str, float], capacity: float
+) -> dict[str, float]:
+    """Return the weighted max-min fair shares of a capacity, none over its demand."""
+    shares: dict[str, float] = {}
+    left = dict(demands)
+    while left:
+        level = capacity / sum(weights[name] for name in left)
+        met = [name for name, demand in left.items() if demand <= level * weights[name]]
+        if not met:
+            return shares | {name: level * weights[name] for name in left}
+        for name in met:
+            shares[name] = left.pop(name)
+            capacity -= shares[name]
+    return shares
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from samphirehall.admission.authentication import Caller, authenticate
-from samphirehall.admission.controller import AdmissionRequest
+from samphirehall.admission.controller import AdmissionRequest, Ticket
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import DEADLINE_NOT_RUN, DEADLINE_UNKNOWN, NO_ROUTE, OK
@@ -77,20 +77,21 @@
     admission = AdmissionRequest(
         caller, run.priority, run.deadline, run.prompt_tokens, run.max_tokens
     )
-    async with context.admission.admit(admission, now=started):
+    async with context.admission.admit(admission, now=started) as ticket:
         try:
             await _answer(context, run, receive, send, started)
         finally:
-            _meter(context, run)
+            _meter(context, run, ticket)
     return caller.route_name
 
 
-def _meter(context: EntryContext, run: CompletionRun) -> None:
+def _meter(context: EntryContext, run: CompletionRun, ticket: Ticket) -> None:
     if not run.payloads:
         return
     usage = usage_of(run.payloads[-1])
     prompt_tokens = usage.prompt_tokens or run.prompt_tokens
     completion_tokens = usage.completion_tokens or len(run.payloads)
+    ticket.charge(prompt_tokens, completion_tokens)
     context.meter.record(run.caller.customer, prompt_tokens, completion_tokens, now=wall_seconds())
 
 
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -8,11 +8,12 @@
 import fire
 from prometheus_client import CollectorRegistry
 
-from samphirehall.admission.controller import AdmissionController
+from samphirehall.admission.controller import AdmissionController, AdmissionRules
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
 from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.forwarding.admission_tasks import run_admission
 from samphirehall.forwarding.app import EntryApp
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
@@ -28,6 +29,7 @@
     wait_for_stop,
 )
 from samphirehall.routing.fleet import Fleet
+from samphirehall.routing.outstanding import QueueAims
 from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
 from samphirehall.usage.meter import UsageMeter
@@ -46,14 +48,15 @@
         stack.push_async_callback(platform.aclose)
         pools = EndpointPools(stall_timeout=settings.entry.stall_seconds)
         stack.push_async_callback(pools.aclose)
-        fleet = Fleet(state)
+        aims = QueueAims(prompt_tokens=settings.admission.engine_queue_tokens)
+        fleet = Fleet(state, aims=aims)
         context = EntryContext(
             settings=settings,
             state=state,
             pools=pools,
             fleet=fleet,
             choose=routing_policy(settings.routing, fleet),
-            admission=AdmissionController(max_open=settings.entry.max_open_requests),
+            admission=_admission(settings, fleet),
             claims=ClaimStore(platform),
             metrics=EntryMetrics(CollectorRegistry()),
             meter=UsageMeter(),
@@ -63,6 +66,7 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
+        group.start_soon(run_admission, context)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
         await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
@@ -72,6 +76,18 @@
         group.cancel_scope.cancel()
 
 
+def _admission(settings: EntrySettings, fleet: Fleet) -> AdmissionController:
+    rules = AdmissionRules(
+        fair=settings.admission.policy == "fair",
+        max_open=settings.entry.max_open_requests,
+        max_waiting=settings.admission.max_waiting,
+        prompt_token_work=settings.admission.prompt_token_work,
+    )
+    return AdmissionController(
+        rules, limit=fleet.concurrency_limit, hosts=fleet.hosts, now=boot_seconds()
+    )
+
+
 async def _shut_down(context: EntryContext) -> None:
     """Turn not ready, let the balancer move on, and finish what runs."""
     limits = context.settings.entry
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -11,9 +11,16 @@
 from samphirehall.endpoints.protocol import EngineReport
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.state import NodeState
+from samphirehall.routing.outstanding import QueueAims, adapted, concurrency_limit
 from samphirehall.routing.prefix_index import PrefixIndex
 from samphirehall.routing.view import EndpointView, RoutingRequest
 
+UNCACHED_GAIN = 0.02
+HOSTS_COUNT_SECONDS = 1.0
+FACT_KINDS = frozenset(
+    (FactKind.ENGINE_REPORT, FactKind.ENDPOINT_LEAVING, FactKind.ENDPOINT_DOWN, FactKind.HOST)
+)
+
 __all__ = ["EndpointView", "Fleet", "RoutingRequest"]
 
 
@@ -59,17 +66,23 @@
     ----------
     state : NodeState
         What this host knows.
+    aims : QueueAims, optional
+        What an engine's queue may hold before less is sent to it.
     """
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(self, state: NodeState, *, aims: QueueAims | None = None) -> None:
         self.prefixes = PrefixIndex()
+        self.aims = aims or QueueAims()
+        self.uncached_share = 1.0
         self._state = state
         self._views: dict[str, EndpointView] = {}
         self._table: dict[str, EndpointInfo] | None = None
         self._usable_lists: dict[tuple[str, EndpointProtocol], _Usable] = {}
+        self._hosts_until: dict[str, float] = {}
+        self._hosts_counted_at = 0.0
         now = boot_seconds()
         self._refresh()
-        for kind in (FactKind.ENGINE_REPORT, FactKind.ENDPOINT_LEAVING, FactKind.ENDPOINT_DOWN):
+        for kind in FACT_KINDS:
             for fact in state.board.current(kind, now=now):
                 self._take_fact(fact)
         state.board.listen(self._take_fact)
@@ -100,14 +113,18 @@
         usable = self._usable(target, EndpointProtocol.ENGINE, now)
         return _without(usable.prefill, excluded) if excluded else usable.prefill
 
-    def engines(self, *, now: float) -> list[EndpointView]:
-        """Return every engine that takes new work."""
-        self._refresh()
-        return [
-            view
-            for view in self._views.values()
-            if view.info.protocol is EndpointProtocol.ENGINE and view.takes_work(now)
-        ]
+    def hosts(self, now: float) -> int:
+        """Return the number of hosts that share the endpoints, this one included."""
+        if now >= self._hosts_counted_at + HOSTS_COUNT_SECONDS:
+            self._hosts_counted_at = now
+            live = {host: until for host, until in self._hosts_until.items() if until > now}
+            self._hosts_until = live
+        return max(1, len(self._hosts_until))
+
+    def concurrency_limit(self, target: str, now: float) -> int:
+        """Return how many requests for a model this host may have running."""
+        usable = self._usable(target, EndpointProtocol.ENGINE, now)
+        return concurrency_limit(usable.trusted or usable.whole, hosts=self.hosts(now))
 
     def find(self, endpoint_id: str) -> EndpointView | None:
         """Return the view of an endpoint, or None."""
@@ -177,6 +194,8 @@
         """
         view = self._view(endpoint_id)
         tokens = max(0, request.prompt_tokens - cached_tokens)
+        share = tokens / max(1, request.prompt_tokens)
+        self.uncached_share += UNCACHED_GAIN * (share - self.uncached_share)
         view.pending_tokens += tokens
         view.pending_since_report += tokens
         return OutstandingCall(view, request.block_hashes, tokens, estimate, now)
@@ -241,11 +260,10 @@
         return self._views[endpoint_id]
 
     def _take_fact(self, fact: Fact) -> None:
-        if fact.kind not in (
-            FactKind.ENGINE_REPORT,
-            FactKind.ENDPOINT_LEAVING,
-            FactKind.ENDPOINT_DOWN,
-        ):
+        if fact.kind not in FACT_KINDS:
+            return
+        if fact.kind is FactKind.HOST:
+            self._hosts_until[fact.key] = boot_seconds() + fact.lifetime
             return
         self._refresh()
         view = self._views.get(fact.key)
@@ -266,6 +284,7 @@
         before = (view.role, view.takes_work(now))
         if report.role is not view.role:
             self.prefixes.forget(view.info.endpoint_id)
+        view.allowed = adapted(view.allowed, report.load, self.aims)
         view.take_report(report, now=now)
         if (view.role, view.takes_work(now)) != before:
             self._usable_lists.clear()
--- a/samphirehall/routing/view.py
+++ b/samphirehall/routing/view.py
@@ -13,6 +13,7 @@
 SLOWNESS_GAIN = 0.3
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
+INITIAL_ALLOWED = 32.0
 NEVER = float("-inf")
 
 
@@ -46,6 +47,10 @@
         Failed calls in a row.
     probation_until : float
         Boot clock in seconds until which it is avoided.
+    allowed : float
+        Requests of all hosts together that the endpoint should have at once.
+    own_at_report : int
+        This host's requests on the endpoint when the report was received.
     slowness : float
         Time to the first token against its estimate, averaged.
     slowness_at : float
@@ -65,6 +70,8 @@
     down_until: float = NEVER
     failures: int = 0
     probation_until: float = NEVER
+    allowed: float = INITIAL_ALLOWED
+    own_at_report: int = 0
     slowness: float = 1.0
     slowness_at: float = 0.0
 
@@ -118,6 +125,7 @@
         self.reported_at = now
         self.reported_tokens = report.load.queued_prompt_tokens
         self.reported_sequences = report.load.running + report.load.waiting
+        self.own_at_report = self.in_flight
         self.pending_since_report = 0
         self.running_since_report = 0
 
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -72,6 +72,19 @@
     other_kind_seconds: Waiting = 0.25
 
 
+@dataclass(slots=True)
+class AdmissionTable:
+    """``[admission]``: queues and overload; see docs/design/0008-admission.md.
+
+    ``policy`` is ``"fair"``, or ``"none"`` to run every request at once.
+    """
+
+    policy: Literal["fair", "none"] = "fair"
+    max_waiting: Count = 512
+    prompt_token_work: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    engine_queue_tokens: Count = 25_000
+
+
 @dataclass(slots=True)
 class EntrySettings:
     """Settings of ``samphire-entry``."""
@@ -80,6 +93,7 @@
     platform: PlatformTable
     entry: EntryTable
     routing: RoutingTable = field(default_factory=RoutingTable)
+    admission: AdmissionTable = field(default_factory=AdmissionTable)
     logging: LoggingTable = field(default_factory=LoggingTable)
 
 
