--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "demo"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import anyio
-from cluster import Cluster, Endpoint, Host, wait_ready
 
+from demo.cluster import Cluster, Endpoint, Host, wait_ready
 from samphirehall.load.runner import Run, run_entries
 from samphirehall.load.scenario import Scenario, Targets
 
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -1,3 +1,5 @@
+from functools import partial
+
 import anyio
 import pytest
 
@@ -54,7 +56,8 @@
             admission, order = controller(), []
             async with anyio.create_task_group() as group:
                 for number in range(6):
-                    group.start_soon(hold, admission, request("large"), order, f"l{number}", 0.01)
+                    large = partial(hold, admission, request("large"), order, charge=10)
+                    group.start_soon(large, f"l{number}", 0.01)
                     await anyio.lowlevel.checkpoint()
                 group.start_soon(hold, admission, request("small"), order, "s", 0.01)
             return order
