--- a/samphirehall/placement/demand.py
+++ b/samphirehall/placement/demand.py
@@ -1,6 +1,6 @@
 """Demand for a model, added up from what the entries of a zone publish."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -41,10 +41,20 @@
     waiting: int = 0
 
 
-def demand_by_model(facts: Iterable[Fact]) -> dict[str, Demand]:
-    """Return the demand of each model, from facts of the kind ``DEMAND``."""
+def demand_by_model(facts: Iterable[Fact], hosts: Container[str]) -> dict[str, Demand]:
+    """Return the demand of each model that the entries of these hosts see.
+
+    Parameters
+    ----------
+    facts : iterable of Fact
+        Facts of the kind ``DEMAND``, from any zone.
+    hosts : container of str
+        Hosts that count.
+    """
     total: dict[str, Demand] = {}
     for fact in facts:
+        if host_of_owner(fact.owner) not in hosts:
+            continue
         value = msgspec.convert(fact.value, _DemandValue)
         demand = Demand(
             value.prefill_tokens_per_second, value.decode_tokens_per_second, value.waiting
@@ -53,6 +63,11 @@
     return total
 
 
+def host_of_owner(owner: str) -> str:
+    """Return the host of a fact's owner; an entry owns facts as ``<host>/entry``."""
+    return owner.partition("/")[0]
+
+
 class DemandAverage:
     """Exponential average of demand by model, so that a single burst moves nothing.
 
--- a/samphirehall/placement/service.py
+++ b/samphirehall/placement/service.py
@@ -75,7 +75,7 @@
             return
         engines = reported_engines(state, now=now)
         await self._carry_out_drains(now=now)
-        demand = demand_by_model(state.board.current(FactKind.DEMAND, now=now))
+        demand = demand_by_model(state.board.current(FactKind.DEMAND, now=now), state.zone_hosts)
         listed = [item for item in state.endpoints.values() if item.zone == state.zone]
         chosen = self._placement.decide(engines, listed, demand, state.configuration, now=now)
         for order in chosen:
--- a/tests/placement/test_demand.py
+++ b/tests/placement/test_demand.py
@@ -7,13 +7,13 @@
 
 
 class TestDemandByModel:
-    def test_adds_up_what_entries_publish(self):
+    def test_adds_up_what_entries_of_the_zone_publish(self):
         board = FactBoard("host-a", 1)
-        for host, rate in (("host-a", 10.0), ("host-b", 32.0)):
-            board.owner = host
+        for host, rate in (("host-a", 10.0), ("host-b", 32.0), ("host-far", 99.0)):
+            board.owner = f"{host}/entry"
             value = {"prefill_tokens_per_second": rate, "waiting": 1}
             board.publish(FactKind.DEMAND, "answer", value, lifetime=5, now=0)
-        demand = demand_by_model(board.current(FactKind.DEMAND, now=1))
+        demand = demand_by_model(board.current(FactKind.DEMAND, now=1), {"host-a", "host-b"})
         assert demand == {"answer": Demand(42.0, 0.0, 2)}
 
 
