Serve through the grace time of a stop, and bound callers' heads

Cause: SIGTERM refused every request at once while the balancer still sent them, the task group was cancelled before the server had finished, and uvicorn has no limit on how long or how large a request's head may be.

Ruled out: closing the listener first and then waiting. Connections in its backlog are reset, which a caller sees as a cut request. A limit on the size of parser events only exists in uvicorn's h11 protocol, which costs more a request.

Change: a stop turns the host not ready, serves for shutdown_grace_seconds and until nothing is open, answers with "Connection: close", then lets uvicorn finish, then runs the before_exit actions (outcomes of claims today), then exits 0. Refusals with shutting-down remain only for a stop that ran out of time. CallerProtocol bounds a head in seconds and bytes and gives every malformed head a numbered answer; accepted connections have keepalive and TCP_USER_TIMEOUT, so that a silent caller is noticed.

The claims' tests now use the shared faulty table, duplicates included.

Conclusion: a head is bounded on a real socket; the stop under load is not proved here but by a run with real processes.

--- a/demo/run.py
+++ b/demo/run.py
@@ -11,6 +11,7 @@
 
 PROMPT = "Lot 14, rose, dried in August: is it fit for the wedding on Saturday?"
 MAX_TOKENS = 16
+GRACE_SECONDS = 0.5
 
 
 class DemoError(Exception):
@@ -123,6 +124,7 @@
     ]
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(Path(folder), hosts, endpoints)
+        cluster.extra_settings["entry"] = f"shutdown_grace_seconds = {GRACE_SECONDS}\n"
         try:
             cluster.start()
             keys = apply_configuration(cluster)
--- a/samphirehall/core/serving.py
+++ b/samphirehall/core/serving.py
@@ -1,6 +1,8 @@
 """Serving an ASGI application on a socket of ours."""
 
+import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
@@ -11,6 +13,20 @@
 BACKLOG = 4096
 START_POLL_SECONDS = 0.005
 KEEP_ALIVE_SECONDS = 75
+GRACEFUL_SECONDS = 1.0
+USER_TIMEOUT_MS = 20_000
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+# Accepted connections inherit these, so that a silent peer is noticed.
+LISTENER_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
 
 
 class _Server(uvicorn.Server):
@@ -27,14 +43,22 @@
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    for level, option, value in LISTENER_OPTIONS:
+        listener.setsockopt(level, option, value)
     listener.bind((host.strip("[]"), int(port)))
     listener.listen(BACKLOG)
     return listener
 
 
 @contextlib.asynccontextmanager
-async def serving(app: Any, address: str, *, backlog: int = BACKLOG) -> AsyncIterator[None]:
+async def serving(
+    app: Any,
+    address: str,
+    *,
+    backlog: int = BACKLOG,
+    protocol: type[asyncio.Protocol] | None = None,
+    graceful_seconds: float = GRACEFUL_SECONDS,
+) -> AsyncIterator[None]:
     """Serve `app` at `address` inside the context; leaving it stops the server.
 
     Parameters
@@ -45,10 +69,14 @@
         IP number and port.
     backlog : int
         Connections that may wait to be accepted.
+    protocol : type, optional
+        uvicorn protocol class for the connections, in place of the default.
+    graceful_seconds : float
+        Seconds for which requests may finish after the context is left.
     """
     config = uvicorn.Config(
         app,
-        http="httptools",
+        http=protocol or "httptools",
         ws="none",
         lifespan="off",
         log_config=None,
@@ -57,7 +85,7 @@
         date_header=False,
         backlog=backlog,
         timeout_keep_alive=KEEP_ALIVE_SECONDS,
-        timeout_graceful_shutdown=1,
+        timeout_graceful_shutdown=math.ceil(graceful_seconds),
     )
     server = _Server(config)
     with bind(address) as listener:
--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -35,6 +35,7 @@
 COMPLETIONS_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
 HTTP_UNAVAILABLE = 503
+CONNECTION_CLOSE = (b"connection", b"close")
 
 _log = logging.getLogger(__name__)
 
@@ -61,6 +62,8 @@
         async def send_noted(message: Message) -> None:
             nonlocal begun
             begun = True
+            if self._context.stopping and message["type"] == "http.response.start":
+                message["headers"].append(CONNECTION_CLOSE)
             await send(message)
 
         try:
@@ -70,12 +73,12 @@
         except SamphireError as error:
             self._count_refusal(scope, error, request_id)
             if not begun:
-                await send_error(send, error, request_id)
+                await send_error(send_noted, error, request_id)
         except Exception:
             _log.exception("internal-error", extra={"request": request_id})
             if not begun:
                 fault = SamphireError(INTERNAL_UNKNOWN, "a fault of this system")
-                await send_error(send, fault, request_id)
+                await send_error(send_noted, fault, request_id)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send, request_id: str) -> None:
         path = scope["path"]
@@ -104,7 +107,7 @@
     def _check_serving(self, scope: Scope, method: str) -> None:
         if scope["method"] != method:
             raise SamphireError(METHOD_NOT_ALLOWED, f"{scope['method']}: use {method}")
-        if self._context.stopping:
+        if self._context.refusing:
             raise SamphireError(SHUTTING_DOWN, "this host is shutting down", retry_after=1.0)
 
     async def _list_models(self, scope: Scope, send: Send, request_id: str) -> None:
--- a/samphirehall/forwarding/context.py
+++ b/samphirehall/forwarding/context.py
@@ -1,7 +1,9 @@
 """What the requests of an entry process share."""
 
 import random
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
 
 from samphirehall.admission.controller import AdmissionController
 from samphirehall.endpoints.pools import EndpointPools
@@ -17,7 +19,12 @@
 
 @dataclass(slots=True)
 class EntryContext:
-    """Shared parts of an entry process; `stopping` refuses new requests."""
+    """Shared parts of an entry process.
+
+    `stopping` turns the host not ready while it still serves; `refusing`
+    refuses new requests once the time for finishing is up; `before_exit` are
+    actions of a planned stop, such as flushing meters.
+    """
 
     settings: EntrySettings
     state: NodeState
@@ -31,3 +38,5 @@
     random_source: random.Random
     retry_budget: RetryBudget
     stopping: bool = False
+    refusing: bool = False
+    before_exit: list[Callable[[], Coroutine[Any, Any, None]]] = field(default_factory=list)
--- a/samphirehall/forwarding/inbound.py
+++ b/samphirehall/forwarding/inbound.py
@@ -125,7 +125,7 @@
     try:
         parsed = msgspec.json.decode(body, type=ChatBody)
         everything = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SamphireError(BAD_REQUEST, f"body: {error}") from error
     max_tokens = parsed.max_completion_tokens or parsed.max_tokens
     if max_tokens is not None and max_tokens < 1:
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from contextlib import AsyncExitStack
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 
 import anyio
 import fire
@@ -14,6 +14,7 @@
 from samphirehall.core.serving import serving
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.app import EntryApp
+from samphirehall.forwarding.caller_protocol import caller_protocol
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
@@ -33,6 +34,8 @@
 from samphirehall.usage.meter import UsageMeter
 
 DRAIN_POLL_SECONDS = 0.05
+FINISH_SECONDS = 5.0
+FLUSH_SECONDS = 5.0
 
 _log = logging.getLogger(__name__)
 
@@ -64,21 +67,43 @@
         group.start_soon(_close_old_pools, context)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
-        await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
-        _log.info("serving", extra={"listen": settings.entry.listen})
-        await wait_for_stop()
-        await _shut_down(context)
+        context.before_exit.append(context.claims.flush)
+        async with _callers(context):
+            _log.info("serving", extra={"listen": settings.entry.listen})
+            await wait_for_stop()
+            await _drain(context)
+        await _flush(context)
         group.cancel_scope.cancel()
 
 
-async def _shut_down(context: EntryContext) -> None:
-    """Turn not ready, let the balancer move on, and finish what runs."""
+def _callers(context: EntryContext) -> AbstractAsyncContextManager[None]:
+    limits = context.settings.entry
+    return serving(
+        EntryApp(context),
+        limits.listen,
+        protocol=caller_protocol(head_timeout=limits.head_timeout_seconds),
+        graceful_seconds=FINISH_SECONDS,
+    )
+
+
+async def _drain(context: EntryContext) -> None:
+    """Turn not ready, serve until the balancer has moved on, and finish what runs."""
     limits = context.settings.entry
     _log.info("shutdown-begin", extra={"open": context.admission.open_requests})
     context.stopping = True
     with anyio.move_on_after(limits.shutdown_limit_seconds):
+        await anyio.sleep(limits.shutdown_grace_seconds)
         while context.admission.open_requests:
             await anyio.sleep(DRAIN_POLL_SECONDS)
+    context.refusing = context.admission.open_requests > 0
+
+
+async def _flush(context: EntryContext) -> None:
+    """Run the actions of a planned stop, such as storing outcomes and meters."""
+    with anyio.move_on_after(FLUSH_SECONDS):
+        async with anyio.create_task_group() as group:
+            for action in context.before_exit:
+                group.start_soon(action)
     _log.info("shutdown-end", extra={"open": context.admission.open_requests})
 
 
--- /dev/null
+++ b/tests/forwarding/test_caller_protocol.py
@@ -0,0 +1,69 @@
+"""Callers that are slow, malformed or too long, on a real loopback socket."""
+
+import anyio
+import pytest
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.serving import serving
+from samphirehall.forwarding.answers import send_whole
+from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+HEAD_SECONDS = 0.15
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def answer_ok(scope, receive, send):
+    await send_whole(send, 200, [], b"ok")
+
+
+async def exchange(*pieces, pause=0.0, durations=None):
+    """Send pieces with pauses between them and return all that comes until the close."""
+    address = free_address()
+    protocol = caller_protocol(head_timeout=HEAD_SECONDS)
+    host, _, port = address.rpartition(":")
+    received = b""
+    async with (
+        serving(answer_ok, address, protocol=protocol),
+        await anyio.connect_tcp(host, int(port)) as stream,
+    ):
+        began = boot_seconds()
+        for piece in pieces:
+            await stream.send(piece)
+            await anyio.sleep(pause)
+        with anyio.fail_after(2), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            while True:
+                received += await stream.receive()
+        if durations is not None:
+            durations.append(boot_seconds() - began)
+    return received
+
+
+class TestHead:
+    @pytest.mark.parametrize("pieces", [(), (b"GET / HT",), (REQUEST, b"GET")], ids=len)
+    async def test_late_head_is_refused_and_closed(self, pieces):
+        answer = await exchange(*pieces, pause=0.01)
+        assert b"408 " in answer and b"samphire-result: 2016" in answer
+        assert answer.count(b"200 OK") == pieces.count(REQUEST)
+
+    async def test_head_that_trickles_gets_no_more_time(self):
+        pieces = [b"GET / HTTP/1.1\r\n", b"X-A: b\r\n", b"X-A: b\r\n"]
+        pause = HEAD_SECONDS / 4
+        durations = []
+        answer = await exchange(*pieces, pause=pause, durations=durations)
+        assert b"samphire-result: 2016" in answer
+        assert durations[0] < HEAD_SECONDS + pause
+
+    async def test_long_head_is_refused(self):
+        line = b"X-A: " + b"b" * 1000 + b"\r\n"
+        pieces = [b"GET / HTTP/1.1\r\n", *[line] * (MAX_HEAD_BYTES // len(line) + 2)]
+        assert b"samphire-result: 2001" in await exchange(*pieces)
+
+    async def test_garbage_is_refused_with_a_number(self):
+        assert b"samphire-result: 2000" in await exchange(b"\x16\x03\x01 not HTTP\r\n\r\n")
+
+    async def test_pipelined_requests_are_all_answered(self):
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        assert (await exchange(REQUEST * 20 + last)).count(b"200 OK") == 21
--- a/tests/forwarding/test_claims.py
+++ b/tests/forwarding/test_claims.py
@@ -11,61 +11,17 @@
 from hypothesis import strategies as st
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.errors import PlatformUnavailableError, SamphireError
+from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import STORE_UNAVAILABLE
 from samphirehall.forwarding import group_commit
-from samphirehall.forwarding.claims import ClaimState, ClaimStore, StoredOutcome, claim_key
-from samphirehall.standins.platform import MemoryTable
+from samphirehall.forwarding.claims import ClaimState, ClaimStore, StoredOutcome
+from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
 
 OUTCOME = StoredOutcome(200, "application/json", "booked", "desk-1")
-FAULTS = ("none", "none", "lost", "dropped", "late", "slow")
-
-
-@dataclass
-class FaultyTable:
-    """Loses answers, drops writes, and lets writes take effect long after they failed."""
-
-    random: random.Random
-    faults: tuple[str, ...] = ("none",)
-    out: bool = False
-    table: MemoryTable = field(default_factory=MemoryTable)
-    late: list[tuple] = field(default_factory=list)
-    rows_per_transaction: list[int] = field(default_factory=list)
-
-    async def transact(self, checks, writes):
-        self.rows_per_transaction.append(len(writes))
-        fault = self.random.choice(self.faults)
-        if self.out or fault == "dropped":
-            raise PlatformUnavailableError("dropped")
-        if fault == "late":
-            self.late.append((checks, writes))
-            raise PlatformUnavailableError("late")
-        await anyio.sleep(0.002 if fault == "slow" else 0)
-        result = self.table.transact(list(checks), list(writes))
-        if self.late and self.random.random() < 0.5:
-            self.land()
-        if fault == "lost":
-            raise PlatformUnavailableError("lost")
-        return result
-
-    async def read(self, keys):
-        await anyio.sleep(0)
-        if self.out or self.random.choice(self.faults) in ("dropped", "late"):
-            raise PlatformUnavailableError("read")
-        return {row.key: row for row in self.table.read(list(keys))}
-
-    async def scan(self, prefix, *, limit=1000):
-        return self.table.scan(prefix, limit)
-
-    def land(self):
-        late, self.late = self.late, []
-        for checks, writes in late:
-            self.table.transact(checks, writes)
-
-    def claim(self, key):
-        return self.table.read([claim_key("coop", key)])[0].value
+FAULTS = TableFaults(max_delay=0.002, drop=0.15, lose_answer=0.15, late=0.15, duplicate=0.1)
+FAULTLESS = TableFaults()
 
 
 @contextlib.asynccontextmanager
@@ -84,7 +40,7 @@
 
 class TestClaim:
     async def test_second_attempt_gets_the_stored_outcome(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as first, host(table) as second:
             held = await claim(first)
             await first.settle(held, OUTCOME)
@@ -93,7 +49,7 @@
         assert replay.claim.outcome == OUTCOME
 
     async def test_second_attempt_waits_for_the_first(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as first, host(table) as second, anyio.create_task_group() as group:
             held = await claim(first)
 
@@ -106,14 +62,14 @@
         assert replay.claim.state is ClaimState.RAN
 
     async def test_refused_attempt_may_run_again(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as first, host(table) as second:
             first.refuse(await claim(first))
             await first.flush()
             assert (await claim(second)).won
 
     async def test_a_dead_host_leaves_an_unknown_outcome(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as first:
             assert (await claim(first, seconds=0.01)).won
         async with host(table) as second:
@@ -121,25 +77,25 @@
         assert not held.won and held.claim.state is ClaimState.OPEN
 
     async def test_deadline_in_an_outage_is_not_run_and_a_retry_runs(self):
-        table = FaultyTable(random.Random(1), out=True)
+        table = FaultyTable(faults=TableFaults(outage=True))
         async with host(table) as store:
             with pytest.raises(SamphireError) as raised:
                 await claim(store, seconds=0.05)
             assert raised.value.result is STORE_UNAVAILABLE
-            table.out = False
+            table.faults = FAULTLESS
             assert (await claim(store)).won
 
     async def test_a_write_that_lands_after_the_deadline_never_blocks_a_retry(self):
-        table = FaultyTable(random.Random(1), faults=("late",))
+        table = FaultyTable(faults=TableFaults(late=1.0))
         async with host(table) as store:
             with pytest.raises(SamphireError):
                 await claim(store, seconds=0.05)
-            table.land()
-            table.faults = ("none",)
+            table.settle()
+            table.faults = FAULTLESS
             assert (await claim(store)).won
 
     async def test_conflict_on_one_row_does_not_sink_the_others(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as store:
             await store.settle(await claim(store, "taken"), OUTCOME)
             won = {}
@@ -153,24 +109,24 @@
         assert won == {"taken": False, "a": True, "b": True, "c": True}
 
     async def test_claims_that_arrive_together_ride_together(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as store, anyio.create_task_group() as group:
             for number in range(100):
                 group.start_soon(claim, store, f"k{number}")
-        assert len(table.rows_per_transaction) <= 3
+        assert table.store.transactions <= 3
 
     async def test_expired_claims_are_deleted_and_others_kept(self):
-        table = FaultyTable(random.Random(1))
+        table = FaultyTable()
         async with host(table) as store:
             await claim(store, "old")
             for _ in range(200):
                 await store.clean(1, now=0.0)
             await store.flush()
-            assert table.table.scan("claims/", 10)
+            assert table.store.scan("claims/", 10)
             for _ in range(200):
                 await store.clean(1, now=1e12)
             await store.flush()
-        assert not table.table.scan("claims/", 10)
+        assert not table.store.scan("claims/", 10)
 
 
 @dataclass
@@ -212,7 +168,7 @@
         anyio.run(self._check, seed, attempts)
 
     async def _check(self, seed, attempts):
-        table = FaultyTable(random.Random(seed), faults=FAULTS)
+        table = FaultyTable(seed, faults=FAULTS)
         callers = Callers()
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(mock.patch.object(group_commit, "BACKOFF_LIMIT_SECONDS", 0.004))
@@ -221,10 +177,10 @@
                 for number, key, seconds, dispatches in attempts:
                     group.start_soon(callers.book, hosts[number], f"k{key}", seconds, dispatches)
             assert all(count == 1 for count in callers.ran.values())
-            table.faults = ("none",)
+            table.faults = FAULTLESS
             for store in hosts:
                 await store.flush()
-            table.land()
+            table.settle()
             for key in callers.not_run - callers.ran.keys():
                 held = await claim(hosts[0], key, seconds=2.0)
                 assert held.won, "a refusal said not-run, but the key can never run"
