Harden completions: resumes, stalls, retry budget, quarantine

Cause: a read with good events before a bad one advanced the next index though nothing was passed on, so that a resume left events out; an engine that said 503 was suspected and its request called "unknown"; an engine's stall had one limit for head, prefill and tokens; retries had no budget; a request that crashes engines was sent to four of them, and to more when its caller sent it again; refusals inside the answer's task group came out as internal errors.

Ruled out: a timer set anew for each chunk (one watch task looks at all streams ten times a second instead); blaming every request that runs on an endpoint that dies twice (innocent ones beside the poison would be refused); refusing retries of answers already begun when the budget is spent (it would cut them).

Change: EventReader takes a read whole or not at all. EngineAttempt calls, resumes on fresh connections while that brings events, sends once more on a fresh dial when a reused connection was silent, tells busy, unreachable, broken and dead apart, and cancels on the engine when the caller is gone or stops reading. Limits: answer_head_seconds, first_event_seconds, stall_seconds. A run waits for an endpoint for a second, or until the deadline once begun. Quarantine: deaths as facts on the board, a suspect runs where no other suspect runs, a second death that it alone explains quarantines it on every host for ten minutes, completing clears it. 4003 endpoint-crashed for the run that did it.

Conclusion: on scripted endpoints every fault ends in the whole answer or a numbered result; a poison request takes two endpoints with it and no more.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -66,6 +66,11 @@
         self._backend = httpcore.AnyIOBackend()
         self._host_header = address.encode()
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether the next request may go out on a connection used before."""
+        return bool(self._idle)
+
     @asynccontextmanager
     async def request(
         self,
--- a/samphirehall/endpoints/events.py
+++ b/samphirehall/endpoints/events.py
@@ -53,7 +53,7 @@
         self.done = False
 
     def feed(self, chunk: bytes) -> EventBatch:
-        """Return the whole events that `chunk` completes.
+        """Return the whole events that `chunk` completes; all of them or none.
 
         Raises
         ------
@@ -66,15 +66,19 @@
             self._keep(buffer)
             return EventBatch(b"", [], self.done)
         content = buffer[: end + len(EVENT_END)]
-        self._keep(buffer[end + len(EVENT_END) :])
-        data = []
+        data, done, index = [], self.done, self.next_index
         for event in content[:end].split(EVENT_END):
-            payload = self._check(event)
+            if done:
+                raise BrokenStreamError("event after the end marker")
+            payload = self._check(event, index)
+            index += 1
             if payload == DONE:
-                self.done = True
+                done = True
             else:
                 data.append(payload)
-        return EventBatch(content, data, self.done)
+        self._keep(buffer[end + len(EVENT_END) :])
+        self.next_index, self.done = index, done
+        return EventBatch(content, data, done)
 
     def restart(self) -> None:
         """Drop an incomplete event, before the stream goes on elsewhere."""
@@ -85,21 +89,15 @@
             raise BrokenStreamError(f"event over {MAX_EVENT_BYTES} bytes")
         self._rest = rest
 
-    def _check(self, event: bytes) -> bytes:
-        if self.done:
-            raise BrokenStreamError("event after the end marker")
+    def _check(self, event: bytes, expected: int) -> bytes:
         head, separator, data = event.partition(b"\n")
         if not head.startswith(self._prefix) or not separator:
             raise BrokenStreamError("event of another request")
-        try:
-            index = int(head[len(self._prefix) :])
-        except ValueError as error:
-            raise BrokenStreamError("event without an index") from error
-        if index != self.next_index:
-            raise BrokenStreamError(f"event {index} in place of {self.next_index}")
+        index = head[len(self._prefix) :]
+        if index != b"%d" % expected:
+            raise BrokenStreamError(f"event {index[:20]!r} in place of {expected}")
         if not data.startswith(DATA):
             raise BrokenStreamError("event without data")
-        self.next_index += 1
         return data[len(DATA) :]
 
 
--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -1,14 +1,49 @@
 """uvicorn's HTTP protocol with bounds on what a caller's head may take in time and bytes."""
 
 import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
-from samphirehall.forwarding.answers import JSON, error_body, result_headers
+from samphirehall.forwarding.answers import JSON, Scope, error_body, result_headers
 
 MAX_HEAD_BYTES = 64 * 1024
+CONNECTION = "samphire.connection"
+
+
+class CallerConnection:
+    """Whether a caller's connection is still there."""
+
+    __slots__ = ("_gone", "_watchers")
+
+    def __init__(self) -> None:
+        self._gone = False
+        self._watchers: list[Callable[[], None]] = []
+
+    def lose(self) -> None:
+        """Note that the connection is gone and tell who watches it."""
+        self._gone = True
+        for watcher in self._watchers:
+            watcher()
+
+    @contextmanager
+    def watched(self, on_gone: Callable[[], None]) -> Iterator[None]:
+        """Call `on_gone` if the connection goes, or is gone, while the context lasts."""
+        self._watchers.append(on_gone)
+        try:
+            if self._gone:
+                on_gone()
+            yield
+        finally:
+            self._watchers.remove(on_gone)
+
+
+def connection_of(scope: Scope) -> CallerConnection:
+    """Return the connection of a request; one that never goes if the server is another."""
+    return scope.get(CONNECTION) or CallerConnection()
 
 
 def caller_protocol(*, head_timeout: float) -> type[HttpToolsProtocol]:
@@ -31,12 +66,14 @@
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Expect the first head."""
             super().connection_made(transport)
+            self._caller = CallerConnection()
             self._expect_head()
 
         def connection_lost(self, exc: Exception | None) -> None:
             """Stop waiting for a head."""
             self._stop_timer()
             super().connection_lost(exc)
+            self._caller.lose()
 
         def data_received(self, data: bytes) -> None:
             """Read bytes of a head or a body."""
@@ -49,6 +86,7 @@
         def on_message_begin(self) -> None:
             """Begin a head: from now on it must arrive in time."""
             super().on_message_begin()
+            self.scope[CONNECTION] = self._caller  # type: ignore[literal-required]
             self._expect_head()
 
         def on_headers_complete(self) -> None:
--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -1,148 +1,101 @@
-"""The life of one completion: dispatch, resume, continuation, whole answer."""
+"""The life of one completion: choice, attempts, continuation, whole answer."""
 
 import logging
-from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass, field
 
 import anyio
-import httpcore
-import msgspec
 
-from samphirehall.admission.authentication import Caller
+from samphirehall.admission.authentication import still_valid
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import NOT_WRITTEN_ERRORS, TRANSPORT_ERRORS, ConnectionPool
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
-from samphirehall.core.results import (
-    DEADLINE_NOT_RUN,
-    DEADLINE_UNKNOWN,
-    NO_ENDPOINT,
-    OUTCOME_UNKNOWN,
-    STREAM_CUT,
-)
-from samphirehall.core.types import EndpointInfo, EndpointProtocol, Priority
-from samphirehall.endpoints.events import BrokenStreamError, EventBatch, EventReader, tokens_of
-from samphirehall.endpoints.protocol import (
-    LAST_EVENT_HEADER,
-    PRIORITY_HEADER,
-    REQUEST_ID_HEADER,
-    EngineRequest,
-)
+from samphirehall.core.results import ENDPOINT_CRASHED, KEY_UNKNOWN, OVERLOADED, QUARANTINED
+from samphirehall.core.types import EndpointProtocol, EndpointState
+from samphirehall.endpoints.events import EventBatch, EventReader
+from samphirehall.forwarding.attempt import AttemptFailedError, EngineAttempt, Failure
+from samphirehall.forwarding.completion_run import CompletionRun, Sink
 from samphirehall.forwarding.context import EntryContext
-from samphirehall.forwarding.inbound import Completion
-from samphirehall.routing.blocks import block_hashes, prompt_text
-from samphirehall.routing.fleet import OutstandingCall, RoutingRequest
+from samphirehall.forwarding.quarantine import Suspicion
+from samphirehall.forwarding.retry_budget import retry_pause
+from samphirehall.node.facts import FactKind
+from samphirehall.routing.fleet import EndpointView, OutstandingCall, RoutingRequest
 from samphirehall.routing.policy import NoEndpointError, RoutingDecision
 
 MAX_ATTEMPTS = 4
-RESUMES_PER_ENDPOINT = 1
-HTTP_OK = 200
-CHARACTERS_PER_TOKEN = 4
-CANCEL_SECONDS = 1.0
+MAX_CONTINUATIONS = 16
+NO_ENDPOINT_WAIT_SECONDS = 1.0
+TRIAL_WAIT_SECONDS = 0.5
+TRIAL_POLL_SECONDS = 0.05
 
 _log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class CompletionRun:
-    """One completion on its way.
-
-    Parameters
-    ----------
-    request_id : str
-        Identifier that every event carries.
-    caller : Caller
-        Customer and route.
-    completion : Completion
-        What was asked for.
-    priority : Priority
-        Order of service on the engine.
-    deadline : float
-        Boot clock in seconds.
-    payloads : list of bytes
-        Payloads of all events accepted so far.
-    endpoints : list of str
-        Endpoints that the request was written to, in order.
-    written : bool
-        Whether a byte of the request may have reached an endpoint.
-    """
-
-    request_id: str
-    caller: Caller
-    completion: Completion
-    priority: Priority
-    deadline: float
-    payloads: list[bytes] = field(default_factory=list)
-    endpoints: list[str] = field(default_factory=list)
-    written: bool = False
-    _block_hashes: list[int] | None = None
-
-    def block_hashes(self, *, block_tokens: int) -> list[int]:
-        """Return the chained hashes of the prompt's blocks; worked out once."""
-        if self._block_hashes is None:
-            text = prompt_text(self.completion.messages)
-            target = self.caller.route.target
-            self._block_hashes = block_hashes(target, text, block_tokens=block_tokens)
-        return self._block_hashes
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Estimated tokens of the prompt."""
-        messages = self.completion.messages
-        characters = sum(len(str(message.get("content", ""))) for message in messages)
-        return characters // CHARACTERS_PER_TOKEN
-
-    @property
-    def max_tokens(self) -> int:
-        """Most tokens to generate."""
-        limit = self.caller.route.max_tokens
-        return min(self.completion.max_tokens or limit, limit)
-
-
-class _AttemptFailedError(Exception):
-    """One attempt ended without the whole answer; another may follow."""
-
-
-async def run_completion(
-    context: EntryContext, run: CompletionRun
-) -> AsyncGenerator[EventBatch, None]:
-    """Yield the checked events of the whole answer, whatever endpoints it takes.
+async def run_completion(context: EntryContext, run: CompletionRun, sink: Sink) -> None:
+    """Give the checked events of the whole answer to `sink`, whatever endpoints it takes.
 
     Raises
     ------
     SamphireError
         The answer could not be had; its result says whether the request ran.
     """
+    _refuse_quarantined(context, run)
+    context.retry_budget.earn()
     reader = EventReader(run.request_id)
     failed: set[str] = set()
-    for attempt in range(MAX_ATTEMPTS):
-        decision, request = _choose(context, run, failed)
-        endpoint = decision.endpoint.info
-        if attempt:
-            context.metrics.retries.labels("completion").inc()
+    for retries in range(MAX_CONTINUATIONS):
+        if retries:
+            await _before_retry(context, run, retries)
+        decision, request = await _choose_in_time(context, run, failed)
         try:
-            kv_source = None
-            if decision.prefill is not None:
-                async for batch in _prefill_apart(context, run, decision, request, reader):
-                    yield batch
-                if reader.done:
-                    return
-                kv_source = decision.prefill.info.address if reader.next_index else None
-            call = _begin_prefill(context, decision, request, kv_source)
-            async for batch in _on_endpoint(context, run, endpoint, reader, call, kv_source):
-                yield batch
+            await _attempt(context, run, reader, decision, request, sink)
             return
-        except _AttemptFailedError as error:
-            failed.add(endpoint.endpoint_id)
-            context.fleet.suspect(endpoint.endpoint_id, now=boot_seconds())
-            _log_retry(run, endpoint, error, reader)
-        if boot_seconds() >= run.deadline:
-            raise _deadline_error(run)
-    raise _exhausted(run, f"{MAX_ATTEMPTS} attempts failed")
+        except AttemptFailedError as error:
+            _note_failure(context, run, decision.endpoint, error, reader.next_index)
+            failed.add(decision.endpoint.info.endpoint_id)
+        if retries + 1 >= MAX_ATTEMPTS and not run.payloads:
+            raise run.failure(f"{MAX_ATTEMPTS} attempts failed")
+    raise run.failure(f"{MAX_CONTINUATIONS} attempts failed")
+
+
+def _refuse_quarantined(context: EntryContext, run: CompletionRun) -> None:
+    if _suspicion(context, run) is Suspicion.QUARANTINED:
+        raise SamphireError(QUARANTINED, "endpoints died under this request")
+
+
+def _suspicion(context: EntryContext, run: CompletionRun) -> Suspicion:
+    if context.quarantine.is_empty:
+        return Suspicion.NONE
+    return context.quarantine.suspicion(run.fingerprint, now=boot_seconds())
+
+
+async def _before_retry(context: EntryContext, run: CompletionRun, retries: int) -> None:
+    """Wait a little; a retry is paid from the budget, but an answer begun is finished."""
+    paid = context.retry_budget.spend(now=boot_seconds())
+    if not paid and not run.payloads:
+        raise run.failure("the host's retry budget is spent", not_run=OVERLOADED)
+    context.metrics.retries.labels("completion").inc()
+    await anyio.sleep(retry_pause(retries - 1, random_source=context.random_source))
 
 
-def _choose(
+async def _choose_in_time(
+    context: EntryContext, run: CompletionRun, failed: set[str]
+) -> tuple[RoutingDecision, RoutingRequest]:
+    """Choose an endpoint; while there is none, wait a little, or to the deadline once begun."""
+    give_up = run.deadline if run.payloads else boot_seconds() + NO_ENDPOINT_WAIT_SECONDS
+    waits = 0
+    while True:
+        if not still_valid(context.state.configuration, run.caller):
+            raise run.failure("the key was withdrawn meanwhile", not_run=KEY_UNKNOWN)
+        try:
+            return await _choose(context, run, failed)
+        except NoEndpointError as error:
+            if boot_seconds() >= min(give_up, run.deadline):
+                raise run.failure(str(error)) from error
+            failed.clear()
+            waits += 1
+            await anyio.sleep(retry_pause(waits + 2, random_source=context.random_source))
+
+
+async def _choose(
     context: EntryContext, run: CompletionRun, failed: set[str]
 ) -> tuple[RoutingDecision, RoutingRequest]:
     now = boot_seconds()
@@ -157,14 +110,15 @@
         run.max_tokens,
         run.priority,
     )
-    if not run.payloads:
-        request.prefill_candidates = context.fleet.prefill_candidates(
-            target, excluded=failed, now=now
-        )
-    try:
+    if _suspicion(context, run) is Suspicion.SUSPECT and candidates:
+        decision = await _choose_apart(context, run, candidates)
+    else:
+        if not run.payloads:
+            request.prefill_candidates = context.fleet.prefill_candidates(
+                target, excluded=failed, now=now
+            )
+        candidates = _away_from_trials(context, run, candidates)
         decision = context.choose(candidates, request, now=now, random_source=context.random_source)
-    except NoEndpointError as error:
-        raise _exhausted(run, str(error)) from error
     log_decision(
         _log,
         "route",
@@ -180,33 +134,86 @@
     return decision, request
 
 
-def _begin_prefill(
+def _away_from_trials(
+    context: EntryContext, run: CompletionRun, candidates: list[EndpointView]
+) -> list[EndpointView]:
+    """Leave out endpoints that run a suspect, if others are there."""
+    if context.quarantine.is_empty:
+        return candidates
+    on_trial = context.quarantine.endpoints_on_trial(run.fingerprint, now=boot_seconds())
+    return [view for view in candidates if view.info.endpoint_id not in on_trial] or candidates
+
+
+async def _choose_apart(
+    context: EntryContext, run: CompletionRun, candidates: list[EndpointView]
+) -> RoutingDecision:
+    """Choose where a suspect can take little with it: no other suspect, few requests."""
+    give_up = boot_seconds() + TRIAL_WAIT_SECONDS
+    while True:
+        on_trial = context.quarantine.endpoints_on_trial(run.fingerprint, now=boot_seconds())
+        free = [view for view in candidates if view.info.endpoint_id not in on_trial]
+        if free or boot_seconds() >= give_up:
+            view = min(free or candidates, key=lambda item: item.in_flight)
+            return RoutingDecision(view, 0.0, f"suspect: {view.in_flight} in flight there")
+        await anyio.sleep(TRIAL_POLL_SECONDS)
+
+
+async def _attempt(
     context: EntryContext,
+    run: CompletionRun,
+    reader: EventReader,
     decision: RoutingDecision,
     request: RoutingRequest,
-    kv_source: str | None,
-) -> OutstandingCall:
-    """Count the prompt on the endpoint chosen; all of it counts as cached if it is imported."""
+    sink: Sink,
+) -> None:
+    """Run one attempt, on a prefill engine first if the decision names one."""
+    kv_source = None
+    if decision.prefill is not None:
+        await _prefill_apart(context, run, reader, decision, request, sink)
+        if reader.done:
+            return
+        kv_source = decision.prefill.info.address if reader.next_index else None
     imported = kv_source is not None
-    return context.fleet.begin_prefill(
+    call = context.fleet.begin_prefill(
         decision.endpoint.info.endpoint_id,
         request,
         cached_tokens=request.prompt_tokens if imported else decision.cached_tokens,
         estimate=0.0 if decision.prefill else decision.first_token,
         now=boot_seconds(),
     )
+    endpoint = decision.endpoint.info
+    counted = _counting(context, call, sink)
+    attempt = EngineAttempt(context, run, endpoint, reader, counted, kv_source=kv_source)
+    suspect = _suspicion(context, run) is Suspicion.SUSPECT
+    context.fleet.begin(endpoint.endpoint_id)
+    if suspect:
+        context.quarantine.begin_trial(run.fingerprint, endpoint.endpoint_id, now=boot_seconds())
+    try:
+        await attempt.whole()
+        context.fleet.trust(endpoint.endpoint_id)
+        if suspect:
+            context.quarantine.note_completed(run.fingerprint, now=boot_seconds())
+    except AttemptFailedError as error:
+        _blame(context, run, decision.endpoint, error)
+        raise
+    finally:
+        if suspect:
+            context.quarantine.end_trial(run.fingerprint, endpoint.endpoint_id, now=boot_seconds())
+        context.fleet.end_prefill(call, answered=False, now=boot_seconds())
+        context.fleet.end(endpoint.endpoint_id)
 
 
 async def _prefill_apart(
     context: EntryContext,
     run: CompletionRun,
+    reader: EventReader,
     decision: RoutingDecision,
     request: RoutingRequest,
-    reader: EventReader,
-) -> AsyncIterator[EventBatch]:
+    sink: Sink,
+) -> None:
     """Let a prefill engine read the prompt; it gives the first token and keeps the KV cache.
 
-    If it fails, nothing was yielded and the other engine does the whole work.
+    If it fails, nothing was given to `sink` and the other engine does the whole work.
     """
     assert decision.prefill is not None
     endpoint = decision.prefill.info
@@ -217,158 +224,75 @@
         estimate=decision.first_token,
         now=boot_seconds(),
     )
-    pool = context.pools.at(endpoint.address)
+    attempt = EngineAttempt(context, run, endpoint, reader, _counting(context, call, sink))
     context.fleet.begin(endpoint.endpoint_id)
     try:
-        async for batch in _read_events(run, endpoint, pool, reader, resume=False):
-            context.fleet.end_prefill(call, answered=True, now=boot_seconds())
-            yield batch
-    except BrokenStreamError as error:
-        reader.restart()
-        if reader.next_index == 0:
-            context.fleet.suspect(endpoint.endpoint_id, now=boot_seconds())
-            _log_retry(run, endpoint, error, reader)
-    except (*TRANSPORT_ERRORS, _AttemptFailedError) as error:
-        run.written = run.written or not isinstance(error, NOT_WRITTEN_ERRORS)
-        reader.restart()
-        context.fleet.suspect(endpoint.endpoint_id, now=boot_seconds())
-        _log_retry(run, endpoint, error, reader)
-    except GeneratorExit:
-        await _cancel(run, pool)
-        raise
-    finally:
-        context.fleet.end_prefill(call, answered=False, now=boot_seconds())
-        context.fleet.end(endpoint.endpoint_id)
-
-
-async def _on_endpoint(
-    context: EntryContext,
-    run: CompletionRun,
-    endpoint: EndpointInfo,
-    reader: EventReader,
-    call: OutstandingCall,
-    kv_source: str | None,
-) -> AsyncIterator[EventBatch]:
-    """Run one attempt: first a call, then resumes while the endpoint still answers."""
-    pool = context.pools.at(endpoint.address)
-    context.fleet.begin(endpoint.endpoint_id)
-    try:
-        for resume in range(RESUMES_PER_ENDPOINT + 1):
-            try:
-                events = _read_events(
-                    run, endpoint, pool, reader, resume=resume > 0, kv_source=kv_source
-                )
-                async for batch in events:
-                    context.fleet.end_prefill(call, answered=True, now=boot_seconds())
-                    yield batch
-                context.fleet.trust(endpoint.endpoint_id)
-                return
-            except NOT_WRITTEN_ERRORS as error:
-                raise _AttemptFailedError(repr(error)) from error
-            except (*TRANSPORT_ERRORS, BrokenStreamError) as error:
-                run.written = True
-                reader.restart()
-                if resume == RESUMES_PER_ENDPOINT or reader.next_index == 0:
-                    raise _AttemptFailedError(repr(error)) from error
-                context.metrics.retries.labels("resume").inc()
-    except GeneratorExit:
-        await _cancel(run, pool)
-        raise
+        await attempt.first_part()
+    except AttemptFailedError as error:
+        _blame(context, run, decision.prefill, error)
+        _note_failure(context, run, decision.prefill, error, reader.next_index)
     finally:
         context.fleet.end_prefill(call, answered=False, now=boot_seconds())
         context.fleet.end(endpoint.endpoint_id)
 
 
-async def _read_events(
-    run: CompletionRun,
-    endpoint: EndpointInfo,
-    pool: ConnectionPool,
-    reader: EventReader,
-    *,
-    resume: bool,
-    kv_source: str | None = None,
-) -> AsyncIterator[EventBatch]:
-    async with _call(run, endpoint, pool, reader, resume=resume, kv_source=kv_source) as response:
-        run.written = True
-        if response.status != HTTP_OK:
-            raise _AttemptFailedError(f"status {response.status}")
-        async for chunk in response.aiter_stream():
-            batch = reader.feed(chunk)
-            if batch.content:
-                run.payloads.extend(batch.data)
-                yield batch
-        if not reader.done:
-            raise BrokenStreamError("no end marker")
-
-
-def _call(
-    run: CompletionRun,
-    endpoint: EndpointInfo,
-    pool: ConnectionPool,
-    reader: EventReader,
-    *,
-    resume: bool,
-    kv_source: str | None,
-) -> AbstractAsyncContextManager[httpcore.Response]:
-    request_id = run.request_id.encode()
-    if resume:
-        headers = {LAST_EVENT_HEADER: b"%s:%d" % (request_id, reader.next_index - 1)}
-        return pool.request("GET", f"/v1/streams/{run.request_id}", headers=headers, fresh=True)
-    if not run.endpoints or run.endpoints[-1] != endpoint.endpoint_id:
-        run.endpoints.append(endpoint.endpoint_id)
-    headers = {
-        REQUEST_ID_HEADER: request_id,
-        PRIORITY_HEADER: str(int(run.priority)).encode(),
-        b"Content-Type": b"application/json",
-    }
-    return pool.request(
-        "POST", "/v1/chat/completions", headers=headers, content=_body(run, kv_source)
-    )
-
-
-def _body(run: CompletionRun, kv_source: str | None) -> bytes:
-    return msgspec.json.encode(
-        EngineRequest(
-            run.caller.route.target,
-            run.completion.messages,
-            run.max_tokens,
-            tokens_of(run.payloads),
-            run.completion.sampling,
-            kv_source,
-        )
-    )
+def _counting(context: EntryContext, call: OutstandingCall, sink: Sink) -> Sink:
+    """Return a sink that counts the prompt as prefilled with the first batch."""
+    first = True
 
+    async def take(batch: EventBatch) -> None:
+        nonlocal first
+        if first:
+            first = False
+            context.fleet.end_prefill(call, answered=True, now=boot_seconds())
+        await sink(batch)
 
-async def _cancel(run: CompletionRun, pool: ConnectionPool) -> None:
-    with anyio.move_on_after(CANCEL_SECONDS, shield=True):
-        try:
-            async with pool.request("DELETE", f"/v1/streams/{run.request_id}"):
-                return
-        except TRANSPORT_ERRORS:
-            return
+    return take
 
 
-def _log_retry(
-    run: CompletionRun, endpoint: EndpointInfo, error: Exception, reader: EventReader
+def _blame(
+    context: EntryContext, run: CompletionRun, view: EndpointView, error: AttemptFailedError
 ) -> None:
+    """Suspect a request under which an endpoint died; end it if that was not the first.
+
+    An endpoint that was to leave anyway is no evidence.
+    """
+    if error.failure is not Failure.DIED or _is_leaving(context, view):
+        return
+    endpoint_id = view.info.endpoint_id
+    suspicion = context.quarantine.note_death(run.fingerprint, endpoint_id, now=boot_seconds())
     log_decision(
         _log,
-        "retry",
+        "suspect",
         str(error),
         request=run.request_id,
-        endpoint=endpoint.endpoint_id,
-        events=reader.next_index,
+        fingerprint=run.fingerprint,
+        endpoint=endpoint_id,
+        suspicion=suspicion.name.lower(),
     )
+    if suspicion is Suspicion.QUARANTINED:
+        raise SamphireError(ENDPOINT_CRASHED, "endpoints died under this request") from error
 
 
-def _deadline_error(run: CompletionRun) -> SamphireError:
-    result = DEADLINE_UNKNOWN if run.written else DEADLINE_NOT_RUN
-    return SamphireError(result, "the deadline passed")
+def _is_leaving(context: EntryContext, view: EndpointView) -> bool:
+    listed = context.state.endpoints.get(view.info.endpoint_id)
+    if listed is None or listed.state is not EndpointState.READY:
+        return True
+    now = boot_seconds()
+    return context.state.board.holds(FactKind.ENDPOINT_LEAVING, listed.endpoint_id, now=now)
 
 
-def _exhausted(run: CompletionRun, detail: str) -> SamphireError:
-    if run.payloads:
-        return SamphireError(STREAM_CUT, detail)
-    if run.written:
-        return SamphireError(OUTCOME_UNKNOWN, detail, retry_after=1.0)
-    return SamphireError(NO_ENDPOINT, detail, retry_after=1.0)
+def _note_failure(
+    context: EntryContext,
+    run: CompletionRun,
+    view: EndpointView,
+    error: AttemptFailedError,
+    events: int,
+) -> None:
+    """Avoid an endpoint for a while, unless it only said that it is busy."""
+    endpoint_id = view.info.endpoint_id
+    if error.failure is not Failure.BUSY:
+        context.fleet.suspect(endpoint_id, now=boot_seconds())
+    log_decision(
+        _log, "retry", str(error), request=run.request_id, endpoint=endpoint_id, events=events
+    )
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -1,7 +1,6 @@
 """Completion requests of callers, answered as a stream or as a whole."""
 
 import time
-from contextlib import aclosing
 
 import anyio
 import msgspec
@@ -10,8 +9,8 @@
 from samphirehall.admission.controller import AdmissionRequest
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import DEADLINE_NOT_RUN, DEADLINE_UNKNOWN, NO_ROUTE, OK
-from samphirehall.endpoints.events import decode_chunk, usage_of
+from samphirehall.core.results import NO_ROUTE, OK
+from samphirehall.endpoints.events import EventBatch, decode_chunk, usage_of
 from samphirehall.forwarding.answers import (
     ENDPOINT_HEADER,
     EVENT_STREAM,
@@ -26,7 +25,9 @@
     send_head,
     send_whole,
 )
-from samphirehall.forwarding.completion import CompletionRun, run_completion
+from samphirehall.forwarding.caller_protocol import connection_of
+from samphirehall.forwarding.completion import run_completion
+from samphirehall.forwarding.completion_run import CompletionRun
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import (
     CallerGoneError,
@@ -79,7 +80,7 @@
     )
     async with context.admission.admit(admission, now=started):
         try:
-            await _answer(context, run, receive, send, started)
+            await _answer(context, run, scope, send, started)
         finally:
             _meter(context, run)
     return caller.route_name
@@ -102,27 +103,26 @@
 
 
 async def _answer(
-    context: EntryContext, run: CompletionRun, receive: Receive, send: Send, started: float
+    context: EntryContext, run: CompletionRun, scope: Scope, send: Send, started: float
 ) -> None:
     """Answer until done, the deadline, or the caller has gone."""
-    with anyio.CancelScope() as scope:
-        scope.deadline = anyio.current_time() + run.deadline - boot_seconds()
-        async with anyio.create_task_group() as group:
-            group.start_soon(_watch_caller, receive, group.cancel_scope)
+    gone = False
+
+    def stop() -> None:
+        nonlocal gone
+        gone = True
+        limit.cancel()
+
+    with anyio.CancelScope(deadline=anyio.current_time() + run.deadline - boot_seconds()) as limit:
+        with connection_of(scope).watched(stop):
             if run.completion.stream:
                 await _answer_stream(context, run, send, started)
             else:
                 await _answer_whole(context, run, send, started)
-            group.cancel_scope.cancel()
-    if scope.cancelled_caught:
-        result = DEADLINE_UNKNOWN if run.written else DEADLINE_NOT_RUN
-        raise SamphireError(result, "the deadline passed")
-
-
-async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
+    if limit.cancelled_caught:
+        if gone:
+            raise CallerGoneError
+        raise run.deadline_error()
 
 
 async def _answer_stream(
@@ -130,22 +130,25 @@
 ) -> None:
     begun = False
     tokens = 0
+
+    async def relay(batch: EventBatch) -> None:
+        nonlocal begun, tokens
+        with anyio.move_on_after(CALLER_STALL_SECONDS) as limit:
+            if not begun:
+                begun = True
+                _observe_first(context, run, started)
+                await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
+            tokens += len(batch.data)
+            await send_body(send, batch.content, more=not batch.done)
+        if limit.cancelled_caught:
+            raise CallerGoneError
+
     try:
-        async with aclosing(run_completion(context, run)) as batches:
-            async for batch in batches:
-                if not begun:
-                    begun = True
-                    _observe_first(context, run, started)
-                    await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
-                tokens += len(batch.data)
-                with anyio.fail_after(CALLER_STALL_SECONDS):
-                    await send_body(send, batch.content, more=not batch.done)
+        await run_completion(context, run, relay)
     except SamphireError as error:
         if not begun:
             raise
         await _send_error_event(send, error, run)
-    except TimeoutError as error:
-        raise CallerGoneError from error
     finally:
         context.metrics.tokens.labels(run.caller.route_name).inc(tokens)
 
@@ -159,10 +162,11 @@
 async def _answer_whole(
     context: EntryContext, run: CompletionRun, send: Send, started: float
 ) -> None:
-    async with aclosing(run_completion(context, run)) as batches:
-        async for _ in batches:
-            if len(run.payloads) == 1:
-                _observe_first(context, run, started)
+    async def gather(batch: EventBatch) -> None:
+        if len(run.payloads) == len(batch.data):
+            _observe_first(context, run, started)
+
+    await run_completion(context, run, gather)
     context.metrics.tokens.labels(run.caller.route_name).inc(len(run.payloads))
     body = whole_answer(run)
     await send_whole(send, OK.http_status, _ok_headers(run, JSON), body)
--- a/samphirehall/forwarding/context.py
+++ b/samphirehall/forwarding/context.py
@@ -9,7 +9,9 @@
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.quarantine import Quarantine
 from samphirehall.forwarding.retry_budget import RetryBudget
+from samphirehall.forwarding.stall import StallWatch
 from samphirehall.node.state import NodeState
 from samphirehall.routing.fleet import Fleet
 from samphirehall.routing.policy import RoutingPolicy
@@ -37,6 +39,8 @@
     meter: UsageMeter
     random_source: random.Random
     retry_budget: RetryBudget
+    quarantine: Quarantine
+    stalls: StallWatch = field(default_factory=StallWatch)
     stopping: bool = False
     refusing: bool = False
     before_exit: list[Callable[[], Coroutine[Any, Any, None]]] = field(default_factory=list)
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -18,6 +18,7 @@
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.quarantine import Quarantine
 from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
@@ -35,6 +36,7 @@
 
 DRAIN_POLL_SECONDS = 0.05
 FINISH_SECONDS = 5.0
+PRUNE_SECONDS = 30.0
 FLUSH_SECONDS = 5.0
 
 _log = logging.getLogger(__name__)
@@ -62,10 +64,13 @@
             meter=UsageMeter(),
             random_source=random.Random(incarnation),
             retry_budget=RetryBudget(now=boot_seconds()),
+            quarantine=Quarantine(state.board),
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
+        group.start_soon(context.stalls.run)
+        group.start_soon(_prune_forever, context)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
         context.before_exit.append(context.claims.flush)
@@ -108,6 +113,13 @@
     _log.info("shutdown-end", extra={"open": context.admission.open_requests})
 
 
+async def _prune_forever(context: EntryContext) -> None:
+    while True:
+        await anyio.sleep(PRUNE_SECONDS)
+        context.quarantine.prune(now=boot_seconds())
+        context.state.board.prune(now=boot_seconds())
+
+
 async def _close_old_pools(context: EntryContext) -> None:
     while True:
         await context.state.wait_changed()
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -48,6 +48,8 @@
     max_body_bytes: Bytes = 8 * 1024 * 1024
     max_open_requests: Count = 4096
     head_timeout_seconds: Seconds = 10.0
+    answer_head_seconds: Seconds = 5.0
+    first_event_seconds: Seconds = 30.0
     stall_seconds: Seconds = 5.0
     shutdown_grace_seconds: Seconds = 5.0
     shutdown_limit_seconds: Seconds = 600.0
