--- a/samphirehall/programs/ctl_tables.py
+++ b/samphirehall/programs/ctl_tables.py
@@ -57,6 +57,35 @@
     return format_rows(endpoints, columns)
 
 
+def format_hosts(hosts: list[dict[str, Any]]) -> str:
+    """Return hosts as a table."""
+    columns = {
+        "host": "HOST",
+        "zone": "ZONE",
+        "state": "STATE",
+        "heard_seconds_ago": "HEARD S AGO",
+        "configuration": "CONFIGURATION",
+        "operator_address": "OPERATOR",
+    }
+    return format_rows(hosts, columns)
+
+
+def format_leases(leases: list[dict[str, Any]]) -> str:
+    """Return leases as a table."""
+    columns = {"scope": "LEASE", "holder": "HOLDER", "fencing": "FENCING", "ends_in": "HELD HERE S"}
+    return format_rows(leases, columns)
+
+
+def format_in_force(answer: dict[str, Any]) -> list[str]:
+    """Return one line for the hosts with a change in force, and one for the others."""
+    lines = []
+    if answer["hosts_in_force"]:
+        lines.append("in force on: " + ", ".join(answer["hosts_in_force"]))
+    if answer["hosts_unknown"]:
+        lines.append("could not be asked: " + ", ".join(answer["hosts_unknown"]))
+    return lines
+
+
 def format_status(status: dict[str, Any]) -> str:
     """Return the status as readable text, what is unhealthy first."""
     lines = [
@@ -64,6 +93,8 @@
         f"configuration version {status['configuration']}"
     ]
     lines += [f"UNHEALTHY: {problem}" for problem in unhealthy(status)] or ["all healthy"]
+    lines += ["", format_hosts(status.get("hosts", []))]
+    lines += ["", format_leases(status.get("leases", []))]
     lines += ["", format_endpoints(status["endpoints"])]
     return "\n".join(lines)
 
@@ -75,6 +106,16 @@
         for item in status["endpoints"]
         if item["health"] != "ok"
     ]
+    problems += [
+        f"host {item['host']} is {item['state']}"
+        for item in status.get("hosts", [])
+        if item["state"] != "live"
+    ]
+    problems += [
+        f"host {item['host']} has configuration version {item['configuration']}"
+        for item in status.get("hosts", [])
+        if item["state"] == "live" and item["configuration"] != status["configuration"]
+    ]
     if status["configuration"] == 0:
         problems.append("no configuration is in force")
     return problems
