--- a/samphirehall/forwarding/context.py
+++ b/samphirehall/forwarding/context.py
@@ -1,13 +1,17 @@
 """What the requests of an entry process share."""
 
 import random
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
 
 from samphirehall.admission.controller import AdmissionController
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.quarantine import Quarantine
 from samphirehall.forwarding.retry_budget import RetryBudget
+from samphirehall.forwarding.stall import StallWatch
 from samphirehall.node.state import NodeState
 from samphirehall.routing.fleet import Fleet
 from samphirehall.routing.policy import RoutingPolicy
@@ -17,7 +21,12 @@
 
 @dataclass(slots=True)
 class EntryContext:
-    """Shared parts of an entry process; `stopping` refuses new requests."""
+    """Shared parts of an entry process.
+
+    `stopping` turns the host not ready while it still serves; `refusing`
+    refuses new requests once the time for finishing is up; `before_exit` are
+    actions of a planned stop, such as flushing meters.
+    """
 
     settings: EntrySettings
     state: NodeState
@@ -30,4 +39,8 @@
     meter: UsageMeter
     random_source: random.Random
     retry_budget: RetryBudget
+    quarantine: Quarantine
+    stalls: StallWatch = field(default_factory=StallWatch)
     stopping: bool = False
+    refusing: bool = False
+    before_exit: list[Callable[[], Coroutine[Any, Any, None]]] = field(default_factory=list)
