--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -8,7 +8,7 @@
 import msgspec
 from prometheus_client import CollectorRegistry
 
-from samphirehall.admission.controller import AdmissionController
+from samphirehall.admission.controller import AdmissionController, AdmissionRules
 from samphirehall.configuration.documents import CustomerPart, RoutePart
 from samphirehall.configuration.version import Configuration
 from samphirehall.core.clock import boot_seconds
@@ -64,7 +64,9 @@
         pools=EndpointPools(stall_timeout=1.0),
         fleet=fleet,
         choose=routing_policy(settings.routing, fleet),
-        admission=AdmissionController(max_open=100),
+        admission=AdmissionController(
+            AdmissionRules(), limit=fleet.concurrency_limit, hosts=fleet.hosts, now=boot_seconds()
+        ),
         claims=ClaimStore(table or FaultyTable(), random_source=random.Random(0)),
         metrics=EntryMetrics(CollectorRegistry()),
         meter=UsageMeter(),
