--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -108,6 +108,14 @@
 METHOD_NOT_ALLOWED = _result(
     2017, "method-not-allowed", 405, _NOT_RUN, 2, "The path does not take this method."
 )
+ISOLATED = _result(
+    2030,
+    "isolated",
+    503,
+    _NOT_RUN,
+    75,
+    "This host cannot learn whether the key still holds; ask another.",
+)
 INTERNAL_NOT_RUN = _result(
     2099, "internal-not-run", 500, _NOT_RUN, 70, "A fault of this system before anything ran."
 )
@@ -162,7 +170,14 @@
 )
 CHECK_FAILED = _result(5008, "check-failed", 500, _RAN, 1, "A check or demonstration failed.")
 ORDER_PENDING = _result(
-    5020, "order-pending", 409, _NOT_RUN, 75, "An earlier order to the endpoint is not settled."
+    5010, "order-pending", 409, _NOT_RUN, 75, "An earlier order to the endpoint is not settled."
+)
+MESH_PROTOCOL = _result(
+    5020, "mesh-protocol", 426, _NOT_RUN, 78, "The peer speaks no protocol version of this host."
+)
+MESH_KEY = _result(5021, "mesh-key", 403, _NOT_RUN, 77, "The peer does not hold the mesh key.")
+MESH_OLD_INCARNATION = _result(
+    5022, "mesh-old-incarnation", 409, _NOT_RUN, 75, "A newer process of this host is connected."
 )
 
 
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -2,21 +2,24 @@
 
 import logging
 import random
-from contextlib import AsyncExitStack
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 
 import anyio
 import fire
 from prometheus_client import CollectorRegistry
 
-from samphirehall.admission.controller import AdmissionController
+from samphirehall.admission.controller import AdmissionController, AdmissionRules
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
 from samphirehall.endpoints.pools import EndpointPools
+from samphirehall.forwarding.admission_tasks import run_admission
 from samphirehall.forwarding.app import EntryApp
+from samphirehall.forwarding.caller_protocol import caller_protocol
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.quarantine import Quarantine
 from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
@@ -28,11 +31,15 @@
     wait_for_stop,
 )
 from samphirehall.routing.fleet import Fleet
-from samphirehall.routing.policy import ROUTING_POLICIES
+from samphirehall.routing.outstanding import QueueAims
+from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
 from samphirehall.usage.meter import UsageMeter
 
 DRAIN_POLL_SECONDS = 0.05
+FINISH_SECONDS = 5.0
+PRUNE_SECONDS = 30.0
+FLUSH_SECONDS = 5.0
 
 _log = logging.getLogger(__name__)
 
@@ -46,42 +53,89 @@
         stack.push_async_callback(platform.aclose)
         pools = EndpointPools(stall_timeout=settings.entry.stall_seconds)
         stack.push_async_callback(pools.aclose)
+        aims = QueueAims(prompt_tokens=settings.admission.engine_queue_tokens)
+        fleet = Fleet(state, aims=aims)
         context = EntryContext(
             settings=settings,
             state=state,
             pools=pools,
-            fleet=Fleet(state),
-            choose=ROUTING_POLICIES.get(settings.routing.policy)(),
-            admission=AdmissionController(max_open=settings.entry.max_open_requests),
+            fleet=fleet,
+            choose=routing_policy(settings.routing, fleet),
+            admission=_admission(settings, fleet),
             claims=ClaimStore(platform),
             metrics=EntryMetrics(CollectorRegistry()),
             meter=UsageMeter(),
             random_source=random.Random(incarnation),
             retry_budget=RetryBudget(now=boot_seconds()),
+            quarantine=Quarantine(state.board),
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
+        group.start_soon(run_admission, context)
+        group.start_soon(context.stalls.run)
+        group.start_soon(_prune_forever, context)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
-        await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
-        _log.info("serving", extra={"listen": settings.entry.listen})
-        await wait_for_stop()
-        await _shut_down(context)
+        context.before_exit.append(context.claims.flush)
+        async with _callers(context):
+            _log.info("serving", extra={"listen": settings.entry.listen})
+            await wait_for_stop()
+            await _drain(context)
+        await _flush(context)
         group.cancel_scope.cancel()
 
 
-async def _shut_down(context: EntryContext) -> None:
-    """Turn not ready, let the balancer move on, and finish what runs."""
+def _admission(settings: EntrySettings, fleet: Fleet) -> AdmissionController:
+    rules = AdmissionRules(
+        fair=settings.admission.policy == "fair",
+        max_open=settings.entry.max_open_requests,
+        max_waiting=settings.admission.max_waiting,
+        prompt_token_work=settings.admission.prompt_token_work,
+    )
+    return AdmissionController(
+        rules, limit=fleet.concurrency_limit, hosts=fleet.hosts, now=boot_seconds()
+    )
+
+
+def _callers(context: EntryContext) -> AbstractAsyncContextManager[None]:
+    limits = context.settings.entry
+    return serving(
+        EntryApp(context),
+        limits.listen,
+        protocol=caller_protocol(head_timeout=limits.head_timeout_seconds),
+        graceful_seconds=FINISH_SECONDS,
+    )
+
+
+async def _drain(context: EntryContext) -> None:
+    """Turn not ready, serve until the balancer has moved on, and finish what runs."""
     limits = context.settings.entry
     _log.info("shutdown-begin", extra={"open": context.admission.open_requests})
     context.stopping = True
     with anyio.move_on_after(limits.shutdown_limit_seconds):
+        await anyio.sleep(limits.shutdown_grace_seconds)
         while context.admission.open_requests:
             await anyio.sleep(DRAIN_POLL_SECONDS)
+    context.refusing = context.admission.open_requests > 0
+
+
+async def _flush(context: EntryContext) -> None:
+    """Run the actions of a planned stop, such as storing outcomes and meters."""
+    with anyio.move_on_after(FLUSH_SECONDS):
+        async with anyio.create_task_group() as group:
+            for action in context.before_exit:
+                group.start_soon(action)
     _log.info("shutdown-end", extra={"open": context.admission.open_requests})
 
 
+async def _prune_forever(context: EntryContext) -> None:
+    while True:
+        await anyio.sleep(PRUNE_SECONDS)
+        context.quarantine.prune(now=boot_seconds())
+        context.state.board.prune(now=boot_seconds())
+
+
 async def _close_old_pools(context: EntryContext) -> None:
     while True:
         await context.state.wait_changed()
