Count, freeze and report usage, each count once

Cause: the entry counted usage and nobody reported it; a window must never be reported twice with other figures, and a crash may lose nothing. Ruled out: freezing sums of rows that may still change, since a flush between the sum and the freeze would be lost; so a close mark goes first and every flush checks it. Usage facts for all hosts, since 420 hosts need only one mirror: the mesh sends them to one peer, of another zone if one is connected. Change: usage/ (meter, publisher, book, rows, flusher, windows, reporter, service, operator route GET /usage), [usage] settings, fact kinds USAGE and USAGE_RECORDED that stay on their host but for the mirror. Two crashes before a flush can still lose counts that only those two hosts held.

--- a/samphirehall/membership/mesh.py
+++ b/samphirehall/membership/mesh.py
@@ -7,6 +7,7 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
+from samphirehall.core.rendezvous import ranked
 from samphirehall.core.results import MESH_OLD_INCARNATION
 from samphirehall.core.types import HostState
 from samphirehall.membership.budget import ByteBudget
@@ -17,7 +18,7 @@
 from samphirehall.membership.peer import Peer
 from samphirehall.membership.transfer import RecentConfigurations
 from samphirehall.membership.wire import Outgoing, outgoing
-from samphirehall.node.facts import Fact
+from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.gate import ConfigurationGate
 from samphirehall.node.link_service import EntryLinks
 from samphirehall.node.state import NodeState
@@ -96,6 +97,7 @@
         self.compared_at = 0.0
         self.reads_list = True
         self.list_sender = ""
+        self.mirror = ""
         self._closed_sent = 0
         self._closed_received = 0
         self._entries = entries
@@ -175,6 +177,7 @@
         lost = self.lost.pop(peer.host, None)
         self.peers[peer.host] = peer
         self._greet(peer, lost)
+        self._choose_mirror(now=boot_seconds())
 
     def drop(self, peer: Peer, *, silent: bool, now: float) -> None:
         """Forget a connection that ended."""
@@ -187,13 +190,14 @@
         self.lost[peer.host] = Lost(now, silent, peer.last_heard, peer.version, unacknowledged)
         if self.wanted_from == peer.host:
             self.wanted_from = None
+        self._choose_mirror(now=now)
 
     def receive(self, peer: Peer, fact: Fact, *, relay: bool, now: float) -> None:
         """Take a fact from a peer and pass it on to those whom its owner does not reach."""
         if not self.state.board.merge(fact, now=now, source=self):
             return
         crossed = peer.zone != self.state.zone
-        if not crossed and not relay:
+        if fact.kind.stays_on_host or (not crossed and not relay):
             return
         item = outgoing(fact, until=now + fact.lifetime, crossed=crossed)
         for other in list(self.peers.values()):
@@ -227,13 +231,30 @@
         for item in lost.unacknowledged if lost else ():
             peer.push(item)
         for held in self.state.board.held(now=now):
-            if self._is_own(held.fact):
+            if self._is_own(held.fact) and not held.fact.kind.stays_on_host:
                 peer.push(outgoing(held.fact, until=held.until))
 
+    def _choose_mirror(self, *, now: float) -> None:
+        """Choose the peer that mirrors this host's usage; tell a new one all of it."""
+        away = [peer.host for peer in self.peers.values() if peer.zone != self.state.zone]
+        candidates = ranked(away or self.peers, self.state.host)
+        chosen = candidates[0] if candidates else ""
+        if chosen == self.mirror:
+            return
+        self.mirror = chosen
+        log_decision(_log, "usage-mirror", "peers changed", peer=chosen)
+        for held in self.state.board.held(now=now) if chosen else ():
+            if held.fact.kind is FactKind.USAGE and self._is_own(held.fact):
+                self.peers[chosen].push(outgoing(held.fact, until=held.until))
+
     def _on_fact(self, fact: Fact) -> None:
         if not self._is_own(fact):
             return
         item = outgoing(fact, until=boot_seconds() + fact.lifetime)
+        if fact.kind.stays_on_host:
+            if fact.kind is FactKind.USAGE and self.mirror in self.peers:
+                self.peers[self.mirror].push(item)
+            return
         chosen = self._bulk_targets()
         for peer in self.peers.values():
             if is_urgent(fact.kind) or peer.zone == self.state.zone or peer.host in chosen:
--- a/samphirehall/node/facts.py
+++ b/samphirehall/node/facts.py
@@ -26,6 +26,16 @@
     SERVED_TOKENS = 6
     ENGINE_REPORT = 7
     DEMAND = 8
+    USAGE = 9
+    USAGE_RECORDED = 10
+
+    @property
+    def stays_on_host(self) -> bool:
+        """Whether facts of this kind go between the processes of a host only.
+
+        `USAGE` goes to one peer besides, which mirrors it.
+        """
+        return self >= FactKind.USAGE
 
     @property
     def kept_in_step(self) -> bool:
--- a/samphirehall/node/link.py
+++ b/samphirehall/node/link.py
@@ -156,13 +156,16 @@
     arrived = anyio.Event()
 
     def enqueue(fact: Fact) -> None:
+        if fact.kind.stays_on_host and fact.owner != state.board.owner:
+            return
         pending[fact.identity] = fact
         arrived.set()
 
     stop = state.board.listen(enqueue, source=frames)
     try:
         for fact in state.board.remaining(now=boot_seconds()):
-            pending.setdefault(fact.identity, fact)
+            if fact.identity not in pending:
+                enqueue(fact)
         while True:
             while pending:
                 batch = sorted(pending.values(), key=lambda fact: fact.kind)[:BATCH_FACTS]
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -35,6 +35,7 @@
 from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
 from samphirehall.usage.meter import UsageMeter
+from samphirehall.usage.publisher import UsagePublisher
 
 DRAIN_POLL_SECONDS = 0.05
 FINISH_SECONDS = 5.0
@@ -64,7 +65,7 @@
             admission=_admission(settings, fleet),
             claims=ClaimStore(platform),
             metrics=EntryMetrics(CollectorRegistry()),
-            meter=UsageMeter(),
+            meter=UsageMeter(window_seconds=settings.usage.window_seconds),
             random_source=random.Random(incarnation),
             retry_budget=RetryBudget(now=boot_seconds()),
             quarantine=Quarantine(state.board),
@@ -78,6 +79,9 @@
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
         context.before_exit.append(context.claims.flush)
+        publisher = UsagePublisher(context.meter, state)
+        group.start_soon(publisher.run)
+        context.before_exit.append(publisher.flush)
         async with _callers(context):
             _log.info("serving", extra={"listen": settings.entry.listen})
             await wait_for_stop()
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -99,6 +99,22 @@
     serve_seconds: Annotated[float, Meta(ge=0, le=604_800)] = 300.0
 
 
+@dataclass(slots=True)
+class UsageTable:
+    """``[usage]``: windows and flushes; see docs/design/0006-usage.md.
+
+    ``window_seconds`` must be the same on all hosts. ``grace_seconds`` is the
+    time after the end of a window before it is closed. All hosts together
+    flush about ``flushes_per_second``, each at least every
+    ``least_flush_seconds``.
+    """
+
+    window_seconds: Annotated[int, Meta(ge=1, le=86_400)] = 60
+    grace_seconds: Seconds = 15.0
+    flushes_per_second: Rate = 40.0
+    least_flush_seconds: Seconds = 2.0
+
+
 @dataclass(slots=True)
 class EntrySettings:
     """Settings of ``samphire-entry``."""
@@ -109,6 +125,7 @@
     routing: RoutingTable = field(default_factory=RoutingTable)
     admission: AdmissionTable = field(default_factory=AdmissionTable)
     isolation: IsolationTable = field(default_factory=IsolationTable)
+    usage: UsageTable = field(default_factory=UsageTable)
     logging: LoggingTable = field(default_factory=LoggingTable)
 
 
@@ -167,4 +184,5 @@
     control: ControlTable
     mesh: MeshTable
     lease: LeaseTable = field(default_factory=LeaseTable)
+    usage: UsageTable = field(default_factory=UsageTable)
     logging: LoggingTable = field(default_factory=LoggingTable)
--- a/samphirehall/usage/meter.py
+++ b/samphirehall/usage/meter.py
@@ -1,12 +1,17 @@
-"""Cumulative usage by window and customer."""
+"""Cumulative usage by window and customer, counted in the entry."""
 
-from samphirehall.core.types import UsageFigures
+from samphirehall.usage.counts import NOTHING, Cell, Counts
 
 WINDOW_SECONDS = 60
 
 
+def window_at(now: float, window_seconds: int) -> int:
+    """Return the start of the window at `now`, both in seconds since the epoch."""
+    return int(now) - int(now) % window_seconds
+
+
 class UsageMeter:
-    """Counts what customers use, by window; counts only ever grow.
+    """Counts what customers use; counts only ever grow.
 
     Parameters
     ----------
@@ -16,12 +21,14 @@
 
     def __init__(self, *, window_seconds: int = WINDOW_SECONDS) -> None:
         self._window_seconds = window_seconds
-        self._figures: dict[tuple[int, str], UsageFigures] = {}
+        self._counts: dict[Cell, Counts] = {}
+        self._changed: set[Cell] = set()
+        self._first_window = 0
 
     @property
-    def figures(self) -> dict[tuple[int, str], UsageFigures]:
-        """Figures by window start, in seconds since the epoch, and customer."""
-        return self._figures
+    def counts(self) -> dict[Cell, Counts]:
+        """Counts that are not known to be recorded in the table."""
+        return self._counts
 
     def record(
         self, customer: str, prompt_tokens: int, completion_tokens: int, *, now: float
@@ -35,10 +42,26 @@
         prompt_tokens, completion_tokens : int
             Tokens read and generated.
         now : float
-            Wall clock in seconds since the epoch.
+            Wall clock in seconds since the epoch. A clock that was set back
+            counts into the first window that is not recorded yet.
         """
-        window = int(now) - int(now) % self._window_seconds
-        figures = self._figures.setdefault((window, customer), UsageFigures())
-        figures.requests += 1
-        figures.prompt_tokens += prompt_tokens
-        figures.completion_tokens += completion_tokens
+        window = max(window_at(now, self._window_seconds), self._first_window)
+        cell = Cell(window, customer)
+        counts = Counts(1, prompt_tokens, completion_tokens)
+        self._counts[cell] = self._counts.get(cell, NOTHING) + counts
+        self._changed.add(cell)
+
+    def take_changed(self) -> dict[Cell, Counts]:
+        """Return the counts that changed since the last call."""
+        changed = {cell: self._counts[cell] for cell in self._changed}
+        self._changed.clear()
+        return changed
+
+    def forget(self, before: int) -> None:
+        """Forget windows that start before `before`: they are recorded in the table."""
+        self._first_window = max(self._first_window, before)
+        recorded = [
+            cell for cell in self._counts if cell.window < before and cell not in self._changed
+        ]
+        for cell in recorded:
+            del self._counts[cell]
--- /dev/null
+++ b/samphirehall/usage/operator.py
@@ -0,0 +1,67 @@
+"""Operators' route: the latest usage windows and their frozen figures."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from starlette.requests import Request
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import BAD_REQUEST
+from samphirehall.core.types import UsageFigures
+from samphirehall.node.context import ControlContext
+from samphirehall.platform.table import Table
+from samphirehall.usage.flusher import NEXT_KEY
+from samphirehall.usage.reporter import REPORTED_KEY
+from samphirehall.usage.windows import decode_frozen, frozen_key
+
+DEFAULT_WINDOWS = 10
+MAX_WINDOWS = 1000
+
+
+@dataclass(slots=True)
+class WindowView:
+    """One frozen window as operators see it.
+
+    Parameters
+    ----------
+    window : int
+        Start of the window in seconds since the epoch.
+    reported : bool
+        Whether the platform has taken all figures.
+    customers : dict
+        Frozen figures by customer.
+    """
+
+    window: int
+    reported: bool
+    customers: dict[str, UsageFigures] = field(default_factory=dict)
+
+
+async def latest_windows(table: Table, *, count: int, window_seconds: int) -> list[WindowView]:
+    """Return the latest frozen windows, newest first."""
+    ends = await table.read([NEXT_KEY, REPORTED_KEY])
+    if NEXT_KEY not in ends:
+        return []
+    end = int(ends[NEXT_KEY].value)
+    reported = int(ends[REPORTED_KEY].value) if REPORTED_KEY in ends else 0
+    windows = range(end - window_seconds, end - (count + 1) * window_seconds, -window_seconds)
+    rows = await table.read([frozen_key(window) for window in windows])
+    return [
+        WindowView(window, window < reported, decode_frozen(rows[frozen_key(window)]))
+        for window in windows
+        if frozen_key(window) in rows
+    ]
+
+
+async def _usage(context: ControlContext, request: Request) -> Any:
+    text = request.query_params.get("windows", str(DEFAULT_WINDOWS))
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_WINDOWS:
+        raise SamphireError(BAD_REQUEST, f"windows = {text!r}: 1 to {MAX_WINDOWS} are allowed")
+    return await latest_windows(
+        context.platform,
+        count=int(text),
+        window_seconds=context.settings.usage.window_seconds,
+    )
+
+
+USAGE_ROUTE = ("GET", "/usage", _usage)
--- /dev/null
+++ b/samphirehall/usage/reporter.py
@@ -0,0 +1,132 @@
+"""Posts frozen figures to the platform, the same again and again until they are taken."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import anyio
+
+from samphirehall.authority.lease import LeaseLostError, Right
+from samphirehall.authority.leases import Leases
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
+from samphirehall.core.types import UsageFigures
+from samphirehall.platform.client import OrderAnswer, UsageReport
+from samphirehall.platform.table import ABSENT, Check, Table, Write
+from samphirehall.usage.flusher import NEXT_KEY
+from samphirehall.usage.windows import decode_frozen, frozen_key
+
+REPORTED_KEY = "usage/reported"
+POSTS_AT_ONCE = 8
+
+_log = logging.getLogger(__name__)
+
+
+class PostReport(Protocol):
+    """Posts one report to the platform; see `Platform.report_usage`."""
+
+    def __call__(
+        self, report: UsageReport, *, recheck: Callable[[], None] | None = None
+    ) -> Awaitable[OrderAnswer]:
+        """Post the report."""
+
+
+class UsageReporter:
+    """Reports frozen windows in order, under the right of the platform scope.
+
+    Parameters
+    ----------
+    leases : Leases
+        Rights of this process.
+    table : Table
+        Where frozen figures are kept.
+    post : callable
+        Posts one report.
+    window_seconds : int
+        Length of a window in seconds.
+    clock : callable
+        Boot clock in seconds.
+    """
+
+    def __init__(
+        self,
+        leases: Leases,
+        table: Table,
+        *,
+        post: PostReport,
+        window_seconds: int,
+        clock: Callable[[], float] = boot_seconds,
+    ) -> None:
+        self._leases = leases
+        self._table = table
+        self._post = post
+        self._window_seconds = window_seconds
+        self._clock = clock
+        self.refused = 0
+
+    async def step(self, right: Right) -> bool:
+        """Report the next frozen window; return whether one was reported in full.
+
+        Raises
+        ------
+        LeaseLostError
+            This process has lost its right.
+        PlatformUnavailableError
+            The platform did not answer; the next step posts the same again.
+        """
+        rows = await self._table.read([REPORTED_KEY, NEXT_KEY])
+        if NEXT_KEY not in rows:
+            return False
+        reported = rows.get(REPORTED_KEY)
+        window = await self._first_frozen() if reported is None else int(reported.value)
+        if window is None or window >= int(rows[NEXT_KEY].value):
+            return False
+        frozen = (await self._table.read([frozen_key(window)])).get(frozen_key(window))
+        if frozen is not None:
+            await self.post_window(right, window, decode_frozen(frozen))
+        version = ABSENT if reported is None else reported.version
+        write = Write(REPORTED_KEY, window + self._window_seconds)
+        result = await self._table.transact([right.check, Check(REPORTED_KEY, version)], [write])
+        if result.committed:
+            log_decision(_log, "usage-reported", "the platform took it", window=window)
+        return result.committed
+
+    async def post_window(self, right: Right, window: int, frozen: dict[str, UsageFigures]) -> None:
+        """Post the frozen figures of all customers."""
+        limiter = anyio.CapacityLimiter(POSTS_AT_ONCE)
+        failures: list[Exception] = []
+
+        async def post(customer: str, figures: UsageFigures) -> None:
+            async with limiter:
+                try:
+                    await self.post_one(right, window, customer, figures)
+                except (LeaseLostError, PlatformUnavailableError) as error:
+                    failures.append(error)
+
+        async with anyio.create_task_group() as group:
+            for customer, figures in frozen.items():
+                group.start_soon(post, customer, figures)
+        if failures:
+            raise failures[0]
+
+    async def post_one(
+        self, right: Right, window: int, customer: str, figures: UsageFigures
+    ) -> None:
+        """Post the frozen figures of one customer."""
+        report = UsageReport(window, customer, figures, right.fencing, right.holder)
+        recheck = self._leases.recheck(right, clock=self._clock)
+        recheck()
+        answer = await self._post(report, recheck=recheck)
+        if not answer.accepted:
+            self.refused += 1
+            _log.error(
+                "usage-refused",
+                extra={"reason": answer.reason, "window": window, "customer": customer},
+            )
+
+    async def _first_frozen(self) -> int | None:
+        """Return the first window that was ever frozen, or None."""
+        prefix = frozen_key(0).removesuffix("0")
+        rows = await self._table.scan(prefix, limit=1)
+        return int(rows[0].key.removeprefix(prefix)) if rows else None
