--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -33,6 +33,12 @@
         Constants of the engines' timing model.
     routing, admission : dict of str to object
         Keys of the entries' settings tables, as TOML values.
+    fleet : dict of str to object
+        Keys of the configuration's fleet part, as TOML values.
+    roles : list of str
+        Role of each engine at first; mixed for those beyond its end.
+    kinds, states : list of str
+        Kind and state of each engine at first; standard and ready beyond their ends.
     """
 
     customers: dict[str, float]
@@ -43,6 +49,10 @@
     routing: dict[str, str] = field(default_factory=dict)
     admission: dict[str, str] = field(default_factory=dict)
     deadline_seconds: float = 60.0
+    fleet: dict[str, str] = field(default_factory=dict)
+    roles: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=list)
+    states: list[str] = field(default_factory=list)
 
 
 @contextmanager
@@ -50,11 +60,7 @@
     """Run a cluster inside the context; yield it and its targets."""
     zones = setup.zones
     hosts = [Host(f"host-{n}", zones[n % len(zones)]) for n in range(setup.hosts)]
-    options = [f"--{name}={value}" for name, value in setup.timing.items()]
-    endpoints = [
-        Endpoint(f"engine-{n}", "engine", zones[n % len(zones)], ["answer"], options=options)
-        for n in range(setup.engines)
-    ]
+    endpoints = [_engine(setup, number) for number in range(setup.engines)]
     endpoints.append(Endpoint("desk-1", "service", zones[0], ["order-desk"]))
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(Path(folder), hosts, endpoints)
@@ -70,6 +76,25 @@
             cluster.kill_all()
 
 
+def _engine(setup: Setup, number: int) -> Endpoint:
+    options = [f"--{name}={value}" for name, value in setup.timing.items()]
+    role = _nth(setup.roles, number, "mixed")
+    return Endpoint(
+        f"engine-{number}",
+        "engine",
+        setup.zones[number % len(setup.zones)],
+        ["answer"],
+        kind=_nth(setup.kinds, number, "standard"),
+        role=role,
+        state=_nth(setup.states, number, "ready"),
+        options=[*options, f"--role={role}"],
+    )
+
+
+def _nth(values: list[str], number: int, default: str) -> str:
+    return values[number] if number < len(values) else default
+
+
 def _tables(setup: Setup) -> str:
     lines = []
     for name, table in (("routing", setup.routing), ("admission", setup.admission)):
@@ -91,6 +116,7 @@
     lines += ["[routes.stock]", 'kind = "service"', 'target = "order-desk"']
     lines += ["[routes.bookings]", 'kind = "service"', 'target = "order-desk"']
     lines += ["idempotent = false"]
+    lines += ["[fleet]", *(f"{key} = {value}" for key, value in setup.fleet.items())]
     path = cluster.folder / "configuration.toml"
     path.write_text("\n".join(lines) + "\n")
     done = cluster.ctl("config", "apply", str(path), "--author=benchmark")
