Calm the mesh when many connections open or go silent at once

Both sides of a zone dialled at the same moment; two fresh dials replaced each other; each reconnection sent every fact again; zone reports were relayed by everyone. Ruled out: longer timeouts alone, which would slow what must be fast.

--- a/samphirehall/membership/comparison.py
+++ b/samphirehall/membership/comparison.py
@@ -17,13 +17,14 @@
     what the first one sends usually settles the difference with the others.
     """
     if peer.beat is None or peer.beat.digest == mesh.state.board.digest:
+        peer.is_compared = True
         peer.mismatches = 0
         return
-    is_new = peer.mismatches == 0 and peer.beat.echo == 0
     peer.mismatches += 1
-    due = is_new or peer.mismatches >= MISMATCHES_BEFORE_COMPARISON
+    due = not peer.is_compared or peer.mismatches >= MISMATCHES_BEFORE_COMPARISON
     if due and now - mesh.compared_at >= COMPARISON_SECONDS:
         mesh.compared_at = now
+        peer.is_compared = True
         peer.mismatches = 0
         peer.enqueue(Held(kept_fingerprints(mesh.state, now=now)))
 
@@ -36,5 +37,4 @@
     }
     for held in mesh.state.board.held(now=now):
         if held.fact.kind.kept_in_step and held.fact.fingerprint not in held_there:
-            crossed = not held.fact.owner.startswith(mesh.state.host)
-            peer.push(outgoing(held.fact, until=held.until, crossed=crossed))
+            peer.push(outgoing(held.fact, until=held.until))
--- a/samphirehall/membership/conversation.py
+++ b/samphirehall/membership/conversation.py
@@ -84,8 +84,14 @@
         opened = await open_as_dialler(frames, mesh.identity, key, fresh=fresh)
     else:
         opened = await open_as_listener(frames, mesh.identity, key)
-    peer = Peer(opened, frames, patience=mesh.patience, now=boot_seconds())
-    mesh.admit(peer, opened)
+    peer = Peer(
+        opened,
+        frames,
+        patience=mesh.patience,
+        acknowledge_seconds=mesh.settings.acknowledge_seconds,
+        now=boot_seconds(),
+    )
+    mesh.admit(peer, opened, now=peer.connected_at)
     return peer
 
 
@@ -178,8 +184,7 @@
     if peer.outbox.has_urgent:
         items = peer.outbox.take_urgent(max_bytes=URGENT_BATCH_BYTES, now=now)
         if items:
-            deadline = now + mesh.settings.acknowledge_seconds
-            number = peer.number_sent(items, deadline=deadline)
+            number = peer.number_sent(items, now=now)
             return _facts(items, number=number, relay=not mesh.reaches_all(), now=now)
     if now >= peer.beat_due:
         return _beat(mesh, peer, now)
--- a/samphirehall/membership/dialing.py
+++ b/samphirehall/membership/dialing.py
@@ -47,6 +47,7 @@
         self._mesh = mesh
         self._random = random_source
         self._attempts: dict[str, _Attempts] = {}
+        self._known_since: dict[str, float] = {}
 
     async def run(self) -> None:
         """Dial until cancelled."""
@@ -74,10 +75,11 @@
 
     def _dials(self, host: str, now: float) -> bool:
         """Return whether this host dials a host of its zone; the other side does if it fails."""
-        lost = self._mesh.lost.get(host)
-        if self._mesh.state.host < host or lost is None:
+        if self._mesh.state.host < host:
             return True
-        return now - lost.at > OTHER_SIDE_SECONDS
+        since = self._known_since.setdefault(host, now)
+        lost = self._mesh.lost.get(host)
+        return now - (lost.at if lost else since) > OTHER_SIDE_SECONDS
 
     def _delegates(self, zone: str, now: float) -> list[str]:
         usable = [
--- a/samphirehall/membership/mesh.py
+++ b/samphirehall/membership/mesh.py
@@ -17,13 +17,15 @@
 from samphirehall.membership.peer import Peer
 from samphirehall.membership.transfer import RecentConfigurations
 from samphirehall.membership.wire import Outgoing, outgoing
-from samphirehall.node.facts import Fact
+from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.gate import ConfigurationGate
 from samphirehall.node.link_service import EntryLinks
 from samphirehall.node.state import NodeState
 from samphirehall.settings.tables import MeshTable
 
 SENT_SHARE = 0.5
+NEW_CONNECTION_SECONDS = 2.0
+RELAYED_KINDS_END = FactKind.CONFIGURATION
 
 _log = logging.getLogger(__name__)
 
@@ -159,7 +161,7 @@
         mates = {info.host_id for info in self.directory.in_zone(self.state.zone)}
         return mates <= self.peers.keys()
 
-    def admit(self, peer: Peer, opened: Opened) -> None:
+    def admit(self, peer: Peer, opened: Opened, *, now: float) -> None:
         """Make a connection the one to its host.
 
         Raises
@@ -171,10 +173,10 @@
         if peer.host == self.state.host:
             raise SamphireError(MESH_OLD_INCARNATION, f"host id {peer.host!r} is this host's own")
         if held is not None:
-            self._replace(held, opened)
+            self._replace(held, opened, now=now)
         lost = self.lost.pop(peer.host, None)
         self.peers[peer.host] = peer
-        self._greet(peer, lost)
+        self._greet(peer, lost, now=now)
 
     def drop(self, peer: Peer, *, silent: bool, now: float) -> None:
         """Forget a connection that ended."""
@@ -200,7 +202,7 @@
             same_zone = other.zone == self.state.zone
             if other is peer or other.host == _host_of(fact.owner):
                 continue
-            if (crossed and same_zone) or (relay and is_urgent(fact.kind)):
+            if (crossed and same_zone) or (relay and fact.kind < RELAYED_KINDS_END):
                 other.push(item)
 
     def wake_beats(self) -> None:
@@ -210,7 +212,7 @@
             peer.beat_due = now
             peer.wake()
 
-    def _replace(self, held: Peer, opened: Opened) -> None:
+    def _replace(self, held: Peer, opened: Opened, *, now: float) -> None:
         newer = opened.peer.incarnation > held.identity.incarnation
         same = opened.peer.incarnation == held.identity.incarnation
         preferred = min(self.state.host, held.host)
@@ -222,12 +224,13 @@
         log_decision(_log, "peer-replaced", "newer connection", peer=held.host, fresh=opened.fresh)
         held.scope.cancel()
 
-    def _greet(self, peer: Peer, lost: Lost | None) -> None:
-        now = boot_seconds()
+    def _greet(self, peer: Peer, lost: Lost | None, *, now: float) -> None:
+        """Send a new peer what may not have arrived, and what is not compared later."""
         for item in lost.unacknowledged if lost else ():
             peer.push(item)
         for held in self.state.board.held(now=now):
-            if self._is_own(held.fact):
+            is_compared = held.fact.kind.kept_in_step and lost is not None
+            if self._is_own(held.fact) and not is_compared:
                 peer.push(outgoing(held.fact, until=held.until))
 
     def _on_fact(self, fact: Fact) -> None:
--- a/samphirehall/membership/peer.py
+++ b/samphirehall/membership/peer.py
@@ -21,6 +21,8 @@
 from samphirehall.membership.wire import Outgoing
 
 TENTHS = 10
+LAST_CHANCE_SECONDS = 0.25
+HEARD_FACTOR = 3.0
 Queued = Change | EndpointsChange | Held | Wanted
 
 
@@ -36,14 +38,14 @@
     ----------
     number : int
         Number of the message that carried them.
-    deadline : float
-        Boot clock in seconds by which an answer must have come.
+    sent_at : float
+        Boot clock in seconds.
     items : tuple of Outgoing
         The facts, to be sent again on a new connection.
     """
 
     number: int
-    deadline: float
+    sent_at: float
     items: tuple[Outgoing, ...]
 
 
@@ -58,11 +60,21 @@
         The connection.
     patience : float
         Seconds of silence allowed until the peer names its own.
+    acknowledge_seconds : float
+        Seconds within which urgent facts are to be acknowledged.
     now : float
         Boot clock in seconds.
     """
 
-    def __init__(self, opened: Opened, frames: FrameStream, *, patience: float, now: float) -> None:
+    def __init__(
+        self,
+        opened: Opened,
+        frames: FrameStream,
+        *,
+        patience: float,
+        acknowledge_seconds: float,
+        now: float,
+    ) -> None:
         self.identity = opened.peer
         self.dialler = opened.dialler
         self.frames = frames
@@ -73,6 +85,7 @@
         self.last_heard = now
         self.beat: Beat | None = None
         self.beat_due = now
+        self.is_compared = False
         self.mismatches = 0
         self.bulk_granted = False
         self.granted_at = 0.0
@@ -81,6 +94,8 @@
         self.endpoints_told: dict[str, EndpointInfo] | None = None
         self.received_endpoints: dict[str, EndpointInfo] = {}
         self.scope = anyio.CancelScope()
+        self._acknowledge_seconds = acknowledge_seconds
+        self._last_chance: float | None = None
         self._acknowledge = 0
         self._next_number = 1
         self._unacknowledged: deque[Unacknowledged] = deque()
@@ -136,11 +151,11 @@
         self._acknowledge = 0
         return message
 
-    def number_sent(self, items: list[Outgoing], *, deadline: float) -> int:
+    def number_sent(self, items: list[Outgoing], *, now: float) -> int:
         """Return the number of a message with urgent facts, and expect its acknowledgement."""
         number = self._next_number
         self._next_number += 1
-        self._unacknowledged.append(Unacknowledged(number, deadline, tuple(items)))
+        self._unacknowledged.append(Unacknowledged(number, now, tuple(items)))
         return number
 
     def take_acknowledged(self, number: int) -> None:
@@ -155,16 +170,30 @@
     def check_answers(self, now: float) -> None:
         """Check that acknowledgements are not overdue.
 
+        A connection over which something came since then is given longer. The
+        first time that one is overdue the reading task gets another moment,
+        for this process itself may have been held up.
+
         Raises
         ------
         SilentPeerError
             The connection has gone silent.
         """
-        if self._unacknowledged and self._unacknowledged[0].deadline <= now:
+        if not self._unacknowledged or now < self._acknowledgement_due():
+            self._last_chance = None
+        elif self._last_chance is None:
+            self._last_chance = now + LAST_CHANCE_SECONDS
+        elif now >= self._last_chance:
             raise SilentPeerError(f"{self.host} did not acknowledge urgent facts")
 
     def next_deadline(self) -> float:
         """Return the boot clock, in seconds, at which the writing task is due again."""
         if not self._unacknowledged:
             return self.beat_due
-        return min(self.beat_due, self._unacknowledged[0].deadline)
+        due = self._last_chance or self._acknowledgement_due()
+        return min(self.beat_due, due)
+
+    def _acknowledgement_due(self) -> float:
+        sent_at = self._unacknowledged[0].sent_at
+        heard_since = self.last_heard > sent_at
+        return sent_at + self._acknowledge_seconds * (HEARD_FACTOR if heard_since else 1.0)
--- a/samphirehall/membership/zone_report.py
+++ b/samphirehall/membership/zone_report.py
@@ -10,7 +10,7 @@
 
 LIFETIME_SECONDS = 90.0
 REFRESH_SECONDS = 30.0
-SETTLE_SECONDS = 0.5
+SETTLE_SECONDS = 1.0
 RETIRED_SECONDS = 10.0
 KEY_PREFIX = "zone/"
 
@@ -107,7 +107,7 @@
         self._mesh = mesh
         self._published: ZoneReport | None = None
         self._published_at = 0.0
-        self._uneven_since: float | None = None
+        self._differs_since: float | None = None
 
     def tick(self, *, now: float) -> None:
         """Publish the report if it is due."""
@@ -141,10 +141,19 @@
 
     def _is_due(self, report: ZoneReport, now: float) -> bool:
         if report == self._published:
+            self._differs_since = None
             return now - self._published_at > REFRESH_SECONDS
-        if not report.others:
-            self._uneven_since = None
+        is_step = self._published is not None and (
+            report.version > self._published.version
+            and not report.others
+            and report.down == self._published.down
+        )
+        if is_step:
+            self._differs_since = None
             return True
-        if self._uneven_since is None:
-            self._uneven_since = now
-        return now - self._uneven_since > SETTLE_SECONDS
+        if self._differs_since is None:
+            self._differs_since = now
+        if now - self._differs_since <= SETTLE_SECONDS:
+            return False
+        self._differs_since = None
+        return True
