--- a/samphirehall/membership/mesh.py
+++ b/samphirehall/membership/mesh.py
@@ -25,6 +25,7 @@
 
 SENT_SHARE = 0.5
 NEW_CONNECTION_SECONDS = 2.0
+ZONE_ONLY_KINDS = frozenset((FactKind.SERVED_TOKENS,))
 RELAYED_KINDS_END = FactKind.CONFIGURATION
 
 _log = logging.getLogger(__name__)
@@ -239,7 +240,9 @@
         item = outgoing(fact, until=boot_seconds() + fact.lifetime)
         chosen = self._bulk_targets()
         for peer in self.peers.values():
-            if is_urgent(fact.kind) or peer.zone == self.state.zone or peer.host in chosen:
+            in_zone = peer.zone == self.state.zone
+            crosses = is_urgent(fact.kind) or peer.host in chosen
+            if in_zone or (crosses and fact.kind not in ZONE_ONLY_KINDS):
                 peer.push(item)
 
     def _bulk_targets(self) -> set[str]:
--- a/samphirehall/membership/outbox.py
+++ b/samphirehall/membership/outbox.py
@@ -4,7 +4,6 @@
 from samphirehall.node.facts import FactKind
 
 URGENT_END = FactKind.HOST
-ZONE_REPORT_KINDS = frozenset((FactKind.SERVED_TOKENS, FactKind.ENGINE_REPORT))
 Identity = tuple[int, str, str]
 
 
@@ -56,7 +55,7 @@
     def _queue(self, item: Outgoing) -> dict[Identity, Outgoing]:
         if is_urgent(item.fact.kind):
             return self._urgent
-        if item.crossed and item.fact.kind in ZONE_REPORT_KINDS:
+        if item.crossed and item.fact.kind is FactKind.ENGINE_REPORT:
             return self._reports
         return self._bulk
 
--- /dev/null
+++ b/tests/membership/test_pacing.py
@@ -0,0 +1,133 @@
+"""Budgets, outboxes, roles of hosts and delegates."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from samphirehall.core.types import HostInfo
+from samphirehall.membership.budget import BURST_SECONDS, DEBT_SECONDS, ByteBudget
+from samphirehall.membership.directory import Directory
+from samphirehall.membership.outbox import Outbox, is_urgent
+from samphirehall.membership.pacing import BEAT_WIRE_BYTES, beat_interval, poll_interval
+from samphirehall.membership.wire import decode_fact, outgoing
+from samphirehall.membership.zone_report import choose_report, summarize, zone_reporter
+from samphirehall.node.facts import Fact, FactBoard, FactKind
+from tests.support.mesh import mesh_settings
+
+RATE = 100.0
+names = st.sets(st.from_regex(r"host-[0-9]{1,3}", fullmatch=True), min_size=1, max_size=40)
+
+
+def fact(kind, key="k", counter=1):
+    return Fact(kind, key, "owner", 1, counter, {"n": counter}, 10.0)
+
+
+class TestByteBudget:
+    @given(st.lists(st.tuples(st.floats(0, 2), st.integers(1, 400)), max_size=40))
+    def test_what_may_wait_keeps_the_rate(self, steps):
+        budget = ByteBudget(RATE, now=0.0)
+        now = sent = 0.0
+        for pause, size in steps:
+            now += pause
+            now += budget.wait(now=now)
+            budget.spend(size, now=now)
+            sent += size
+            assert sent <= RATE * (now + BURST_SECONDS) + size
+
+    @given(st.integers(1, 10_000_000))
+    def test_urgent_bytes_hold_the_rest_back_for_a_bounded_time(self, size):
+        budget = ByteBudget(RATE, now=0.0)
+        budget.spend(size, now=0.0)
+        assert budget.wait(now=0.0) <= DEBT_SECONDS
+
+
+class TestOutbox:
+    @given(st.lists(st.tuples(st.sampled_from(FactKind), st.integers(1, 3))))
+    def test_urgent_kinds_leave_first_and_newest_only(self, pushed):
+        outbox, newest = Outbox(), {}
+        for kind, counter in pushed:
+            outbox.push(outgoing(fact(kind, counter=counter), until=100.0))
+            newest[kind] = max(newest.get(kind, 0), counter)
+        urgent = outbox.take_urgent(max_bytes=10_000, now=0.0)
+        assert [item.fact.kind for item in urgent] == sorted(filter(is_urgent, newest))
+        rest = []
+        while outbox.has_bulk:
+            rest += outbox.take_bulk(max_bytes=10_000, now=0.0)
+        taken = {item.fact.kind: item.fact.counter for item in [*urgent, *rest]}
+        assert taken == newest
+
+    def test_bulk_keeps_its_place_when_a_newer_fact_replaces_it(self):
+        outbox = Outbox()
+        for key, counter in (("a", 1), ("b", 1), ("a", 2)):
+            outbox.push(outgoing(fact(FactKind.DEMAND, key, counter), until=100.0))
+        first = outbox.take_bulk(max_bytes=1, now=0.0)
+        assert [(item.fact.key, item.fact.counter) for item in first] == [("a", 2)]
+
+    def test_ended_fact_is_not_sent(self):
+        outbox = Outbox()
+        outbox.push(outgoing(fact(FactKind.KEY_WITHDRAWN), until=5.0))
+        assert outbox.take_urgent(max_bytes=100, now=6.0) == []
+
+
+class TestWire:
+    @given(st.builds(fact, st.sampled_from(FactKind), st.text(max_size=20), st.integers(1, 9)))
+    def test_fact_survives_its_encoding(self, sent):
+        assert decode_fact(outgoing(sent, until=0.0).payload, 10_000) == sent
+
+
+class TestDelegates:
+    @given(names, names)
+    def test_only_changes_where_a_host_came_or_went(self, zone, own):
+        first, second = sorted(zone)[0], sorted(own)[-1]
+        directory = Directory(HostInfo(second, "own", ""), FactBoard(second, 1))
+        orders = []
+        for members in (zone, zone - {first}):
+            listed = [HostInfo(f"far-{name}", "far", "") for name in members]
+            directory.take_list(listed, connected=frozenset(), now=0.0)
+            orders.append(directory.delegates("far"))
+        assert [name for name in orders[0] if name != f"far-{first}"] == orders[1]
+
+    @given(names)
+    def test_are_spread_over_the_other_zone(self, own):
+        far = [HostInfo(f"far-{number}", "far", "") for number in range(32)]
+        chosen = {}
+        for name in own:
+            directory = Directory(HostInfo(name, "own", ""), FactBoard(name, 1))
+            directory.take_list(far, connected=frozenset(), now=0.0)
+            first = directory.delegates("far")[0]
+            chosen[first] = chosen.get(first, 0) + 1
+        assert max(chosen.values()) <= 3 + len(own) // 4
+
+
+class TestPolling:
+    @given(names)
+    def test_two_hosts_of_a_zone_poll_and_one_more_slowly(self, live):
+        intervals = [poll_interval(host, live, base=1.0, unverified_for=0.0) for host in live]
+        assert intervals.count(1.0) == min(2, len(live))
+        assert intervals.count(4.0) == (1 if len(live) > 2 else 0)
+
+    @given(names)
+    def test_everyone_polls_when_nobody_has_word_of_the_store(self, live):
+        intervals = [poll_interval(host, live, base=1.0, unverified_for=60.0) for host in live]
+        assert None not in intervals
+
+
+class TestBeatInterval:
+    @given(st.integers(0, 54))
+    def test_keeps_half_of_the_budget(self, peers):
+        settings = mesh_settings(byte_budget_per_second=4096, heartbeat_seconds=1.0)
+        interval = beat_interval(settings, peers=peers)
+        assert peers * 2 * BEAT_WIRE_BYTES / interval <= 4096 / 2 + 2 * BEAT_WIRE_BYTES
+
+
+class TestZoneReport:
+    @given(names, st.data())
+    def test_report_of_a_host_that_is_down_does_not_count(self, live, data):
+        gone = data.draw(st.sampled_from(sorted(live)))
+        left = live - {gone}
+        if not left:
+            return
+        old = summarize(dict.fromkeys(live, 3), frozenset())
+        new = summarize(dict.fromkeys(left, 4), frozenset((gone,)))
+        chosen = choose_report({gone: old, zone_reporter(left): new})
+        assert chosen.version_of(gone) == 0
+        assert all(chosen.version_of(host) == 4 for host in left)
