--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,145 @@
+"""Group commit of claims against one write a claim, at several latencies of the store.
+
+Run with ``python -m benchmarks.claims [SEED]``. The table is in the same process; it carries out
+`RATE` transactions a second, each after a latency. Prints a Markdown table and the seed.
+"""
+
+import random
+import statistics
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import SamphireError
+from samphirehall.forwarding.claims import ClaimStore
+from samphirehall.platform.table import Check, Row, TransactionResult, Write
+from samphirehall.standins.platform import MemoryTable
+
+RATE = 400.0
+LATENCIES_SECONDS = (0.001, 0.005, 0.020)
+OFFERED = (100.0, 300.0, 1000.0)
+SECONDS = 2.0
+DEADLINE_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class SlowTable:
+    """A table with a latency and a bounded rate of transactions."""
+
+    latency: float
+    store: MemoryTable = field(default_factory=MemoryTable)
+    _free_at: float = 0.0
+
+    async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
+        """Apply a transaction in its turn."""
+        now = time.perf_counter()
+        self._free_at = max(now, self._free_at) + 1.0 / RATE
+        await anyio.sleep(self._free_at - now + self.latency)
+        return self.store.transact(list(checks), list(writes))
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return rows after the latency."""
+        await anyio.sleep(self.latency)
+        return {row.key: row for row in self.store.read(list(keys))}
+
+    async def scan(self, prefix: str, *, limit: int = 1000) -> list[Row]:
+        """Return rows after the latency."""
+        await anyio.sleep(self.latency)
+        return self.store.scan(prefix, limit)
+
+
+class SingleWrites:
+    """One transaction a claim, as many in flight as there are claims."""
+
+    def __init__(self, table: SlowTable) -> None:
+        self._table = table
+
+    async def claim(self, customer: str, key: str, *, fingerprint: str, deadline: float) -> None:
+        """Insert one claim."""
+        value = {"fingerprint": fingerprint}
+        with anyio.fail_after(deadline - boot_seconds()):
+            await self._table.transact([Check(key, 0)], [Write(key, value)])
+
+
+@dataclass(slots=True)
+class Tally:
+    """What the claims of one run took, in seconds, and how many were too late."""
+
+    seconds: list[float] = field(default_factory=list)
+    late: int = 0
+
+
+async def offer(claims: ClaimStore | SingleWrites, rate: float, seed: int) -> Tally:
+    """Offer claims at exponential intervals and return what they took."""
+    source, tally = random.Random(seed), Tally()
+
+    async def one(number: int, due: float) -> None:
+        deadline = boot_seconds() + DEADLINE_SECONDS
+        try:
+            await claims.claim("coop", f"key-{number}", fingerprint="f", deadline=deadline)
+        except (SamphireError, TimeoutError):
+            tally.late += 1
+            return
+        tally.seconds.append(time.perf_counter() - due)
+
+    async with anyio.create_task_group() as group:
+        due = time.perf_counter()
+        for number in range(int(rate * SECONDS)):
+            await anyio.sleep(max(0.0, due - time.perf_counter()))
+            group.start_soon(one, number, due)
+            due += source.expovariate(rate)
+    return tally
+
+
+async def measure(grouped: bool, latency: float, rate: float, seed: int) -> str:
+    """Return one row of the table."""
+    table = SlowTable(latency)
+    async with anyio.create_task_group() as group:
+        if grouped:
+            claims: ClaimStore | SingleWrites = ClaimStore(table, random_source=random.Random(seed))
+            assert isinstance(claims, ClaimStore)
+            group.start_soon(claims.run)
+        else:
+            claims = SingleWrites(table)
+        began = time.perf_counter()
+        tally = await offer(claims, rate, seed)
+        elapsed = time.perf_counter() - began
+        group.cancel_scope.cancel()
+    done = sorted(tally.seconds)
+    cells = [
+        f"{latency * 1000:.0f}",
+        f"{rate:.0f}",
+        "group" if grouped else "single",
+        f"{len(done) / elapsed:.0f}",
+        f"{statistics.median(done) * 1000:.1f}",
+        f"{done[int(0.95 * len(done))] * 1000:.1f}",
+        str(tally.late),
+        f"{table.store.transactions / max(1, len(done)):.2f}",
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+async def run(seed: int) -> None:
+    """Print every row."""
+    print(f"seed {seed}, {RATE:.0f} transactions/s, {SECONDS:.0f} s each\n")
+    print(
+        "| store ms | offered/s | commit | claims/s | p50 ms | p95 ms | too late | writes a claim |"
+    )
+    print("| ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: |")
+    for latency in LATENCIES_SECONDS:
+        for rate in OFFERED:
+            for grouped in (False, True):
+                print(await measure(grouped, latency, rate, seed), flush=True)
+
+
+def main() -> None:
+    """Run the benchmark with the seed of the command line."""
+    anyio.run(run, int(sys.argv[1]) if len(sys.argv) > 1 else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/loopback_client.py
@@ -0,0 +1,204 @@
+"""A bounded client of completions for benchmarks: open loop, one process, raw asyncio."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+import uvloop
+
+END_OF_BODY = b"\r\n0\r\n\r\n"
+EVENT = b"\ndata: "
+FIRST_BODY = b"data: "
+DRAIN_SECONDS = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What one client process offers.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Where requests go, in turn.
+    key : str
+        Customer key; empty for engines.
+    rate : float
+        Requests a second, at exponential intervals; 0 for closed loop.
+    concurrency : int
+        Requests open at once in a closed loop.
+    tokens : int
+        Tokens of each answer.
+    seconds : float
+        Time for which requests are begun.
+    streams : int
+        Streams held open besides, each begun again when it ends.
+    stream_tokens : int
+        Tokens of each such stream.
+    seed : int
+        Seed of the intervals.
+    """
+
+    addresses: tuple[str, ...]
+    key: str = ""
+    rate: float = 0.0
+    concurrency: int = 0
+    tokens: int = 4
+    seconds: float = 5.0
+    streams: int = 0
+    stream_tokens: int = 100
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Measured:
+    """What one client process measured.
+
+    `first_seconds` and `whole_seconds` are from the due time of each request;
+    `gap_seconds` is the time between two reads of a stream held open.
+    """
+
+    first_seconds: list[float] = field(default_factory=list)
+    whole_seconds: list[float] = field(default_factory=list)
+    gap_seconds: list[float] = field(default_factory=list)
+    events: int = 0
+    failed: int = 0
+    seconds: float = 0.0
+
+
+class _Connection(asyncio.Protocol):
+    """One request at a time on one connection."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._done: asyncio.Future[bool] | None = None
+        self._tail = b""
+        self.first_at = 0.0
+        self.events = 0
+        self.gaps: list[float] = []
+        self._read_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        now = time.perf_counter()
+        if not self.first_at and FIRST_BODY in data:
+            self.first_at = now
+        elif self._read_at:
+            self.gaps.append(now - self._read_at)
+        self._read_at = now
+        self.events += data.count(EVENT)
+        tail = self._tail + data[-len(END_OF_BODY) :]
+        self._tail = tail[-len(END_OF_BODY) :]
+        if self._tail.endswith(END_OF_BODY) and self._done is not None:
+            self._finish(True)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._finish(False)
+
+    async def ask(self, request: bytes) -> bool:
+        """Send a request and wait for the end of its answer; return whether it was whole."""
+        self.first_at, self._read_at, self.events, self.gaps, self._tail = 0.0, 0.0, 0, [], b""
+        self._done = asyncio.get_running_loop().create_future()
+        assert self.transport is not None
+        self.transport.write(request)
+        return await self._done
+
+    def _finish(self, whole: bool) -> None:
+        if self._done is not None and not self._done.done():
+            self._done.set_result(whole)
+
+
+class _Client:
+    def __init__(self, load: Load) -> None:
+        self._load = load
+        self._idle: dict[str, list[_Connection]] = {address: [] for address in load.addresses}
+        self._number = 0
+        self._prefix = f"bench-{load.seed}-{time.time_ns()}"
+        self.measured = Measured()
+
+    async def run(self) -> Measured:
+        load = self._load
+        began = time.perf_counter()
+        end = began + load.seconds
+        held = [asyncio.create_task(self._hold(end)) for _ in range(load.streams)]
+        workers = [asyncio.create_task(self._repeat(end)) for _ in range(load.concurrency)]
+        if load.rate:
+            workers.append(asyncio.create_task(self._arrive(end)))
+        await asyncio.sleep(load.seconds)
+        self.measured.seconds = time.perf_counter() - began
+        await asyncio.wait_for(asyncio.gather(*workers), DRAIN_SECONDS)
+        for task in held:
+            task.cancel()
+        await asyncio.gather(*held, return_exceptions=True)
+        return self.measured
+
+    async def _arrive(self, end: float) -> None:
+        source = random.Random(self._load.seed)
+        due = time.perf_counter()
+        tasks = set()
+        while due < end:
+            await asyncio.sleep(max(0.0, due - time.perf_counter()))
+            tasks.add(asyncio.create_task(self._one(due)))
+            due += source.expovariate(self._load.rate)
+        await asyncio.gather(*tasks)
+
+    async def _repeat(self, end: float) -> None:
+        while time.perf_counter() < end:
+            await self._one(time.perf_counter())
+
+    async def _one(self, due: float) -> None:
+        address = self._next_address()
+        connection = await self._connect(address)
+        if not await connection.ask(self._request(address, self._load.tokens)):
+            self.measured.failed += 1
+            return
+        self._idle[address].append(connection)
+        self.measured.first_seconds.append(connection.first_at - due)
+        self.measured.whole_seconds.append(time.perf_counter() - due)
+        if connection.events != self._load.tokens + 2:
+            self.measured.failed += 1
+
+    async def _hold(self, end: float) -> None:
+        while time.perf_counter() < end:
+            address = self._next_address()
+            connection = await self._connect(address)
+            try:
+                if not await connection.ask(self._request(address, self._load.stream_tokens)):
+                    self.measured.failed += 1
+            finally:
+                self.measured.events += connection.events
+                self.measured.gap_seconds += connection.gaps
+                assert connection.transport is not None
+                connection.transport.abort()
+
+    def _next_address(self) -> str:
+        self._number += 1
+        return self._load.addresses[self._number % len(self._load.addresses)]
+
+    async def _connect(self, address: str) -> _Connection:
+        if self._idle[address]:
+            return self._idle[address].pop()
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(_Connection, host, int(port))
+        return connection
+
+    def _request(self, address: str, tokens: int) -> bytes:
+        body = (
+            f'{{"model":"answer","stream":true,"max_tokens":{tokens},'
+            f'"messages":[{{"role":"user","content":"Is lot {self._number} fit for Saturday?"}}]}}'
+        )
+        credential = f"Authorization: Bearer {self._load.key}\r\n" if self._load.key else ""
+        return (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: {address}\r\n{credential}"
+            f"X-Request-Id: {self._prefix}-{self._number}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+
+def drive(load: Load) -> Measured:
+    """Offer a load and return what was measured; runs its own event loop."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_Client(load).run())
--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -65,6 +65,7 @@
         self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
         self._backend = httpcore.AnyIOBackend()
         self._host_header = address.encode()
+        self._closed = False
 
     @property
     def has_idle(self) -> bool:
@@ -137,7 +138,8 @@
         return connections
 
     async def aclose(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and each other one once its request is over."""
+        self._closed = True
         for connection in self.close_idle():
             await connection.aclose()
 
@@ -164,7 +166,7 @@
         return self._dial()
 
     async def _give_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
-        if connection.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if connection.is_idle() and not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append((boot_seconds(), connection))
             return
         with anyio.CancelScope(shield=True):
--- a/samphirehall/forwarding/inbound.py
+++ b/samphirehall/forwarding/inbound.py
@@ -83,6 +83,8 @@
 
 
 _KNOWN_FIELDS = frozenset(ChatBody.__struct_fields__)
+_body_decoder = msgspec.json.Decoder(ChatBody)
+_raw_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 async def read_request_body(receive: Receive, *, max_bytes: int, timeout: float) -> bytes:
@@ -123,14 +125,18 @@
         The body is not a completion request.
     """
     try:
-        parsed = msgspec.json.decode(body, type=ChatBody)
-        everything = msgspec.json.decode(body)
+        parsed = _body_decoder.decode(body)
+        raw_fields = _raw_decoder.decode(body)
+        sampling = {
+            name: msgspec.json.decode(value)
+            for name, value in raw_fields.items()
+            if name not in _KNOWN_FIELDS
+        }
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SamphireError(BAD_REQUEST, f"body: {error}") from error
     max_tokens = parsed.max_completion_tokens or parsed.max_tokens
     if max_tokens is not None and max_tokens < 1:
         raise SamphireError(BAD_REQUEST, f"max_tokens = {max_tokens}: at least 1")
-    sampling = {name: value for name, value in everything.items() if name not in _KNOWN_FIELDS}
     return Completion(
         parsed.model, _messages(parsed, chat=chat), max_tokens, parsed.stream, chat, sampling
     )
