Relay without a timer for each read or each write to a caller

Cause: httpcore's stream arms a timer for each read and the relay armed another for each piece sent to the caller, though a watch task already looks at every stream.

Ruled out: a stream on asyncio protocols of our own; the project is built on anyio, whose socket stream stays.

Change: TcpStream reads and writes without a timer if the request asks for no timeout; the guard of a stream also limits the silence of its caller.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -5,6 +5,7 @@
 a request must not grow with the connections that are open.
 """
 
+import math
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Mapping
@@ -14,6 +15,7 @@
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.network import TcpBackend
 
 IDLE_SECONDS = 20.0
 MAX_IDLE_CONNECTIONS = 1024
@@ -57,13 +59,13 @@
         host, _, port = address.rpartition(":")
         self.address = address
         self._origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
-        self._timeouts = {
+        self._timeouts: dict[str, float | None] = {
             "connect": connect_timeout,
             "read": read_timeout,
             "write": read_timeout,
         }
         self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
-        self._backend = httpcore.AnyIOBackend()
+        self._backend = TcpBackend()
         self._host_header = address.encode()
         self._closed = False
 
@@ -94,7 +96,8 @@
         content : bytes or async iterator of bytes, optional
             Body; an iterator is asked for it after the head has been sent.
         read_timeout : float, optional
-            Seconds of silence allowed, in place of the pool's.
+            Seconds of silence allowed, in place of the pool's; `math.inf` for a
+            request whose silence is watched in another way.
         fresh : bool
             Dial a new connection even if an idle one is there.
 
@@ -105,9 +108,10 @@
         httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError
             The request may have been written.
         """
-        timeouts = self._timeouts
+        timeouts: dict[str, float | None] = self._timeouts
         if read_timeout is not None:
-            timeouts = {**timeouts, "read": read_timeout}
+            limit = None if read_timeout == math.inf else read_timeout
+            timeouts = {**timeouts, "read": limit}
         request = httpcore.Request(
             method,
             httpcore.URL(
--- /dev/null
+++ b/samphirehall/core/network.py
@@ -0,0 +1,101 @@
+"""TCP streams for httpcore, on anyio, without a timer for each read.
+
+httpcore's own streams arm a timer for each read. Here one is armed only if the
+request asks for a timeout; who watches a stream in another way asks for none.
+"""
+
+import select
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import httpcore
+from anyio.abc import SocketStream
+
+READ_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class TcpStream(httpcore.AsyncNetworkStream):
+    """Bytes of one TCP connection.
+
+    Parameters
+    ----------
+    stream : SocketStream
+        The connection; closed with this stream.
+    """
+
+    def __init__(self, stream: SocketStream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return bytes as they come; none at the end of the stream."""
+        try:
+            if timeout is None:
+                return await self._stream.receive(max_bytes)
+            with anyio.fail_after(timeout):
+                return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout(str(error)) from error
+        except READ_ERRORS as error:
+            raise httpcore.ReadError(str(error)) from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write all bytes."""
+        if not buffer:
+            return
+        try:
+            if timeout is None:
+                await self._stream.send(buffer)
+                return
+            with anyio.fail_after(timeout):
+                await self._stream.send(buffer)
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout(str(error)) from error
+        except READ_ERRORS as error:
+            raise httpcore.WriteError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return whether the socket is readable, which on an idle connection means its end."""
+        if info != "is_readable":
+            return None
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(raw, select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class TcpBackend(httpcore.AnyIOBackend):
+    """Dials TCP connections."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Return a new connection.
+
+        Raises
+        ------
+        httpcore.ConnectError, httpcore.ConnectTimeout
+            There is none; nothing was written.
+        """
+        try:
+            with anyio.fail_after(timeout):
+                stream = await anyio.connect_tcp(host, port, local_host=local_address)
+        except TimeoutError as error:
+            raise httpcore.ConnectTimeout(str(error)) from error
+        except (OSError, anyio.BrokenResourceError) as error:
+            raise httpcore.ConnectError(str(error)) from error
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        for option in socket_options or ():
+            raw.setsockopt(*option)
+        return TcpStream(stream)
--- a/samphirehall/forwarding/attempt.py
+++ b/samphirehall/forwarding/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a completion on one engine: the call, its events, and resumes."""
 
 import enum
+import math
 from contextlib import AbstractAsyncContextManager
 
 import anyio
@@ -23,6 +24,7 @@
 from samphirehall.forwarding.context import EntryContext
 
 CANCEL_SECONDS = 1.0
+CALLER_STALL_SECONDS = 30.0
 RESUME_HEAD_SECONDS = 1.0
 MAX_REFUSAL_BYTES = 64 * 1024
 HTTP_OK = 200
@@ -204,8 +206,10 @@
                     batch = reader.feed(chunk)
                     if batch.content:
                         run.payloads.extend(batch.data)
-                        guard.pause()
+                        guard.until = boot_seconds() + CALLER_STALL_SECONDS
+                        guard.waits_for_caller = True
                         await self._sink(batch)
+                        guard.waits_for_caller = False
                         guard.until = boot_seconds() + stall_seconds
         if not reader.done:
             raise BrokenStreamError("no end marker")
@@ -217,7 +221,8 @@
     def _resume(self) -> AbstractAsyncContextManager[httpcore.Response]:
         last = f"{self._run.request_id}:{self._reader.next_index - 1}".encode()
         path = f"/v1/streams/{self._run.request_id}"
-        return self._pool.request("GET", path, headers={LAST_EVENT_HEADER: last}, fresh=True)
+        headers = {LAST_EVENT_HEADER: last}
+        return self._pool.request("GET", path, headers=headers, read_timeout=math.inf, fresh=True)
 
     def _post(self, *, fresh: bool) -> AbstractAsyncContextManager[httpcore.Response]:
         run = self._run
@@ -233,7 +238,7 @@
             "/v1/chat/completions",
             headers=headers,
             content=_body(run, self._kv_source),
-            read_timeout=self._limits.first_event_seconds,
+            read_timeout=math.inf,
             fresh=fresh,
         )
 
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -40,8 +40,6 @@
     refuse_key_in_body,
 )
 
-CALLER_STALL_SECONDS = 30.0
-
 
 async def serve_completion(
     context: EntryContext,
@@ -135,15 +133,12 @@
 
     async def relay(batch: EventBatch) -> None:
         nonlocal begun, tokens
-        with anyio.move_on_after(CALLER_STALL_SECONDS) as limit:
-            if not begun:
-                begun = True
-                _observe_first(context, run, started)
-                await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
-            tokens += len(batch.data)
-            await send_body(send, batch.content, more=not batch.done)
-        if limit.cancelled_caught:
-            raise CallerGoneError
+        if not begun:
+            begun = True
+            _observe_first(context, run, started)
+            await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
+        tokens += len(batch.data)
+        await send_body(send, batch.content, more=not batch.done)
 
     try:
         await run_completion(context, run, relay)
--- a/samphirehall/forwarding/stall.py
+++ b/samphirehall/forwarding/stall.py
@@ -5,7 +5,6 @@
 few times a second.
 """
 
-import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -13,6 +12,7 @@
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.forwarding.inbound import CallerGoneError
 
 TICK_SECONDS = 0.1
 
@@ -21,6 +21,10 @@
     """A stream was silent for too long."""
 
 
+class CallerStalledError(CallerGoneError):
+    """The caller took nothing for too long."""
+
+
 class StallGuard:
     """Limit of silence of one stream.
 
@@ -30,15 +34,14 @@
         Boot clock in seconds until which silence is allowed.
     """
 
+    __slots__ = ("expired", "scope", "until", "waits_for_caller")
+
     def __init__(self, until: float) -> None:
         self.until = until
+        self.waits_for_caller = False
         self.expired = False
         self.scope = anyio.CancelScope()
 
-    def pause(self) -> None:
-        """Allow silence, while the caller is waited for."""
-        self.until = math.inf
-
 
 class StallWatch:
     """Ends the streams that are silent for too long."""
@@ -72,6 +75,8 @@
         ------
         StalledError
             The stream was silent for too long.
+        CallerStalledError
+            The caller took nothing for too long.
         """
         guard = StallGuard(until)
         self._guards.add(guard)
@@ -81,4 +86,6 @@
         finally:
             self._guards.discard(guard)
         if guard.expired and guard.scope.cancelled_caught:
+            if guard.waits_for_caller:
+                raise CallerStalledError
             raise StalledError("the stream was silent for too long")
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -10,7 +10,7 @@
 
 from samphirehall.configuration.version import Configuration
 from samphirehall.endpoints.events import tokens_of
-from samphirehall.forwarding import completion_answer
+from samphirehall.forwarding import attempt
 from samphirehall.forwarding.caller_protocol import CONNECTION, CallerConnection
 from tests.support.endpoint import (
     HEAD,
@@ -258,7 +258,7 @@
         assert context.admission.open_requests == 0
 
     async def test_a_caller_that_stops_reading_is_given_up(self, monkeypatch):
-        monkeypatch.setattr(completion_answer, "CALLER_STALL_SECONDS", 0.1)
+        monkeypatch.setattr(attempt, "CALLER_STALL_SECONDS", 0.1)
 
         async def never(message):
             await anyio.sleep_forever()
