Pass on together what was received together, and test a planned stop

Cause: an engine that falls behind sends several chunks in one segment; each was checked and sent on alone.

Ruled out: reading the socket beside httpcore, which keeps the bytes.

Change: the TCP stream tells when all received bytes are used up, and the relay passes on what has gathered then. The raw socket is looked up once. tests/programs/test_entry_stop.py stops a real entry under load: six streams, one begun in the grace time, end whole, a call in the grace time is served with "Connection: close", exit status 0.

--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -5,7 +5,7 @@
 """
 
 import select
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -22,13 +22,22 @@
     ----------
     stream : SocketStream
         The connection; closed with this stream.
+
+    Attributes
+    ----------
+    before_wait : callable, optional
+        Awaited before more bytes are waited for, when all received ones are used up.
     """
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
+        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.before_wait: Callable[[], Awaitable[None]] | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as they come; none at the end of the stream."""
+        if self.before_wait is not None:
+            await self.before_wait()
         try:
             if timeout is None:
                 return await self._stream.receive(max_bytes)
@@ -64,9 +73,8 @@
         """Return whether the socket is readable, which on an idle connection means its end."""
         if info != "is_readable":
             return None
-        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         poll = select.poll()
-        poll.register(raw, select.POLLIN)
+        poll.register(self._socket, select.POLLIN)
         return bool(poll.poll(0))
 
 
--- a/samphirehall/forwarding/attempt.py
+++ b/samphirehall/forwarding/attempt.py
@@ -11,6 +11,7 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import NOT_WRITTEN_ERRORS, TRANSPORT_ERRORS, read_body
 from samphirehall.core.errors import SamphireError
+from samphirehall.core.network import TcpStream
 from samphirehall.core.results import ENDPOINT_FAILED
 from samphirehall.core.types import EndpointInfo
 from samphirehall.endpoints.events import BrokenStreamError, EventReader, tokens_of
@@ -22,6 +23,7 @@
 )
 from samphirehall.forwarding.completion_run import CompletionRun, Sink
 from samphirehall.forwarding.context import EntryContext
+from samphirehall.forwarding.stall import StallGuard
 
 CANCEL_SECONDS = 1.0
 CALLER_STALL_SECONDS = 30.0
@@ -195,25 +197,43 @@
     async def _read(
         self, call: AbstractAsyncContextManager[httpcore.Response], head_seconds: float
     ) -> None:
-        run, reader, stall_seconds = self._run, self._reader, self._limits.stall_seconds
         with self._context.stalls.guard(boot_seconds() + head_seconds) as guard:
             async with call as response:
                 if response.status != HTTP_OK:
                     await _refuse(response)
-                run.written = True
+                self._run.written = True
                 guard.until = boot_seconds() + self._limits.first_event_seconds
-                async for chunk in response.aiter_stream():
-                    batch = reader.feed(chunk)
-                    if batch.content:
-                        run.payloads.extend(batch.data)
-                        guard.until = boot_seconds() + CALLER_STALL_SECONDS
-                        guard.waits_for_caller = True
-                        await self._sink(batch)
-                        guard.waits_for_caller = False
-                        guard.until = boot_seconds() + stall_seconds
-        if not reader.done:
+                await self._relay(response, guard)
+        if not self._reader.done:
             raise BrokenStreamError("no end marker")
 
+    async def _relay(self, response: httpcore.Response, guard: StallGuard) -> None:
+        """Pass on all that was received together as one batch, before waiting for more."""
+        pieces: list[bytes] = []
+
+        async def pass_on() -> None:
+            if not pieces:
+                return
+            batch = self._reader.feed(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+            pieces.clear()
+            if not batch.content:
+                return
+            self._run.payloads.extend(batch.data)
+            guard.until = boot_seconds() + CALLER_STALL_SECONDS
+            guard.waits_for_caller = True
+            await self._sink(batch)
+            guard.waits_for_caller = False
+            guard.until = boot_seconds() + self._limits.stall_seconds
+
+        network: TcpStream = response.extensions["network_stream"]
+        network.before_wait = pass_on
+        try:
+            async for piece in response.aiter_stream():
+                pieces += (piece,)
+            await pass_on()
+        finally:
+            network.before_wait = None
+
     def _note_broken(self) -> None:
         self._run.written = True
         self._reader.restart()
--- /dev/null
+++ b/tests/programs/test_entry_stop.py
@@ -0,0 +1,91 @@
+"""A planned stop of an entry under load, with real processes."""
+
+import http.client
+import json
+import signal
+import time
+
+import pytest
+
+from demo.cluster import Cluster, Endpoint, Host, call, wait_ready
+from demo.run import apply_configuration
+from samphirehall.standins.engine import token_at
+
+GRACE_SECONDS = 1.0
+TOKENS = 60
+STEP_SECONDS = 0.03
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    endpoints = [
+        Endpoint(
+            "engine-1",
+            "engine",
+            "prairie-1",
+            ["answer"],
+            options=[f"--step_base_seconds={STEP_SECONDS}"],
+        ),
+        Endpoint("desk-1", "service", "prairie-1", ["order-desk"]),
+    ]
+    cluster = Cluster(tmp_path, [Host("host-a", "prairie-1")], endpoints)
+    cluster.extra_settings["entry"] = f"shutdown_grace_seconds = {GRACE_SECONDS}\n"
+    try:
+        cluster.start()
+        yield cluster
+    finally:
+        cluster.kill_all()
+
+
+def open_stream(entry, headers, prompt):
+    """Begin a streamed completion and return its connection and answer, body unread."""
+    body = {
+        "model": "answer",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    connection = http.client.HTTPConnection(entry, timeout=20)
+    connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+    return connection, connection.getresponse()
+
+
+def text_of(answer):
+    """Return the text of a streamed answer that has its end marker."""
+    data = [line[6:] for line in answer.read().decode().splitlines() if line[:6] == "data: "]
+    assert data[-1] == "[DONE]"
+    chunks = [json.loads(item) for item in data[:-1]]
+    return "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks)
+
+
+class TestPlannedStop:
+    def test_nothing_is_cut_or_refused(self, cluster):
+        keys = apply_configuration(cluster)
+        entry = cluster.hosts[0].entry
+        wait_ready(entry)
+        headers = {"Authorization": f"Bearer {keys['petal-coop']}"}
+        streams = [open_stream(entry, headers, f"lot {number}") for number in range(5)]
+        program = cluster.programs["host-a-entry"]
+        program.signal(signal.SIGTERM)
+        time.sleep(GRACE_SECONDS / 4)
+        assert call(entry, "GET", "/healthz/ready").status == 503
+        assert call(entry, "GET", "/healthz/live").status == 200
+        late = call(entry, "GET", "/services/stock/lots/14", headers=headers)
+        assert late.status == 200 and late.headers["connection"] == "close"
+        streams.append(open_stream(entry, headers, "lot 5"))
+        for number, (connection, answer) in enumerate(streams):
+            expected = [token_at("answer", f"lot {number}", index) for index in range(TOKENS)]
+            assert text_of(answer) == "".join(expected)
+            connection.close()
+        assert program.wait(10) == 0
+
+    def test_serves_through_the_grace_time_with_nothing_open(self, cluster):
+        keys = apply_configuration(cluster)
+        entry = cluster.hosts[0].entry
+        wait_ready(entry)
+        headers = {"Authorization": f"Bearer {keys['petal-coop']}"}
+        program = cluster.programs["host-a-entry"]
+        program.signal(signal.SIGTERM)
+        time.sleep(GRACE_SECONDS / 2)
+        assert call(entry, "GET", "/services/stock/lots/14", headers=headers).status == 200
+        assert program.wait(10) == 0
