--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -15,6 +15,7 @@
 from samphirehall.programs.running import run_daemon, wait_for_stop
 from samphirehall.standins.engine import EngineStandin
 from samphirehall.standins.platform import PlatformStandin, Topology
+from samphirehall.standins.records import recorded
 from samphirehall.standins.service import ServiceStandin
 
 CRASH_STATUS = 70
@@ -23,13 +24,13 @@
 
 
 async def _serve(app: Any, listen: str) -> None:
-    async with serving(app, listen):
+    async with serving(recorded(app), listen):
         _log.info("serving", extra={"listen": listen})
         await wait_for_stop()
 
 
 async def _serve_engine(engine: EngineStandin, listen: str) -> None:
-    async with serving(engine.app(), listen), anyio.create_task_group() as group:
+    async with serving(recorded(engine.app()), listen), anyio.create_task_group() as group:
         group.start_soon(_crash_when_told, engine)
         await wait_for_stop()
         group.cancel_scope.cancel()
