--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -109,13 +109,15 @@
     folder : Path
         Where settings and logs are written.
     hosts, endpoints : list
-        What to start; addresses are filled in with free ports.
+        What to start; addresses are filled in with free ports. Endpoints of
+        `listed_only` are listed by the platform, but not started.
     """
 
     def __init__(self, folder: Path, hosts: list[Host], endpoints: list[Endpoint]) -> None:
         self.folder = folder
         self.hosts = hosts
         self.endpoints = endpoints
+        self.listed_only: list[Endpoint] = []
         self.programs: dict[str, Program] = {}
         self.extra_settings: dict[str, str] = {"entry": "", "control": ""}
         ports = iter(free_ports(1 + 4 * len(hosts) + len(endpoints)))
@@ -158,13 +160,11 @@
 
     def ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run ``samphirectl`` against all control processes."""
-        controls = ",".join(host.operator for host in self.hosts)
-        return subprocess.run(
-            [str(BIN / "samphirectl"), f"--control={controls}", *arguments],
-            capture_output=True,
-            text=True,
-            timeout=60,
-        )
+        return run_ctl(",".join(host.operator for host in self.hosts), arguments)
+
+    def ctl_of(self, host: Host, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run ``samphirectl`` against the control process of one host."""
+        return run_ctl(host.operator, arguments)
 
     def _add(self, name: str, binary: str, *arguments: str) -> None:
         log = self.folder / f"{name}.log"
@@ -177,6 +177,7 @@
             "platform",
             f"--listen={self.platform}",
             f"--topology={self.folder / 'topology.toml'}",
+            f"--journal={self.folder / 'platform.journal'}",
         )
         for endpoint in self.endpoints:
             arguments = [endpoint.protocol, f"--listen={endpoint.address}"]
@@ -209,7 +210,18 @@
             f'mesh_address = "{host.mesh}"\noperator_address = "{host.operator}"\n'
             for host in self.hosts
         ]
-        return "\n".join([*hosts, *map(_endpoint_table, self.endpoints)])
+        endpoints = [*self.endpoints, *self.listed_only]
+        return "\n".join([*hosts, *map(_endpoint_table, endpoints)])
+
+
+def run_ctl(controls: str, arguments: tuple[str, ...]) -> subprocess.CompletedProcess[str]:
+    """Run ``samphirectl`` against comma-separated control processes."""
+    return subprocess.run(
+        [str(BIN / "samphirectl"), f"--control={controls}", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def _endpoint_table(endpoint: Endpoint) -> str:
--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -94,9 +94,6 @@
 NO_CONFIGURATION = _result(
     2013, "no-configuration", 503, _NOT_RUN, 75, "This host has no configuration yet."
 )
-CLAIM_IN_PROGRESS = _result(
-    2014, "claim-in-progress", 409, _NOT_RUN, 75, "Another attempt with this key is running."
-)
 KEY_REUSED = _result(
     2015,
     "idempotency-key-reused",
@@ -111,6 +108,14 @@
 METHOD_NOT_ALLOWED = _result(
     2017, "method-not-allowed", 405, _NOT_RUN, 2, "The path does not take this method."
 )
+ISOLATED = _result(
+    2030,
+    "isolated",
+    503,
+    _NOT_RUN,
+    75,
+    "This host cannot learn whether the key still holds; ask another.",
+)
 INTERNAL_NOT_RUN = _result(
     2099, "internal-not-run", 500, _NOT_RUN, 70, "A fault of this system before anything ran."
 )
@@ -121,6 +126,9 @@
 DEADLINE_UNKNOWN = _result(
     3001, "deadline-unknown", 504, _UNKNOWN, 75, "The deadline passed while the request ran."
 )
+CLAIM_IN_PROGRESS = _result(
+    3002, "claim-in-progress", 409, _UNKNOWN, 75, "Another attempt with this key is running."
+)
 INTERNAL_UNKNOWN = _result(
     3099, "internal-unknown", 500, _UNKNOWN, 70, "A fault of this system after dispatch."
 )
@@ -131,6 +139,12 @@
 STREAM_CUT = _result(
     4001, "stream-cut", 502, _RAN, 75, "The stream broke and could not be continued."
 )
+OUTCOME_NOT_KEPT = _result(
+    4002, "outcome-not-kept", 409, _RAN, 75, "The request ran; its answer was too long to keep."
+)
+ENDPOINT_CRASHED = _result(
+    4003, "endpoint-crashed", 422, _RAN, 2, "The endpoints that ran the request crashed."
+)
 
 SETTINGS_INVALID = _result(
     5000, "settings-invalid", 400, _NOT_RUN, 78, "The settings file was refused."
@@ -155,6 +169,13 @@
     5007, "lease-lost", 409, _NOT_RUN, 75, "The process no longer holds the lease for this order."
 )
 CHECK_FAILED = _result(5008, "check-failed", 500, _RAN, 1, "A check or demonstration failed.")
+MESH_PROTOCOL = _result(
+    5020, "mesh-protocol", 426, _NOT_RUN, 78, "The peer speaks no protocol version of this host."
+)
+MESH_KEY = _result(5021, "mesh-key", 403, _NOT_RUN, 77, "The peer does not hold the mesh key.")
+MESH_OLD_INCARNATION = _result(
+    5022, "mesh-old-incarnation", 409, _NOT_RUN, 75, "A newer process of this host is connected."
+)
 
 
 def table() -> tuple[Result, ...]:
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.admission.controller import AdmissionController
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
 from samphirehall.endpoints.pools import EndpointPools
@@ -16,6 +17,7 @@
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
 from samphirehall.platform import Platform
@@ -26,7 +28,7 @@
     wait_for_stop,
 )
 from samphirehall.routing.fleet import Fleet
-from samphirehall.routing.policy import ROUTING_POLICIES
+from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
 from samphirehall.usage.meter import UsageMeter
 
@@ -44,21 +46,25 @@
         stack.push_async_callback(platform.aclose)
         pools = EndpointPools(stall_timeout=settings.entry.stall_seconds)
         stack.push_async_callback(pools.aclose)
+        fleet = Fleet(state)
         context = EntryContext(
             settings=settings,
             state=state,
             pools=pools,
-            fleet=Fleet(state),
-            choose=ROUTING_POLICIES.get(settings.routing.policy)(),
+            fleet=fleet,
+            choose=routing_policy(settings.routing, fleet),
             admission=AdmissionController(max_open=settings.entry.max_open_requests),
             claims=ClaimStore(platform),
             metrics=EntryMetrics(CollectorRegistry()),
             meter=UsageMeter(),
             random_source=random.Random(incarnation),
+            retry_budget=RetryBudget(now=boot_seconds()),
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
+        group.start_soon(context.claims.run)
+        group.start_soon(context.claims.clean_forever)
         await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
         _log.info("serving", extra={"listen": settings.entry.listen})
         await wait_for_stop()
--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -1,5 +1,6 @@
 """``samphire-standin``: small stand-ins of the platform, engines and plain services."""
 
+import dataclasses
 import logging
 import os
 import tomllib
@@ -12,25 +13,30 @@
 
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
+from samphirehall.core.types import Role
 from samphirehall.programs.running import run_daemon, wait_for_stop
 from samphirehall.standins.engine import EngineStandin
+from samphirehall.standins.journal import Journal
 from samphirehall.standins.platform import PlatformStandin, Topology
 from samphirehall.standins.records import recorded
 from samphirehall.standins.service import ServiceStandin
+from samphirehall.standins.timing import EngineTiming
 
 CRASH_STATUS = 70
 
 _log = logging.getLogger(__name__)
 
 
-async def _serve(app: Any, listen: str) -> None:
-    async with serving(recorded(app), listen):
+async def _serve(app: Any, listen: str, records: str) -> None:
+    async with serving(recorded(app, records), listen):
         _log.info("serving", extra={"listen": listen})
         await wait_for_stop()
 
 
-async def _serve_engine(engine: EngineStandin, listen: str) -> None:
-    async with serving(recorded(engine.app()), listen), anyio.create_task_group() as group:
+async def _serve_engine(engine: EngineStandin, listen: str, records: str) -> None:
+    app = recorded(engine.app(), records)
+    async with serving(app, listen), anyio.create_task_group() as group:
+        group.start_soon(engine.run)
         group.start_soon(_crash_when_told, engine)
         await wait_for_stop()
         group.cancel_scope.cancel()
@@ -41,10 +47,30 @@
     os._exit(CRASH_STATUS)
 
 
+def engine_timing(options: dict[str, float]) -> EngineTiming:
+    """Return the timing model of command-line options.
+
+    Raises
+    ------
+    SystemExit
+        An option is unknown or out of type; the message lists those known.
+    """
+    known = [item.name for item in dataclasses.fields(EngineTiming)]
+    unknown = sorted(options.keys() - set(known))
+    if unknown:
+        raise SystemExit(f"unknown options {unknown}; known: {', '.join(known)}")
+    try:
+        return msgspec.convert(options, EngineTiming)
+    except msgspec.ValidationError as error:
+        raise SystemExit(f"timing option: {error}") from error
+
+
 class Standins:
     """Stand-ins for tests, demonstrations and measurements; never for production."""
 
-    def platform(self, listen: str, topology: str, seed: int = 0) -> None:
+    def platform(
+        self, listen: str, topology: str, seed: int = 0, journal: str = "", records: str = ""
+    ) -> None:
         """Serve the platform: table, objects, hosts, endpoints, orders and usage.
 
         Parameters
@@ -55,17 +81,36 @@
             TOML file that lists ``hosts`` and ``endpoints``.
         seed : int
             Seed of the fault switches.
+        journal : str
+            File that keeps what was written over a restart; empty for none.
+        records : str
+            File that gets a line for each call received; empty for none.
         """
         configure_logging("info", host="platform", program="samphire-standin")
         document = tomllib.loads(Path(topology).read_text())
-        platform = PlatformStandin(msgspec.convert(document, Topology), seed=seed)
-        run_daemon(lambda: _serve(platform.app(), listen))
+        platform = PlatformStandin(
+            msgspec.convert(document, Topology),
+            seed=seed,
+            journal=Journal(Path(journal) if journal else None),
+        )
+        run_daemon(lambda: _serve(platform.app(), listen, records))
 
     def engine(
-        self, listen: str, name: str, models: str = "answer", checks_fencing: bool = True
+        self,
+        listen: str,
+        name: str,
+        models: str = "answer",
+        checks_fencing: bool = True,
+        role: str = "mixed",
+        records: str = "",
+        **timing: float,
     ) -> None:
         """Serve a model engine.
 
+        Every constant of the timing model is an option of its own, such as
+        ``--time_scale=10`` or ``--max_batch=32``; an unknown one is answered
+        with those that are known.
+
         Parameters
         ----------
         listen : str
@@ -76,13 +121,25 @@
             Models loaded at first, comma-separated.
         checks_fencing : bool
             Whether orders with an old fencing number are refused.
+        role : str
+            Role at first: ``mixed``, ``prefill`` or ``decode``.
+        records : str
+            File that gets a line for each call received; empty for none.
+        **timing
+            Constants of the timing model.
         """
         configure_logging("info", host=name, program="samphire-standin")
         loaded = list(models) if isinstance(models, tuple | list) else str(models).split(",")
-        engine = EngineStandin(name, loaded, checks_fencing=checks_fencing)
-        run_daemon(lambda: _serve_engine(engine, listen))
-
-    def service(self, listen: str, name: str) -> None:
+        engine = EngineStandin(
+            name,
+            loaded,
+            checks_fencing=checks_fencing,
+            role=Role(role),
+            timing=engine_timing(timing),
+        )
+        run_daemon(lambda: _serve_engine(engine, listen, records))
+
+    def service(self, listen: str, name: str, records: str = "") -> None:
         """Serve a plain service.
 
         Parameters
@@ -91,9 +148,11 @@
             IP number and port.
         name : str
             Name of the endpoint.
+        records : str
+            File that gets a line for each call received; empty for none.
         """
         configure_logging("info", host=name, program="samphire-standin")
-        run_daemon(lambda: _serve(ServiceStandin(name).app(), listen))
+        run_daemon(lambda: _serve(ServiceStandin(name).app(), listen, records))
 
 
 def main() -> None:
--- a/samphirehall/standins/records.py
+++ b/samphirehall/standins/records.py
@@ -5,22 +5,21 @@
 body leaves no record.
 """
 
-from collections import deque
+import contextlib
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import msgspec
 from starlette.requests import Request
-from starlette.responses import Response
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.identifiers import KEY_PREFIX
 from samphirehall.endpoints.protocol import REQUEST_ID_HEADER
 
-RECORDS_PATH = "/admin/records"
-KEPT_RECORDS = 50_000
 KEPT_BODY_BYTES = 4096
+KEPT_ANSWER_CHARACTERS = 512
 UNRECORDED_PREFIXES = ("/admin", "/state", "/table", "/objects", "/hosts", "/endpoints")
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
 SECRET_HEADERS = (b"authorization", b"x-api-key")
@@ -59,55 +58,70 @@
     answer: str = ""
 
 
-def recorded(app: Application) -> Application:
-    """Return an application that records calls of `app` and lists them at ``/admin/records``."""
-    records: deque[CallRecord] = deque(maxlen=KEPT_RECORDS)
+def recorded(app: Application, path: str) -> Application:
+    """Return an application that appends the calls of `app` to the file at `path`.
+
+    A call is written when its body has arrived and again when it was answered,
+    so that a crash loses no call; an empty path records nothing.
+    """
+    if not path:
+        return app
 
     async def serve(scope: Message, receive: Callable[..., Any], send: Callable[..., Any]) -> None:
-        if scope["type"] != "http":
+        if scope["type"] != "http" or scope["path"].startswith(UNRECORDED_PREFIXES):
             await app(scope, receive, send)
-            return
-        if scope["path"] == RECORDS_PATH:
-            listing = Response(msgspec.json.encode(list(records)), media_type="application/json")
-            await listing(scope, receive, send)
-            return
-        if scope["path"].startswith(UNRECORDED_PREFIXES):
-            await app(scope, receive, send)
-            return
-        await _serve_recorded(app, records, scope, receive, send)
+        else:
+            await _serve_recorded(app, Path(path), scope, receive, send)
 
     return serve
 
 
+def read_records(path: Path) -> list[CallRecord]:
+    """Return the calls in a file, each as it was written last, by time of arrival."""
+    calls = {}
+    for line in path.read_bytes().splitlines() if path.exists() else []:
+        with contextlib.suppress(msgspec.DecodeError):
+            record = msgspec.json.decode(line, type=CallRecord)
+            calls[record.received_at, record.request_id, record.path] = record
+    return sorted(calls.values(), key=lambda record: record.received_at)
+
+
 async def _serve_recorded(
     app: Application,
-    records: deque[CallRecord],
+    path: Path,
     scope: Message,
     receive: Callable[..., Any],
     send: Callable[..., Any],
 ) -> None:
     record = _begin(scope)
     chunks: list[bytes] = []
-    if scope["method"] in BODILESS_METHODS:
-        records.append(record)
+    bodiless = scope["method"] in BODILESS_METHODS
+    if bodiless:
+        _append(path, record)
 
     async def receive_noted() -> Message:
         message: Message = await receive()
-        if message["type"] == "http.request":
+        if message["type"] == "http.request" and not bodiless:
             chunks.append(message.get("body", b""))
-            if not message.get("more_body", False) and scope["method"] not in BODILESS_METHODS:
+            if not message.get("more_body", False):
                 _finish_body(record, b"".join(chunks))
-                records.append(record)
+                _append(path, record)
         return message
 
     async def send_noted(message: Message) -> None:
         if message["type"] == "http.response.start":
             record.status = message["status"]
-        elif len(record.answer) < KEPT_BODY_BYTES:
+        elif len(record.answer) < KEPT_ANSWER_CHARACTERS:
             record.answer += message.get("body", b"").decode(errors="replace")
         await send(message)
 
     await app(scope, receive_noted, send_noted)
+    _append(path, record)
+
+
+def _append(path: Path, record: CallRecord) -> None:
+    with path.open("ab") as file:
+        file.write(msgspec.json.encode(record) + b"\n")
 
 
 def _begin(scope: Message) -> CallRecord:
--- a/tests/promises/checkers.py
+++ b/tests/promises/checkers.py
@@ -263,9 +263,8 @@
     for begun in history.of(StopBegun):
         found = [end.at for end in ends if end.process == begun.process and end.at > begun.at]
         windows.append((begun.at, found[0] if found else float("inf")))
-    for leaving in history.of(EndpointLeaving):
-        windows.append((leaving.at, leaving.at + LEAVING_SECONDS))
-    return windows
+    leaving = history.of(EndpointLeaving)
+    return windows + [(item.at, item.at + LEAVING_SECONDS) for item in leaving]
 
 
 def _by(events: Iterable, key: Callable) -> dict:
