--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -9,7 +10,7 @@
 import time
 import urllib.error
 import urllib.request
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -17,20 +18,33 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
+SERVER_PORTS = range(20_000, 32_000)
 BIN = Path(sys.executable).parent
 
 
+_given_ports: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports of loopback that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return TCP ports of loopback that are free now and are never given out for outgoing calls."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.choice(SERVER_PORTS)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(slots=True)
 class Program:
     """One process of the cluster and where it writes its log."""
@@ -118,6 +132,7 @@
         self.hosts = hosts
         self.endpoints = endpoints
         self.listed_only: list[Endpoint] = []
+        self.platform_options: list[str] = []
         self.programs: dict[str, Program] = {}
         self.extra_settings: dict[str, str] = {"entry": "", "control": ""}
         ports = iter(free_ports(1 + 4 * len(hosts) + len(endpoints)))
@@ -158,6 +173,10 @@
         for program in self.programs.values():
             program.kill()
 
+    def seen_address(self, name: str, address: str) -> str:
+        """Return the address that others use for `name`; tests put relays in between."""
+        return address
+
     def ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run ``samphirectl`` against all control processes."""
         return run_ctl(",".join(host.operator for host in self.hosts), arguments)
@@ -178,6 +197,7 @@
             f"--listen={self.platform}",
             f"--topology={self.folder / 'topology.toml'}",
             f"--journal={self.folder / 'platform.journal'}",
+            *self.platform_options,
         )
         for endpoint in self.endpoints:
             arguments = [endpoint.protocol, f"--listen={endpoint.address}"]
@@ -190,10 +210,7 @@
     def _write_settings(self) -> None:
         (self.folder / "topology.toml").write_text(self._topology())
         for host in self.hosts:
-            common = (
-                f'[host]\nid = "{host.name}"\nzone = "{host.zone}"\n\n'
-                f'[platform]\naddress = "{self.platform}"\n\n'
-            )
+            common = f'[host]\nid = "{host.name}"\nzone = "{host.zone}"\n\n'
             entry = f'[entry]\nlisten = "{host.entry}"\ncontrol = "{host.link}"\n'
             control = (
                 f'[control]\noperator = "{host.operator}"\nlink = "{host.link}"\n'
@@ -201,16 +218,23 @@
             )
             entry += self.extra_settings["entry"]
             control += self.extra_settings["control"]
-            (self.folder / f"{host.name}-entry.toml").write_text(common + entry)
-            (self.folder / f"{host.name}-control.toml").write_text(common + control)
+            for kind, tables in (("entry", entry), ("control", control)):
+                name = f"{host.name}-{kind}"
+                address = self.seen_address(f"platform/{name}", self.platform)
+                platform = f'[platform]\naddress = "{address}"\n\n'
+                (self.folder / f"{name}.toml").write_text(common + platform + tables)
 
     def _topology(self) -> str:
         hosts = [
             f'[[hosts]]\nhost_id = "{host.name}"\nzone = "{host.zone}"\n'
-            f'mesh_address = "{host.mesh}"\noperator_address = "{host.operator}"\n'
+            f'mesh_address = "{self.seen_address(f"mesh/{host.name}", host.mesh)}"\n'
+            f'operator_address = "{host.operator}"\n'
             for host in self.hosts
         ]
-        endpoints = [*self.endpoints, *self.listed_only]
+        endpoints = [
+            replace(item, address=self.seen_address(f"endpoint/{item.name}", item.address))
+            for item in [*self.endpoints, *self.listed_only]
+        ]
         return "\n".join([*hosts, *map(_endpoint_table, endpoints)])
 
 
--- /dev/null
+++ b/tests/promises/faults.py
@@ -0,0 +1,274 @@
+"""Faults of a run: what can be brought about, and seeded plans of it."""
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from demo.cluster import Endpoint, call
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.identifiers import key_digest
+from tests.promises.callers import MODEL, Balancer, Caller
+from tests.promises.events import (
+    EndpointLeaving,
+    FaultBegun,
+    KeyWithdrawn,
+    StopBegun,
+    StopEnded,
+)
+from tests.promises.relay import Condition
+from tests.promises.system import System
+
+RECOVERY_SECONDS = 4.0
+NOTICE_SECONDS = 2.0
+WITHDRAWN = "withdrawn"
+POISON = "POISON"
+PLANNED = frozenset(("stop", "leave", "race", "withdraw", "load", "drain"))
+Action = Callable[[System, "Fault"], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One fault.
+
+    Parameters
+    ----------
+    action : str
+        Name in `ACTIONS`.
+    target : str
+        Process, host, relay, endpoint or zone, as the action needs it.
+    at : float
+        Seconds after the start of the run.
+    seconds : float
+        How long it lasts.
+    """
+
+    action: str
+    target: str
+    at: float
+    seconds: float = 0.0
+
+
+def bring_about(system: System, plan: list[Fault]) -> None:
+    """Run every fault of a plan at its time and wait until the last one is over."""
+    started = time.monotonic()
+    threads = [
+        threading.Thread(target=_run, args=[system, fault, started], daemon=True) for fault in plan
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _run(system: System, fault: Fault, started: float) -> None:
+    time.sleep(max(0.0, started + fault.at - time.monotonic()))
+    if fault.action not in PLANNED:
+        now = boot_seconds()
+        until = now + fault.seconds + RECOVERY_SECONDS
+        system.history.append(
+            FaultBegun(at=now, action=fault.action, target=fault.target, until=until)
+        )
+    ACTIONS[fault.action](system, fault)
+
+
+def kill(system: System, fault: Fault) -> None:
+    """Kill a process and start it again after a while."""
+    program = system.programs[fault.target]
+    program.kill()
+    time.sleep(fault.seconds)
+    program.start()
+
+
+def pause(system: System, fault: Fault) -> None:
+    """Suspend a process for a while."""
+    program = system.programs[fault.target]
+    program.signal(signal.SIGSTOP)
+    time.sleep(fault.seconds)
+    program.signal(signal.SIGCONT)
+
+
+def stop(system: System, fault: Fault) -> None:
+    """Stop a process as an operator does, and start it again."""
+    program = system.programs[fault.target]
+    system.history.append(StopBegun(at=boot_seconds(), process=fault.target))
+    status = program.stop()
+    system.history.append(StopEnded(at=boot_seconds(), process=fault.target, status=status))
+    time.sleep(fault.seconds)
+    program.start()
+
+
+def cut(system: System, fault: Fault) -> None:
+    """Reset and refuse connections of a relay."""
+    _set_relay(system, fault, Condition.CUT)
+
+
+def silence(system: System, fault: Fault) -> None:
+    """Swallow what a relay carries."""
+    _set_relay(system, fault, Condition.SILENT)
+
+
+def lose_track(system: System, fault: Fault) -> None:
+    """Silence the connections of a relay that are open, for good; new ones work."""
+    system.relays.set(fault.target, Condition.SILENT, old_only=True)
+
+
+def isolate(system: System, fault: Fault) -> None:
+    """Cut a host off from its peers and the platform."""
+    own = [f"platform/{fault.target}-control", f"platform/{fault.target}-entry"]
+    own.append(f"mesh/{fault.target}")
+    others = [host.name for host in system.hosts if host.name != fault.target]
+    for condition in (Condition.SILENT, Condition.OPEN):
+        for name in own:
+            system.relays.set(name, condition)
+        for other in others:
+            system.relays.set(f"mesh/{other}", condition, caller=fault.target)
+        if condition is Condition.SILENT:
+            time.sleep(fault.seconds)
+
+
+def outage(system: System, fault: Fault) -> None:
+    """Let the platform refuse every call."""
+    system.set_faults(outage=True)
+    time.sleep(fault.seconds)
+    system.set_faults(outage=False)
+
+
+def slow(system: System, fault: Fault) -> None:
+    """Let the platform take a while for every call."""
+    system.set_faults(delay=0.4)
+    time.sleep(fault.seconds)
+    system.set_faults(delay=0.0)
+
+
+def lose_answers(system: System, fault: Fault) -> None:
+    """Let half of the platform's answers get lost after the write."""
+    system.set_faults(lose_answer=0.5)
+    time.sleep(fault.seconds)
+    system.set_faults(lose_answer=0.0)
+
+
+def leave(system: System, fault: Fault) -> None:
+    """Take an endpoint away on a notice of a few seconds."""
+    _take_away(system, [endpoint_named(system, fault.target)])
+
+
+def reclaim(system: System, fault: Fault) -> None:
+    """Take every cheap endpoint of a zone away on a notice of a few seconds."""
+    cheap = [
+        endpoint
+        for endpoint in system.endpoints
+        if endpoint.zone == fault.target and endpoint.kind == "cheap"
+    ]
+    _take_away(system, cheap)
+
+
+def race(system: System, fault: Fault) -> None:
+    """Let an operator at every host apply a configuration at the same moment."""
+    threads = [
+        threading.Thread(target=_apply_quietly, args=[system, number], daemon=True)
+        for number in range(len(system.hosts))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def withdraw(system: System, fault: Fault) -> None:
+    """Withdraw a key while its holder goes on calling."""
+    item = next(item for item in system.credentials if item.label == WITHDRAWN)
+    body = {"digest": key_digest(item.key), "author": "withdrawal"}
+    host = next(host for host in system.hosts if host.name == fault.target)
+    at = boot_seconds()
+    answer = call(host.operator, "POST", "/keys/withdraw", body, timeout=20.0)
+    if answer.status == 200:
+        system.history.append(KeyWithdrawn(at=at, key=WITHDRAWN))
+
+
+def drain(system: System, fault: Fault) -> None:
+    """Let an operator drain an endpoint."""
+    call(system.hosts[0].operator, "POST", f"/endpoints/{fault.target}/drain", {})
+    system.history.append(EndpointLeaving(at=boot_seconds(), endpoint=fault.target))
+
+
+def poison(system: System, fault: Fault) -> None:
+    """Send a request that crashes every endpoint that runs it, three times."""
+    balancer = Balancer(system.caller_addresses)
+    caller = Caller(balancer, system.history, system.credentials[0], seed=str(fault.at))
+    for _ in range(3):
+        caller.complete(mark=f"{POISON} {fault.at}", marker=f"poison-{fault.at}")
+    time.sleep(fault.seconds)
+    for endpoint in system.endpoints:
+        program = system.programs[endpoint.name]
+        if program.process is not None and program.process.poll() is not None:
+            program.start()
+
+
+ACTIONS: dict[str, Action] = {
+    "kill": kill,
+    "pause": pause,
+    "stop": stop,
+    "cut": cut,
+    "silence": silence,
+    "lose-track": lose_track,
+    "isolate": isolate,
+    "outage": outage,
+    "slow": slow,
+    "lose-answers": lose_answers,
+    "leave": leave,
+    "reclaim": reclaim,
+    "race": race,
+    "withdraw": withdraw,
+    "drain": drain,
+    "poison": poison,
+}
+
+
+def endpoint_named(system: System, name: str) -> Endpoint:
+    """Return the endpoint called `name`."""
+    return next(endpoint for endpoint in system.endpoints if endpoint.name == name)
+
+
+def _set_relay(system: System, fault: Fault, condition: Condition) -> None:
+    system.relays.set(fault.target, condition)
+    time.sleep(fault.seconds)
+    system.relays.set(fault.target, Condition.OPEN)
+
+
+def _take_away(system: System, endpoints: list[Endpoint]) -> None:
+    for endpoint in endpoints:
+        body = {"endpoint_id": endpoint.name, "state": "leaving", "leaving_in": NOTICE_SECONDS}
+        call(system.platform, "POST", "/admin/endpoints", body)
+        system.history.append(EndpointLeaving(at=boot_seconds(), endpoint=endpoint.name))
+    time.sleep(NOTICE_SECONDS)
+    for endpoint in endpoints:
+        system.programs[endpoint.name].kill()
+        body = {"endpoint_id": endpoint.name, "state": "gone"}
+        call(system.platform, "POST", "/admin/endpoints", body)
+
+
+def _apply_quietly(system: System, number: int) -> None:
+    version = f"2026-{number}-{boot_seconds():.0f}"
+    try:
+        system.apply(
+            system.hosts[number],
+            f"operator-{number}",
+            system.document(without=[WITHDRAWN] if _is_withdrawn(system) else []),
+        )
+    except OSError:
+        return
+
+
+def _is_withdrawn(system: System) -> bool:
+    return any(item.key == WITHDRAWN for item in system.history.of(KeyWithdrawn))
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """A kind of run: which faults its seeds choose from."""
+
+    name: str
+    plan: Callable[[random.Random], list[Fault]]
--- /dev/null
+++ b/tests/promises/system.py
@@ -0,0 +1,270 @@
+"""The system under proof: real processes, with relays between them."""
+
+import threading
+from collections.abc import Iterable
+from contextlib import ExitStack
+from pathlib import Path
+
+import msgspec
+
+from demo.cluster import Cluster, Endpoint, Host, call, free_ports, wait_ready
+from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.identifiers import key_digest, new_customer_key
+from samphirehall.endpoints.protocol import EngineOrder, EngineOrderAnswer
+from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
+from samphirehall.standins.platform import PlatformFaults
+from samphirehall.standins.records import CallRecord, read_records
+from tests.promises.callers import Credentials
+from tests.promises.events import (
+    ConfigurationAccepted,
+    ConfigurationSeen,
+    EndpointCalled,
+    EngineOrdered,
+    History,
+    PlatformOrdered,
+    UsageReported,
+)
+from tests.promises.relay import Relays, running_relays
+
+STATUS_POLL_SECONDS = 0.25
+STATUS_SECONDS = 1.0
+APPLY_SECONDS = 20.0
+ROLE_CHANGE_SECONDS = 0.5
+STEP_SECONDS = 0.01
+ENTRY_SETTINGS = "shutdown_grace_seconds = 1.0\nstall_seconds = 1.5\n"
+CONTROL_SETTINGS = """
+[lease]
+ttl_seconds = 2.0
+margin_seconds = 0.5
+delivery_limit_seconds = 0.5
+"""
+DOCUMENT = {
+    "models": {"answer": {"version": "2026-11"}},
+    "routes": {
+        "answer": {"kind": "model", "target": "answer", "deadline_seconds": 8.0},
+        "stock": {"kind": "service", "target": "order-desk", "deadline_seconds": 6.0},
+        "bookings": {
+            "kind": "service",
+            "target": "order-desk",
+            "idempotent": False,
+            "deadline_seconds": 6.0,
+        },
+    },
+    "fleet": {"standard_floor": 1},
+}
+
+
+def fleet() -> list[Endpoint]:
+    """Return four engines, of which two ignore fencing numbers, and two plain services."""
+    engine, models = "engine", ["answer"]
+    options = [f"--role_change_seconds={ROLE_CHANGE_SECONDS}", f"--step_base_seconds={STEP_SECONDS}"]
+    return [
+        Endpoint("engine-1", engine, "prairie-1", models, options=options[:]),
+        Endpoint("engine-2", engine, "prairie-2", models, options=options[:]),
+        Endpoint(
+            "engine-3", engine, "prairie-3", models, checks_fencing=False, options=options[:]
+        ),
+        Endpoint(
+            "engine-4",
+            engine,
+            "prairie-3",
+            models,
+            checks_fencing=False,
+            kind="cheap",
+            options=options[:],
+        ),
+        Endpoint("desk-1", "service", "prairie-1", ["order-desk"]),
+        Endpoint("desk-2", "service", "prairie-2", ["order-desk"]),
+    ]
+
+
+def four_hosts() -> list[Host]:
+    """Return four hosts in three availability zones."""
+    zones = ("prairie-1", "prairie-1", "prairie-2", "prairie-3")
+    return [Host(f"host-{name}", zone) for name, zone in zip("abcd", zones, strict=True)]
+
+
+class System(Cluster):
+    """A cluster with relays, whose processes write down what they receive.
+
+    Parameters
+    ----------
+    folder : Path
+        Settings, logs, records and the history.
+    hosts, endpoints : list
+        What to start.
+    """
+
+    def __init__(self, folder: Path, hosts: list[Host], endpoints: list[Endpoint]) -> None:
+        super().__init__(folder, hosts, endpoints)
+        self.history = History()
+        self.extra_settings = {"entry": ENTRY_SETTINGS, "control": CONTROL_SETTINGS}
+        self.platform_options = [f"--records={self._records('platform')}"]
+        for endpoint in endpoints:
+            endpoint.options.append(f"--records={self._records(endpoint.name)}")
+        self.credentials = [
+            Credentials(customer, new_customer_key(), label)
+            for customer, label in (
+                ("petal-coop", "petal-coop"),
+                ("retakeline", "retakeline"),
+                ("retakeline", "withdrawn"),
+            )
+        ]
+        self.faults = PlatformFaults()
+        self._stack = ExitStack()
+        self._relays: Relays | None = None
+        self._relayed: dict[str, str] = {}
+
+    @property
+    def relays(self) -> Relays:
+        """Relays between the processes."""
+        assert self._relays is not None
+        return self._relays
+
+    @property
+    def caller_addresses(self) -> dict[str, str]:
+        """Address of each host's entry as callers see it."""
+        return {host.name: self.seen_address(f"entry/{host.name}", host.entry) for host in self.hosts}
+
+    def __enter__(self) -> "System":
+        self._relays = self._stack.enter_context(running_relays())
+        self._stack.callback(self.kill_all)
+        try:
+            self.start()
+            assert self.apply(self.hosts[0], "first") == 200
+            for address in self.caller_addresses.values():
+                wait_ready(address)
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stack.close()
+
+    def seen_address(self, name: str, address: str) -> str:
+        """Return the relayed address of `name`."""
+        if name not in self._relayed:
+            listen = self._relayed[name] = f"127.0.0.1:{free_ports(1)[0]}"
+            self.relays.add(name, listen, address)
+        return self._relayed[name]
+
+    def document(self, *, without: Iterable[str] = (), version: str = "2026-11") -> dict:
+        """Return a whole configuration, without the keys of some labels."""
+        customers: dict[str, dict] = {}
+        for item in self.credentials:
+            customer = customers.setdefault(item.customer, {"key_digests": []})
+            if item.label not in without:
+                customer["key_digests"].append(key_digest(item.key))
+        models = {"answer": {"version": version}}
+        return {**DOCUMENT, "customers": customers, "models": models}
+
+    def apply(self, host: Host, author: str, document: dict | None = None) -> int:
+        """Apply a whole configuration by one host's control process; return the status."""
+        body = {"documents": {"all": document or self.document()}, "author": author}
+        path = "/configuration"
+        return call(host.operator, "POST", path, body, timeout=APPLY_SECONDS).status
+
+    def set_faults(self, **switches: object) -> None:
+        """Change fault switches of the platform."""
+        for name, value in switches.items():
+            setattr(self.faults, name, value)
+        call(self.platform, "PUT", "/admin/faults", msgspec.to_builtins(self.faults))
+
+    def watch(self, stop: threading.Event) -> None:
+        """Note again and again which configuration each host has in force."""
+        while not stop.wait(STATUS_POLL_SECONDS):
+            for host in self.hosts:
+                self._see(host)
+
+    def _see(self, host: Host) -> None:
+        try:
+            status = call(host.operator, "GET", "/status", timeout=STATUS_SECONDS).json()
+        except (OSError, ValueError):
+            return
+        version = status["configuration"]
+        self.history.append(
+            ConfigurationSeen(at=boot_seconds(), host=host.name, version=version)
+        )
+
+    def collect(self) -> None:
+        """Add to the history what the stand-ins received and which versions were accepted."""
+        for endpoint in self.endpoints:
+            for record in read_records(self._records(endpoint.name)):
+                self._collect_endpoint(endpoint, record)
+        for record in read_records(self._records("platform")):
+            self._collect_platform(record)
+        offset = boot_seconds() - wall_seconds()
+        for row in self._configuration_history():
+            self.history.append(
+                ConfigurationAccepted(
+                    at=row["applied_at"] + offset, version=row["version"], author=row["author"]
+                )
+            )
+
+    def _records(self, name: str) -> Path:
+        return self.folder / f"{name}.records"
+
+    def _configuration_history(self) -> list[dict]:
+        body = {"prefix": "configuration/history/", "limit": 10_000}
+        rows = call(self.platform, "POST", "/table/scan", body).json()
+        return [row["value"] for row in rows]
+
+    def _collect_endpoint(self, endpoint: Endpoint, record: CallRecord) -> None:
+        if record.path == "/orders":
+            order = msgspec.json.decode(record.body, type=EngineOrder)
+            takes = ROLE_CHANGE_SECONDS if order.action == "set-role" else 0.0
+            self.history.append(
+                EngineOrdered(
+                    at=record.received_at,
+                    endpoint=endpoint.name,
+                    order_id=order.order_id,
+                    fencing=order.fencing,
+                    accepted=_accepted(record, EngineOrderAnswer),
+                    checks_fencing=endpoint.checks_fencing,
+                    settled=record.received_at + takes,
+                )
+            )
+            return
+        self.history.append(
+            EndpointCalled(
+                at=record.received_at,
+                endpoint=endpoint.name,
+                request_id=record.request_id,
+                path=f"{record.method} {record.path}",
+                body=record.body,
+                key_seen=record.key_seen,
+            )
+        )
+
+    def _collect_platform(self, record: CallRecord) -> None:
+        if record.path == "/endpoint-orders":
+            order = msgspec.json.decode(record.body, type=EndpointOrder)
+            self.history.append(
+                PlatformOrdered(
+                    at=record.received_at,
+                    order_id=order.order_id,
+                    fencing=order.fencing,
+                    holder=order.holder,
+                    accepted=_accepted(record, OrderAnswer),
+                )
+            )
+        elif record.path == "/usage-reports":
+            report = msgspec.json.decode(record.body, type=UsageReport)
+            self.history.append(
+                UsageReported(
+                    at=record.received_at,
+                    window=report.window,
+                    customer=report.customer,
+                    figures=msgspec.json.encode(report.figures, order="sorted").decode(),
+                    fencing=report.fencing,
+                    holder=report.holder,
+                )
+            )
+
+
+def _accepted(record: CallRecord, answer_type: type[EngineOrderAnswer] | type[OrderAnswer]) -> bool:
+    """Return whether an order was taken; an order without an answer may have been."""
+    if not record.answer:
+        return True
+    return msgspec.json.decode(record.answer, type=answer_type).accepted
