Prove the promises on real processes under seeded faults

Cause: no test showed the promises under failure. Ruled out: a simulator of the cluster (real processes show real faults); verdicts inside the callers (a history can be read again).

--- /dev/null
+++ b/tests/promises/scenarios.py
@@ -0,0 +1,108 @@
+"""Seeded fault plans: each scenario turns a seed into one plan."""
+
+import random
+from collections.abc import Callable
+
+from tests.promises.faults import Fault
+
+HOSTS = ("host-a", "host-b", "host-c", "host-d")
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+DESKS = ("desk-1", "desk-2")
+CHEAP_ZONE = "prairie-3"
+RUN_SECONDS = 8.0
+Planner = Callable[[random.Random], list[Fault]]
+
+
+def crashes(choose: random.Random) -> list[Fault]:
+    """Processes are killed and suspended, and a request crashes what runs it."""
+    first, second = choose.sample(ENGINES, 2)
+    entry, control, paused = choose.sample(HOSTS, 3)
+    return [
+        Fault("kill", first, choose.uniform(0.5, 2.0), 1.0),
+        Fault("kill", second, choose.uniform(3.0, 5.0), 0.5),
+        Fault("kill", f"{entry}-entry", choose.uniform(0.5, 4.0), 0.5),
+        Fault("kill", f"{control}-control", choose.uniform(0.5, 4.0), 0.5),
+        Fault("pause", f"{paused}-control", choose.uniform(0.5, 2.0), choose.uniform(2.5, 4.0)),
+        Fault("kill", choose.choice(DESKS), choose.uniform(1.0, 4.0), 1.0),
+        Fault("poison", "", choose.uniform(4.5, 5.5), 1.0),
+    ]
+
+
+def network(choose: random.Random) -> list[Fault]:
+    """Connections are cut, go silent, and a host is cut off from its peers and the platform."""
+    cut, silent, lost = choose.sample(ENGINES, 3)
+    isolated, behind = choose.sample(HOSTS, 2)
+    return [
+        Fault("cut", f"endpoint/{cut}", choose.uniform(0.5, 2.0), choose.uniform(0.5, 2.0)),
+        Fault("silence", f"endpoint/{silent}", choose.uniform(2.0, 4.0), choose.uniform(1.0, 2.5)),
+        Fault("lose-track", f"endpoint/{lost}", choose.uniform(0.5, 5.0)),
+        Fault("lose-track", f"endpoint/{choose.choice(DESKS)}", choose.uniform(0.5, 5.0)),
+        Fault("isolate", isolated, choose.uniform(0.5, 2.0), choose.uniform(2.5, 4.0)),
+        Fault("lose-track", f"mesh/{behind}", choose.uniform(0.5, 3.0)),
+        Fault("lose-track", f"platform/{behind}-entry", choose.uniform(0.5, 3.0)),
+        Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
+    ]
+
+
+def store(choose: random.Random) -> list[Fault]:
+    """The platform is out, slow, and loses answers after the write; processes die meanwhile."""
+    return [
+        Fault("outage", "platform", choose.uniform(0.5, 1.5), choose.uniform(1.0, 2.5)),
+        Fault("lose-answers", "platform", choose.uniform(3.5, 4.5), choose.uniform(1.0, 2.5)),
+        Fault("slow", "platform", choose.uniform(4.0, 5.5), choose.uniform(1.0, 2.0)),
+        Fault("kill", f"{choose.choice(HOSTS)}-entry", choose.uniform(0.5, 5.0), 0.5),
+        Fault("pause", f"{choose.choice(HOSTS)}-entry", choose.uniform(0.5, 4.0), 2.5),
+        Fault("race", "", choose.uniform(3.5, 5.0)),
+    ]
+
+
+def operators(choose: random.Random) -> list[Fault]:
+    """Operators race, withdraw a key and change a version while a control process is paused."""
+    paused, asked = choose.sample(HOSTS, 2)
+    return [
+        Fault("race", "", choose.uniform(0.5, 1.0)),
+        Fault("withdraw", asked, choose.uniform(1.5, 2.0)),
+        Fault("race", "", choose.uniform(3.0, 4.0)),
+        Fault("load", "2026-12", choose.uniform(4.0, 5.0)),
+        Fault("pause", f"{paused}-control", choose.uniform(0.5, 1.0), choose.uniform(2.5, 4.0)),
+    ]
+
+
+def planned(choose: random.Random) -> list[Fault]:
+    """Processes are stopped and endpoints leave as planned, and nothing else happens."""
+    first, second, control = choose.sample(HOSTS, 3)
+    return [
+        Fault("stop", f"{first}-entry", choose.uniform(0.5, 1.0), 0.5),
+        Fault("stop", f"{second}-entry", choose.uniform(3.5, 4.5), 0.5),
+        Fault("stop", f"{control}-control", choose.uniform(1.0, 4.0), 0.5),
+        Fault("leave", choose.choice(ENGINES[:2]), choose.uniform(1.0, 3.0)),
+        Fault("reclaim", CHEAP_ZONE, choose.uniform(1.0, 4.0)),
+        Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
+    ]
+
+
+def together(choose: random.Random) -> list[Fault]:
+    """Faults of every kind, some of them at the same moment."""
+    everything = [
+        fault
+        for plan in (crashes, network, store, operators)
+        for fault in plan(choose)
+        if fault.action != "poison"
+    ]
+    return choose.sample(everything, 8)
+
+
+SCENARIOS: dict[str, Planner] = {
+    "crashes": crashes,
+    "network": network,
+    "store": store,
+    "operators": operators,
+    "planned": planned,
+    "together": together,
+}
+
+
+def plan_of(scenario: str, seed: int) -> list[Fault]:
+    """Return the plan of a scenario's seed, ordered by time."""
+    faults = SCENARIOS[scenario](random.Random(f"{scenario}/{seed}"))
+    return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/tests/promises/test_proofs.py
@@ -0,0 +1,37 @@
+"""Runs of the whole system under faults; every checker reads every history."""
+
+import pytest
+
+from samphirehall.core.results import OK
+from tests.promises.events import CallEnded
+from tests.promises.scenarios import SCENARIOS
+
+SHORT_SEEDS = (1, 2)
+LONG_SEEDS = tuple(range(100, 110))
+LEAST_GOOD_CALLS = 50
+
+
+def _cases(config, seeds):
+    chosen = config.getoption("--seed")
+    return [(name, seed) for name in SCENARIOS for seed in ([chosen] if chosen else seeds)]
+
+
+def pytest_generate_tests(metafunc):
+    if "scenario" in metafunc.fixturenames:
+        seeds = LONG_SEEDS if "long" in metafunc.function.__name__ else SHORT_SEEDS
+        metafunc.parametrize(("scenario", "seed"), _cases(metafunc.config, seeds))
+
+
+def _assert_served(history):
+    good = [call for call in history.of(CallEnded) if call.result == OK.code and call.ended]
+    assert len(good) >= LEAST_GOOD_CALLS
+
+
+class TestSeeds:
+    @pytest.mark.prove
+    def test_promises_hold(self, prove, scenario, seed):
+        _assert_served(prove(scenario, seed))
+
+    @pytest.mark.prove_long
+    def test_promises_hold_long(self, prove, scenario, seed):
+        _assert_served(prove(scenario, seed))
