--- a/tests/promises/callers.py
+++ b/tests/promises/callers.py
@@ -84,7 +84,11 @@
     def follow(self, stop: threading.Event) -> None:
         """Ask every entry again and again until stopped."""
         while not stop.wait(READY_POLL_SECONDS):
-            self.ready = [name for name in sorted(self.addresses) if self._is_ready(name)]
+            self.look()
+
+    def look(self) -> None:
+        """Ask every entry once."""
+        self.ready = [name for name in sorted(self.addresses) if self._is_ready(name)]
 
     def _is_ready(self, name: str) -> bool:
         host, _, port = self.addresses[name].rpartition(":")
--- a/tests/promises/relay.py
+++ b/tests/promises/relay.py
@@ -87,11 +87,12 @@
             if caller.encode() in connection.head:
                 connection.change(condition)
 
-    async def serve(self, group: TaskGroup) -> None:
-        """Accept and forward until cancelled."""
+    async def serve(self, group: TaskGroup, *, task_status: TaskStatus[None]) -> None:
+        """Accept and forward until cancelled; started once it listens."""
         host, _, port = self.listen.rpartition(":")
         listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
         async with listener:
+            task_status.started()
             await listener.serve(self._accept, task_group=group)
 
     async def _accept(self, caller: SocketStream) -> None:
@@ -162,7 +163,7 @@
     def add(self, name: str, listen: str, target: str) -> None:
         """Relay `listen` to `target` from now on."""
         relay = self._relays[name] = Relay(listen, target)
-        self._portal.call(self._start, relay)
+        self._portal.call(self._group.start, relay.serve, self._group)
 
     def set(
         self, name: str, condition: Condition, *, caller: str = "", old_only: bool = False
@@ -171,9 +172,6 @@
         relay = self._relays[name]
         self._portal.call(lambda: relay.set(condition, caller=caller, old_only=old_only))
 
-    def _start(self, relay: Relay) -> None:
-        self._group.start_soon(relay.serve, self._group)
-
     def heal(self) -> None:
         """Let every relay forward again."""
         for name in self._relays:
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -162,9 +162,20 @@
         models = {"answer": {"version": version}}
         return {**DOCUMENT, "customers": customers, "models": models}
 
-    def apply(self, host: Host, author: str, document: dict | None = None) -> int:
+    def apply(
+        self,
+        host: Host,
+        author: str,
+        document: dict | None = None,
+        *,
+        base_version: int | None = None,
+    ) -> int:
         """Apply a whole configuration by one host's control process; return the status."""
-        body = {"documents": {"all": document or self.document()}, "author": author}
+        body = {
+            "documents": {"all": document or self.document()},
+            "author": author,
+            "base_version": base_version,
+        }
         path = "/configuration"
         return call(host.operator, "POST", path, body, timeout=APPLY_SECONDS).status
 
