--- a/demo/run.py
+++ b/demo/run.py
@@ -11,6 +11,7 @@
 
 PROMPT = "Lot 14, rose, dried in August: is it fit for the wedding on Saturday?"
 MAX_TOKENS = 16
+GRACE_SECONDS = 0.5
 
 
 class DemoError(Exception):
@@ -121,7 +122,9 @@
         Endpoint("engine-2", "engine", "prairie-2", ["answer"]),
         Endpoint("desk-1", "service", "prairie-1", ["order-desk"]),
     ]
-    return Cluster(folder, hosts, endpoints)
+    cluster = Cluster(folder, hosts, endpoints)
+    cluster.extra_settings["entry"] = f"shutdown_grace_seconds = {GRACE_SECONDS}\n"
+    return cluster
 
 
 def main() -> int:
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from contextlib import AsyncExitStack
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 
 import anyio
 import fire
@@ -15,9 +15,11 @@
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.admission_tasks import run_admission
 from samphirehall.forwarding.app import EntryApp
+from samphirehall.forwarding.caller_protocol import caller_protocol
 from samphirehall.forwarding.claims import ClaimStore
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
+from samphirehall.forwarding.quarantine import Quarantine
 from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
@@ -35,6 +37,9 @@
 from samphirehall.usage.meter import UsageMeter
 
 DRAIN_POLL_SECONDS = 0.05
+FINISH_SECONDS = 5.0
+PRUNE_SECONDS = 30.0
+FLUSH_SECONDS = 5.0
 
 _log = logging.getLogger(__name__)
 
@@ -62,17 +67,22 @@
             meter=UsageMeter(),
             random_source=random.Random(incarnation),
             retry_budget=RetryBudget(now=boot_seconds()),
+            quarantine=Quarantine(state.board),
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
         group.start_soon(run_admission, context)
+        group.start_soon(context.stalls.run)
+        group.start_soon(_prune_forever, context)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
-        await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
-        _log.info("serving", extra={"listen": settings.entry.listen})
-        await wait_for_stop()
-        await _shut_down(context)
+        context.before_exit.append(context.claims.flush)
+        async with _callers(context):
+            _log.info("serving", extra={"listen": settings.entry.listen})
+            await wait_for_stop()
+            await _drain(context)
+        await _flush(context)
         group.cancel_scope.cancel()
 
 
@@ -88,17 +98,44 @@
     )
 
 
-async def _shut_down(context: EntryContext) -> None:
-    """Turn not ready, let the balancer move on, and finish what runs."""
+def _callers(context: EntryContext) -> AbstractAsyncContextManager[None]:
+    limits = context.settings.entry
+    return serving(
+        EntryApp(context),
+        limits.listen,
+        protocol=caller_protocol(head_timeout=limits.head_timeout_seconds),
+        graceful_seconds=FINISH_SECONDS,
+    )
+
+
+async def _drain(context: EntryContext) -> None:
+    """Turn not ready, serve until the balancer has moved on, and finish what runs."""
     limits = context.settings.entry
     _log.info("shutdown-begin", extra={"open": context.admission.open_requests})
     context.stopping = True
     with anyio.move_on_after(limits.shutdown_limit_seconds):
+        await anyio.sleep(limits.shutdown_grace_seconds)
         while context.admission.open_requests:
             await anyio.sleep(DRAIN_POLL_SECONDS)
+    context.refusing = context.admission.open_requests > 0
+
+
+async def _flush(context: EntryContext) -> None:
+    """Run the actions of a planned stop, such as storing outcomes and meters."""
+    with anyio.move_on_after(FLUSH_SECONDS):
+        async with anyio.create_task_group() as group:
+            for action in context.before_exit:
+                group.start_soon(action)
     _log.info("shutdown-end", extra={"open": context.admission.open_requests})
 
 
+async def _prune_forever(context: EntryContext) -> None:
+    while True:
+        await anyio.sleep(PRUNE_SECONDS)
+        context.quarantine.prune(now=boot_seconds())
+        context.state.board.prune(now=boot_seconds())
+
+
 async def _close_old_pools(context: EntryContext) -> None:
     while True:
         await context.state.wait_changed()
