--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -1,16 +1,17 @@
 """Completion requests of callers, answered as a stream or as a whole."""
 
 import time
+from collections.abc import Callable
 
 import anyio
 import msgspec
 
-from samphirehall.admission.authentication import Caller, authenticate
+from samphirehall.admission.authentication import Caller, authenticate, still_valid
 from samphirehall.admission.controller import AdmissionRequest, Ticket
 from samphirehall.admission.standing import check_standing
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import NO_ROUTE, OK
+from samphirehall.core.results import KEY_UNKNOWN, NO_ROUTE, OK
 from samphirehall.endpoints.events import EventBatch, decode_chunk, usage_of
 from samphirehall.forwarding.answers import (
     ENDPOINT_HEADER,
@@ -41,6 +42,7 @@
 )
 
 CALLER_STALL_SECONDS = 30.0
+KEY_CHECK_SECONDS = 1.0
 
 
 async def serve_completion(
@@ -134,8 +136,11 @@
     begun = False
     tokens = 0
 
+    check_key = _key_check(context, run)
+
     async def relay(batch: EventBatch) -> None:
         nonlocal begun, tokens
+        check_key()
         with anyio.move_on_after(CALLER_STALL_SECONDS) as limit:
             if not begun:
                 begun = True
@@ -156,6 +161,23 @@
         context.metrics.tokens.labels(run.caller.route_name).inc(tokens)
 
 
+def _key_check(context: EntryContext, run: CompletionRun) -> Callable[[], None]:
+    """Return a function that ends a running request soon after its key was withdrawn."""
+    next_check = boot_seconds() + KEY_CHECK_SECONDS
+
+    def check() -> None:
+        nonlocal next_check
+        now = boot_seconds()
+        if now < next_check:
+            return
+        next_check = now + KEY_CHECK_SECONDS
+        withdrawn = context.state.is_withdrawn(run.caller.key_digest, now=now)
+        if withdrawn or not still_valid(context.state.configuration, run.caller):
+            raise run.failure("the key was withdrawn meanwhile", not_run=KEY_UNKNOWN)
+
+    return check
+
+
 async def _send_error_event(send: Send, error: SamphireError, run: CompletionRun) -> None:
     """End a stream that cannot be whole: an error event and no end marker."""
     body = error_body(error, run.request_id)
@@ -165,7 +187,10 @@
 async def _answer_whole(
     context: EntryContext, run: CompletionRun, send: Send, started: float
 ) -> None:
+    check_key = _key_check(context, run)
+
     async def gather(batch: EventBatch) -> None:
+        check_key()
         if len(run.payloads) == len(batch.data):
             _observe_first(context, run, started)
 
