Take a connection that is reset at once for an error of the transport

Change: the pool's backend turns it into httpcore.ConnectError. Conclusion: one reset at the wrong moment no longer ends a process.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import asynccontextmanager
+from typing import Any
 
 import anyio
 import httpcore
@@ -38,6 +39,18 @@
 )
 
 
+class _Backend(httpcore.AnyIOBackend):
+    """A backend for which a connection that is reset at once is an error of the transport."""
+
+    async def connect_tcp(self, *args: Any, **kwargs: Any) -> httpcore.AsyncNetworkStream:
+        """Connect, or raise a transport error."""
+        try:
+            return await super().connect_tcp(*args, **kwargs)
+        except AttributeError as error:
+            # The event loop has dropped the socket before its options were set.
+            raise httpcore.ConnectError("the connection was reset at once") from error
+
+
 class ConnectionPool:
     """Connections to one address, each used by one request at a time.
 
@@ -63,7 +76,7 @@
             "write": read_timeout,
         }
         self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
-        self._backend = httpcore.AnyIOBackend()
+        self._backend = _Backend()
         self._host_header = address.encode()
 
     @property
