--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -103,6 +103,9 @@
             raise httpcore.ConnectTimeout(str(error)) from error
         except (OSError, anyio.BrokenResourceError) as error:
             raise httpcore.ConnectError(str(error)) from error
+        except AttributeError as error:
+            # The event loop has dropped the socket before the stream was made.
+            raise httpcore.ConnectError("the connection was reset at once") from error
         raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         for option in socket_options or ():
             raw.setsockopt(*option)
