--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -171,7 +171,7 @@
     """``[lease]``: times of the leases; see docs/design/0002-authority.md."""
 
     ttl_seconds: Seconds = 6.0
-    margin_seconds: Seconds = 1.0
+    margin_seconds: Seconds = 1.5
     delivery_limit_seconds: Seconds = 2.0
 
 
