Add a scenario of orders under suspended and isolated lease holders

Change: versions change six times while control processes are suspended for longer than a lease, cut off and killed; placement is switched on. Ruled out: orders given by the tests themselves (they'd prove less). Before: no scenario gave orders. Conclusion: proves nothing of orders until it has.

--- a/tests/promises/scenarios.py
+++ b/tests/promises/scenarios.py
@@ -68,6 +68,23 @@
     ]
 
 
+def orders(choose: random.Random) -> list[Fault]:
+    """Versions change again and again while lease holders are suspended, cut off and killed."""
+    paused, isolated, killed = choose.sample(HOSTS, 3)
+    versions = [
+        Fault("load", f"2026-{12 + number}", 0.2 + 1.1 * number + choose.uniform(0.0, 0.5))
+        for number in range(6)
+    ]
+    return [
+        *versions,
+        Fault("pause", f"{paused}-control", choose.uniform(0.5, 1.5), choose.uniform(2.5, 4.0)),
+        Fault("isolate", isolated, choose.uniform(1.0, 2.5), choose.uniform(2.5, 4.0)),
+        Fault("kill", f"{killed}-control", choose.uniform(2.0, 4.0), 0.5),
+        Fault("drain", choose.choice(ENGINES), choose.uniform(1.0, 4.0)),
+        Fault("lose-answers", "platform", choose.uniform(0.5, 4.0), 1.5),
+    ]
+
+
 def planned(choose: random.Random) -> list[Fault]:
     """Processes are stopped and endpoints leave as planned, and nothing else happens."""
     first, second, control = choose.sample(HOSTS, 3)
@@ -85,11 +102,11 @@
     """Faults of every kind, some of them at the same moment."""
     everything = [
         fault
-        for plan in (crashes, network, store, operators)
+        for plan in (crashes, network, store, operators, orders)
         for fault in plan(choose)
         if fault.action != "poison"
     ]
-    return choose.sample(everything, 8)
+    return choose.sample(everything, 9)
 
 
 SCENARIOS: dict[str, Planner] = {
@@ -97,6 +114,7 @@
     "network": network,
     "store": store,
     "operators": operators,
+    "orders": orders,
     "planned": planned,
     "together": together,
 }
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -50,7 +50,14 @@
             "deadline_seconds": 6.0,
         },
     },
-    "fleet": {"standard_floor": 1},
+    "fleet": {
+        "standard_floor": 1,
+        "place_models": True,
+        "change_roles": True,
+        "role_dwell_seconds": 1.0,
+        "role_change_seconds": ROLE_CHANGE_SECONDS,
+        "order_endpoints": True,
+    },
 }
 
 
