Let engines mix up answers, and let leaving take longer than its bound

Cause: trials with one mechanism switched off passed: leaving engines were killed after 2 s, before the bound of 5 s could be missed, and no engine ever sent a late or foreign event. Change: fault switches repeat and cross of the engine stand-in; an engine leaves on 9 s notice; a step waits for the stream in place of sleeping.

--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -52,12 +52,16 @@
     """Fault switches; times in seconds.
 
     `stall` stops all streams without closing them, `reject` answers 503,
-    `cut_after` closes each stream after that many tokens.
+    `cut_after` closes each stream after that many tokens, `repeat` sends the
+    last event of a write once more, late, and `cross` sends it on with the
+    answer of another request.
     """
 
     stall: bool = False
     reject: bool = False
     cut_after: int | None = None
+    repeat: bool = False
+    cross: bool = False
 
 
 @dataclass(slots=True)
@@ -275,6 +279,10 @@
                 if due > index:
                     yield b"".join([event(number) for number in range(index, due)])
                     index = due
+                    if self.faults.repeat:
+                        yield event(index - 1)
+                    if self.faults.cross:
+                        yield self._event_of_another(sequence.request_id)
                 if cut is not None and index >= start + cut:
                     return
                 if sequence.finished and index >= sequence.next_index:
@@ -343,6 +351,12 @@
             case "drain":
                 self._report.leaving = True
 
+    def _event_of_another(self, request_id: str) -> bytes:
+        for other, stream in self._streams.items():
+            if other != request_id:
+                return _event_writer(other, stream.request.model, stream.source)(0)
+        return b""
+
     def _forget_old_streams(self) -> None:
         while len(self._streams) >= KEPT_STREAMS:
             del self._streams[next(iter(self._streams))]
--- a/tests/features/test_promises.py
+++ b/tests/features/test_promises.py
@@ -24,7 +24,8 @@
 LONG_TOKENS = 250
 VERY_LONG_TOKENS = 900
 POLL_SECONDS = 0.05
-BEGIN_SECONDS = 0.5
+BEGIN_SECONDS = 5.0
+STREAMED_SECONDS = 0.3
 DESK_SECONDS = 2.0
 ASKED_HOST = "host-a"
 BOOKING_KEY = "key-freight-14"
@@ -114,7 +115,8 @@
 
 @when("the engine that serves it is killed")
 def kill_the_engine(story):
-    story.system.programs[_serving_engine(story)].kill()
+    time.sleep(STREAMED_SECONDS)
+    story.system.programs[_serving_engines(story)[0]].kill()
 
 
 @when("an operator withdraws the customer's key")
@@ -226,13 +228,14 @@
     caller = story.caller(number)
     story.balancer.ready = [ASKED_HOST]
     story.answer = story.pool.submit(caller.complete, marker="long-1", max_tokens=tokens)
-    time.sleep(BEGIN_SECONDS)
+    deadline = boot_seconds() + BEGIN_SECONDS
+    while not _serving_engines(story):
+        assert boot_seconds() < deadline, "no engine has the stream"
+        time.sleep(POLL_SECONDS)
     story.balancer.look()
 
 
-def _serving_engine(story):
-    for endpoint in story.system.endpoints:
-        records = read_records(story.system.folder / f"{endpoint.name}.records")
-        if any("long-1" in record.body for record in records):
-            return endpoint.name
-    raise AssertionError("no engine has the stream")
+def _serving_engines(story):
+    engines = [item.name for item in story.system.endpoints if item.protocol == "engine"]
+    records = {name: read_records(story.system.folder / f"{name}.records") for name in engines}
+    return [name for name in engines if any("long-1" in item.body for item in records[name])]
--- a/tests/promises/faults.py
+++ b/tests/promises/faults.py
@@ -150,9 +150,18 @@
     system.set_faults(lose_answer=0.0)
 
 
+def garble(system: System, fault: Fault) -> None:
+    """Let an engine send events late, and those of other requests."""
+    address = endpoint_named(system, fault.target).address
+    for switches in ({"repeat": True}, {"cross": True}, {}):
+        call(address, "PUT", "/admin/faults", switches)
+        if switches:
+            time.sleep(fault.seconds / 2)
+
+
 def leave(system: System, fault: Fault) -> None:
-    """Take an endpoint away on a notice of a few seconds."""
-    _take_away(system, [endpoint_named(system, fault.target)])
+    """Take an endpoint away on a long notice."""
+    _take_away(system, [endpoint_named(system, fault.target)], notice=fault.seconds)
 
 
 def reclaim(system: System, fault: Fault) -> None:
@@ -162,7 +171,7 @@
         for endpoint in system.endpoints
         if endpoint.zone == fault.target and endpoint.kind == "cheap"
     ]
-    _take_away(system, cheap)
+    _take_away(system, cheap, notice=NOTICE_SECONDS)
 
 
 def race(system: System, fault: Fault) -> None:
@@ -225,6 +234,7 @@
     "outage": outage,
     "slow": slow,
     "lose-answers": lose_answers,
+    "garble": garble,
     "leave": leave,
     "reclaim": reclaim,
     "race": race,
@@ -246,12 +256,12 @@
     system.relays.set(fault.target, Condition.OPEN)
 
 
-def _take_away(system: System, endpoints: list[Endpoint]) -> None:
+def _take_away(system: System, endpoints: list[Endpoint], *, notice: float) -> None:
     for endpoint in endpoints:
-        body = {"endpoint_id": endpoint.name, "state": "leaving", "leaving_in": NOTICE_SECONDS}
+        body = {"endpoint_id": endpoint.name, "state": "leaving", "leaving_in": notice}
         call(system.platform, "POST", "/admin/endpoints", body)
         system.history.append(EndpointLeaving(at=boot_seconds(), endpoint=endpoint.name))
-    time.sleep(NOTICE_SECONDS)
+    time.sleep(notice)
     for endpoint in endpoints:
         system.programs[endpoint.name].kill()
         body = {"endpoint_id": endpoint.name, "state": "gone"}
--- a/tests/promises/scenarios.py
+++ b/tests/promises/scenarios.py
@@ -29,7 +29,7 @@
 
 
 def network(choose: random.Random) -> list[Fault]:
-    """Connections are cut, go silent, and a host is cut off from its peers and the platform."""
+    """Connections are cut and go silent, a host is isolated, and an engine mixes up its answers."""
     cut, silent, lost = choose.sample(ENGINES, 3)
     isolated, behind = choose.sample(HOSTS, 2)
     return [
@@ -41,6 +41,7 @@
         Fault("lose-track", f"mesh/{behind}", choose.uniform(0.5, 3.0)),
         Fault("lose-track", f"platform/{behind}-entry", choose.uniform(0.5, 3.0)),
         Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
+        Fault("garble", choose.choice(ENGINES), choose.uniform(5.0, 6.0), 1.5),
     ]
 
 
@@ -92,7 +93,7 @@
         Fault("stop", f"{first}-entry", choose.uniform(0.5, 1.0), 0.5),
         Fault("stop", f"{second}-entry", choose.uniform(3.5, 4.5), 0.5),
         Fault("stop", f"{control}-control", choose.uniform(1.0, 4.0), 0.5),
-        Fault("leave", choose.choice(ENGINES[:2]), choose.uniform(1.0, 3.0)),
+        Fault("leave", choose.choice(ENGINES[:2]), choose.uniform(0.2, 0.8), 9.0),
         Fault("reclaim", CHEAP_ZONE, choose.uniform(1.0, 4.0)),
         Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
     ]
