--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -5,16 +5,17 @@
 a request must not grow with the connections that are open.
 """
 
+import math
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import asynccontextmanager
-from typing import Any
 
 import anyio
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.network import TcpBackend
 
 IDLE_SECONDS = 20.0
 MAX_IDLE_CONNECTIONS = 1024
@@ -39,18 +40,6 @@
 )
 
 
-class _Backend(httpcore.AnyIOBackend):
-    """A backend for which a connection that is reset at once is an error of the transport."""
-
-    async def connect_tcp(self, *args: Any, **kwargs: Any) -> httpcore.AsyncNetworkStream:
-        """Connect, or raise a transport error."""
-        try:
-            return await super().connect_tcp(*args, **kwargs)
-        except AttributeError as error:
-            # The event loop has dropped the socket before its options were set.
-            raise httpcore.ConnectError("the connection was reset at once") from error
-
-
 class ConnectionPool:
     """Connections to one address, each used by one request at a time.
 
@@ -70,14 +59,15 @@
         host, _, port = address.rpartition(":")
         self.address = address
         self._origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
-        self._timeouts = {
+        self._timeouts: dict[str, float | None] = {
             "connect": connect_timeout,
             "read": read_timeout,
             "write": read_timeout,
         }
         self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
-        self._backend = _Backend()
+        self._backend = TcpBackend()
         self._host_header = address.encode()
+        self._closed = False
 
     @property
     def has_idle(self) -> bool:
@@ -106,7 +96,8 @@
         content : bytes or async iterator of bytes, optional
             Body; an iterator is asked for it after the head has been sent.
         read_timeout : float, optional
-            Seconds of silence allowed, in place of the pool's.
+            Seconds of silence allowed, in place of the pool's; `math.inf` for a
+            request whose silence is watched in another way.
         fresh : bool
             Dial a new connection even if an idle one is there.
 
@@ -117,9 +108,10 @@
         httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError
             The request may have been written.
         """
-        timeouts = self._timeouts
+        timeouts: dict[str, float | None] = self._timeouts
         if read_timeout is not None:
-            timeouts = {**timeouts, "read": read_timeout}
+            limit = None if read_timeout == math.inf else read_timeout
+            timeouts = {**timeouts, "read": limit}
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -150,7 +142,8 @@
         return connections
 
     async def aclose(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and each other one once its request is over."""
+        self._closed = True
         for connection in self.close_idle():
             await connection.aclose()
 
@@ -177,7 +170,7 @@
         return self._dial()
 
     async def _give_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
-        if connection.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if connection.is_idle() and not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append((boot_seconds(), connection))
             return
         with anyio.CancelScope(shield=True):
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -41,7 +41,6 @@
     refuse_key_in_body,
 )
 
-CALLER_STALL_SECONDS = 30.0
 KEY_CHECK_SECONDS = 1.0
 
 
@@ -141,15 +140,12 @@
     async def relay(batch: EventBatch) -> None:
         nonlocal begun, tokens
         check_key()
-        with anyio.move_on_after(CALLER_STALL_SECONDS) as limit:
-            if not begun:
-                begun = True
-                _observe_first(context, run, started)
-                await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
-            tokens += len(batch.data)
-            await send_body(send, batch.content, more=not batch.done)
-        if limit.cancelled_caught:
-            raise CallerGoneError
+        if not begun:
+            begun = True
+            _observe_first(context, run, started)
+            await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
+        tokens += len(batch.data)
+        await send_body(send, batch.content, more=not batch.done)
 
     try:
         await run_completion(context, run, relay)
