--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -5,6 +5,7 @@
 """
 
 import select
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -15,6 +16,23 @@
 READ_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+def raw_socket(stream: anyio.abc.ByteStream) -> socket.socket:
+    """Return the socket of a stream, for its options.
+
+    Raises
+    ------
+    ConnectionResetError
+        The peer reset the connection at once, and the event loop has dropped the socket.
+    """
+    try:
+        raw: socket.socket | None = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    except AttributeError:
+        raw = None
+    if raw is None:
+        raise ConnectionResetError("the connection was reset at once")
+    return raw
+
+
 class TcpStream(httpcore.AsyncNetworkStream):
     """Bytes of one TCP connection.
 
@@ -31,7 +49,7 @@
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
-        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._socket = raw_socket(stream)
         self.before_wait: Callable[[], Awaitable[None]] | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
@@ -99,7 +117,7 @@
         try:
             with anyio.fail_after(timeout):
                 stream = await anyio.connect_tcp(host, port, local_host=local_address)
-            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw = raw_socket(stream)
             for option in socket_options or ():
                 raw.setsockopt(*option)
             return TcpStream(stream)
@@ -107,6 +125,3 @@
             raise httpcore.ConnectTimeout(str(error)) from error
         except (OSError, anyio.BrokenResourceError) as error:
             raise httpcore.ConnectError(str(error)) from error
-        except AttributeError as error:
-            # The event loop drops the socket of a connection that was reset at once.
-            raise httpcore.ConnectError("the connection was reset at once") from error
