Let no reset connection between hosts end a control process

Ruled out: catching AttributeError in each place. Change: core/network.raw_socket raises ConnectionResetError; the listener closes such a connection and goes on. Conclusion: both ends of the mesh live through resets.

--- a/samphirehall/membership/transport.py
+++ b/samphirehall/membership/transport.py
@@ -5,10 +5,11 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute
+from anyio.abc import ByteStream
 from anyio.streams.tls import TLSListener, TLSStream
 
 from samphirehall.core.connections import SOCKET_OPTIONS
+from samphirehall.core.network import raw_socket
 from samphirehall.settings.tables import MeshTable
 
 DIAL_SECONDS = 2.0
@@ -44,7 +45,7 @@
     host, _, port = address.rpartition(":")
     with anyio.fail_after(DIAL_SECONDS):
         stream = await anyio.connect_tcp(host.strip("[]"), int(port))
-        _set_options(stream.extra(SocketAttribute.raw_socket))
+        _set_options(raw_socket(stream))
         if not uses_tls(mesh):
             return stream
         return await TLSStream.wrap(
@@ -61,8 +62,12 @@
     tcp = await anyio.create_tcp_listener(local_host=host.strip("[]"), local_port=int(port))
 
     async def serve_one(stream: ByteStream) -> None:
-        _set_options(stream.extra(SocketAttribute.raw_socket))
-        await serve(stream)
+        try:
+            _set_options(raw_socket(stream))
+        except OSError:
+            await stream.aclose()
+        else:
+            await serve(stream)
 
     async with tcp:
         if uses_tls(mesh):
--- a/tests/core/test_connections.py
+++ b/tests/core/test_connections.py
@@ -1,32 +1,17 @@
 """The connection pool against peers that break connections."""
 
-import socket
-import struct
-import threading
-from contextlib import closing
-
 import anyio
 import pytest
 
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool
+from tests.support.resets import resetting_listener
 
 pytestmark = pytest.mark.anyio
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 DIALS = 300
 DIALS_AT_ONCE = 20
 
 
-def _reset_everyone(listener):
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except OSError:
-            return
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        connection.close()
-
-
 @pytest.fixture
 def anyio_backend():
     return "asyncio", {"use_uvloop": True}
@@ -34,9 +19,8 @@
 
 @pytest.fixture
 def resetting():
-    with closing(socket.create_server(("127.0.0.1", 0), backlog=DIALS)) as listener:
-        threading.Thread(target=_reset_everyone, args=[listener], daemon=True).start()
-        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    with resetting_listener() as address:
+        yield address
 
 
 class TestDial:
