Wake peers by one tick in place of a timer for each message

Cause: a profile of one control process showed 353 timer callbacks a second at 5 peers (a cancel scope for every receive and every wait), and the directory built all known hosts four times a second. Ruled out: a longer tick, which would delay acknowledgements.

--- a/samphirehall/membership/conversation.py
+++ b/samphirehall/membership/conversation.py
@@ -34,7 +34,6 @@
 SEND_SECONDS = 4.0
 URGENT_BATCH_BYTES = 16 * 1024
 BULK_BATCH_BYTES = 1024
-LEAST_PATIENCE_SECONDS = 1.0
 CLOSED_ERRORS = (
     anyio.EndOfStream,
     anyio.IncompleteRead,
@@ -116,8 +115,7 @@
 
 async def _read(mesh: Mesh, peer: Peer) -> None:
     while True:
-        with anyio.fail_after(max(peer.patience, LEAST_PATIENCE_SECONDS)):
-            message = await peer.frames.receive()
+        message = await peer.frames.receive()
         now = boot_seconds()
         peer.last_heard = now
         match message:
@@ -170,7 +168,7 @@
         peer.check_answers(now)
         message = _next_message(mesh, peer, now)
         if message is None:
-            await peer.wait_for_work(max(0.0, peer.next_deadline() - now))
+            await peer.wait_for_work()
             continue
         with anyio.fail_after(SEND_SECONDS):
             sent = await peer.frames.send(message)
--- a/samphirehall/membership/directory.py
+++ b/samphirehall/membership/directory.py
@@ -11,6 +11,7 @@
 HOST_FACT_SECONDS = 600.0
 HOST_FACT_REFRESH_SECONDS = 200.0
 LEAVING_FACT_SECONDS = 30.0
+REFRESH_SECONDS = 5.0
 MISSES_BEFORE_FORGOTTEN = 3
 
 
@@ -75,7 +76,11 @@
         self._listed: dict[str, HostInfo] = {}
         self._missing: dict[str, _Missing] = {}
         self._hosts: dict[str, HostInfo] = {}
+        self._by_zone: dict[str, list[HostInfo]] = {}
+        self._other_zones: frozenset[str] = frozenset()
+        self._refreshed_at = float("-inf")
         self._rankings: dict[str, _Ranking] = {}
+        board.listen(self._on_fact)
 
     @property
     def has_list(self) -> bool:
@@ -95,15 +100,11 @@
     @property
     def other_zones(self) -> frozenset[str]:
         """Availability zones of known hosts besides this host's own."""
-        return frozenset(info.zone for info in self._hosts.values()) - {self._own.zone}
+        return self._other_zones
 
     def in_zone(self, zone: str) -> list[HostInfo]:
         """Return known hosts of a zone that are not leaving."""
-        return [
-            info
-            for info in self._hosts.values()
-            if info.zone == zone and info.state is HostState.LIVE
-        ]
+        return self._by_zone.get(zone, [])
 
     def take_list(
         self, listed: Iterable[HostInfo], *, connected: frozenset[str], now: float
@@ -129,10 +130,14 @@
             if missing is None or missing.order < fact.order:
                 missing = self._missing[fact.key] = _Missing(fact.order)
             missing.count += 1
+        self._refreshed_at = float("-inf")
         self.refresh(now=now)
 
     def refresh(self, *, now: float) -> None:
-        """Work out the known hosts again."""
+        """Work out the known hosts again if something changed or may have ended."""
+        if now - self._refreshed_at < REFRESH_SECONDS:
+            return
+        self._refreshed_at = now
         hosts = dict(self._listed)
         for fact in self._board.current(FactKind.HOST, now=now):
             info = host_of_fact(fact)
@@ -140,6 +145,12 @@
                 hosts[info.host_id] = info
         hosts.pop(self._own.host_id, None)
         self._hosts = hosts
+        self._by_zone = {}
+        for info in hosts.values():
+            zone = self._by_zone.setdefault(info.zone, [])
+            if info.state is HostState.LIVE:
+                zone.append(info)
+        self._other_zones = frozenset(self._by_zone) - {self._own.zone}
 
     def delegates(self, zone: str) -> list[str]:
         """Return the hosts of another zone in the order in which this host prefers them."""
@@ -150,6 +161,10 @@
             self._rankings[zone] = ranking
         return ranking.order
 
+    def _on_fact(self, fact: Fact) -> None:
+        if fact.kind is FactKind.HOST:
+            self._refreshed_at = float("-inf")
+
     def _is_forgotten(self, fact: Fact) -> bool:
         missing = self._missing.get(fact.key)
         if missing is None or missing.order < fact.order:
--- a/samphirehall/membership/peer.py
+++ b/samphirehall/membership/peer.py
@@ -21,6 +21,7 @@
 from samphirehall.membership.wire import Outgoing
 
 TENTHS = 10
+LEAST_PATIENCE_SECONDS = 1.0
 LAST_CHANCE_SECONDS = 0.25
 HEARD_FACTOR = 3.0
 Queued = Change | EndpointsChange | Held | Wanted
@@ -95,6 +96,7 @@
         self.received_endpoints: dict[str, EndpointInfo] = {}
         self.scope = anyio.CancelScope()
         self._acknowledge_seconds = acknowledge_seconds
+        self._is_silent = False
         self._last_chance: float | None = None
         self._acknowledge = 0
         self._next_number = 1
@@ -120,12 +122,19 @@
         """Let the writing task look for work."""
         self._work.set()
 
-    async def wait_for_work(self, seconds: float) -> None:
-        """Wait until there may be work, for at most `seconds`."""
-        with anyio.move_on_after(seconds):
-            await self._work.wait()
+    async def wait_for_work(self) -> None:
+        """Wait until there may be work."""
+        await self._work.wait()
         self._work = anyio.Event()
 
+    def tick(self, now: float) -> None:
+        """Wake the writing task if it is due, or if the peer has been silent for too long."""
+        if now - self.last_heard > max(self.patience, LEAST_PATIENCE_SECONDS):
+            self._is_silent = True
+            self.wake()
+        elif self._next_deadline() <= now:
+            self.wake()
+
     def push(self, item: Outgoing) -> None:
         """Let a fact wait to be sent."""
         self.outbox.push(item)
@@ -168,7 +177,7 @@
         return [item for sent in self._unacknowledged for item in sent.items]
 
     def check_answers(self, now: float) -> None:
-        """Check that acknowledgements are not overdue.
+        """Check that the peer still talks and that acknowledgements are not overdue.
 
         A connection over which something came since then is given longer. The
         first time that one is overdue the reading task gets another moment,
@@ -179,6 +188,10 @@
         SilentPeerError
             The connection has gone silent.
         """
+        if self._is_silent:
+            raise SilentPeerError(
+                f"nothing came from {self.host} for {now - self.last_heard:.1f} s"
+            )
         if not self._unacknowledged or now < self._acknowledgement_due():
             self._last_chance = None
         elif self._last_chance is None:
@@ -186,8 +199,7 @@
         elif now >= self._last_chance:
             raise SilentPeerError(f"{self.host} did not acknowledge urgent facts")
 
-    def next_deadline(self) -> float:
-        """Return the boot clock, in seconds, at which the writing task is due again."""
+    def _next_deadline(self) -> float:
         if not self._unacknowledged:
             return self.beat_due
         due = self._last_chance or self._acknowledgement_due()
--- a/samphirehall/membership/service.py
+++ b/samphirehall/membership/service.py
@@ -128,6 +128,8 @@
         if mesh.version_in_force != told_version:
             told_version = mesh.version_in_force
             mesh.wake_beats()
+        for peer in mesh.peers.values():
+            peer.tick(now)
         want_newer(mesh, now=now)
         reporter.tick(now=now)
         await anyio.sleep(TICK_SECONDS)
