--- /dev/null
+++ b/tests/core/test_connections.py
@@ -0,0 +1,44 @@
+"""The connection pool against peers that break connections."""
+
+import anyio
+import pytest
+
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool
+from tests.support.resets import resetting_listener
+
+pytestmark = pytest.mark.anyio
+
+DIALS = 300
+DIALS_AT_ONCE = 20
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.fixture
+def resetting():
+    with resetting_listener() as address:
+        yield address
+
+
+class TestDial:
+    async def test_reset_at_once_is_a_transport_error(self, resetting):
+        pool = ConnectionPool(resetting)
+        limit = anyio.Semaphore(DIALS_AT_ONCE)
+        errors = []
+
+        async def dial():
+            async with limit:
+                try:
+                    async with pool.request("GET", "/", fresh=True):
+                        pass
+                except Exception as error:
+                    errors.append(error)
+
+        async with anyio.create_task_group() as group:
+            for _ in range(DIALS):
+                group.start_soon(dial)
+        assert len(errors) == DIALS
+        assert [error for error in errors if not isinstance(error, TRANSPORT_ERRORS)] == []
