--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -125,19 +125,3 @@
             raise httpcore.ConnectTimeout(str(error)) from error
         except (OSError, anyio.BrokenResourceError) as error:
             raise httpcore.ConnectError(str(error)) from error
-<<<<<<< HEAD
-        try:
-            _set_options(stream, socket_options or ())
-        except (AttributeError, OSError) as error:
-            # The event loop drops a socket that is reset before its options are set.
-            await anyio.aclose_forcefully(stream)
-            raise httpcore.ConnectError("the connection was reset at once") from error
-        return TcpStream(stream)
-
-
-def _set_options(stream: anyio.abc.SocketStream, options: Iterable[Any]) -> None:
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    for option in options:
-        raw.setsockopt(*option)
-=======
->>>>>>> ready/proofs
--- a/samphirehall/settings/loading.py
+++ b/samphirehall/settings/loading.py
@@ -92,7 +92,13 @@
             )
         elif item.default is item.default_factory is dataclasses.MISSING:
             problems.append(SettingsProblem(file, prefix + name, None, "required"))
-    return table_type(**values) if len(problems) == before else None
+    if len(problems) > before:
+        return None
+    try:
+        return table_type(**values)
+    except ValueError as error:
+        problems.append(SettingsProblem(file, prefix.rstrip("."), None, str(error)))
+        return None
 
 
 def _check_value(
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -148,6 +148,12 @@
     tls_key: str = ""
     tls_authority: str = ""
 
+    def __post_init__(self) -> None:
+        """Check that the TLS files are given together."""
+        given = {bool(self.tls_certificate), bool(self.tls_key), bool(self.tls_authority)}
+        if len(given) > 1:
+            raise ValueError("tls_certificate, tls_key and tls_authority: all three or none")
+
 
 @dataclass(slots=True)
 class LeaseTable:
