Give up the place in the queue when the caller has gone

Cause: a caller was only watched once its request was dispatched; while it waited for admission, a request nobody wanted kept its place.

Ruled out: ending a service call that has been dispatched: a booking runs on, so that its outcome is stored.

Change: completions are watched and bounded by their deadline from admission on, service calls until they are dispatched.

Proof: tests/forwarding/test_completion.py 50 passed.

--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -1,6 +1,8 @@
 """Completion requests of callers, answered as a stream or as a whole."""
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 import msgspec
@@ -77,11 +79,12 @@
     admission = AdmissionRequest(
         caller, run.priority, run.deadline, run.prompt_tokens, run.max_tokens
     )
-    async with context.admission.admit(admission, now=started) as ticket:
-        try:
-            await _answer(context, run, scope, send, started)
-        finally:
-            _meter(context, run, ticket)
+    with _limited(run, scope):
+        async with context.admission.admit(admission, now=started) as ticket:
+            try:
+                await _answer(context, run, send, started)
+            finally:
+                _meter(context, run, ticket)
     return caller.route_name
 
 
@@ -103,10 +106,9 @@
     return caller
 
 
-async def _answer(
-    context: EntryContext, run: CompletionRun, scope: Scope, send: Send, started: float
-) -> None:
-    """Answer until done, the deadline, or the caller has gone."""
+@contextmanager
+def _limited(run: CompletionRun, scope: Scope) -> Iterator[None]:
+    """End the context at the deadline, or when the caller has gone."""
     gone = False
 
     def stop() -> None:
@@ -114,18 +116,22 @@
         gone = True
         limit.cancel()
 
-    with anyio.CancelScope(deadline=anyio.current_time() + run.deadline - boot_seconds()) as limit:
-        with connection_of(scope).watched(stop):
-            if run.completion.stream:
-                await _answer_stream(context, run, send, started)
-            else:
-                await _answer_whole(context, run, send, started)
+    deadline = anyio.current_time() + run.deadline - boot_seconds()
+    with anyio.CancelScope(deadline=deadline) as limit, connection_of(scope).watched(stop):
+        yield
     if limit.cancelled_caught:
         if gone:
             raise CallerGoneError
         raise run.deadline_error()
 
 
+async def _answer(context: EntryContext, run: CompletionRun, send: Send, started: float) -> None:
+    if run.completion.stream:
+        await _answer_stream(context, run, send, started)
+    else:
+        await _answer_whole(context, run, send, started)
+
+
 async def _answer_stream(
     context: EntryContext, run: CompletionRun, send: Send, started: float
 ) -> None:
--- a/samphirehall/forwarding/service_answer.py
+++ b/samphirehall/forwarding/service_answer.py
@@ -1,5 +1,7 @@
 """Service requests of callers: reading, admission, repeatable calls and the answer."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from urllib.parse import quote
 
 import anyio
@@ -28,8 +30,10 @@
     result_headers,
     send_whole,
 )
+from samphirehall.forwarding.caller_protocol import connection_of
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import (
+    CallerGoneError,
     bearer_key,
     deadline_seconds,
     endpoint_headers,
@@ -72,7 +76,7 @@
     admission = AdmissionRequest(
         call.caller, priority_of(scope, default=route.priority), call.deadline
     )
-    async with context.admission.admit(admission, now=started):
+    async with _admitted(context, admission, scope, started):
         if route.idempotent or call.method in ("GET", "HEAD"):
             answer, result = await call_repeatable(context, call), OK
         else:
@@ -83,6 +87,25 @@
     return call.caller.route_name
 
 
+@asynccontextmanager
+async def _admitted(
+    context: EntryContext, admission: AdmissionRequest, scope: Scope, started: float
+) -> AsyncIterator[None]:
+    """Hold a place; a caller that goes while its call waits ends it, but not one that runs."""
+    waits = True
+
+    def stop() -> None:
+        if waits:
+            waiting.cancel()
+
+    with anyio.CancelScope() as waiting, connection_of(scope).watched(stop):
+        async with context.admission.admit(admission, now=started):
+            waits = False
+            yield
+    if waiting.cancelled_caught:
+        raise CallerGoneError
+
+
 async def _read_call(
     context: EntryContext, scope: Scope, receive: Receive, *, request_id: str, started: float
 ) -> ServiceCall:
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -21,7 +21,7 @@
     refusal,
     whole,
 )
-from tests.support.entry import complete, entry_context, running
+from tests.support.entry import ask, complete, entry_context, running
 
 pytestmark = pytest.mark.anyio
 
@@ -95,6 +95,13 @@
         yield await stack.enter_async_context(running(context)), endpoints, context
 
 
+@contextlib.asynccontextmanager
+async def in_time(seconds):
+    """Fail unless the context ends in time; a deadline of the request comes later."""
+    with anyio.fail_after(seconds):
+        yield
+
+
 def tokens(reply):
     """Return the tokens of a streamed answer; each event has the index that it should have."""
     events = [item for item in reply.body.split(b"\n\n") if item]
@@ -247,7 +254,11 @@
         async def script(exchange, writer):
             await (silent if exchange.method == "POST" else answer_whole)(exchange, writer)
 
-        async with entry(script) as (app, endpoints, context), anyio.create_task_group() as group:
+        async with (
+            entry(script) as (app, endpoints, context),
+            in_time(2.0),
+            anyio.create_task_group() as group,
+        ):
             context.settings.entry.first_event_seconds = 10.0
             context.settings.entry.stall_seconds = 10.0
             group.start_soon(partial(complete, app, state={CONNECTION: connection}))
@@ -257,6 +268,29 @@
         assert endpoints[0].calls["DELETE"] == 1
         assert context.admission.open_requests == 0
 
+    async def test_a_request_that_waits_for_admission_gives_its_place_up(self):
+        connection = CallerConnection()
+        left = []
+
+        @contextlib.asynccontextmanager
+        async def full(request, *, now):
+            try:
+                await anyio.sleep_forever()
+                yield
+            finally:
+                left.append(request)
+
+        async with entry(answer_whole) as (app, endpoints, context):
+            context.admission.admit = full
+            async with in_time(2.0), anyio.create_task_group() as group:
+                group.start_soon(partial(complete, app, state={CONNECTION: connection}))
+                group.start_soon(
+                    partial(ask, app, "/services/stock/lots", state={CONNECTION: connection})
+                )
+                await anyio.sleep(0.02)
+                connection.lose()
+        assert (len(left), endpoints[0].exchanges) == (2, [])
+
     async def test_a_caller_that_stops_reading_is_given_up(self, monkeypatch):
         monkeypatch.setattr(attempt, "CALLER_STALL_SECONDS", 0.1)
 
