--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -58,13 +58,14 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self._origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
+        self._host = host.strip("[]")
+        self._origin = httpcore.Origin(b"http", self._host.encode(), int(port))
         self._timeouts: dict[str, float | None] = {
             "connect": connect_timeout,
             "read": read_timeout,
             "write": read_timeout,
         }
-        self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
+        self._idle: deque[tuple[float, httpcore.AsyncHTTP11Connection]] = deque()
         self._backend = TcpBackend()
         self._host_header = address.encode()
         self._closed = False
@@ -124,7 +125,7 @@
             content=content,
             extensions={"timeout": timeouts},
         )
-        connection = self._dial() if fresh else await self._take()
+        connection = await self._dial() if fresh else await self._take()
         try:
             response = await connection.handle_async_request(request)
             try:
@@ -135,7 +136,7 @@
         finally:
             await self._give_back(connection)
 
-    def close_idle(self) -> list[httpcore.AsyncHTTPConnection]:
+    def close_idle(self) -> list[httpcore.AsyncHTTP11Connection]:
         """Empty the idle list and return its connections for closing."""
         connections = [connection for _, connection in self._idle]
         self._idle.clear()
@@ -155,21 +156,26 @@
             head.append((b"Content-Length", str(len(content)).encode()))
         return head
 
-    def _dial(self) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(
-            self._origin, network_backend=self._backend, socket_options=SOCKET_OPTIONS
+    async def _dial(self) -> httpcore.AsyncHTTP11Connection:
+        """Return a new connection; httpcore's lazy one would take a lock for each request."""
+        stream = await self._backend.connect_tcp(
+            self._host,
+            self._origin.port,
+            timeout=self._timeouts["connect"],
+            socket_options=SOCKET_OPTIONS,
         )
+        return httpcore.AsyncHTTP11Connection(self._origin, stream)
 
-    async def _take(self) -> httpcore.AsyncHTTPConnection:
+    async def _take(self) -> httpcore.AsyncHTTP11Connection:
         while self._idle:
             idle_since, connection = self._idle.pop()
             fresh = boot_seconds() - idle_since < IDLE_SECONDS
             if fresh and connection.is_idle() and not connection.has_expired():
                 return connection
             await connection.aclose()
-        return self._dial()
+        return await self._dial()
 
-    async def _give_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def _give_back(self, connection: httpcore.AsyncHTTP11Connection) -> None:
         if connection.is_idle() and not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append((boot_seconds(), connection))
             return
--- a/samphirehall/core/serving.py
+++ b/samphirehall/core/serving.py
@@ -83,6 +83,7 @@
         access_log=False,
         server_header=False,
         date_header=False,
+        proxy_headers=False,
         backlog=backlog,
         timeout_keep_alive=KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=math.ceil(graceful_seconds),
