Send head and body of a request to an endpoint in one write

Cause: httpcore writes the head and the body apart, each with a timer: two system calls, two segments and two timers for a request whose body is at hand.

Ruled out: leaving out TCP_NODELAY, which would delay the second segment.

Change: a stream can hold what is written until the next read; the pool asks for it unless the body is an iterator, whose head must leave first.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -10,12 +10,13 @@
 from collections import deque
 from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import anyio
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.network import TcpBackend
+from samphirehall.core.network import TcpBackend, TcpStream
 
 IDLE_SECONDS = 20.0
 MAX_IDLE_CONNECTIONS = 1024
@@ -40,6 +41,14 @@
 )
 
 
+@dataclass(slots=True)
+class _Connection:
+    """A connection and the stream under it."""
+
+    http: httpcore.AsyncHTTP11Connection
+    stream: TcpStream
+
+
 class ConnectionPool:
     """Connections to one address, each used by one request at a time.
 
@@ -65,7 +74,7 @@
             "read": read_timeout,
             "write": read_timeout,
         }
-        self._idle: deque[tuple[float, httpcore.AsyncHTTP11Connection]] = deque()
+        self._idle: deque[tuple[float, _Connection]] = deque()
         self._backend = TcpBackend()
         self._host_header = address.encode()
         self._closed = False
@@ -112,7 +121,7 @@
         timeouts: dict[str, float | None] = self._timeouts
         if read_timeout is not None:
             limit = None if read_timeout == math.inf else read_timeout
-            timeouts = {**timeouts, "read": limit}
+            timeouts = {**timeouts, "read": limit, "write": limit}
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -126,8 +135,10 @@
             extensions={"timeout": timeouts},
         )
         connection = await self._dial() if fresh else await self._take()
+        if content is None or isinstance(content, bytes):
+            connection.stream.hold_writes()
         try:
-            response = await connection.handle_async_request(request)
+            response = await connection.http.handle_async_request(request)
             try:
                 yield response
             finally:
@@ -138,7 +149,7 @@
 
     def close_idle(self) -> list[httpcore.AsyncHTTP11Connection]:
         """Empty the idle list and return its connections for closing."""
-        connections = [connection for _, connection in self._idle]
+        connections = [connection.http for _, connection in self._idle]
         self._idle.clear()
         return connections
 
@@ -156,7 +167,7 @@
             head.append((b"Content-Length", str(len(content)).encode()))
         return head
 
-    async def _dial(self) -> httpcore.AsyncHTTP11Connection:
+    async def _dial(self) -> _Connection:
         """Return a new connection; httpcore's lazy one would take a lock for each request."""
         stream = await self._backend.connect_tcp(
             self._host,
@@ -164,23 +175,24 @@
             timeout=self._timeouts["connect"],
             socket_options=SOCKET_OPTIONS,
         )
-        return httpcore.AsyncHTTP11Connection(self._origin, stream)
+        return _Connection(httpcore.AsyncHTTP11Connection(self._origin, stream), stream)
 
-    async def _take(self) -> httpcore.AsyncHTTP11Connection:
+    async def _take(self) -> _Connection:
         while self._idle:
             idle_since, connection = self._idle.pop()
             fresh = boot_seconds() - idle_since < IDLE_SECONDS
-            if fresh and connection.is_idle() and not connection.has_expired():
+            if fresh and connection.http.is_idle() and not connection.http.has_expired():
                 return connection
-            await connection.aclose()
+            await connection.http.aclose()
         return await self._dial()
 
-    async def _give_back(self, connection: httpcore.AsyncHTTP11Connection) -> None:
-        if connection.is_idle() and not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
+    async def _give_back(self, connection: _Connection) -> None:
+        reusable = connection.http.is_idle() and not self._closed
+        if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append((boot_seconds(), connection))
             return
         with anyio.CancelScope(shield=True):
-            await connection.aclose()
+            await connection.http.aclose()
 
 
 async def read_body(response: httpcore.Response, *, max_bytes: int) -> bytes:
--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -32,10 +32,18 @@
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._held: list[bytes] | None = None
         self.before_wait: Callable[[], Awaitable[None]] | None = None
 
+    def hold_writes(self) -> None:
+        """Keep what is written until the next read, so that head and body leave together."""
+        self._held = []
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as they come; none at the end of the stream."""
+        if self._held is not None:
+            held, self._held = self._held, None
+            await self.write(b"".join(held), timeout)
         if self.before_wait is not None:
             await self.before_wait()
         try:
@@ -54,6 +62,9 @@
         """Write all bytes."""
         if not buffer:
             return
+        if self._held is not None:
+            self._held.append(buffer)
+            return
         try:
             if timeout is None:
                 await self._stream.send(buffer)
@@ -88,7 +99,7 @@
         timeout: float | None = None,
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
+    ) -> TcpStream:
         """Return a new connection.
 
         Raises
