--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -18,6 +18,7 @@
 from samphirehall.standins.engine import EngineStandin
 from samphirehall.standins.journal import Journal
 from samphirehall.standins.platform import PlatformStandin, Topology
+from samphirehall.standins.records import recorded
 from samphirehall.standins.service import ServiceStandin
 from samphirehall.standins.timing import EngineTiming
 
@@ -26,14 +27,15 @@
 _log = logging.getLogger(__name__)
 
 
-async def _serve(app: Any, listen: str) -> None:
-    async with serving(app, listen):
+async def _serve(app: Any, listen: str, records: str) -> None:
+    async with serving(recorded(app, records), listen):
         _log.info("serving", extra={"listen": listen})
         await wait_for_stop()
 
 
-async def _serve_engine(engine: EngineStandin, listen: str) -> None:
-    async with serving(engine.app(), listen), anyio.create_task_group() as group:
+async def _serve_engine(engine: EngineStandin, listen: str, records: str) -> None:
+    app = recorded(engine.app(), records)
+    async with serving(app, listen), anyio.create_task_group() as group:
         group.start_soon(engine.run)
         group.start_soon(_crash_when_told, engine)
         await wait_for_stop()
@@ -66,7 +68,9 @@
 class Standins:
     """Stand-ins for tests, demonstrations and measurements; never for production."""
 
-    def platform(self, listen: str, topology: str, seed: int = 0, journal: str = "") -> None:
+    def platform(
+        self, listen: str, topology: str, seed: int = 0, journal: str = "", records: str = ""
+    ) -> None:
         """Serve the platform: table, objects, hosts, endpoints, orders and usage.
 
         Parameters
@@ -79,6 +83,8 @@
             Seed of the fault switches.
         journal : str
             File that keeps what was written over a restart; empty for none.
+        records : str
+            File that gets a line for each call received; empty for none.
         """
         configure_logging("info", host="platform", program="samphire-standin")
         document = tomllib.loads(Path(topology).read_text())
@@ -87,7 +93,7 @@
             seed=seed,
             journal=Journal(Path(journal) if journal else None),
         )
-        run_daemon(lambda: _serve(platform.app(), listen))
+        run_daemon(lambda: _serve(platform.app(), listen, records))
 
     def engine(
         self,
@@ -96,6 +102,7 @@
         models: str = "answer",
         checks_fencing: bool = True,
         role: str = "mixed",
+        records: str = "",
         **timing: float,
     ) -> None:
         """Serve a model engine.
@@ -116,6 +123,8 @@
             Whether orders with an old fencing number are refused.
         role : str
             Role at first: ``mixed``, ``prefill`` or ``decode``.
+        records : str
+            File that gets a line for each call received; empty for none.
         **timing
             Constants of the timing model.
         """
@@ -128,9 +137,9 @@
             role=Role(role),
             timing=engine_timing(timing),
         )
-        run_daemon(lambda: _serve_engine(engine, listen))
+        run_daemon(lambda: _serve_engine(engine, listen, records))
 
-    def service(self, listen: str, name: str) -> None:
+    def service(self, listen: str, name: str, records: str = "") -> None:
         """Serve a plain service.
 
         Parameters
@@ -139,9 +148,11 @@
             IP number and port.
         name : str
             Name of the endpoint.
+        records : str
+            File that gets a line for each call received; empty for none.
         """
         configure_logging("info", host=name, program="samphire-standin")
-        run_daemon(lambda: _serve(ServiceStandin(name).app(), listen))
+        run_daemon(lambda: _serve(ServiceStandin(name).app(), listen, records))
 
 
 def main() -> None:
