--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from demo.cluster import Cluster, Endpoint, Host, wait_ready
+from demo.cluster import Cluster, Endpoint, Host, call, wait_ready
 from samphirehall.load.runner import Run, run_entries
 from samphirehall.load.scenario import Scenario, Targets
 
@@ -137,6 +137,17 @@
         return anyio.run(run, targets)
 
 
+def cached_share(cluster: Cluster) -> float:
+    """Return the share of all prompt tokens that the engines found in their caches."""
+    cached = prefilled = 0
+    for endpoint in cluster.endpoints:
+        if endpoint.protocol == "engine":
+            counts = call(endpoint.address, "GET", "/admin/counts").json()
+            cached += counts["cached_tokens"]
+            prefilled += counts["prefilled_tokens"]
+    return cached / max(1, cached + prefilled)
+
+
 def max_min_shares(
     demands: dict[str, float], weights: dict[str, float], capacity: float
 ) -> dict[str, float]:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -185,6 +185,7 @@
             if endpoint.protocol == "engine":
                 arguments.append(f"--models={','.join(endpoint.models)}")
                 arguments.append(f"--checks_fencing={endpoint.checks_fencing}")
+                arguments.append(f"--role={endpoint.role}")
             self._add(endpoint.name, "samphire-standin", *arguments, *endpoint.options)
 
     def _write_settings(self) -> None:
--- a/samphirehall/load/caller.py
+++ b/samphirehall/load/caller.py
@@ -127,12 +127,13 @@
                     balancer.note_refused(pool.address, now=boot_seconds())
                 if not _repeats(attempt, outcome, scenario, budget):
                     return _closed(outcome, attempt, arrival, due, workload)
-                outcome.retries += 1
                 wait = max(MIN_BACKOFF_SECONDS, attempt.retry_after or 0.0)
-                await anyio.sleep(wait * source.uniform(1.0, 1.5))
-                if boot_seconds() < deadline:
-                    continue
-                return _closed(outcome, attempt, arrival, due, workload)
+                wait *= source.uniform(1.0, 1.5)
+                if boot_seconds() + wait >= deadline:
+                    return _closed(outcome, attempt, arrival, due, workload)
+                outcome.retries += 1
+                await anyio.sleep(wait)
+                continue
             return _closed(outcome, _Attempt(), arrival, due, workload)
 
     return call
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -28,6 +28,7 @@
     run_daemon,
     wait_for_stop,
 )
+from samphirehall.routing.cache_watch import CacheWatch
 from samphirehall.routing.fleet import Fleet
 from samphirehall.routing.outstanding import QueueAims
 from samphirehall.routing.setup import routing_policy
@@ -67,6 +68,8 @@
         group.start_soon(follow_link, settings.entry.control, state)
         group.start_soon(_close_old_pools, context)
         group.start_soon(run_admission, context)
+        watch = CacheWatch(fleet, pools, settings.host.zone, random.Random(incarnation))
+        group.start_soon(watch.run)
         group.start_soon(context.claims.run)
         group.start_soon(context.claims.clean_forever)
         await stack.enter_async_context(serving(EntryApp(context), settings.entry.listen))
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -113,6 +113,17 @@
         usable = self._usable(target, EndpointProtocol.ENGINE, now)
         return _without(usable.prefill, excluded) if excluded else usable.prefill
 
+    def engines(self, zone: str, *, now: float) -> list[EndpointView]:
+        """Return the engines of a zone that take new work."""
+        self._refresh()
+        return [
+            view
+            for view in self._views.values()
+            if view.info.zone == zone
+            and view.info.protocol is EndpointProtocol.ENGINE
+            and view.takes_work(now)
+        ]
+
     def hosts(self, now: float) -> int:
         """Return the number of hosts that share the endpoints, this one included."""
         if now >= self._hosts_counted_at + HOSTS_COUNT_SECONDS:
--- a/samphirehall/routing/prefix_aware.py
+++ b/samphirehall/routing/prefix_aware.py
@@ -21,6 +21,7 @@
 MAX_HOLDERS_CONSIDERED = 3
 TIE_SHARE = 0.05
 SPLIT_GAIN = 0.9
+HOME_SHARE = 0.5
 
 Matches = Mapping[str, int]
 
@@ -64,6 +65,12 @@
             for view in sampled
         ]
         best = _pick(sampled, scores, random_source)
+        if request.block_hashes and not matches:
+            home = _home(candidates, request.block_hashes[0])
+            score = finish(home, request, matches, now) + preference_seconds(home, request, wishes)
+            prefill = request.prompt_tokens / speeds.prefill_tokens_per_second
+            if score <= min(scores) + HOME_SHARE * prefill:
+                best = home
         cached = cached_tokens(best, request, matches)
         first = first_token(best, request, matches, now)
         whole = RoutingDecision(
@@ -130,6 +137,15 @@
     return sampled
 
 
+def _home(candidates: Sequence[EndpointView], first_block: int) -> EndpointView:
+    """Return where every host sends a prefix that it does not know, unless that is busy.
+
+    Hosts that see the same list agree without a message, so that a prefix is
+    not held twice because two hosts met it.
+    """
+    return candidates[first_block % len(candidates)]
+
+
 def _pick(
     views: Sequence[EndpointView], scores: Sequence[float], random_source: random.Random
 ) -> EndpointView:
--- a/samphirehall/standins/batch.py
+++ b/samphirehall/standins/batch.py
@@ -102,6 +102,9 @@
         self._decoding: list[Sequence] = []
         self._number = 0
         self._added = anyio.Event()
+        self.prefilled_tokens = 0
+        self.cached_tokens = 0
+        self.decoded_tokens = 0
 
     @property
     def running(self) -> int:
@@ -177,11 +180,13 @@
         now : float
             Boot clock in seconds.
         """
+        self.decoded_tokens += len(step.decoding)
         for sequence in step.decoding:
             sequence.next_index += 1
             sequence.notify()
         for sequence, chunk in step.prefills:
             sequence.prefill_left -= chunk
+            self.prefilled_tokens += chunk
             if sequence.prefill_left == 0:
                 self._begin_decoding(sequence, now)
         if step.decoding:
@@ -204,6 +209,7 @@
                 self._decoding.append(sequence)
                 continue
             cached = self._cache.matched_tokens(sequence.hashes)
+            self.cached_tokens += cached
             sequence.prefill_left = max(1, sequence.prompt_tokens - cached)
             self._prefilling.append(sequence)
         self._prefilling.sort(key=lambda item: item.priority)
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -37,6 +37,7 @@
 
 KEPT_STREAMS = 4096
 MAX_EVENTS_A_WRITE = 64
+MAX_EVENTS_AN_ANSWER = 2000
 SAMPLE_SECONDS = 0.05
 KV_ANSWER_SECONDS = 1.0
 MAX_KV_ANSWER_BYTES = 4096
@@ -74,6 +75,15 @@
     tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class EngineCounts:
+    """What an engine has done since it started, in tokens."""
+
+    prefilled_tokens: int
+    cached_tokens: int
+    decoded_tokens: int
+
+
 @dataclass(slots=True)
 class _Stream:
     request: EngineRequest
@@ -134,6 +144,7 @@
             Route("/orders", self._order, methods=["POST"]),
             Route("/admin/faults", self._set_faults, methods=["PUT"]),
             Route("/admin/leaving", self._set_leaving, methods=["POST"]),
+            Route("/admin/counts", self._counts, methods=["GET"]),
             Route("/admin/orders", self._list_orders, methods=["GET"]),
         ]
         return Starlette(routes=routes)
@@ -198,7 +209,8 @@
 
     async def _cache_events(self, request: Request) -> Response:
         after = int(request.query_params.get("after", 0))
-        return _json(self._cache.events(after=after, now=boot_seconds()))
+        events = self._cache.events(after=after, now=boot_seconds())
+        return _json(events[:MAX_EVENTS_AN_ANSWER])
 
     async def _order(self, request: Request) -> Response:
         order = msgspec.json.decode(await request.body(), type=EngineOrder)
@@ -219,6 +231,12 @@
         self._leaves_at = boot_seconds() + notice.seconds
         return _json(notice)
 
+    async def _counts(self, request: Request) -> Response:
+        batch = self._batch
+        return _json(
+            EngineCounts(batch.prefilled_tokens, batch.cached_tokens, batch.decoded_tokens)
+        )
+
     async def _list_orders(self, request: Request) -> Response:
         return _json(self.orders)
 
--- a/tests/routing/test_prefix_aware.py
+++ b/tests/routing/test_prefix_aware.py
@@ -124,3 +124,19 @@
             "answer", excluded=set(), now=boot_seconds()
         )
         assert choose(fleet, asked).prefill is None
+
+
+class TestHome:
+    def test_hosts_agree_on_where_an_unknown_prefix_goes(self):
+        asked = request(block_hashes=[12345, 6], prompt_tokens=4096)
+        found = set()
+        for seed in range(20):
+            fleet, _ = fleet_of(*(engine(f"e{n}") for n in range(10)))
+            found.add(chosen(fleet, asked, seed=seed))
+        assert len(found) == 1
+
+    def test_busy_home_is_passed_over(self):
+        asked = request(block_hashes=[3, 6], prompt_tokens=4096)
+        fleet, state = fleet_of(*(engine(f"e{n}") for n in range(10)))
+        publish_report(state, "e3", queued=100_000)
+        assert "e3" not in {chosen(fleet, asked, seed=seed) for seed in range(20)}
