--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -132,6 +132,12 @@
         self._changing_until = 0.0
         self._leaves_at: float | None = None
 
+    @property
+    def counts(self) -> EngineCounts:
+        """What the engine has done since it started."""
+        batch = self._batch
+        return EngineCounts(batch.prefilled_tokens, batch.cached_tokens, batch.decoded_tokens)
+
     def app(self) -> Starlette:
         """Return the ASGI application; `run` must run beside it."""
         routes = [
@@ -232,10 +238,7 @@
         return _json(notice)
 
     async def _counts(self, request: Request) -> Response:
-        batch = self._batch
-        return _json(
-            EngineCounts(batch.prefilled_tokens, batch.cached_tokens, batch.decoded_tokens)
-        )
+        return _json(self.counts)
 
     async def _list_orders(self, request: Request) -> Response:
         return _json(self.orders)
