Halve the calls in an estimate and in a look at the prefix index

Change: estimates once an endpoint, leading blocks counted by endpoint, three draws without random.sample; a prefix's home is one of those compared, with half a prefill in its favour. Ruled out: looking for the deepest known block first, which takes a block that was removed for held.

--- a/samphirehall/routing/estimate.py
+++ b/samphirehall/routing/estimate.py
@@ -97,7 +97,9 @@
         seconds += over * rates.sequence_seconds * rates.max_batch
     if view.role is Role.DECODE:
         seconds *= DECODE_ROLE_FACTOR
-    return seconds * view.present_slowness(now)
+    if view.slowness != 1.0:
+        seconds *= view.present_slowness(now)
+    return seconds
 
 
 def decode_seconds(view: EndpointView, output_tokens: int, rates: EngineRates) -> float:
--- a/samphirehall/routing/prefix_aware.py
+++ b/samphirehall/routing/prefix_aware.py
@@ -45,10 +45,6 @@
         cached = cached_tokens(view, request, matches)
         return first_token_seconds(view, request.prompt_tokens, cached, speeds, now=now)
 
-    def finish(view: EndpointView, request: RoutingRequest, matches: Matches, now: float) -> float:
-        first = first_token(view, request, matches, now)
-        return first + decode_seconds(view, request.output_tokens, speeds)
-
     def choose(
         candidates: Sequence[EndpointView],
         request: RoutingRequest,
@@ -60,19 +56,20 @@
             raise NoEndpointError(request.target, 0)
         matches = known.matches(request.block_hashes)
         sampled = _sample(candidates, matches, setup.find, random_source)
+        if request.block_hashes and not matches:
+            sampled.append(_home(candidates, request.block_hashes[0]))
+        firsts = [first_token(view, request, matches, now) for view in sampled]
         scores = [
-            finish(view, request, matches, now) + preference_seconds(view, request, wishes)
-            for view in sampled
+            first
+            + decode_seconds(view, request.output_tokens, speeds)
+            + preference_seconds(view, request, wishes)
+            for view, first in zip(sampled, firsts, strict=True)
         ]
-        best = _pick(sampled, scores, random_source)
         if request.block_hashes and not matches:
-            home = _home(candidates, request.block_hashes[0])
-            score = finish(home, request, matches, now) + preference_seconds(home, request, wishes)
-            prefill = request.prompt_tokens / speeds.prefill_tokens_per_second
-            if score <= min(scores) + HOME_SHARE * prefill:
-                best = home
+            scores[-1] -= HOME_SHARE * request.prompt_tokens / speeds.prefill_tokens_per_second
+        chosen = _pick(scores, random_source)
+        best, first = sampled[chosen], firsts[chosen]
         cached = cached_tokens(best, request, matches)
-        first = first_token(best, request, matches, now)
         whole = RoutingDecision(
             best,
             first + decode_seconds(best, request.output_tokens, speeds),
@@ -127,7 +124,7 @@
     """Return the holders of the longest prefixes, and some others at random."""
     if len(candidates) <= SAMPLED:
         return list(candidates)
-    sampled = random_source.sample(candidates, SAMPLED)
+    sampled = _draw(candidates, random_source)
     if matches:
         names = sorted(matches, key=matches.__getitem__, reverse=True)[:MAX_HOLDERS_CONSIDERED]
         for name in names:
@@ -137,6 +134,17 @@
     return sampled
 
 
+def _draw(candidates: Sequence[EndpointView], random_source: random.Random) -> list[EndpointView]:
+    """Return `SAMPLED` different candidates at random; `random.sample` costs more than that."""
+    drawn: list[EndpointView] = []
+    count = len(candidates)
+    while len(drawn) < SAMPLED:
+        view = candidates[int(random_source.random() * count)]
+        if view not in drawn:
+            drawn.append(view)
+    return drawn
+
+
 def _home(candidates: Sequence[EndpointView], first_block: int) -> EndpointView:
     """Return where every host sends a prefix that it does not know, unless that is busy.
 
@@ -146,10 +154,9 @@
     return candidates[first_block % len(candidates)]
 
 
-def _pick(
-    views: Sequence[EndpointView], scores: Sequence[float], random_source: random.Random
-) -> EndpointView:
-    """Return one of those that are about as good as the best."""
-    limit = min(scores) * (1 + TIE_SHARE)
-    best = [view for view, score in zip(views, scores, strict=True) if score <= limit]
+def _pick(scores: Sequence[float], random_source: random.Random) -> int:
+    """Return the position of one of those that are about as good as the best."""
+    lowest = min(scores)
+    limit = lowest + TIE_SHARE * abs(lowest)
+    best = [number for number, score in enumerate(scores) if score <= limit]
     return best[int(random_source.random() * len(best))]
--- a/samphirehall/routing/prefix_index.py
+++ b/samphirehall/routing/prefix_index.py
@@ -34,23 +34,18 @@
 
     def matches(self, hashes: Sequence[int]) -> dict[str, int]:
         """Return the number of leading blocks that each endpoint is thought to hold."""
-        depths: dict[int, int] = {}
-        holding: set[int] = set()
-        depth = 0
+        blocks = []
         for block in hashes:
             holders = self._holders.get(block)
             if holders is None:
                 break
-            still = set(holders) if depth == 0 else holding & holders.keys()
-            if len(still) < len(holding):
-                depths.update(dict.fromkeys(holding - still, depth))
-            holding = still
-            if not holding:
-                break
-            depth += 1
-        depths.update(dict.fromkeys(holding, depth))
-        known = self._endpoints
-        return {known[mark]: blocks for mark, blocks in depths.items() if mark in known}
+            blocks.append(holders)
+        matched: dict[str, int] = {}
+        for mark in blocks[0] if blocks else ():
+            endpoint_id = self._endpoints.get(mark)
+            if endpoint_id is not None:
+                matched[endpoint_id] = _leading(blocks, mark)
+        return matched
 
     def store(self, endpoint_id: str, hashes: Sequence[int]) -> None:
         """Remember that an endpoint holds the blocks of a prompt.
@@ -104,3 +99,11 @@
             mark = self._marks[endpoint_id] = self._last_mark
             self._endpoints[mark] = endpoint_id
         return mark
+
+
+def _leading(blocks: list[dict[int, None]], mark: int) -> int:
+    """Return how many leading blocks are held under a mark."""
+    for depth, holders in enumerate(blocks):
+        if mark not in holders:
+            return depth
+    return len(blocks)
