--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -5,6 +5,7 @@
 """
 
 import select
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -15,6 +16,23 @@
 READ_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+def raw_socket(stream: anyio.abc.ByteStream) -> socket.socket:
+    """Return the socket of a stream, for its options.
+
+    Raises
+    ------
+    ConnectionResetError
+        The peer reset the connection at once, and the event loop has dropped the socket.
+    """
+    try:
+        raw: socket.socket | None = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    except AttributeError:
+        raw = None
+    if raw is None:
+        raise ConnectionResetError("the connection was reset at once")
+    return raw
+
+
 class TcpStream(httpcore.AsyncNetworkStream):
     """Bytes of one TCP connection.
 
@@ -31,11 +49,19 @@
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
-        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._socket = raw_socket(stream)
+        self._held: list[bytes] | None = None
         self.before_wait: Callable[[], Awaitable[None]] | None = None
 
+    def hold_writes(self) -> None:
+        """Keep what is written until the next read, so that head and body leave together."""
+        self._held = []
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as they come; none at the end of the stream."""
+        if self._held is not None:
+            held, self._held = self._held, None
+            await self.write(b"".join(held), timeout)
         if self.before_wait is not None:
             await self.before_wait()
         try:
@@ -54,6 +80,9 @@
         """Write all bytes."""
         if not buffer:
             return
+        if self._held is not None:
+            self._held.append(buffer)
+            return
         try:
             if timeout is None:
                 await self._stream.send(buffer)
@@ -88,7 +117,7 @@
         timeout: float | None = None,
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
+    ) -> TcpStream:
         """Return a new connection.
 
         Raises
@@ -99,14 +128,11 @@
         try:
             with anyio.fail_after(timeout):
                 stream = await anyio.connect_tcp(host, port, local_host=local_address)
+            raw = raw_socket(stream)
+            for option in socket_options or ():
+                raw.setsockopt(*option)
+            return TcpStream(stream)
         except TimeoutError as error:
             raise httpcore.ConnectTimeout(str(error)) from error
         except (OSError, anyio.BrokenResourceError) as error:
             raise httpcore.ConnectError(str(error)) from error
-        except AttributeError as error:
-            # The event loop has dropped the socket before the stream was made.
-            raise httpcore.ConnectError("the connection was reset at once") from error
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        for option in socket_options or ():
-            raw.setsockopt(*option)
-        return TcpStream(stream)
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -38,6 +38,7 @@
 
 KEPT_STREAMS = 4096
 MAX_EVENTS_A_WRITE = 64
+MAX_EVENTS_AN_ANSWER = 2000
 SAMPLE_SECONDS = 0.05
 KV_ANSWER_SECONDS = 1.0
 MAX_KV_ANSWER_BYTES = 4096
@@ -53,12 +54,16 @@
     """Fault switches; times in seconds.
 
     `stall` stops all streams without closing them, `reject` answers 503,
-    `cut_after` closes each stream after that many tokens.
+    `cut_after` closes each stream after that many tokens, `repeat` sends the
+    last event of a write once more, late, and `cross` sends it on with the
+    answer of another request.
     """
 
     stall: bool = False
     reject: bool = False
     cut_after: int | None = None
+    repeat: bool = False
+    cross: bool = False
 
 
 @dataclass(slots=True)
@@ -75,6 +80,15 @@
     tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class EngineCounts:
+    """What an engine has done since it started, in tokens."""
+
+    prefilled_tokens: int
+    cached_tokens: int
+    decoded_tokens: int
+
+
 @dataclass(slots=True)
 class _Stream:
     request: EngineRequest
@@ -123,6 +137,12 @@
         self._changing_until = 0.0
         self._leaves_at: float | None = None
 
+    @property
+    def counts(self) -> EngineCounts:
+        """What the engine has done since it started."""
+        batch = self._batch
+        return EngineCounts(batch.prefilled_tokens, batch.cached_tokens, batch.decoded_tokens)
+
     def app(self) -> Starlette:
         """Return the ASGI application; `run` must run beside it."""
         routes = [
@@ -135,6 +155,7 @@
             Route("/orders", self._order, methods=["POST"]),
             Route("/admin/faults", self._set_faults, methods=["PUT"]),
             Route("/admin/leaving", self._set_leaving, methods=["POST"]),
+            Route("/admin/counts", self._counts, methods=["GET"]),
             Route("/admin/orders", self._list_orders, methods=["GET"]),
         ]
         return Starlette(routes=routes)
@@ -199,7 +220,8 @@
 
     async def _cache_events(self, request: Request) -> Response:
         after = int(request.query_params.get("after", 0))
-        return _json(self._cache.events(after=after, now=boot_seconds()))
+        events = self._cache.events(after=after, now=boot_seconds())
+        return _json(events[:MAX_EVENTS_AN_ANSWER])
 
     async def _order(self, request: Request) -> Response:
         body = await read_order_body(request)
@@ -224,6 +246,9 @@
         self._leaves_at = boot_seconds() + notice.seconds
         return _json(notice)
 
+    async def _counts(self, request: Request) -> Response:
+        return _json(self.counts)
+
     async def _list_orders(self, request: Request) -> Response:
         return _json(self.orders)
 
@@ -280,6 +305,10 @@
                 if due > index:
                     yield b"".join([event(number) for number in range(index, due)])
                     index = due
+                    if self.faults.repeat:
+                        yield event(index - 1)
+                    if self.faults.cross:
+                        yield self._event_of_another(sequence.request_id)
                 if cut is not None and index >= start + cut:
                     return
                 if sequence.finished and index >= sequence.next_index:
@@ -348,6 +377,12 @@
             case "drain":
                 self._report.leaving = True
 
+    def _event_of_another(self, request_id: str) -> bytes:
+        for other, stream in self._streams.items():
+            if other != request_id:
+                return _event_writer(other, stream.request.model, stream.source)(0)
+        return b""
+
     def _forget_old_streams(self) -> None:
         while len(self._streams) >= KEPT_STREAMS:
             del self._streams[next(iter(self._streams))]
--- a/tests/promises/scenarios.py
+++ b/tests/promises/scenarios.py
@@ -29,7 +29,7 @@
 
 
 def network(choose: random.Random) -> list[Fault]:
-    """Connections are cut, go silent, and a host is cut off from its peers and the platform."""
+    """Connections are cut and go silent, a host is isolated, and an engine mixes up its answers."""
     cut, silent, lost = choose.sample(ENGINES, 3)
     isolated, behind = choose.sample(HOSTS, 2)
     return [
@@ -41,6 +41,7 @@
         Fault("lose-track", f"mesh/{behind}", choose.uniform(0.5, 3.0)),
         Fault("lose-track", f"platform/{behind}-entry", choose.uniform(0.5, 3.0)),
         Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
+        Fault("garble", choose.choice(ENGINES), choose.uniform(5.0, 6.0), 1.5),
     ]
 
 
@@ -68,6 +69,23 @@
     ]
 
 
+def orders(choose: random.Random) -> list[Fault]:
+    """Versions change again and again while lease holders are suspended, cut off and killed."""
+    paused, isolated, killed = choose.sample(HOSTS, 3)
+    versions = [
+        Fault("load", f"2026-{12 + number}", 0.2 + 1.1 * number + choose.uniform(0.0, 0.5))
+        for number in range(6)
+    ]
+    return [
+        *versions,
+        Fault("pause", f"{paused}-control", choose.uniform(0.5, 1.5), choose.uniform(2.5, 4.0)),
+        Fault("isolate", isolated, choose.uniform(1.0, 2.5), choose.uniform(2.5, 4.0)),
+        Fault("kill", f"{killed}-control", choose.uniform(2.0, 4.0), 0.5),
+        Fault("drain", choose.choice(ENGINES), choose.uniform(1.0, 4.0)),
+        Fault("lose-answers", "platform", choose.uniform(0.5, 4.0), 1.5),
+    ]
+
+
 def planned(choose: random.Random) -> list[Fault]:
     """Processes are stopped and endpoints leave as planned, and nothing else happens."""
     first, second, control = choose.sample(HOSTS, 3)
@@ -75,7 +93,7 @@
         Fault("stop", f"{first}-entry", choose.uniform(0.5, 1.0), 0.5),
         Fault("stop", f"{second}-entry", choose.uniform(3.5, 4.5), 0.5),
         Fault("stop", f"{control}-control", choose.uniform(1.0, 4.0), 0.5),
-        Fault("leave", choose.choice(ENGINES[:2]), choose.uniform(1.0, 3.0)),
+        Fault("leave", choose.choice(ENGINES[:2]), choose.uniform(0.2, 0.8), 9.0),
         Fault("reclaim", CHEAP_ZONE, choose.uniform(1.0, 4.0)),
         Fault("load", "2026-12", choose.uniform(1.0, 4.0)),
     ]
@@ -85,11 +103,11 @@
     """Faults of every kind, some of them at the same moment."""
     everything = [
         fault
-        for plan in (crashes, network, store, operators)
+        for plan in (crashes, network, store, operators, orders)
         for fault in plan(choose)
         if fault.action != "poison"
     ]
-    return choose.sample(everything, 8)
+    return choose.sample(everything, 9)
 
 
 SCENARIOS: dict[str, Planner] = {
@@ -97,6 +115,7 @@
     "network": network,
     "store": store,
     "operators": operators,
+    "orders": orders,
     "planned": planned,
     "together": together,
 }
