--- a/samphirehall/placement/models.py
+++ b/samphirehall/placement/models.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from samphirehall.endpoints.protocol import EngineAction
+
 
 @dataclass(slots=True, frozen=True)
 class EngineModels:
@@ -54,13 +56,13 @@
     """Load or unload a model on an engine, and why."""
 
     endpoint_id: str
-    action: str
+    action: EngineAction
     model: str
     reason: str
 
 
-LOAD = "load-model"
-UNLOAD = "unload-model"
+LOAD: EngineAction = "load-model"
+UNLOAD: EngineAction = "unload-model"
 
 
 def decide_model_order(
--- a/samphirehall/placement/service.py
+++ b/samphirehall/placement/service.py
@@ -2,14 +2,15 @@
 
 import logging
 from collections.abc import Iterable
-from typing import Protocol
 
 import anyio
 
+from samphirehall.authority.orders import Orders
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.log import log_decision
-from samphirehall.core.types import EndpointInfo, EndpointKind, EndpointState
+from samphirehall.core.types import EndpointInfo, EndpointState
+from samphirehall.endpoints.protocol import EngineAction
 from samphirehall.node.context import ControlContext
 from samphirehall.node.facts import FactKind
 from samphirehall.placement.demand import demand_by_model
@@ -20,33 +21,12 @@
 from samphirehall.placement.zone import CountOrder, PlacementOrder, ZonePlacement
 
 STEP_SECONDS = 2.0
-SET_ROLE = "set-role"
-DRAIN = "drain"
+SET_ROLE: EngineAction = "set-role"
+DRAIN: EngineAction = "drain"
 
 _log = logging.getLogger(__name__)
 
 
-class Orders(Protocol):
-    """What placement needs of the order journal."""
-
-    def holds(self, zone: str, *, now: float) -> bool:
-        """Return whether this process may order the engines of a zone."""
-
-    async def submit(
-        self, endpoint: EndpointInfo, action: str, argument: str, *, now: float
-    ) -> None:
-        """Give an engine an order.
-
-        Raises
-        ------
-        SamphireError
-            The lease is lost, or an order to the endpoint is not settled yet.
-        """
-
-    async def endpoints(self, zone: str, kind: EndpointKind, count: int, *, now: float) -> None:
-        """Order endpoints from the platform; raises like `submit`."""
-
-
 class PlacementStep:
     """Carries out placement of this host's zone, one step at a time.
 
@@ -129,8 +109,10 @@
             log_decision(_log, "endpoint-count", reason, zone=zone, kind=kind, count=count)
 
 
-async def step_until_cancelled(step: PlacementStep) -> None:
-    """Take one step after the other; a platform that is out only delays them."""
+async def run_placement(context: ControlContext) -> None:
+    """Take one step after the other until cancelled; a platform that is out only delays them."""
+    step = PlacementStep(context, await context.obtain(Orders))
+    context.report_status("role_changes", lambda: step.role_changes)
     while True:
         try:
             await step.run(now=boot_seconds())
--- a/samphirehall/programs/ctl.py
+++ b/samphirehall/programs/ctl.py
@@ -28,6 +28,7 @@
     format_in_force,
     format_status,
     format_table,
+    format_usage,
 )
 
 TIMEOUT_SECONDS = 30.0
@@ -240,6 +241,19 @@
         self._client.call("POST", f"/endpoints/{endpoint}/drain")
         return f"{endpoint}: takes no new work from now on"
 
+    def usage(self, windows: int = 10, json: bool = False) -> str:
+        """Show the latest usage windows: frozen figures, and whether they are reported.
+
+        Parameters
+        ----------
+        windows : int
+            How many windows.
+        json : bool
+            Print them as JSON.
+        """
+        listed = self._client.call("GET", f"/usage?windows={windows}")
+        return _dump(listed) if json else format_usage(listed)
+
     def status(self, json: bool = False) -> str:
         """Show hosts, leases, endpoints, versions and what is unhealthy.
 
--- a/samphirehall/programs/ctl_tables.py
+++ b/samphirehall/programs/ctl_tables.py
@@ -76,6 +76,25 @@
     return format_rows(leases, columns)
 
 
+def format_usage(windows: list[dict[str, Any]]) -> str:
+    """Return usage windows as a table, a row a customer."""
+    items = [
+        {"window": item["window"], "reported": item["reported"], "customer": name, **figures}
+        for item in windows
+        for name, figures in sorted(item["customers"].items())
+    ]
+    columns = {
+        "window": "WINDOW",
+        "customer": "CUSTOMER",
+        "requests": "REQUESTS",
+        "prompt_tokens": "PROMPT",
+        "completion_tokens": "COMPLETION",
+        "late_requests": "LATE",
+        "reported": "REPORTED",
+    }
+    return format_rows(items, columns)
+
+
 def format_in_force(answer: dict[str, Any]) -> list[str]:
     """Return one line for the hosts with a change in force, and one for the others."""
     lines = []
