--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,5 +1,3 @@
-import socket
-
 import anyio
 import msgspec
 
@@ -10,18 +8,13 @@
 from samphirehall.endpoints.protocol import EngineReport, EngineRequest
 from samphirehall.standins.engine import EngineStandin, token_at
 from samphirehall.standins.timing import EngineTiming
+from tests.support.ports import free_address
 
 FAST = EngineTiming(time_scale=20, prefill_tokens_per_second=500)
 COMPLETIONS = "/v1/chat/completions"
 PROMPT = "sort the petals " * 200
 
 
-def free_address():
-    with socket.socket() as item:
-        item.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{item.getsockname()[1]}"
-
-
 async def complete(address, request_id, *, prior=(), tokens=6, kv_source=None):
     body = EngineRequest(
         "answer", [{"role": "user", "content": PROMPT}], tokens, list(prior), kv_source=kv_source
