Check that no version is accepted for two operators

Ruled out: trusting the history rows of the store alone. Change: what operators are answered goes into the history; the foreign event carries the index that is due.

--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -282,7 +282,7 @@
                     if self.faults.repeat:
                         yield event(index - 1)
                     if self.faults.cross:
-                        yield self._event_of_another(sequence.request_id)
+                        yield self._event_of_another(sequence.request_id, index)
                 if cut is not None and index >= start + cut:
                     return
                 if sequence.finished and index >= sequence.next_index:
@@ -351,10 +351,10 @@
             case "drain":
                 self._report.leaving = True
 
-    def _event_of_another(self, request_id: str) -> bytes:
+    def _event_of_another(self, request_id: str, index: int) -> bytes:
         for other, stream in self._streams.items():
             if other != request_id:
-                return _event_writer(other, stream.request.model, stream.source)(0)
+                return _event_writer(other, stream.request.model, stream.source)(index)
         return b""
 
     def _forget_old_streams(self) -> None:
--- a/tests/promises/checkers.py
+++ b/tests/promises/checkers.py
@@ -219,10 +219,10 @@
         highest[seen.host] = max(highest[seen.host], seen.version)
     versions: dict[int, str] = {}
     for accepted in history.of(ConfigurationAccepted):
-        if accepted.version in versions:
-            authors = f"{versions[accepted.version]} and {accepted.author}"
+        author = versions.setdefault(accepted.version, accepted.author)
+        if author != accepted.author:
+            authors = f"{author} and {accepted.author}"
             yield accepted.at, f"version {accepted.version} was accepted for {authors}"
-        versions[accepted.version] = accepted.author
 
 
 @checker
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -29,6 +29,7 @@
 STATUS_POLL_SECONDS = 0.25
 STATUS_SECONDS = 1.0
 APPLY_SECONDS = 20.0
+HTTP_OK = 200
 ROLE_CHANGE_SECONDS = 0.5
 STEP_SECONDS = 0.01
 ENTRY_SETTINGS = "shutdown_grace_seconds = 1.0\nstall_seconds = 1.5\n"
@@ -141,7 +142,7 @@
         self._stack.callback(self.kill_all)
         try:
             self.start()
-            assert self.apply(self.hosts[0], "first") == 200
+            assert self.apply(self.hosts[0], "first") == HTTP_OK
             for address in self.caller_addresses.values():
                 wait_ready(address)
         except BaseException:
@@ -183,8 +184,12 @@
             "author": author,
             "base_version": base_version,
         }
-        path = "/configuration"
-        return call(host.operator, "POST", path, body, timeout=APPLY_SECONDS).status
+        answer = call(host.operator, "POST", "/configuration", body, timeout=APPLY_SECONDS)
+        if answer.status == HTTP_OK:
+            version = answer.json()["version"]
+            accepted = ConfigurationAccepted(at=boot_seconds(), version=version, author=author)
+            self.history.append(accepted)
+        return answer.status
 
     def set_faults(self, **switches: object) -> None:
         """Change fault switches of the platform."""
