Give each process its own block of ports

Ruled out: trying again on the same error (settings name the ports before). Change: demo/ports.py claims blocks of 100 ports by holding the first. Conclusion: sessions side by side can't be given the same port.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -14,37 +13,15 @@
 from pathlib import Path
 from typing import Any
 
+from demo.ports import free_ports
+
 MESH_KEY = "demonstration-mesh-key"
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
-SERVER_PORTS = range(20_000, 32_000)
 BIN = Path(sys.executable).parent
 
 
-_given_ports: set[int] = set()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports of loopback that are free now and are never given out for outgoing calls."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.choice(SERVER_PORTS)
-        if port not in _given_ports and _is_free(port):
-            _given_ports.add(port)
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 @dataclass(slots=True)
 class Program:
     """One process of the cluster and where it writes its log."""
--- a/tests/membership/test_transport.py
+++ b/tests/membership/test_transport.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from demo.cluster import free_ports
+from demo.ports import free_ports
 from samphirehall.membership.transport import dial, listen
 from samphirehall.settings.tables import MeshTable
 from tests.support.resets import reset, resetting_listener
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from demo.cluster import Cluster, Endpoint, Host, call, free_ports, wait_ready
+from demo.cluster import Cluster, Endpoint, Host, call, wait_ready
+from demo.ports import free_ports
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.identifiers import key_digest, new_customer_key
 from samphirehall.endpoints.protocol import EngineOrder, EngineOrderAnswer
--- a/tests/promises/test_relay.py
+++ b/tests/promises/test_relay.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from demo.cluster import free_ports, wait_listening
+from demo.cluster import wait_listening
+from demo.ports import free_ports
 from tests.promises.relay import Condition, running_relays
 
 TIMEOUT_SECONDS = 2.0
--- a/tests/standins/test_records.py
+++ b/tests/standins/test_records.py
@@ -4,7 +4,7 @@
 import httpcore
 import pytest
 
-from demo.cluster import free_ports
+from demo.ports import free_ports
 from samphirehall.core.serving import serving
 from samphirehall.standins.records import read_records, recorded
 from samphirehall.standins.service import ServiceStandin
