--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -37,6 +37,7 @@
 
 KEPT_STREAMS = 4096
 MAX_EVENTS_A_WRITE = 64
+MAX_EVENTS_AN_ANSWER = 2000
 SAMPLE_SECONDS = 0.05
 KV_ANSWER_SECONDS = 1.0
 MAX_KV_ANSWER_BYTES = 4096
@@ -78,6 +79,15 @@
     tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class EngineCounts:
+    """What an engine has done since it started, in tokens."""
+
+    prefilled_tokens: int
+    cached_tokens: int
+    decoded_tokens: int
+
+
 @dataclass(slots=True)
 class _Stream:
     request: EngineRequest
@@ -126,6 +136,12 @@
         self._changing_until = 0.0
         self._leaves_at: float | None = None
 
+    @property
+    def counts(self) -> EngineCounts:
+        """What the engine has done since it started."""
+        batch = self._batch
+        return EngineCounts(batch.prefilled_tokens, batch.cached_tokens, batch.decoded_tokens)
+
     def app(self) -> Starlette:
         """Return the ASGI application; `run` must run beside it."""
         routes = [
@@ -138,6 +154,7 @@
             Route("/orders", self._order, methods=["POST"]),
             Route("/admin/faults", self._set_faults, methods=["PUT"]),
             Route("/admin/leaving", self._set_leaving, methods=["POST"]),
+            Route("/admin/counts", self._counts, methods=["GET"]),
             Route("/admin/orders", self._list_orders, methods=["GET"]),
         ]
         return Starlette(routes=routes)
@@ -202,7 +219,8 @@
 
     async def _cache_events(self, request: Request) -> Response:
         after = int(request.query_params.get("after", 0))
-        return _json(self._cache.events(after=after, now=boot_seconds()))
+        events = self._cache.events(after=after, now=boot_seconds())
+        return _json(events[:MAX_EVENTS_AN_ANSWER])
 
     async def _order(self, request: Request) -> Response:
         order = msgspec.json.decode(await request.body(), type=EngineOrder)
@@ -223,6 +241,9 @@
         self._leaves_at = boot_seconds() + notice.seconds
         return _json(notice)
 
+    async def _counts(self, request: Request) -> Response:
+        return _json(self.counts)
+
     async def _list_orders(self, request: Request) -> Response:
         return _json(self.orders)
 
