Let orders for endpoints count engines only

Ruled out: listing services under a kind of their own. Change: the platform stand-in and placement count engines, as the fleet's rules say (standard_floor counts engines a zone). Before: tests/standins/test_platform.py would find the desk leaving. After: tests/standins/test_platform.py and tests/placement 35 passed.

--- a/samphirehall/placement/service.py
+++ b/samphirehall/placement/service.py
@@ -16,7 +16,12 @@
 from samphirehall.placement.drain import Drain, forget_drain, read_drains
 from samphirehall.placement.models import ModelOrder
 from samphirehall.placement.roles import RoleChange
-from samphirehall.placement.views import EngineView, newest_reports, reported_engines
+from samphirehall.placement.views import (
+    EngineView,
+    engines_of_zone,
+    newest_reports,
+    reported_engines,
+)
 from samphirehall.placement.zone import CountOrder, PlacementOrder, ZonePlacement
 
 STEP_SECONDS = 2.0
@@ -76,7 +81,7 @@
         engines = reported_engines(state, now=now)
         await self._carry_out_drains(now=now)
         demand = demand_by_model(state.board.current(FactKind.DEMAND, now=now), state.zone_hosts)
-        listed = [item for item in state.endpoints.values() if item.zone == state.zone]
+        listed = engines_of_zone(state)
         chosen = self._placement.decide(engines, listed, demand, state.configuration, now=now)
         for order in chosen:
             await self._give(order, engines, now=now)
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.types import EndpointInfo, EndpointState, HostInfo
+from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState, HostInfo
 from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
 from samphirehall.standins.journal import Journal
@@ -301,7 +301,9 @@
         group = [
             endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.zone == order.zone and endpoint.kind == order.kind
+            if endpoint.zone == order.zone
+            and endpoint.kind == order.kind
+            and endpoint.protocol is EndpointProtocol.ENGINE
         ]
         running = [e for e in group if e.state in (EndpointState.READY, EndpointState.STARTING)]
         spare = [e for e in group if e.state in (EndpointState.OFF, EndpointState.GONE)]
