--- /dev/null
+++ b/benchmarks/authority_store_load.py
@@ -0,0 +1,204 @@
+"""What leases and usage cost the table: calls a second by scopes and hosts, in virtual time."""
+
+import heapq
+import random
+import sys
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import fire
+import msgspec
+
+from samphirehall.authority.candidates import candidate_rank, poll_seconds
+from samphirehall.authority.keeper import RETRY_SECONDS, LeaseKeeper
+from samphirehall.authority.lease import LeaseTimes
+from samphirehall.core.log import configure_logging
+from samphirehall.platform.table import Check, Row, TransactionResult, Write
+from samphirehall.settings.tables import UsageTable
+from samphirehall.standins.platform import MemoryTable
+from samphirehall.usage.book import UsageBook
+from samphirehall.usage.counts import Cell, Counts
+from samphirehall.usage.flusher import NEXT_KEY, UsageFlusher
+from samphirehall.usage.rows import Source
+from samphirehall.usage.service import flush_interval
+
+SECONDS = 120.0
+WARM_UP_SECONDS = 20.0
+USAGE_SECONDS = 40.0
+TIMES = LeaseTimes(ttl=6.0, margin=1.5, delivery_limit=2.0)
+START = 1_000_000_000.0
+REQUESTS_PER_SECOND = 4_000.0
+CUSTOMERS = 750
+
+
+class CountingTable:
+    """A table that answers at once and counts its calls and the bytes written."""
+
+    def __init__(self) -> None:
+        self.store = MemoryTable()
+        self.reads = 0
+        self.writes = 0
+        self.bytes_written = 0
+
+    async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
+        """Apply a transaction."""
+        self.writes += 1
+        self.bytes_written += len(msgspec.json.encode(writes))
+        return self.store.transact(list(checks), list(writes))
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return rows."""
+        self.reads += 1
+        return {row.key: row for row in self.store.read(list(keys))}
+
+    async def scan(self, prefix: str, *, limit: int = 1000) -> list[Row]:
+        """Return rows by prefix."""
+        self.reads += 1
+        return self.store.scan(prefix, limit)
+
+
+def finish(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise RuntimeError("the coroutine waits")
+
+
+class VirtualTime:
+    """Runs actions in the order of their virtual times."""
+
+    def __init__(self) -> None:
+        self.now = START
+        self._queue: list[tuple[float, int, Callable[[], float]]] = []
+        self._number = 0
+
+    def after(self, seconds: float, action: Callable[[], float]) -> None:
+        """Run `action` after some seconds; it returns the seconds until it runs again."""
+        self._number += 1
+        heapq.heappush(self._queue, (self.now + seconds, self._number, action))
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            self.after(action(), action)
+        self.now = end
+
+
+def add_scope(
+    virtual: VirtualTime, table: CountingTable, scope: str, hosts: int, source: random.Random
+) -> list[LeaseKeeper]:
+    """Add the keepers of one scope, one a host."""
+    names = [f"host-{number}" for number in range(hosts)]
+    keepers = []
+    for name in names:
+        keeper = LeaseKeeper(table, scope, holder=name, times=TIMES, clock=lambda: virtual.now)
+        rank = candidate_rank(name, names, scope)
+        virtual.after(source.uniform(0, 2.0 * (rank + 1)), _stepper(keeper, rank, source))
+        keepers.append(keeper)
+    return keepers
+
+
+def _stepper(keeper: LeaseKeeper, rank: int, source: random.Random) -> Callable[[], float]:
+    def step() -> float:
+        finish(keeper.step())
+        if keeper._held is not None:
+            return max(RETRY_SECONDS, TIMES.renewal_interval)
+        return poll_seconds(rank, TIMES.renewal_interval, random_source=source)
+
+    return step
+
+
+def lease_load(zones: int, hosts: int, seed: int) -> list[str]:
+    """Return a row of lease figures: one scope a zone and one for all hosts."""
+    virtual, table, source = VirtualTime(), CountingTable(), random.Random(seed)
+    for zone in range(zones):
+        add_scope(virtual, table, f"engines/{zone}", max(1, hosts // zones), source)
+    add_scope(virtual, table, "platform", hosts, source)
+    virtual.run(60.0)
+    table.reads = table.writes = 0
+    began = time.process_time()
+    virtual.run(SECONDS)
+    micros = (time.process_time() - began) / max(1, table.reads + table.writes) * 1e6
+    return [
+        str(zones + 1),
+        str(hosts),
+        f"{table.writes / SECONDS:.2f}",
+        f"{table.writes / SECONDS / (zones + 1):.3f}",
+        f"{table.reads / SECONDS:.2f}",
+        f"{micros:.0f}",
+    ]
+
+
+def usage_load(hosts: int, seed: int) -> list[str]:
+    """Return a row of usage figures: `hosts` flush what they count at the peak."""
+    virtual, table, source = VirtualTime(), CountingTable(), random.Random(seed)
+    settings = UsageTable()
+    table.store.transact([], [Write(NEXT_KEY, int(START) - int(START) % settings.window_seconds)])
+    interval = flush_interval(hosts, settings)
+    flushers = [_host_flusher(virtual, table, f"host-{n}", hosts, source) for n in range(hosts)]
+    for flush in flushers:
+        virtual.after(source.uniform(0, interval), flush)
+    virtual.run(WARM_UP_SECONDS)
+    table.reads = table.writes = table.bytes_written = 0
+    began = time.process_time()
+    virtual.run(USAGE_SECONDS)
+    micros = (time.process_time() - began) / max(1, table.writes) * 1e6
+    return [
+        str(hosts),
+        f"{interval:.1f}",
+        f"{table.writes / USAGE_SECONDS:.1f}",
+        f"{table.reads / USAGE_SECONDS:.1f}",
+        f"{table.bytes_written / USAGE_SECONDS / hosts:.0f}",
+        f"{micros:.0f}",
+    ]
+
+
+def _host_flusher(
+    virtual: VirtualTime, table: CountingTable, name: str, hosts: int, source: random.Random
+) -> Callable[[], float]:
+    settings = UsageTable()
+    book = UsageBook()
+    flusher = UsageFlusher(table, book, window_seconds=settings.window_seconds)
+    origin = Source(f"{name}/entry", 1)
+    counted: dict[Cell, Counts] = {}
+    interval = flush_interval(hosts, settings)
+
+    def flush() -> float:
+        requests = round(REQUESTS_PER_SECOND / 420 * interval)
+        window = int(virtual.now) - int(virtual.now) % settings.window_seconds
+        for _ in range(requests):
+            cell = Cell(window, f"customer-{source.randrange(CUSTOMERS)}")
+            counted[cell] = counted.get(cell, Counts()) + Counts(1, 100, 325)
+            book.note(origin, cell, counted[cell], now=virtual.now)
+        finish(flusher.flush(origin, heard_before=virtual.now, now=virtual.now))
+        return interval * source.uniform(0.9, 1.1)
+
+    return flush
+
+
+def print_table(heads: list[str], rows: list[list[str]]) -> None:
+    """Print rows under their heads."""
+    widths = [max(len(row[i]) for row in [heads, *rows]) for i in range(len(heads))]
+    for row in [heads, *rows]:
+        print("  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True)))
+
+
+def main(seed: int = 1) -> None:
+    """Print what leases and usage cost the table."""
+    configure_logging("error", host="benchmark", program="authority-store-load")
+    print(f"seed {seed}; leases: ttl {TIMES.ttl} s, {SECONDS:.0f} s of virtual time")
+    heads = ["scopes", "hosts", "writes/s", "writes/s a scope", "reads/s", "CPU us a call"]
+    sizes = [(1, 8), (3, 8), (3, 24), (6, 100), (13, 210), (13, 420)]
+    print_table(heads, [lease_load(zones, hosts, seed) for zones, hosts in sizes])
+    print(f"\nseed {seed}; usage: {REQUESTS_PER_SECOND:.0f} requests/s over 420 hosts")
+    heads = ["hosts", "interval s", "writes/s", "reads/s", "bytes/s a host", "CPU us a flush"]
+    print_table(heads, [usage_load(hosts, seed) for hosts in (8, 80, 420)])
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(main))
--- /dev/null
+++ b/tests/usage/test_mirror.py
@@ -0,0 +1,74 @@
+"""Usage facts go to the processes of their host and to one peer."""
+
+import anyio
+import pytest
+import uvloop
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.node.facts import Fact, FactKind
+from samphirehall.node.state import NodeState
+from samphirehall.usage.counts import Cell, Counts
+from samphirehall.usage.meter import UsageMeter
+from samphirehall.usage.publisher import UsagePublisher
+from tests.support.mesh import Group, eventually
+
+pytestmark = pytest.mark.anyio
+WINDOW = 60
+
+
+@pytest.fixture
+def anyio_backend():
+    return ("asyncio", {"loop_factory": uvloop.new_event_loop})
+
+
+def holders(group, key):
+    """Return the hosts that hold a usage fact."""
+    now = boot_seconds()
+    return {
+        node.host for node in group.nodes if node.state.board.holds(FactKind.USAGE, key, now=now)
+    }
+
+
+class TestMirror:
+    async def test_one_peer_of_another_zone_and_its_successor(self):
+        async with anyio.create_task_group() as tasks:
+            group = Group(tasks, {"a": 2, "b": 2})
+            await group.start()
+            node = group["a-0"]
+            fact = Fact(FactKind.USAGE, "0/c", "a-0/entry", 1, 1, [1, 2, 3], 60.0)
+            node.state.board.merge(fact, now=boot_seconds())
+            await eventually(lambda: len(holders(group, "0/c")) == 2, 3)
+            await anyio.sleep(0.3)
+            first = holders(group, "0/c") - {"a-0"}
+            assert first == {node.mesh.mirror}
+            assert node.mesh.mirror.startswith("b-")
+            group[node.mesh.mirror].scope.cancel()
+            await eventually(lambda: len(holders(group, "0/c")) == 3, 5)
+            group.stop()
+
+
+class TestUsagePublisher:
+    def test_publishes_changes_and_forgets_what_is_recorded(self):
+        state, meter = NodeState("a-0/entry", "a", 7), UsageMeter(window_seconds=WINDOW)
+        publisher = UsagePublisher(meter, state)
+        meter.record("c", 3, 4, now=61.0)
+        publisher.publish(now=0.0)
+        publisher.publish(now=0.0)
+        facts = state.board.current(FactKind.USAGE, now=1.0)
+        assert [(fact.key, fact.value) for fact in facts] == [("60/c", [1, 3, 4])]
+        meter.forget(120)
+        assert meter.counts == {}
+
+
+class TestUsageMeter:
+    def test_unpublished_counts_are_not_forgotten(self):
+        meter = UsageMeter(window_seconds=WINDOW)
+        meter.record("c", 1, 1, now=61.0)
+        meter.forget(120)
+        assert meter.counts == {Cell(60, "c"): Counts(1, 1, 1)}
+
+    def test_clock_set_back_counts_into_an_open_window(self):
+        meter = UsageMeter(window_seconds=WINDOW)
+        meter.forget(120)
+        meter.record("c", 1, 1, now=61.0)
+        assert list(meter.counts) == [Cell(120, "c")]
