Let an engine's places grow by half a report while none waits

Cause: from 32 places by a tenth a report, an engine that could run 600 sequences would be kept short for half a minute. Change: grow by half as long as no sequence waits; stay between none and a tenth, come down to the batch above that. Ruled out: a larger start, which fills a small engine's queue before its first report.

--- a/samphirehall/routing/outstanding.py
+++ b/samphirehall/routing/outstanding.py
@@ -14,7 +14,7 @@
 MIN_ALLOWED = 4.0
 MAX_ALLOWED = 1024.0
 USED_SHARE = 0.8
-GROWTH = 1.1
+GROWTH = 1.5
 DECREASE = 0.85
 
 
@@ -51,8 +51,8 @@
         return max(MIN_ALLOWED, min(allowed, batch))
     if load.queued_prompt_tokens > aims.prompt_tokens:
         return max(MIN_ALLOWED, min(allowed, load.running) * DECREASE)
-    if load.running >= USED_SHARE * allowed:
-        return min(MAX_ALLOWED, allowed * GROWTH + 1)
+    if load.waiting == 0 and load.running >= USED_SHARE * allowed:
+        return min(MAX_ALLOWED, allowed * GROWTH)
     return allowed
 
 
--- a/tests/routing/test_outstanding.py
+++ b/tests/routing/test_outstanding.py
@@ -33,6 +33,14 @@
     def test_grows_only_when_used(self):
         assert adapted(10.0, EngineLoad(running=9), AIMS) > 10
         assert adapted(10.0, EngineLoad(running=3), AIMS) == 10
+        assert adapted(10.0, EngineLoad(running=9, waiting=0), AIMS) > 10
+        assert adapted(17.6, EngineLoad(running=16, waiting=1), AIMS) == 17.6
+
+    def test_reaches_a_large_batch_within_ten_reports(self):
+        allowed = 32.0
+        for _ in range(10):
+            allowed = adapted(allowed, EngineLoad(running=int(allowed)), AIMS)
+        assert allowed >= 600
 
     def test_long_prefill_queue_brings_it_down(self):
         load = EngineLoad(running=20, queued_prompt_tokens=100_000)
