--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,6 +1,6 @@
 """Benchmark: goodput from half to three times the capacity, with and without admission control.
 
-Usage: ``python benchmarks/overload.py [--seed=1] [--seconds=10]``
+Usage: ``python benchmarks/overload.py [--seed=1] [--seconds=10] [--loads=1,2]``
 """
 
 import fire
@@ -32,7 +32,7 @@
     )
 
 
-def main(seed: int = 1, seconds: float = 10.0) -> None:
+def main(seed: int = 1, seconds: float = 10.0, loads: tuple[float, ...] = LOADS) -> None:
     """Print goodput and the share of the peak for each load and admission policy."""
     print(f"{seconds:g} s a run, seed {seed}, aim {AIM_SHARE:.0%} of the peak at 2 x\n")
     rows = []
@@ -46,7 +46,7 @@
             admission={"policy": f'"{policy}"'},
         )
         results = {}
-        for load in LOADS:
+        for load in loads:
             results[load] = summarize(run_once(setup, scenario(seconds, load), seed=seed).outcomes)
         peak = max(summary.good for summary in results.values())
         for load, summary in results.items():
