--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -30,6 +30,7 @@
 from samphirehall.routing.blocks import block_hashes, prompt_text, token_count
 from samphirehall.standins.batch import Batch, Sequence
 from samphirehall.standins.prefix_cache import PrefixCache
+from samphirehall.standins.reading import read_closed, read_order_body
 from samphirehall.standins.timing import EngineTiming
 from samphirehall.standins.tokens import TokenSource, token_at
 
@@ -223,12 +224,16 @@
         return _json(events[:MAX_EVENTS_AN_ANSWER])
 
     async def _order(self, request: Request) -> Response:
-        order = msgspec.json.decode(await request.body(), type=EngineOrder)
+        body = await read_order_body(request)
+        if body is None:
+            return read_closed()
+        order = msgspec.json.decode(body, type=EngineOrder)
         if self._checks_fencing and order.fencing < self._report.fencing:
             reason = f"fencing number {order.fencing} < {self._report.fencing}"
             return _json(EngineOrderAnswer(False, reason))
         if order.order_id != self._report.order_id:
             self._carry_out(order)
+        self._report.fencing = max(self._report.fencing, order.fencing)
         return _json(EngineOrderAnswer(True))
 
     async def _set_faults(self, request: Request) -> Response:
@@ -303,7 +308,7 @@
                     if self.faults.repeat:
                         yield event(index - 1)
                     if self.faults.cross:
-                        yield self._event_of_another(sequence.request_id)
+                        yield self._event_of_another(sequence.request_id, index)
                 if cut is not None and index >= start + cut:
                     return
                 if sequence.finished and index >= sequence.next_index:
@@ -358,7 +363,7 @@
 
     def _carry_out(self, order: EngineOrder) -> None:
         self.orders.append(order)
-        self._report.order_id, self._report.fencing = order.order_id, order.fencing
+        self._report.order_id = order.order_id
         match order.action:
             case "set-role":
                 self._report.role = Role(order.argument)
@@ -372,10 +377,10 @@
             case "drain":
                 self._report.leaving = True
 
-    def _event_of_another(self, request_id: str) -> bytes:
+    def _event_of_another(self, request_id: str, index: int) -> bytes:
         for other, stream in self._streams.items():
             if other != request_id:
-                return _event_writer(other, stream.request.model, stream.source)(0)
+                return _event_writer(other, stream.request.model, stream.source)(index)
         return b""
 
     def _forget_old_streams(self) -> None:
