Let an order to an engine that resets at once end no control process

Cause: endpoints/orders.py dials with httpcore's own backend, which raises AttributeError for a connection that is reset at once (see core/network.py). Ruled out: catching AttributeError there. Change: it dials with TcpBackend. Conclusion: no dial of ours uses that backend now.

--- a/samphirehall/endpoints/orders.py
+++ b/samphirehall/endpoints/orders.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from samphirehall.core.connections import TRANSPORT_ERRORS, body_after, read_body
+from samphirehall.core.network import TcpBackend
 from samphirehall.endpoints.protocol import EngineOrder, EngineOrderAnswer, EngineReport
 
 MAX_ANSWER_BYTES = 64 * 1024
@@ -80,7 +81,7 @@
     host, _, port = address.rpartition(":")
     origin = httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
     connection = httpcore.AsyncHTTPConnection(
-        origin, network_backend=httpcore.AnyIOBackend(), socket_options=_socket_options(limit)
+        origin, network_backend=TcpBackend(), socket_options=_socket_options(limit)
     )
     request = httpcore.Request(
         method,
