Report usage in windows of two seconds in the proof runs

Cause: a run is shorter than a window of 60 s, so usage was never reported. Ruled out: longer runs. Before: 0 usage reports in every run.

--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -33,13 +33,19 @@
 HTTP_OK = 200
 ROLE_CHANGE_SECONDS = 0.5
 STEP_SECONDS = 0.01
-ENTRY_SETTINGS = "shutdown_grace_seconds = 1.0\nstall_seconds = 1.5\n"
+USAGE_SETTINGS = """
+[usage]
+window_seconds = 2
+grace_seconds = 1.0
+least_flush_seconds = 0.5
+"""
+ENTRY_SETTINGS = "shutdown_grace_seconds = 1.0\nstall_seconds = 1.5\n" + USAGE_SETTINGS
 CONTROL_SETTINGS = """
 [lease]
 ttl_seconds = 2.0
 margin_seconds = 0.5
 delivery_limit_seconds = 0.5
-"""
+""" + USAGE_SETTINGS
 DOCUMENT = {
     "models": {"answer": {"version": "2026-11"}},
     "routes": {
