End a late stream with a numbered error, and mend what the proofs had left open

Ruled out for the deadline: catching the cancellation inside the relay, which cannot tell deadline from a caller that has gone. Change: the error event is sent where the deadline is known; ready needs endpoints; two hosts of the endpoint's zone tell; the stand-in promises a body and sends none; candidates of a zone are its live hosts. Before: the new tests for the deadline and the lost answer fail (2 failed). After: 196 tests of the folders concerned pass.

--- a/samphirehall/authority/service.py
+++ b/samphirehall/authority/service.py
@@ -58,11 +58,10 @@
 
 
 def _candidates(state: NodeState, scope: str, *, now: float) -> Iterable[str]:
-    """Yield the live hosts that are candidates: all of the region, or those of the zone."""
-    for fact in state.board.current(FactKind.HOST, now=now):
-        zone = fact.value.get("zone") if isinstance(fact.value, dict) else None
-        if scope == PLATFORM_SCOPE or zone == state.zone:
-            yield fact.key
+    """Return the hosts that are candidates: known ones of the region, or live ones of the zone."""
+    if scope != PLATFORM_SCOPE:
+        return state.zone_hosts
+    return [fact.key for fact in state.board.current(FactKind.HOST, now=now)]
 
 
 def _count_held(context: ControlContext, leases: Leases) -> None:
--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -128,7 +128,9 @@
         await send_whole(send, 200, result_headers(OK, request_id, JSON), body)
 
     async def _ready(self, send: Send) -> None:
-        ready = not self._context.stopping and self._context.state.configuration.version > 0
+        state = self._context.state
+        knows = state.configuration.version > 0 and bool(state.endpoints)
+        ready = knows and not self._context.stopping
         status, body = (200, b"ready\n") if ready else (HTTP_UNAVAILABLE, b"not ready\n")
         await send_whole(send, status, [], body)
 
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -81,12 +81,17 @@
     admission = AdmissionRequest(
         caller, run.priority, run.deadline, run.prompt_tokens, run.max_tokens
     )
-    with _limited(run, scope):
-        async with context.admission.admit(admission, now=started) as ticket:
-            try:
-                await _answer(context, run, send, started)
-            finally:
-                _meter(context, run, ticket)
+    try:
+        with _limited(run, scope):
+            async with context.admission.admit(admission, now=started) as ticket:
+                try:
+                    await _answer(context, run, send, started)
+                finally:
+                    _meter(context, run, ticket)
+    except SamphireError as error:
+        if run.streaming:
+            await _send_error_event(send, error, run)
+        raise
     return caller.route_name
 
 
@@ -137,16 +142,14 @@
 async def _answer_stream(
     context: EntryContext, run: CompletionRun, send: Send, started: float
 ) -> None:
-    begun = False
     tokens = 0
-
     check_key = _key_check(context, run)
 
     async def relay(batch: EventBatch) -> None:
-        nonlocal begun, tokens
+        nonlocal tokens
         check_key()
-        if not begun:
-            begun = True
+        if not run.streaming:
+            run.streaming = True
             _observe_first(context, run, started)
             await send_head(send, OK.http_status, _ok_headers(run, EVENT_STREAM))
         tokens += len(batch.data)
@@ -154,10 +157,6 @@
 
     try:
         await run_completion(context, run, relay)
-    except SamphireError as error:
-        if not begun:
-            raise
-        await _send_error_event(send, error, run)
     finally:
         context.metrics.tokens.labels(run.caller.route_name).inc(tokens)
 
--- a/samphirehall/forwarding/completion_run.py
+++ b/samphirehall/forwarding/completion_run.py
@@ -49,6 +49,8 @@
         Endpoints that the request was written to, in order.
     written : bool
         Whether an endpoint may have run a part of the request.
+    streaming : bool
+        Whether the head of a streamed answer has gone to the caller.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     payloads: list[bytes] = field(default_factory=list)
     endpoints: list[str] = field(default_factory=list)
     written: bool = False
+    streaming: bool = False
     _block_hashes: list[int] | None = None
     _fingerprint: str = ""
     _prompt_tokens: int = -1
--- a/samphirehall/placement/polling.py
+++ b/samphirehall/placement/polling.py
@@ -29,6 +29,7 @@
 DOWN_AFTER_FAILURES = 3
 DOWN_LIFETIME_SECONDS = 5.0
 LEAVING_LIFETIME_SECONDS = 120.0
+HOSTS_THAT_TELL = 2
 POLL_TIMEOUT_SECONDS = 1.0
 MAX_REPORT_BYTES = 64 * 1024
 HTTP_OK = 200
@@ -101,13 +102,22 @@
         )
 
     def note_listed(self, endpoints: Iterable[EndpointInfo], *, now: float) -> None:
-        """Take note of what the platform lists as leaving, and of what came back."""
+        """Take note of what the platform lists as leaving, and of what came back.
+
+        Two hosts of the endpoint's zone tell the others, so that one may fail.
+        """
         for endpoint in endpoints:
-            if endpoint.state is EndpointState.LEAVING:
+            if endpoint.state is EndpointState.LEAVING and self._tells_of(endpoint):
                 self.note_leaving(endpoint.endpoint_id, "platform lists it", now=now)
             elif endpoint.state is EndpointState.STARTING:
                 self._leaving.pop(endpoint.endpoint_id, None)
 
+    def _tells_of(self, endpoint: EndpointInfo) -> bool:
+        state = self._state
+        if endpoint.zone != state.zone:
+            return False
+        return is_chosen(state.host, state.zone_hosts, endpoint.endpoint_id, count=HOSTS_THAT_TELL)
+
     def _note_failure(self, endpoint: EndpointInfo, now: float) -> None:
         failures = self._failures.get(endpoint.endpoint_id, 0) + 1
         self._failures[endpoint.endpoint_id] = failures
--- a/samphirehall/standins/service.py
+++ b/samphirehall/standins/service.py
@@ -9,6 +9,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 
 @dataclass(slots=True)
@@ -35,6 +36,15 @@
     key_seen: bool
 
 
+class LostAnswer(Response):
+    """An answer that never comes: the server closes the connection behind an unfinished head."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Promise a body and send none."""
+        headers = [(b"content-length", b"1")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+
+
 class ServiceStandin:
     """A plain service.
 
@@ -70,7 +80,7 @@
         while self.faults.stall:
             await anyio.sleep(0.05)
         if self.faults.lose_answer:
-            raise ConnectionAbortedError("the answer is lost on purpose")
+            return LostAnswer()
         answer = {"service": self.endpoint_id, "path": call.path, "echo": body}
         return _json({**answer, "number": len(self.calls)})
 
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -159,6 +159,14 @@
             reply = await complete(app, headers=[(b"samphire-deadline", b"0.4")])
         assert b"[DONE]" not in reply.body
 
+    async def test_a_stream_that_meets_its_deadline_ends_with_a_numbered_error_event(self):
+        async with entry(broken(after=2, silent=True)) as (app, _, context):
+            context.settings.entry.stall_seconds = 5.0
+            reply = await complete(app, headers=[(b"samphire-deadline", b"0.3")])
+        assert b"event: error" in reply.body
+        assert b'"code":3001' in reply.body
+        assert b"[DONE]" not in reply.body
+
     async def test_a_connection_gone_silent_while_idle_costs_one_fresh_dial(self):
         async def silent_when_reused(exchange, writer):
             if exchange.method == "POST" and getattr(writer, "used", False):
