--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 SEED ?=
 
-.PHONY: environment demo test lint prove prove-long
+.PHONY: environment demo load test lint prove prove-long
 
 environment: $(VENV)/.ready
 
@@ -16,6 +16,9 @@
 demo: environment
 	$(VENV)/bin/python -m demo.run
 
+load: environment
+	$(VENV)/bin/python -m demo.load
+
 test: environment
 	$(VENV)/bin/python -m pytest
 
