--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -6,9 +6,8 @@
 
 import logging
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import Any
 
 import anyio
 import httpcore
@@ -28,7 +27,9 @@
     EngineRequest,
 )
 from samphirehall.routing.blocks import block_hashes, prompt_text, token_count
+from samphirehall.standins.answers import json_answer
 from samphirehall.standins.batch import Batch, Sequence
+from samphirehall.standins.engine_events import event_writer, last_event
 from samphirehall.standins.prefix_cache import PrefixCache
 from samphirehall.standins.reading import read_closed, read_order_body
 from samphirehall.standins.timing import EngineTiming
@@ -210,18 +211,18 @@
         held = self._exports.pop(request.path_params["request_id"], None)
         if held is None:
             return Response(status_code=STATUS_NOT_FOUND)
-        return _json(ExportedCache(held[1]))
+        return json_answer(ExportedCache(held[1]))
 
     async def _state(self, request: Request) -> Response:
         self._report.changing = self._is_changing()
         if self._loads:
             self._report.load = self._loads[0]
-        return _json(self._report)
+        return json_answer(self._report)
 
     async def _cache_events(self, request: Request) -> Response:
         after = int(request.query_params.get("after", 0))
         events = self._cache.events(after=after, now=boot_seconds())
-        return _json(events[:MAX_EVENTS_AN_ANSWER])
+        return json_answer(events[:MAX_EVENTS_AN_ANSWER])
 
     async def _order(self, request: Request) -> Response:
         body = await read_order_body(request)
@@ -230,27 +231,27 @@
         order = msgspec.json.decode(body, type=EngineOrder)
         if self._checks_fencing and order.fencing < self._report.fencing:
             reason = f"fencing number {order.fencing} < {self._report.fencing}"
-            return _json(EngineOrderAnswer(False, reason))
+            return json_answer(EngineOrderAnswer(False, reason))
         if order.order_id != self._report.order_id:
             self._carry_out(order)
         self._report.fencing = max(self._report.fencing, order.fencing)
-        return _json(EngineOrderAnswer(True))
+        return json_answer(EngineOrderAnswer(True))
 
     async def _set_faults(self, request: Request) -> Response:
         self.faults = msgspec.json.decode(await request.body(), type=EngineFaults)
-        return _json(self.faults)
+        return json_answer(self.faults)
 
     async def _set_leaving(self, request: Request) -> Response:
         notice = msgspec.json.decode(await request.body(), type=LeavingNotice)
         self._report.leaving = True
         self._leaves_at = boot_seconds() + notice.seconds
-        return _json(notice)
+        return json_answer(notice)
 
     async def _counts(self, request: Request) -> Response:
-        return _json(self.counts)
+        return json_answer(self.counts)
 
     async def _list_orders(self, request: Request) -> Response:
-        return _json(self.orders)
+        return json_answer(self.orders)
 
     def _new_sequence(
         self, request_id: str, body: EngineRequest, prompt: str, priority: Priority
@@ -290,7 +291,7 @@
     async def _events(self, stream: _Stream, *, start: int) -> AsyncIterator[bytes]:
         """Yield the events from `start` on; several in one write when they are due together."""
         sequence, body = stream.sequence, stream.request
-        event = _event_writer(sequence.request_id, body.model, stream.source)
+        event = event_writer(sequence.request_id, body.model, stream.source)
         index = start
         sequence.readers += 1
         try:
@@ -318,7 +319,7 @@
             if sequence.last_index < body.max_tokens:
                 self._hold_export(sequence)
                 return
-            yield _last_event(sequence.request_id, body.max_tokens, sequence.prompt_tokens)
+            yield last_event(sequence.request_id, body.max_tokens, sequence.prompt_tokens)
         finally:
             sequence.readers -= 1
             sequence.unread_since = boot_seconds()
@@ -380,33 +381,9 @@
     def _event_of_another(self, request_id: str, index: int) -> bytes:
         for other, stream in self._streams.items():
             if other != request_id:
-                return _event_writer(other, stream.request.model, stream.source)(index)
+                return event_writer(other, stream.request.model, stream.source)(index)
         return b""
 
     def _forget_old_streams(self) -> None:
         while len(self._streams) >= KEPT_STREAMS:
             del self._streams[next(iter(self._streams))]
-
-
-def _event_writer(request_id: str, model: str, source: TokenSource) -> Callable[[int], bytes]:
-    """Return a function that writes the event at an index."""
-    middle = (
-        f'\ndata: {{"id":"{request_id}","object":"chat.completion.chunk",'
-        f'"model":"{model}","choices":[{{"index":0,"delta":{{"content":"'
-    )
-    tail = '"},"finish_reason":null}]}\n\n'
-    head = f"id: {request_id}:"
-    return lambda index: f"{head}{index}{middle}{source.at(index)}{tail}".encode()
-
-
-def _last_event(request_id: str, tokens: int, prompt_tokens: int) -> bytes:
-    return (
-        f'id: {request_id}:{tokens}\ndata: {{"id":"{request_id}","object":"chat.completion.chunk",'
-        '"choices":[{"index":0,"delta":{},"finish_reason":"length"}],'
-        f'"usage":{{"prompt_tokens":{prompt_tokens},"completion_tokens":{tokens}}}}}\n\n'
-        f"id: {request_id}:{tokens + 1}\ndata: [DONE]\n\n"
-    ).encode()
-
-
-def _json(value: Any) -> Response:
-    return Response(msgspec.json.encode(value), media_type="application/json")
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -17,6 +17,7 @@
 from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState, HostInfo
 from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
+from samphirehall.standins.answers import json_answer
 from samphirehall.standins.journal import Journal
 from samphirehall.standins.reading import read_closed, read_order_body
 
@@ -181,15 +182,15 @@
             self._journal.append("rows", body.writes)
         if self._random.random() < self.faults.lose_answer:
             return Response(status_code=STATUS_UNAVAILABLE)
-        return _json(result)
+        return json_answer(result)
 
     async def _read(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=_Keys)
-        return await self._fault() or _json(self.table.read(body.keys))
+        return await self._fault() or json_answer(self.table.read(body.keys))
 
     async def _scan(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=_Scan)
-        return await self._fault() or _json(self.table.scan(body.prefix, body.limit))
+        return await self._fault() or json_answer(self.table.scan(body.prefix, body.limit))
 
     async def _put_object(self, request: Request) -> Response:
         content = await request.body()
@@ -199,7 +200,7 @@
         if digest not in self._objects:
             self._journal.append("object", (digest, content))
         self._objects[digest] = content
-        return _json(True)
+        return json_answer(True)
 
     async def _get_object(self, request: Request) -> Response:
         if refused := await self._fault():
@@ -208,10 +209,10 @@
         return Response(status_code=404) if content is None else Response(content)
 
     async def _list_hosts(self, request: Request) -> Response:
-        return await self._fault() or _json(list(self._hosts.values()))
+        return await self._fault() or json_answer(list(self._hosts.values()))
 
     async def _list_endpoints(self, request: Request) -> Response:
-        return await self._fault() or _json(self._current_endpoints(boot_seconds()))
+        return await self._fault() or json_answer(self._current_endpoints(boot_seconds()))
 
     async def _order(self, request: Request) -> Response:
         body = await read_order_body(request)
@@ -221,13 +222,15 @@
         if refused := await self._fault():
             return refused
         if order.fencing < self._fencing:
-            return _json(OrderAnswer(False, f"fencing number {order.fencing} < {self._fencing}"))
+            return json_answer(
+                OrderAnswer(False, f"fencing number {order.fencing} < {self._fencing}")
+            )
         self._fencing = order.fencing
         if order.order_id not in self.orders:
             self.orders[order.order_id] = order
             self._journal.append("order", order)
             self._carry_out(order, boot_seconds())
-        return _json(OrderAnswer(True))
+        return json_answer(OrderAnswer(True))
 
     async def _report(self, request: Request) -> Response:
         body = await read_order_body(request)
@@ -242,20 +245,20 @@
         held = self.usage.setdefault(key, report)
         if held.figures != report.figures:
             self.usage_conflicts.append(report)
-            return _json(OrderAnswer(False, "the window was reported with other figures"))
+            return json_answer(OrderAnswer(False, "the window was reported with other figures"))
         if self._random.random() < self.faults.lose_answer:
             return Response(status_code=STATUS_UNAVAILABLE)
-        return _json(OrderAnswer(True))
+        return json_answer(OrderAnswer(True))
 
     async def _set_faults(self, request: Request) -> Response:
         self.faults = msgspec.json.decode(await request.body(), type=PlatformFaults)
         _log.info("platform-faults", extra={"faults": msgspec.to_builtins(self.faults)})
-        return _json(self.faults)
+        return json_answer(self.faults)
 
     async def _set_hosts(self, request: Request) -> Response:
         hosts = msgspec.json.decode(await request.body(), type=list[HostInfo])
         self._hosts = {host.host_id: host for host in hosts}
-        return _json(True)
+        return json_answer(True)
 
     async def _change_endpoint(self, request: Request) -> Response:
         change = msgspec.json.decode(await request.body(), type=EndpointChange)
@@ -263,13 +266,15 @@
         if change.leaving_in is not None:
             self._leaving_until[change.endpoint_id] = boot_seconds() + change.leaving_in
         self._endpoints[change.endpoint_id] = _with_state(endpoint, change.state)
-        return _json(True)
+        return json_answer(True)
 
     async def _list_usage(self, request: Request) -> Response:
-        return _json({"reports": list(self.usage.values()), "conflicts": self.usage_conflicts})
+        return json_answer(
+            {"reports": list(self.usage.values()), "conflicts": self.usage_conflicts}
+        )
 
     async def _counts(self, request: Request) -> Response:
-        return _json({"reads": self.table.reads, "transactions": self.table.transactions})
+        return json_answer({"reads": self.table.reads, "transactions": self.table.transactions})
 
     def _restore(self, kind: str, value: Any) -> None:
         match kind:
@@ -326,7 +331,3 @@
     endpoint: EndpointInfo, state: EndpointState, *, leaving_in: float | None = None
 ) -> EndpointInfo:
     return dataclasses.replace(endpoint, state=state, leaving_in=leaving_in)
-
-
-def _json(value: Any) -> Response:
-    return Response(msgspec.json.encode(value), media_type="application/json")
--- a/samphirehall/standins/service.py
+++ b/samphirehall/standins/service.py
@@ -1,7 +1,6 @@
 """Stand-in of a plain service: a booking desk that counts how often each booking ran."""
 
 from dataclasses import dataclass
-from typing import Any
 
 import anyio
 import msgspec
@@ -11,6 +10,8 @@
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
+from samphirehall.standins.answers import json_answer
+
 
 @dataclass(slots=True)
 class ServiceFaults:
@@ -82,18 +83,14 @@
         if self.faults.lose_answer:
             return LostAnswer()
         answer = {"service": self.endpoint_id, "path": call.path, "echo": body}
-        return _json({**answer, "number": len(self.calls)})
+        return json_answer({**answer, "number": len(self.calls)})
 
     async def _state(self, request: Request) -> Response:
-        return _json({"endpoint_id": self.endpoint_id, "calls": len(self.calls)})
+        return json_answer({"endpoint_id": self.endpoint_id, "calls": len(self.calls)})
 
     async def _list_calls(self, request: Request) -> Response:
-        return _json(self.calls)
+        return json_answer(self.calls)
 
     async def _set_faults(self, request: Request) -> Response:
         self.faults = msgspec.json.decode(await request.body(), type=ServiceFaults)
-        return _json(self.faults)
-
-
-def _json(value: Any) -> Response:
-    return Response(msgspec.json.encode(value), media_type="application/json")
+        return json_answer(self.faults)
