--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -1,15 +1,12 @@
 """What the benchmarks share: a cluster on loopback with customers, and its targets."""
 
 import re
-import sys
 import tempfile
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
 import anyio
 
 from demo.cluster import Cluster, Endpoint, Host, call, wait_ready
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -1,11 +1,11 @@
 """Benchmark: the worst customer's share while a large one floods, with and without fair queues.
 
-Usage: ``python benchmarks/fairness.py [--seed=1] [--seconds=30] [--flood=3]``
+Usage: ``python -m benchmarks.fairness [--seed=1] [--seconds=30] [--flood=3]``
 """
 
 import fire
-from common import SLOW_ENGINE, SLOW_RATES, Setup, max_min_shares, run_once
 
+from benchmarks.common import SLOW_ENGINE, SLOW_RATES, Setup, max_min_shares, run_once
 from samphirehall.load.outcome import by_customer, summarize
 from samphirehall.load.report import table
 from samphirehall.load.runner import Run
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,11 +1,11 @@
 """Benchmark: goodput from half to three times the capacity, with and without admission control.
 
-Usage: ``python benchmarks/overload.py [--seed=1] [--seconds=10] [--loads=1,2]``
+Usage: ``python -m benchmarks.overload [--seed=1] [--seconds=10] [--loads=1,2]``
 """
 
 import fire
-from common import SLOW_ENGINE, SLOW_RATES, Setup, run_once
 
+from benchmarks.common import SLOW_ENGINE, SLOW_RATES, Setup, run_once
 from samphirehall.load.outcome import summarize
 from samphirehall.load.report import table
 from samphirehall.load.scenario import Customer, Phase, Scenario, Workload
--- a/benchmarks/prefix_reuse.py
+++ b/benchmarks/prefix_reuse.py
@@ -1,12 +1,12 @@
 """Benchmark: prefix reuse and time to the first token by routing policy.
 
-Usage: ``python benchmarks/prefix_reuse.py [--seed=1] [--seconds=20] [--policies=prefix-aware]``
+Usage: ``python -m benchmarks.prefix_reuse [--seed=1] [--seconds=20] [--policies=prefix-aware]``
 """
 
 import anyio
 import fire
-from common import SLOW_ENGINE, SLOW_RATES, Setup, cached_share, running
 
+from benchmarks.common import SLOW_ENGINE, SLOW_RATES, Setup, cached_share, running
 from samphirehall.load.outcome import PERCENTILES, summarize
 from samphirehall.load.report import table
 from samphirehall.load.runner import Run, run_entries
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -1,6 +1,6 @@
 """Benchmark: what one routing decision costs, by number of endpoints.
 
-Usage: ``python benchmarks/routing.py [--seed=1]``
+Usage: ``python -m benchmarks.routing [--seed=1]``
 """
 
 import random
