--- a/benchmarks/mix_shift.py
+++ b/benchmarks/mix_shift.py
@@ -116,7 +116,7 @@
     ratio = following / static
     print(f"\nbest following / best static: {ratio:.2f} (aim {AIM_RATIO})")
     if len(sys.argv) > 1:
-        save_plot(sys.argv[1], runs)
+        save_plot(sys.argv[1], runs[::-1])
     return 0
 
 
