List only models that the customer may use, and none for a withdrawn key

Cause: the list of models had its own check of the key and of routes, written a second time; it left out the customer's models and the facts of withdrawn keys.

--- a/samphirehall/admission/authentication.py
+++ b/samphirehall/admission/authentication.py
@@ -59,16 +59,29 @@
             raise SamphireError(KEY_MISSING, f"route {route_name!r} needs a bearer key")
         return Caller(OPEN_CUSTOMER, CustomerPart(), route_name, route, "")
     digest = key_digest(key)
+    customer, part = customer_with_key(configuration, digest)
+    if not may_use(part, route_name, route):
+        raise SamphireError(MODEL_FORBIDDEN, f"customer {customer!r} may not use {route_name!r}")
+    return Caller(customer, part, route_name, route, digest)
+
+
+def customer_with_key(configuration: Configuration, digest: str) -> tuple[str, CustomerPart]:
+    """Return the name and the part of the customer whose key has this digest.
+
+    Raises
+    ------
+    SamphireError
+        No customer has the key.
+    """
     customer = configuration.customer_of(digest)
     part = configuration.customer(customer) if customer else None
     if customer is None or part is None:
         raise SamphireError(KEY_UNKNOWN, "the key is unknown or withdrawn")
-    if not _may_use(part, route_name, route):
-        raise SamphireError(MODEL_FORBIDDEN, f"customer {customer!r} may not use {route_name!r}")
-    return Caller(customer, part, route_name, route, digest)
+    return customer, part
 
 
-def _may_use(part: CustomerPart, route_name: str, route: RoutePart) -> bool:
+def may_use(part: CustomerPart, route_name: str, route: RoutePart) -> bool:
+    """Return whether a customer may use a route and the model behind it."""
     if ANY not in part.routes and route_name not in part.routes:
         return False
     return route.kind != "model" or ANY in part.models or route.target in part.models
--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -5,6 +5,8 @@
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from samphirehall.admission.authentication import customer_with_key, may_use
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import key_digest, new_identifier
 from samphirehall.core.results import (
@@ -111,18 +113,18 @@
             raise SamphireError(SHUTTING_DOWN, "this host is shutting down", retry_after=1.0)
 
     async def _list_models(self, scope: Scope, send: Send, request_id: str) -> None:
-        configuration = self._context.state.configuration
+        state = self._context.state
         key = bearer_key(scope)
         if key is None:
             raise SamphireError(KEY_MISSING, "the list of models needs a bearer key")
-        customer = configuration.customer_of(key_digest(key))
-        part = configuration.customer(customer) if customer else None
-        if part is None:
+        digest = key_digest(key)
+        if state.is_withdrawn(digest, now=boot_seconds()):
             raise SamphireError(KEY_UNKNOWN, "the key is unknown or withdrawn")
+        _, part = customer_with_key(state.configuration, digest)
         models = [
             {"id": name, "object": "model", "owned_by": "samphirehall"}
-            for name, route in sorted(configuration.routes().items())
-            if route.kind == "model" and ("*" in part.routes or name in part.routes)
+            for name, route in sorted(state.configuration.routes().items())
+            if route.kind == "model" and may_use(part, name, route)
         ]
         body = msgspec.json.encode({"object": "list", "data": models})
         await send_whole(send, 200, result_headers(OK, request_id, JSON), body)
