--- a/benchmarks/cheap_kind.py
+++ b/benchmarks/cheap_kind.py
@@ -11,7 +11,7 @@
 
 from benchmarks.common import SLOW_ENGINE, SLOW_RATES, Setup, running
 from samphirehall.load.runner import Run, run_entries
-from samphirehall.load.scenario import Customer, Fault, Phase, Scenario, Targets, Workload
+from samphirehall.load.scenario import Customer, Fault, Phase, Scenario, Workload
 
 SEED = 5
 ENGINES = 6
@@ -55,13 +55,7 @@
         routing=SLOW_RATES,
         kinds=kinds,
     )
-    with running(setup) as (cluster, targets):
-        targets = Targets(
-            targets.entries,
-            targets.keys,
-            {**targets.endpoints, "platform": cluster.platform},
-            targets.processes,
-        )
+    with running(setup) as (_, targets):
         return anyio.run(lambda: run_entries(scenario, targets, seed=SEED))
 
 
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -123,10 +123,11 @@
 
 
 def _targets(cluster: Cluster, keys: dict[str, str]) -> Targets:
+    endpoints = {endpoint.name: endpoint.address for endpoint in cluster.endpoints}
     return Targets(
         entries=[host.entry for host in cluster.hosts],
         keys=keys,
-        endpoints={endpoint.name: endpoint.address for endpoint in cluster.endpoints},
+        endpoints={**endpoints, "platform": cluster.platform},
         processes={
             name: program.process.pid
             for name, program in cluster.programs.items()
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -12,7 +12,7 @@
 from benchmarks.common import ZONES, Setup, running
 from demo.cluster import Cluster
 from samphirehall.load.runner import Run, run_entries
-from samphirehall.load.scenario import Customer, Fault, Phase, Scenario, Targets, Workload
+from samphirehall.load.scenario import Customer, Fault, Phase, Scenario, Workload
 
 SEED = 7
 FAULT_AT = 5.0
@@ -106,12 +106,6 @@
         {"petal-coop": 2.0, "retakeline": 1.0}, engines=6, hosts=3, zones=ZONES, timing=TIMING
     )
     with running(setup) as (cluster, targets):
-        targets = Targets(
-            targets.entries,
-            targets.keys,
-            {**targets.endpoints, "platform": cluster.platform},
-            targets.processes,
-        )
         chosen = scenario(faults(cluster) if faults else [])
         return anyio.run(lambda: run_entries(chosen, targets, seed=SEED))
 
