Move the client of the backing service to a package of that name

Cause: samphirehall/platform becomes the adapter to the users' platform; what stood there is the product's own Table port and the client of its own stand-in. Change: the folder and its imports only.

--- a/benchmarks/authority_store_load.py
+++ b/benchmarks/authority_store_load.py
@@ -13,8 +13,8 @@
 from samphirehall.authority.candidates import candidate_rank, poll_seconds
 from samphirehall.authority.keeper import RETRY_SECONDS, LeaseKeeper
 from samphirehall.authority.lease import LeaseTimes
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.log import configure_logging
-from samphirehall.platform.table import Check, Row, TransactionResult, Write
 from samphirehall.settings.tables import UsageTable
 from samphirehall.standins.platform import MemoryTable
 from samphirehall.usage.book import UsageBook
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -13,10 +13,10 @@
 
 import anyio
 
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.forwarding.claims import ClaimStore
-from samphirehall.platform.table import Check, Row, TransactionResult, Write
 from samphirehall.standins.platform import MemoryTable
 
 RATE = 400.0
--- a/samphirehall/authority/endpoint_counts.py
+++ b/samphirehall/authority/endpoint_counts.py
@@ -8,13 +8,13 @@
 from samphirehall.authority.journal import JournaledOrder, OrderJournal
 from samphirehall.authority.lease import PLATFORM_SCOPE, LeaseLostError, Right, engines_scope
 from samphirehall.authority.leases import Leases
+from samphirehall.backing.client import EndpointOrder, OrderAnswer
+from samphirehall.backing.table import Table
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.identifiers import new_identifier
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import EndpointKind
-from samphirehall.platform.client import EndpointOrder, OrderAnswer
-from samphirehall.platform.table import Table
 
 JOURNAL_NAME = "endpoints"
 
--- a/samphirehall/authority/engine_orders.py
+++ b/samphirehall/authority/engine_orders.py
@@ -10,6 +10,7 @@
 from samphirehall.authority.journal import JournaledOrder, OrderJournal, OrderPendingError
 from samphirehall.authority.lease import LeaseLostError, Right, engines_scope
 from samphirehall.authority.leases import Leases
+from samphirehall.backing.table import Table
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.identifiers import new_identifier
@@ -22,7 +23,6 @@
     EngineOrderAnswer,
     EngineReport,
 )
-from samphirehall.platform.table import Table
 
 GONE_AFTER_SECONDS = 10.0
 
--- a/samphirehall/authority/journal.py
+++ b/samphirehall/authority/journal.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from samphirehall.authority.lease import LeaseLostError, Right
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.results import ORDER_PENDING
-from samphirehall.platform.table import ABSENT, Check, Row, Table, Write
 
 MAX_OPEN_ORDERS = 10_000
 
--- a/samphirehall/authority/keeper.py
+++ b/samphirehall/authority/keeper.py
@@ -21,10 +21,10 @@
     renewal_key,
     right_end,
 )
+from samphirehall.backing.table import Check, Row, Table, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
-from samphirehall.platform.table import Check, Row, Table, Write
 
 RETRY_SECONDS = 0.5
 
--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from samphirehall.backing.table import ABSENT, Check, Row
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import LEASE_LOST, SETTINGS_INVALID
-from samphirehall.platform.table import ABSENT, Check, Row
 
 PLATFORM_SCOPE = "platform"
 RENEWALS_PER_TTL = 3
--- a/samphirehall/platform/client.py
+++ b/samphirehall/backing/client.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, body_after, read_body
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.types import EndpointInfo, EndpointKind, HostInfo, UsageFigures
-from samphirehall.platform.table import Check, Row, TransactionResult, Write
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HTTP_OK = 200
--- a/samphirehall/configuration/store.py
+++ b/samphirehall/configuration/store.py
@@ -8,14 +8,14 @@
 import anyio
 import msgspec
 
+from samphirehall.backing import Check, Table, Write
+from samphirehall.backing.table import ABSENT
 from samphirehall.configuration.documents import Part, decode_part, encode_part, part_digest
 from samphirehall.configuration.version import Configuration
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import content_digest, new_identifier
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import CONFIGURATION_CONFLICT
-from samphirehall.platform import Check, Table, Write
-from samphirehall.platform.table import ABSENT
 
 POINTER_KEY = "configuration/pointer"
 HISTORY_PREFIX = "configuration/history/"
--- a/samphirehall/forwarding/claims.py
+++ b/samphirehall/forwarding/claims.py
@@ -14,6 +14,8 @@
 import anyio
 import msgspec
 
+from samphirehall.backing import Row, Table
+from samphirehall.backing.table import ABSENT
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import new_identifier
@@ -25,8 +27,6 @@
     PendingWrite,
     WriteOutcome,
 )
-from samphirehall.platform import Row, Table
-from samphirehall.platform.table import ABSENT
 
 PREFIX = "claims/"
 KEPT_SECONDS = 24 * 3600.0
--- a/samphirehall/forwarding/group_commit.py
+++ b/samphirehall/forwarding/group_commit.py
@@ -12,9 +12,9 @@
 
 import anyio
 
+from samphirehall.backing import Check, Row, Table, Write
+from samphirehall.backing.table import ABSENT
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform import Check, Row, Table, Write
-from samphirehall.platform.table import ABSENT
 
 MAX_BATCH_ROWS = 256
 MAX_BATCH_BYTES = 1024 * 1024
--- a/samphirehall/node/context.py
+++ b/samphirehall/node/context.py
@@ -12,12 +12,12 @@
 import anyio
 from prometheus_client import CollectorRegistry
 
+from samphirehall.backing import Platform
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.registry import Registry
 from samphirehall.node.gate import ConfigurationGate
 from samphirehall.node.in_force import HostsInForce, ReadHostsInForce
 from samphirehall.node.state import NodeState
-from samphirehall.platform import Platform
 from samphirehall.settings import ControlSettings
 
 T = TypeVar("T")
--- a/samphirehall/placement/drain.py
+++ b/samphirehall/placement/drain.py
@@ -5,12 +5,12 @@
 import msgspec
 from starlette.requests import Request
 
+from samphirehall.backing import Table, Write
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import NOT_FOUND
 from samphirehall.node.context import ControlContext
 from samphirehall.placement.polling import ReportPoller
-from samphirehall.platform import Table, Write
 
 DRAIN_PREFIX = "drains/"
 
--- a/samphirehall/programs/control.py
+++ b/samphirehall/programs/control.py
@@ -7,10 +7,10 @@
 import fire
 from prometheus_client import CollectorRegistry
 
+from samphirehall.backing import Platform
 from samphirehall.core.log import configure_logging
 from samphirehall.node.context import CONTROL_SERVICES, ControlContext
 from samphirehall.node.state import NodeState
-from samphirehall.platform import Platform
 from samphirehall.programs.running import (
     load_or_exit,
     new_incarnation,
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.admission.controller import AdmissionController, AdmissionRules
+from samphirehall.backing import Platform
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
@@ -23,7 +24,6 @@
 from samphirehall.forwarding.retry_budget import RetryBudget
 from samphirehall.node.link import follow_link
 from samphirehall.node.state import NodeState
-from samphirehall.platform import Platform
 from samphirehall.programs.running import (
     load_or_exit,
     new_incarnation,
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -13,10 +13,10 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from samphirehall.backing.client import EndpointOrder, OrderAnswer, UsageReport
+from samphirehall.backing.table import ABSENT, Check, Row, TransactionResult, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState, HostInfo
-from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
-from samphirehall.platform.table import ABSENT, Check, Row, TransactionResult, Write
 from samphirehall.standins.answers import json_answer
 from samphirehall.standins.journal import Journal
 from samphirehall.standins.reading import read_closed, read_order_body
--- a/samphirehall/usage/flusher.py
+++ b/samphirehall/usage/flusher.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.table import ABSENT, Check, Row, Table, Write
 from samphirehall.usage.book import UsageBook
 from samphirehall.usage.counts import NOTHING
 from samphirehall.usage.meter import window_at
--- a/samphirehall/usage/operator.py
+++ b/samphirehall/usage/operator.py
@@ -5,11 +5,11 @@
 
 from starlette.requests import Request
 
+from samphirehall.backing.table import Table
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST
 from samphirehall.core.types import UsageFigures
 from samphirehall.node.context import ControlContext
-from samphirehall.platform.table import Table
 from samphirehall.usage.flusher import NEXT_KEY
 from samphirehall.usage.reporter import REPORTED_KEY
 from samphirehall.usage.windows import decode_frozen, frozen_key
--- a/samphirehall/usage/reporter.py
+++ b/samphirehall/usage/reporter.py
@@ -8,12 +8,12 @@
 
 from samphirehall.authority.lease import LeaseLostError, Right
 from samphirehall.authority.leases import Leases
+from samphirehall.backing.client import OrderAnswer, UsageReport
+from samphirehall.backing.table import ABSENT, Check, Table, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import UsageFigures
-from samphirehall.platform.client import OrderAnswer, UsageReport
-from samphirehall.platform.table import ABSENT, Check, Table, Write
 from samphirehall.usage.flusher import NEXT_KEY
 from samphirehall.usage.windows import decode_frozen, frozen_key
 
--- a/samphirehall/usage/windows.py
+++ b/samphirehall/usage/windows.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from samphirehall.authority.lease import LeaseLostError, Right
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import UsageFigures
-from samphirehall.platform.table import ABSENT, Check, Row, Table, Write
 from samphirehall.usage.counts import NOTHING, Counts, figures
 from samphirehall.usage.flusher import NEXT_KEY
 from samphirehall.usage.meter import window_at
--- a/tests/authority/test_journal.py
+++ b/tests/authority/test_journal.py
@@ -6,8 +6,8 @@
 
 from samphirehall.authority.journal import JournaledOrder, OrderJournal, OrderPendingError
 from samphirehall.authority.lease import LeaseLostError, Right, lease_key
+from samphirehall.backing.table import ABSENT, Check, Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.table import ABSENT, Check, Write
 from tests.support.steps import SteppedTable, SteppedTask
 from tests.support.table import FaultyTable, TableFaults
 
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -9,10 +9,10 @@
 
 from demo.cluster import Cluster, Endpoint, Host, call, wait_ready
 from demo.ports import free_ports
+from samphirehall.backing.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.identifiers import key_digest, new_customer_key
 from samphirehall.endpoints.protocol import EngineOrder, EngineOrderAnswer
-from samphirehall.platform.client import EndpointOrder, OrderAnswer, UsageReport
 from samphirehall.standins.platform import PlatformFaults
 from samphirehall.standins.records import CallRecord, read_records
 from tests.promises.callers import Credentials
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,7 +1,7 @@
 """The platform stand-in carries out orders for endpoints."""
 
+from samphirehall.backing.client import EndpointOrder
 from samphirehall.core.types import EndpointInfo, EndpointKind, EndpointProtocol, EndpointState
-from samphirehall.platform.client import EndpointOrder
 from samphirehall.standins.platform import PlatformStandin, Topology
 
 ENDPOINTS = [
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.table import Check, Row, TransactionResult, Write
 from samphirehall.standins.platform import MemoryTable
 
 
--- a/tests/support/table.py
+++ b/tests/support/table.py
@@ -6,8 +6,8 @@
 
 import anyio
 
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.table import Check, Row, TransactionResult, Write
 from samphirehall.standins.platform import MemoryTable
 
 MAX_LATE_OPERATIONS = 6
--- a/tests/support/test_table.py
+++ b/tests/support/test_table.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from samphirehall.backing.table import ABSENT, Check, Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.table import ABSENT, Check, Write
 from tests.support.table import MAX_LATE_OPERATIONS, FaultyTable, TableFaults
 
 INSERT = ([Check("a", ABSENT)], [Write("a", 1)])
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from samphirehall.backing.table import Write
 from samphirehall.core.types import UsageFigures
-from samphirehall.platform.table import Write
 from samphirehall.usage.counts import Cell, Counts
 from samphirehall.usage.rows import UsageRow, row_key
 from samphirehall.usage.windows import frozen_key, sum_rows
--- a/tests/usage/world.py
+++ b/tests/usage/world.py
@@ -5,9 +5,9 @@
 from collections import Counter
 
 from samphirehall.authority.lease import LeaseLostError, LeaseRow, Right, lease_key
+from samphirehall.backing.client import OrderAnswer
+from samphirehall.backing.table import Write
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.platform.client import OrderAnswer
-from samphirehall.platform.table import Write
 from samphirehall.usage.book import UsageBook
 from samphirehall.usage.flusher import NEXT_KEY, UsageFlusher
 from samphirehall.usage.meter import UsageMeter
