--- a/samphirehall/core/log.py
+++ b/samphirehall/core/log.py
@@ -1,11 +1,15 @@
 """Structured logging: one JSON object a line."""
 
 import logging
+import os
 import sys
 from typing import Any
 
 import msgspec
 
+MAX_ORDINARY_LINES = 200  # a second; several lines for each request of a busy small host
+MAX_URGENT_LINES = 200  # a second, of warnings and errors
+MAX_UNREAD_BYTES = 262_144  # kept for a slow reader; about a second of lines
 LEVELS = ("debug", "info", "warning", "error")
 _STANDARD_FIELDS = frozenset(
     (*logging.makeLogRecord({}).__dict__, "message", "asctime", "taskName")
@@ -42,8 +46,74 @@
         return _encoder.encode(line).decode()
 
 
-def configure_logging(level: str, *, host: str, program: str) -> None:
-    """Send every log line to standard error as JSON.
+class BoundedStreamHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Ordinary lines are bounded in a second; warnings and errors have a bound of
+    their own. What was left out is counted and told in a line of its own.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open descriptor; it is made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._second = 0
+        self._ordinary = 0
+        self._urgent = 0
+        self._dropped = 0
+        self._rest = b""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it as left out."""
+        self._begin_second(int(record.created))
+        if record.levelno >= logging.WARNING:
+            self._urgent += 1
+            allowed = self._urgent <= MAX_URGENT_LINES
+        else:
+            self._ordinary += 1
+            allowed = self._ordinary <= MAX_ORDINARY_LINES
+        if not allowed or not self._write(self.format(record)):
+            self._dropped += 1
+
+    def _begin_second(self, second: int) -> None:
+        if second == self._second:
+            return
+        self._second, self._ordinary, self._urgent = second, 0, 0
+        if self._dropped:
+            dropped = self._dropped
+            extra = {"lines": dropped}
+            record = logging.makeLogRecord(
+                {"name": __name__, "levelname": "WARNING", "msg": "log-lines-dropped", **extra}
+            )
+            if self._write(self.format(record)):
+                self._dropped -= dropped
+
+    def _write(self, line: str) -> bool:
+        """Write a whole line, or keep what the reader has not taken for the next call."""
+        if len(self._rest) > MAX_UNREAD_BYTES:
+            self._flush_rest()
+            if self._rest:
+                return False
+        self._rest += line.encode() + b"\n"
+        self._flush_rest()
+        return True
+
+    def _flush_rest(self) -> None:
+        try:
+            self._rest = self._rest[os.write(self._descriptor, self._rest) :]
+        except BlockingIOError:
+            return
+        except OSError:
+            self._rest = b""
+
+
+def configure_logging(level: str, *, host: str, program: str, to_stdout: bool = False) -> None:
+    """Send every log line to standard error, or to standard output, as JSON.
 
     Parameters
     ----------
@@ -51,8 +121,12 @@
         One of `LEVELS`.
     host, program : str
         Constant fields of each line.
+    to_stdout : bool
+        Write to standard output, bounded in lines and never waiting for its reader.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler: logging.Handler = logging.StreamHandler(sys.stderr)
+    if to_stdout:
+        handler = BoundedStreamHandler(sys.stdout.fileno())
     handler.setFormatter(JsonLineFormatter(host=host, program=program))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -12,14 +12,26 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 CONNECTION = "samphire.connection"
+TARGET = "samphire.target"
+
+
+def _no_connection() -> None:
+    """Close nothing, where another server holds the connection."""
 
 
 class CallerConnection:
-    """Whether a caller's connection is still there."""
+    """Whether a caller's connection is still there.
+
+    Parameters
+    ----------
+    close : callable
+        Closes the connection, also in the middle of an answer.
+    """
 
-    __slots__ = ("_gone", "_watchers")
+    __slots__ = ("_gone", "_watchers", "close")
 
-    def __init__(self) -> None:
+    def __init__(self, close: Callable[[], None] = _no_connection) -> None:
+        self.close = close
         self._gone = False
         self._watchers: list[Callable[[], None]] = []
 
@@ -66,7 +78,11 @@
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Expect the first head."""
             super().connection_made(transport)
-            self._caller = CallerConnection()
+            self._caller = CallerConnection(transport.close)
+            self.expect_first_head()
+
+        def expect_first_head(self) -> None:
+            """Expect a head as soon as the connection is there."""
             self._expect_head()
 
         def connection_lost(self, exc: Exception | None) -> None:
@@ -80,8 +96,16 @@
             if self._in_head:
                 self._head_bytes += len(data)
             super().data_received(data)
-            if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
-                self._refuse(TOO_LARGE, f"head over {MAX_HEAD_BYTES} bytes")
+            if self._in_head and self._head_bytes > self.max_head_bytes():
+                self._refuse(TOO_LARGE, f"head over {self.max_head_bytes()} bytes")
+
+        def head_seconds(self) -> float:
+            """Return the seconds in which a head must arrive."""
+            return head_timeout
+
+        def max_head_bytes(self) -> int:
+            """Return the longest head in bytes."""
+            return MAX_HEAD_BYTES
 
         def on_message_begin(self) -> None:
             """Begin a head: from now on it must arrive in time."""
@@ -89,6 +113,11 @@
             self.scope[CONNECTION] = self._caller  # type: ignore[literal-required]
             self._expect_head()
 
+        def on_url(self, url: bytes) -> None:
+            """Keep the target as it was sent."""
+            super().on_url(url)
+            self.scope[TARGET] = self.url  # type: ignore[literal-required]
+
         def on_headers_complete(self) -> None:
             """End a head."""
             self._in_head = False
@@ -103,7 +132,7 @@
         def _expect_head(self) -> None:
             self._in_head = True
             if self._head_timer is None:
-                self._head_timer = self.loop.call_later(head_timeout, self._head_is_late)
+                self._head_timer = self.loop.call_later(self.head_seconds(), self._head_is_late)
 
         def _stop_timer(self) -> None:
             if self._head_timer is not None:
@@ -112,7 +141,7 @@
 
         def _head_is_late(self) -> None:
             self._head_timer = None
-            self._refuse(CALL_TIMEOUT, f"no whole head within {head_timeout} s")
+            self._refuse(CALL_TIMEOUT, f"no whole head within {self.head_seconds()} s")
 
         def _refuse(self, result: Result, detail: str) -> None:
             """Answer a refusal and close, unless another answer is being written."""
--- /dev/null
+++ b/samphirehall/gateway/fleet.py
@@ -0,0 +1,179 @@
+"""Endpoints that may take work, and what this host has seen of each."""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from samphirehall.core.log import log_decision
+from samphirehall.gateway.cache_model import CacheModel
+from samphirehall.gateway.connections import EndpointConnections
+from samphirehall.gateway.types import ListedEndpoint, Service, Stage
+
+SUSPECT_SECONDS = 0.5  # first pause after a failure; a crashed process resets at once
+MOST_SUSPECT_SECONDS = 4.0  # longest pause; crashed endpoints are back in seconds
+SUSPICION_PENALTY_S = 0.5  # added to an estimate for an endpoint that fails all of its requests
+FAILURE_MEMORY = 0.8  # weight of earlier outcomes when a new one is seen
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """One incarnation of an endpoint.
+
+    Parameters
+    ----------
+    listed : ListedEndpoint
+        What it says of itself.
+    connections : EndpointConnections
+        Connections of this host.
+    cache : CacheModel or None
+        What an engine keeps of prompts.
+    """
+
+    listed: ListedEndpoint
+    connections: EndpointConnections
+    cache: CacheModel | None = None
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    suspect_until: float = 0.0
+    refused: bool = field(default=False)
+
+    def succeeded(self) -> None:
+        """Take note of an answer."""
+        self.failures_in_row = 0
+        self.failure_share *= FAILURE_MEMORY
+        self.suspect_until = 0.0
+
+    def failed(self, *, now: float) -> None:
+        """Take note of a failure of the endpoint or of the way to it."""
+        self.failures_in_row += 1
+        self.failure_share = FAILURE_MEMORY * self.failure_share + 1 - FAILURE_MEMORY
+        pause = min(SUSPECT_SECONDS * 2 ** (self.failures_in_row - 1), MOST_SUSPECT_SECONDS)
+        self.suspect_until = now + pause
+
+    def suspicion(self) -> float:
+        """Return the seconds by which failures make this endpoint less attractive."""
+        return SUSPICION_PENALTY_S * self.failure_share
+
+
+class Fleet:
+    """All endpoints of the list, by id."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, EndpointState] = {}
+        self._left: set[tuple[str, int, str]] = set()
+        self.retired: list[EndpointConnections] = []
+
+    def endpoint(self, endpoint_id: str) -> EndpointState | None:
+        """Return an endpoint of the list."""
+        return self._states.get(endpoint_id)
+
+    def states(self) -> Iterable[EndpointState]:
+        """Return all endpoints of the list."""
+        return self._states.values()
+
+    def take(self, listed: ListedEndpoint, service: Service | None) -> None:
+        """Add or change an endpoint.
+
+        An incarnation that has said that it leaves is never ready again.
+        """
+        if not listed.ready:
+            self._left.add(listed.identity)
+        known = self._states.get(listed.endpoint_id)
+        if known is not None and known.listed.identity == listed.identity:
+            if known.listed != listed:
+                self._log_change("endpoint-changed", listed)
+            known.listed = listed
+            return
+        if known is not None:
+            self.retired.append(known.connections)
+        limits = service.engine if service else None
+        cache = CacheModel(limits.memory_tokens) if limits else None
+        connections = EndpointConnections(listed.address)
+        self._states[listed.endpoint_id] = EndpointState(listed, connections, cache)
+        self._log_change("endpoint-listed", listed)
+
+    def remove(self, endpoint_id: str) -> None:
+        """Drop an endpoint that is gone from the list."""
+        state = self._states.pop(endpoint_id, None)
+        if state is None:
+            return
+        self._left.add(state.listed.identity)
+        self.retired.append(state.connections)
+        self._log_change("endpoint-gone", state.listed)
+
+    def has_left(self, identity: tuple[str, int, str]) -> bool:
+        """Return whether an incarnation has said that it leaves, or is gone from the list."""
+        return identity in self._left
+
+    def candidates(
+        self,
+        service: str,
+        *,
+        now: float,
+        without: Iterable[str] = (),
+        stage: Stage | None = None,
+    ) -> list[EndpointState]:
+        """Return the endpoints of a service, or of one stage of it, that take new work.
+
+        Those that have just failed are left out as long as there are others.
+        """
+        ready = [
+            state
+            for endpoint_id, state in self._states.items()
+            if state.listed.service == service
+            and state.listed.ready
+            and not state.refused
+            and endpoint_id not in without
+            and (stage is None or state.listed.stage is stage)
+        ]
+        trusted = [state for state in ready if state.suspect_until <= now]
+        return trusted or ready
+
+    def _log_change(self, event: str, listed: ListedEndpoint) -> None:
+        log_decision(
+            _log,
+            event,
+            "ready" if listed.ready else "leaving",
+            endpoint=listed.endpoint_id,
+            address=listed.address,
+            service=listed.service,
+            zone=listed.zone,
+            stage=listed.stage,
+            born=listed.born,
+        )
+
+
+def choose_plain(
+    candidates: Iterable[EndpointState],
+    requests_at: dict[str, int],
+    *,
+    zone: str,
+    tie: float,
+) -> EndpointState | None:
+    """Return the endpoint of a plain service with the fewest requests for its slots.
+
+    Parameters
+    ----------
+    candidates : iterable of EndpointState
+        Endpoints that take new work.
+    requests_at : dict
+        Requests of all hosts by endpoint id.
+    zone : str
+        Zone of this host; a nearer endpoint is taken among equals.
+    tie : float
+        Random number from 0 to 1 that spreads hosts over equal endpoints.
+    """
+    ordered = sorted(candidates, key=lambda state: state.listed.endpoint_id)
+    if not ordered:
+        return None
+    shift = int(tie * len(ordered))
+
+    def cost(item: tuple[int, EndpointState]) -> tuple[float, bool, int]:
+        place, state = item
+        requests = requests_at.get(state.listed.endpoint_id, 0)
+        full = requests / max(1, state.listed.slots) + state.failure_share
+        return full, state.listed.zone != zone, (place + shift) % len(ordered)
+
+    return min(enumerate(ordered), key=cost)[1]
--- /dev/null
+++ b/samphirehall/gateway/generation.py
@@ -0,0 +1,406 @@
+"""Requests to engines: read the prompt, generate, and go on elsewhere after a break."""
+
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass, field
+
+import anyio
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import OK, OVERLOADED, STREAM_CUT, Result
+from samphirehall.gateway.admission import decide_admission
+from samphirehall.gateway.connections import Answer, BrokenAnswerError, NotSentError
+from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.dialect import Dispatch, PromptCopy
+from samphirehall.gateway.events import Event, EventSplitter
+from samphirehall.gateway.fleet import EndpointState
+from samphirehall.gateway.generation_plan import EngineView, GenerationPlan, plan_generation
+from samphirehall.gateway.journey import Caller, Journey, SendOutcome
+from samphirehall.gateway.plain import (
+    FIRST_SERVER_ERROR,
+    MAX_ANSWER_BYTES,
+    PROMISE_STATUSES,
+    answer_headers,
+    no_answer,
+)
+from samphirehall.gateway.types import Prompt, Stage
+
+READING_FACTOR = 2.0  # a reading engine may take so many times its estimate
+READING_SLACK_S = 0.5  # and so much longer, before another engine reads the prompt
+SILENCE_FACTOR = 3.0  # the same for the first event of a stream that may be resumed
+SILENCE_SLACK_S = 1.0
+PAUSES = 8.0  # pauses of the goal's length after which callers give a stream up
+LEAST_PAUSE_S = 1.0  # shorter silences are ordinary preemptions
+DROP_SECONDS = 0.3  # bounds the call that frees a copy; it lapses by itself soon after
+
+
+@dataclass(slots=True)
+class _Delivery:
+    """What the caller has of a stream."""
+
+    caller: Caller
+    last_event: int | None
+    resumable: bool = True
+    complete: bool = False
+    first_event_at: float | None = None
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+
+async def run_generation(context: GatewayContext, journey: Journey, caller: Caller) -> Result:
+    """Bring one stream home, over several engines if need be; return the result.
+
+    Raises
+    ------
+    SamphireError
+        The request was refused, or the stream broke and cannot go on.
+    """
+    prompt = journey.request.prompt
+    assert prompt is not None
+    delivery = _Delivery(caller, journey.request.resume_after)
+    while (plan := _next_plan(context, journey, prompt)) is not None:
+        if not journey.sends:
+            _admit(context, journey, plan)
+        elif not context.may_repeat(journey.service.name):
+            journey.notes["stopped"] = "repeat budget spent"
+            break
+        if await _attempt(context, journey, plan, delivery):
+            return OK
+        if not _may_go_on(journey, delivery):
+            break
+    if caller.started:
+        raise SamphireError(STREAM_CUT, "the stream broke and could not be continued")
+    raise no_answer(journey)
+
+
+def _may_go_on(journey: Journey, delivery: _Delivery) -> bool:
+    if not journey.may_have_run:
+        return True
+    if journey.runs >= journey.route.max_attempts or not journey.route.resumable:
+        return False
+    return delivery.resumable
+
+
+def _next_plan(context: GatewayContext, journey: Journey, prompt: Prompt) -> GenerationPlan | None:
+    limits = journey.service.engine
+    if limits is None:
+        return None
+    views = [
+        _view(context, journey, state, prompt, stage)
+        for stage in Stage
+        for state in context.fleet.candidates(
+            journey.service.name, now=context.clock(), without=journey.tried, stage=stage
+        )
+    ]
+    plan = plan_generation(views, prompt, limits, hand_over=context.hand_over.value)
+    if plan is not None:
+        journey.notes["choice"] = _describe(plan, len(views))
+    return plan
+
+
+def _view(
+    context: GatewayContext, journey: Journey, state: EndpointState, prompt: Prompt, stage: Stage
+) -> EngineView:
+    listed = state.listed
+    load = context.loads.at(listed.endpoint_id, now=context.clock())
+    rate = context.rate(journey.service.name, stage)
+    return EngineView(
+        listed.endpoint_id,
+        listed.address,
+        listed.zone,
+        stage,
+        load.requests,
+        load.tokens_up_to(journey.rank),
+        state.cache.cached_tokens(prompt.parts) if state.cache else 0,
+        rate.tokens_per_second,
+        rate.overhead,
+        state.suspicion(),
+    )
+
+
+def _describe(plan: GenerationPlan, considered: int) -> dict[str, object]:
+    return {
+        "reads": plan.reader.endpoint_id,
+        "generates": plan.decode.endpoint_id,
+        "fetches": plan.fetch_from.endpoint_id if plan.fetch_from else None,
+        "considered": considered,
+        "tokens_ahead": plan.reader.tokens_ahead,
+        "unread_tokens": plan.unread_tokens,
+        "wait": round(plan.wait, 4),
+        "first_event": round(plan.first_event, 4),
+    }
+
+
+def _admit(context: GatewayContext, journey: Journey, plan: GenerationPlan) -> None:
+    now = context.clock()
+    decision = decide_admission(
+        wait=plan.wait,
+        first_event=plan.first_event,
+        goal_left=journey.route.goal - journey.elapsed(now=now),
+        goal=journey.route.goal,
+        time_left=journey.time_left(now=now),
+    )
+    journey.notes["admission"] = decision.reason
+    if not decision.admit:
+        raise SamphireError(OVERLOADED, decision.reason, retry_after=decision.retry_after)
+
+
+async def _attempt(
+    context: GatewayContext, journey: Journey, plan: GenerationPlan, delivery: _Delivery
+) -> bool:
+    """Carry out one plan; return whether the caller has the whole answer."""
+    if plan.prefill is None:
+        return await _generate(context, journey, plan, delivery, None)
+    copy = await _read_prompt(context, journey, plan)
+    if copy is None:
+        return False
+    try:
+        return await _generate(context, journey, plan, delivery, copy)
+    finally:
+        if delivery.first_event_at is None:
+            await _drop_copy(context, plan.prefill.endpoint_id, copy)
+
+
+async def _read_prompt(
+    context: GatewayContext, journey: Journey, plan: GenerationPlan
+) -> PromptCopy | None:
+    """Have the prompt read; return the copy, or None if the engine did not do it."""
+    reader = context.fleet.endpoint(plan.reader.endpoint_id)
+    if reader is None:
+        return None
+    request, dialect = journey.request, context.dialect
+    dispatch = _dispatch(context, journey, plan, reader, None)
+    started = context.clock()
+    outcome = SendOutcome.NOT_RUN
+    limit = plan.first_event * READING_FACTOR + READING_SLACK_S
+    try:
+        with anyio.fail_after(limit), _reading(context, journey, plan):
+            async with reader.connections.exchange(
+                request.method,
+                request.target,
+                dialect.send_headers(request, dispatch),
+                request.body,
+                belongs=lambda found: dialect.belongs(request.request_id, found),
+            ) as answer:
+                body = await answer.read(max_bytes=MAX_ANSWER_BYTES)
+        if answer.status == 200:
+            outcome = SendOutcome.ANSWERED
+            reader.succeeded()
+            _learn(context, journey, plan, context.clock() - started)
+            return PromptCopy(reader.listed.address, dialect.prompt_copy(body))
+    except NotSentError:
+        outcome = SendOutcome.NOT_SENT
+    except (BrokenAnswerError, ValueError):
+        outcome = SendOutcome.BROKEN
+    except TimeoutError:
+        outcome = SendOutcome.SILENT
+    finally:
+        journey.record(plan.reader.endpoint_id, "read", outcome)
+    reader.failed(now=context.clock())
+    journey.tried.add(plan.reader.endpoint_id)
+    return None
+
+
+async def _generate(
+    context: GatewayContext,
+    journey: Journey,
+    plan: GenerationPlan,
+    delivery: _Delivery,
+    copy: PromptCopy | None,
+) -> bool:
+    """Relay the stream of one engine; return whether the caller has the whole answer."""
+    engine = context.fleet.endpoint(plan.decode.endpoint_id)
+    if engine is None:
+        return False
+    outcome = SendOutcome.BROKEN
+    journey.tried.add(plan.decode.endpoint_id)
+    try:
+        with context.loads.request(plan.decode.endpoint_id):
+            outcome = await _relay(context, journey, plan, delivery, engine, copy)
+    except NotSentError:
+        outcome = SendOutcome.NOT_SENT
+    except (BrokenAnswerError, ValueError):
+        outcome = SendOutcome.BROKEN
+    except TimeoutError:
+        outcome = SendOutcome.SILENT
+    finally:
+        journey.record(plan.decode.endpoint_id, "generate", outcome)
+    if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
+        journey.runs += 1
+        journey.may_have_run = True
+    if outcome is SendOutcome.ANSWERED:
+        engine.succeeded()
+    elif outcome is not SendOutcome.NOT_RUN:
+        engine.failed(now=context.clock())
+    return outcome is SendOutcome.ANSWERED
+
+
+async def _relay(
+    context: GatewayContext,
+    journey: Journey,
+    plan: GenerationPlan,
+    delivery: _Delivery,
+    engine: EndpointState,
+    copy: PromptCopy | None,
+) -> SendOutcome:
+    request, dialect = journey.request, context.dialect
+    dispatch = _dispatch(context, journey, plan, engine, copy, delivery.last_event)
+    delivery.splitter = EventSplitter()
+    started = context.clock()
+    with contextlib.ExitStack() as unread:
+        if copy is None:
+            unread.enter_context(_reading(context, journey, plan))
+        else:
+            context.note_cached(plan.decode.endpoint_id, _parts(journey))
+        with anyio.fail_after(None) as scope:
+            _expect(scope, journey, plan.first_event * SILENCE_FACTOR + SILENCE_SLACK_S)
+            async with engine.connections.exchange(
+                request.method,
+                request.target,
+                dialect.send_headers(request, dispatch),
+                request.body,
+                belongs=lambda found: dialect.belongs(request.request_id, found),
+                once=not journey.route.resumable,
+            ) as answer:
+                if answer.status != 200 or not dialect.is_vouched(answer.headers):
+                    return await _settle_failure(context, journey, delivery, answer)
+                if not delivery.caller.started:
+                    await delivery.caller.start(200, _stream_headers(answer))
+                async for event in _events(answer, delivery):
+                    if delivery.first_event_at is None:
+                        _note_first(context, journey, plan, delivery, started, copy)
+                    unread.close()
+                    _expect(scope, journey, _pause_limit(journey))
+                    await _deliver(delivery, event)
+                if delivery.splitter.rest:
+                    await delivery.caller.write(delivery.splitter.rest)
+                await delivery.caller.finish()
+    return SendOutcome.ANSWERED
+
+
+async def _events(answer: Answer, delivery: _Delivery) -> AsyncIterator[Event]:
+    async for data in answer.chunks():
+        for event in delivery.splitter.feed(data):
+            yield event
+
+
+async def _deliver(delivery: _Delivery, event: Event) -> None:
+    """Pass an event on unless the caller has it."""
+    if event.number is None:
+        delivery.resumable = False
+    elif delivery.last_event is not None and event.number <= delivery.last_event:
+        return
+    else:
+        delivery.last_event = event.number
+    await delivery.caller.write(event.data)
+
+
+async def _settle_failure(
+    context: GatewayContext, journey: Journey, delivery: _Delivery, answer: Answer
+) -> SendOutcome:
+    """Say what an answer without a stream means; pass a final one on."""
+    body = await answer.read(max_bytes=MAX_ANSWER_BYTES)
+    if context.dialect.says_not_run(answer.status, answer.headers):
+        return SendOutcome.NOT_RUN
+    hopeless = answer.status < 300 or answer.status in PROMISE_STATUSES
+    if hopeless or delivery.caller.started:
+        return SendOutcome.FAILED
+    if answer.status >= FIRST_SERVER_ERROR and journey.route.resumable:
+        last_try = journey.runs + 1 >= journey.route.max_attempts
+        if not last_try:
+            return SendOutcome.FAILED
+    await delivery.caller.start(answer.status, answer_headers(answer.headers))
+    await delivery.caller.write(body)
+    await delivery.caller.finish()
+    return SendOutcome.ANSWERED
+
+
+def _dispatch(
+    context: GatewayContext,
+    journey: Journey,
+    plan: GenerationPlan,
+    engine: EndpointState,
+    copy: PromptCopy | None,
+    resume_after: int | None = None,
+) -> Dispatch:
+    reads = engine.listed.endpoint_id == plan.reader.endpoint_id
+    return Dispatch(
+        engine.listed,
+        journey.customer_name,
+        journey.rank,
+        journey.time_left(now=context.clock()),
+        reads_only=reads and plan.prefill is not None,
+        copy=copy,
+        fetch_from=plan.fetch_from.address if reads and plan.fetch_from else None,
+        resume_after=resume_after,
+    )
+
+
+@contextlib.contextmanager
+def _reading(context: GatewayContext, journey: Journey, plan: GenerationPlan) -> Iterator[None]:
+    reader = plan.reader.endpoint_id
+    context.note_cached(reader, _parts(journey))
+    with context.loads.reading(reader, plan.unread_tokens, journey.rank):
+        yield
+
+
+def _parts(journey: Journey) -> tuple:
+    prompt = journey.request.prompt
+    return prompt.parts if prompt else ()
+
+
+def _learn(context: GatewayContext, journey: Journey, plan: GenerationPlan, seconds: float) -> None:
+    """Measure the reading engine, unless others were read before."""
+    if plan.reader.tokens_ahead == 0 and plan.fetch_from is None:
+        rate = context.rate(journey.service.name, plan.reader.stage)
+        rate.note(plan.unread_tokens, seconds)
+
+
+def _note_first(
+    context: GatewayContext,
+    journey: Journey,
+    plan: GenerationPlan,
+    delivery: _Delivery,
+    started: float,
+    copy: PromptCopy | None,
+) -> None:
+    now = context.clock()
+    delivery.first_event_at = now
+    journey.notes["first_event_after"] = round(journey.elapsed(now=now), 4)
+    if journey.customer_name is not None:
+        context.note_start(journey.customer_name)
+    if copy is None:
+        _learn(context, journey, plan, now - started)
+    else:
+        context.hand_over.note(now - started)
+
+
+def _expect(scope: anyio.CancelScope, journey: Journey, seconds: float) -> None:
+    """Give an engine some seconds for what comes next, if another may go on in its place."""
+    if journey.route.resumable and journey.runs + 1 < journey.route.max_attempts:
+        scope.deadline = anyio.current_time() + seconds
+
+
+def _pause_limit(journey: Journey) -> float:
+    return max(LEAST_PAUSE_S, PAUSES * (journey.route.pause_goal or 0.0))
+
+
+def _stream_headers(answer: Answer) -> list[tuple[bytes, bytes]]:
+    return [pair for pair in answer_headers(answer.headers) if pair[0] != b"content-length"]
+
+
+async def _drop_copy(context: GatewayContext, endpoint_id: str, copy: PromptCopy) -> None:
+    """Free a copy that no engine has taken; it lapses by itself if this fails."""
+    reader = context.fleet.endpoint(endpoint_id)
+    if reader is None:
+        return
+    method, target = context.dialect.drop_copy(copy.handle)
+    with anyio.move_on_after(DROP_SECONDS, shield=True):
+        with contextlib.suppress(NotSentError, BrokenAnswerError):
+            async with reader.connections.exchange(
+                method,
+                target,
+                [(b"Host", copy.address.encode())],
+                b"",
+                belongs=lambda found: True,
+            ) as answer:
+                await answer.read(max_bytes=MAX_ANSWER_BYTES)
--- /dev/null
+++ b/samphirehall/gateway/journey.py
@@ -0,0 +1,127 @@
+"""One request on its way: what it is owed, what was tried, and how it ended."""
+
+import enum
+import logging
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import OK, Result
+from samphirehall.gateway.types import Customer, Headers, Request, Route, Service
+
+_log = logging.getLogger(__name__)
+
+
+class Caller(Protocol):
+    """Where the answer goes."""
+
+    @property
+    def started(self) -> bool:
+        """Whether a status has been sent."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+
+    async def finish(self) -> None:
+        """End the body as complete."""
+
+
+class SendOutcome(enum.StrEnum):
+    """What became of one send to an endpoint."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not-sent"
+    NOT_RUN = "not-run"
+    BROKEN = "broken"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Journey:
+    """A request with its route and the time it has.
+
+    Parameters
+    ----------
+    request, route, service : Request, Route, Service
+        What is asked, and of whom.
+    customer : Customer or None
+        Owner of the key that came with it.
+    rank : int
+        Urgency; 0 goes first.
+    deadline : float
+        Boot clock in seconds of the final answer.
+    version : int
+        Configuration version that decided.
+    sends : list
+        Endpoint, purpose and outcome of each send.
+    """
+
+    request: Request
+    route: Route
+    service: Service
+    customer: Customer | None
+    rank: int
+    deadline: float
+    version: int
+    runs: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    sends: list[tuple[str, str, str]] = field(default_factory=list)
+    notes: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def customer_name(self) -> str | None:
+        """Name that endpoints and reports know the customer by."""
+        return self.customer.name if self.customer else None
+
+    def elapsed(self, *, now: float) -> float:
+        """Return the seconds since the request had been read."""
+        return now - self.request.received_at
+
+    def time_left(self, *, now: float) -> float:
+        """Return the seconds until the final answer is due."""
+        return self.deadline - now
+
+    def record(self, endpoint_id: str, purpose: str, outcome: SendOutcome) -> None:
+        """Keep the outcome of one send for the log."""
+        self.sends.append((endpoint_id, purpose, outcome.value))
+
+    def log(self, result: Result, detail: str, *, now: float) -> None:
+        """Write the one line that tells the request's story."""
+        level = logging.INFO if result is OK else logging.WARNING
+        _log.log(
+            level,
+            "request",
+            extra={
+                "request": self.request.request_id,
+                "route": self.route.name,
+                "customer": self.customer_name,
+                "rank": self.rank,
+                "configuration": self.version,
+                "result": result.code,
+                "outcome": result.name,
+                "reason": detail,
+                "seconds": round(self.elapsed(now=now), 4),
+                "sends": self.sends,
+                **self.notes,
+            },
+        )
+
+
+def log_refusal(request: Request, error: SamphireError, *, version: int, now: float) -> None:
+    """Write the line of a request that was refused before it had a route and a service."""
+    _log.warning(
+        "request",
+        extra={
+            "request": request.request_id,
+            "configuration": version,
+            "result": error.result.code,
+            "outcome": error.result.name,
+            "reason": error.detail,
+            "seconds": round(now - request.received_at, 4),
+        },
+    )
--- /dev/null
+++ b/samphirehall/gateway/readiness.py
@@ -0,0 +1,30 @@
+"""The balancer's question whether this host takes new connections."""
+
+from collections.abc import Callable
+from typing import Any
+
+from samphirehall.forwarding.answers import Receive, Scope, Send, send_whole
+
+READY, NOT_READY = 200, 503
+
+
+def readiness_app(is_ready: Callable[[], bool], path: str) -> Any:
+    """Return the ASGI application that answers at `path`.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Whether the host takes new connections now.
+    path : str
+        Path of the question; any other is not found.
+    """
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        status = 404
+        if scope["path"] == path:
+            status = READY if is_ready() else NOT_READY
+        await send_whole(send, status, [], b"")
+
+    return app
--- /dev/null
+++ b/samphirehall/gateway/repeat_budget.py
@@ -0,0 +1,65 @@
+"""How many further sends of requests to a service this host may make."""
+
+from collections import deque
+
+SAFETY = 0.7  # part of the allowance used; hosts start and stop within a window
+
+
+class _SlidingCount:
+    """Events of the last seconds."""
+
+    __slots__ = ("_times",)
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def within(self, seconds: float, *, now: float) -> int:
+        while self._times and self._times[0] < now - seconds:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RepeatBudget:
+    """Allowance of one host and service: its share of a fixed slack, and a ratio of its requests.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request.
+    slack : float
+        Repeats allowed besides, by all hosts together.
+    window : float
+        Seconds over which both are counted.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._requests = _SlidingCount()
+        self._repeats = _SlidingCount()
+
+    def note_request(self, *, now: float) -> None:
+        """Count a request of a client."""
+        self._requests.add(now)
+
+    def take(self, *, hosts: int, now: float) -> bool:
+        """Count a repeat if it is allowed; return whether it is.
+
+        Parameters
+        ----------
+        hosts : int
+            Hosts that share the slack.
+        now : float
+            Boot clock in seconds.
+        """
+        requests = self._requests.within(self._window, now=now)
+        repeats = self._repeats.within(self._window, now=now)
+        allowed = SAFETY * (self._ratio * requests + self._slack / max(1, hosts))
+        if repeats + 1 > allowed:
+            return False
+        self._repeats.add(now)
+        return True
--- /dev/null
+++ b/samphirehall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: the only place that knows its names, paths and formats."""
--- /dev/null
+++ b/samphirehall/platform/store.py
@@ -0,0 +1,183 @@
+"""Client of the platform's store: rows, transactions and the feed of changes."""
+
+import base64
+import binascii
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import anyio
+import msgspec
+
+from samphirehall.backing.table import Check, Row, TransactionResult, Write
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
+
+CALL_SECONDS = 1.0  # an ordinary answer takes some milliseconds; a slow one a quarter of a second
+FEED_SLACK_S = 1.0  # an answer to a feed call may be so late before its connection counts as silent
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # of one page of rows, which the store bounds to 1 MB before base64
+PAGE_ROWS = 500  # the store's own limit
+OWN_TABLE = "samphirehall"  # the product's rows
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+ENDPOINT_TABLE = "servers"
+
+_log = logging.getLogger(__name__)
+
+
+class _StoredRow(msgspec.Struct):
+    key: str
+    ver: int = 0
+    value: str = ""
+    tombstone: bool = False
+
+
+class _RowsAnswer(msgspec.Struct):
+    rows: list[msgspec.Raw] = []
+    ver: int = 0
+    now_ms: float = 0.0
+    has_more: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_RowsAnswer)
+_row_decoder = msgspec.json.Decoder(_StoredRow)
+
+
+class Store:
+    """The platform's store, as the product's table and as a source of rows to follow.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    on_steady_time : callable
+        Called with the store's steady clock and the boot clock, both in seconds.
+    """
+
+    def __init__(self, address: str, on_steady_time: Callable[[float, float], None]) -> None:
+        self._pool = ConnectionPool(address, connect_timeout=CALL_SECONDS)
+        self._on_steady_time = on_steady_time
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
+        """Apply a transaction to the product's rows; see `Table.transact`."""
+        puts = [
+            {**_name(write.key), "value": _encode(write.value)}
+            for write in writes
+            if write.value is not None
+        ]
+        document = {
+            "expected": [{**_name(check.key), "ver": check.version} for check in checks],
+            "puts": puts,
+            "remove": [_name(write.key) for write in writes if write.value is None],
+        }
+        body = msgspec.json.encode(document)
+        status, answer = await self._call("POST", "/rows-tx", body=body)
+        if status == 412:
+            rows = [_product_row(row) for row in _stored_rows(answer)]
+            return TransactionResult(False, tuple(rows))
+        return TransactionResult(True, versions={write.key: answer.ver for write in writes})
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the product's rows that exist among `keys`; see `Table.read`."""
+        wanted = set(keys)
+        rows = await self._range(OWN_TABLE, min(keys), max(keys) + "\0")
+        return {row.key: _product_row(row) for row in rows.rows if row.key in wanted}
+
+    async def scan(self, prefix: str, *, limit: int = 1000) -> list[Row]:
+        """Return the product's rows whose key starts with `prefix`; see `Table.scan`."""
+        rows = await self._range(OWN_TABLE, prefix, prefix + "\U0010ffff")
+        return [_product_row(row) for row in rows.rows[:limit]]
+
+    async def snapshot(self, table: str) -> Rows:
+        """Return all rows of a table; see `RowSource.snapshot`."""
+        return await self._range(table, "", None)
+
+    async def changes(self, table: str, *, after: int, wait: float) -> Rows:
+        """Return the rows changed after a version; see `RowSource.changes`."""
+        query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
+        status, answer = await self._call(
+            "GET", f"/rows-feed?{urlencode(query)}", limit=wait + FEED_SLACK_S, timed=False
+        )
+        if status == 410:
+            raise HistoryGoneError
+        return Rows(_stored_rows(answer), answer.ver)
+
+    async def _range(self, table: str, start: str, end: str | None) -> Rows:
+        """Return a range of rows; its version is that of the first page, so no change is missed."""
+        rows: list[RowChange] = []
+        version = None
+        while True:
+            query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_ROWS, "from": start}
+            if end is not None:
+                query["to"] = end
+            _, answer = await self._call("GET", f"/rows-get?{urlencode(query)}")
+            page = _stored_rows(answer)
+            rows.extend(page)
+            version = answer.ver if version is None else version
+            if not answer.has_more or not page:
+                return Rows(rows, version)
+            start = page[-1].key + "\0"
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        limit: float = CALL_SECONDS,
+        timed: bool = True,
+    ) -> tuple[int, _RowsAnswer]:
+        headers = {b"Content-Type": b"application/json"} if body is not None else None
+        sent_at = boot_seconds()
+        try:
+            with anyio.fail_after(limit):
+                async with self._pool.request(
+                    method, path, headers=headers, content=body, read_timeout=limit
+                ) as response:
+                    content = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
+                    status = response.status
+        except (*TRANSPORT_ERRORS, TimeoutError, ValueError) as error:
+            raise PlatformUnavailableError(f"{method} {path[:20]}: {error!r}") from error
+        if status not in (200, 410, 412):
+            raise PlatformUnavailableError(f"{method} {path[:20]}: status {status}")
+        try:
+            answer = _rows_decoder.decode(content) if content else _RowsAnswer()
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise PlatformUnavailableError(f"{method} {path[:20]}: {error}") from error
+        if timed and answer.now_ms:
+            middle = (sent_at + boot_seconds()) / 2
+            self._on_steady_time(answer.now_ms / 1000, middle)
+        return status, answer
+
+
+def _name(key: str) -> dict[str, str]:
+    return {"table": OWN_TABLE, "part": "", "key": key}
+
+
+def _encode(value: object) -> str:
+    return base64.b64encode(msgspec.json.encode(value)).decode()
+
+
+def _stored_rows(answer: _RowsAnswer) -> list[RowChange]:
+    """Return the rows that can be read; another writer's broken rows name nothing."""
+    rows = []
+    for raw in answer.rows:
+        try:
+            row = _row_decoder.decode(raw)
+            value = None if row.tombstone else base64.b64decode(row.value, validate=True)
+        except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
+            _log.warning("row-unreadable", extra={"reason": str(error)})
+            continue
+        rows.append(RowChange(row.key, row.ver, value))
+    return rows
+
+
+def _product_row(row: RowChange) -> Row:
+    return Row(row.key, row.version, msgspec.json.decode(row.value) if row.value else None)
--- /dev/null
+++ b/samphirehall/programs/node.py
@@ -0,0 +1,148 @@
+"""``samphire-node``: the whole of one host on the users' platform, as one process."""
+
+import logging
+from contextlib import AsyncExitStack
+
+import anyio
+import fire
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.log import configure_logging
+from samphirehall.core.serving import serving
+from samphirehall.gateway.context import GatewayContext, RepeatLimits
+from samphirehall.gateway.front import FrontState, front_app, front_protocol
+from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.readiness import readiness_app
+from samphirehall.gateway.rows import RowChange, TableFollower
+from samphirehall.platform import documents, store, wire
+from samphirehall.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
+from samphirehall.programs.running import new_incarnation, run_daemon, wait_for_stop
+
+READINESS_PATH = "/ready"
+GATHER_S = 0.3  # endpoints' entries change several times a second; leaving must show within two
+BALANCER_S = 3.0  # two missed questions a second apart, and one second for the answer
+STOP_MARGIN_S = 1.0  # before the platform ends the process
+POLL_S = 0.05  # looking for the end of the last request
+
+_log = logging.getLogger(__name__)
+
+
+class Node:
+    """Everything that the process of one host holds."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self.settings = settings
+        self.incarnation = new_incarnation()
+        self.store = store.Store(settings.store_address, lambda steady, boot: None)
+        self.context = GatewayContext(
+            settings.host,
+            settings.zone,
+            wire.DIALECT,
+            RepeatLimits(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window),
+            live_hosts=lambda: 8,
+            note_start=lambda customer: None,
+            clock=boot_seconds,
+        )
+        self.gateway = Gateway(self.context)
+        self.front = FrontState(lambda: self.gateway.limits)
+        self.configurations = TableFollower(
+            self.store, store.CONFIGURATION_TABLE, self._take_configuration
+        )
+        self.endpoints = TableFollower(
+            self.store, store.ENDPOINT_TABLE, self._take_endpoint, pause=GATHER_S
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections may come."""
+        return self.gateway.version > 0 and not self.front.stopping
+
+    def _take_configuration(self, change: RowChange) -> None:
+        if change.key != store.CONFIGURATION_KEY or change.value is None:
+            return
+        try:
+            configuration = documents.decode_configuration(change.value)
+        except ValueError as error:
+            _log.error("configuration-unreadable", extra={"reason": str(error)})
+            return
+        self.gateway.take_configuration(configuration, source="store")
+
+    def _take_endpoint(self, change: RowChange) -> None:
+        if change.value is None:
+            self.context.fleet.remove(change.key)
+            return
+        listed = documents.decode_endpoint(change.key, change.value)
+        if listed is None:
+            return
+        configuration = self.gateway.configuration
+        service = configuration.services.get(listed.service) if configuration else None
+        self.context.fleet.take(listed, service)
+
+    async def close_retired(self) -> None:
+        """Close connections to endpoints that are gone, until cancelled."""
+        while True:
+            await anyio.sleep(GATHER_S)
+            while self.context.fleet.retired:
+                await self.context.fleet.retired.pop().aclose()
+
+
+async def serve(settings: PlatformSettings) -> None:
+    """Serve until told to stop."""
+    node = Node(settings)
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(node.store.aclose)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(node.configurations.run)
+        group.start_soon(node.endpoints.run)
+        group.start_soon(node.close_retired)
+        readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
+        await stack.enter_async_context(serving(readiness, settings.listen_readiness))
+        app = front_app(node.front, wire.decode_request, node.gateway.serve)
+        await stack.enter_async_context(
+            serving(app, settings.listen_clients, protocol=front_protocol(node.front))
+        )
+        _log.info("start", extra={"incarnation": node.incarnation, "zone": settings.zone})
+        await wait_for_stop()
+        await _drain(node)
+        group.cancel_scope.cancel()
+    _log.info("stop", extra={"open": node.front.open_requests})
+
+
+async def _drain(node: Node) -> None:
+    """Turn not ready, serve until the balancer has moved on, and finish what runs."""
+    _log.info("drain", extra={"open": node.front.open_requests})
+    node.front.stopping = True
+    with anyio.move_on_after(node.settings.stop_time - STOP_MARGIN_S):
+        await anyio.sleep(BALANCER_S)
+        node.front.close_idle()
+        while node.front.open_requests:
+            await anyio.sleep(POLL_S)
+
+
+def run(check: bool = False) -> None:
+    """Run this host with the settings that the platform has written.
+
+    Parameters
+    ----------
+    check : bool
+        Only check the settings.
+    """
+    settings = load_platform_settings(settings_path())
+    if check:
+        print(f"{settings_path()}: ok")
+        return
+    configure_logging("info", host=settings.host, program="samphire-node", to_stdout=True)
+    run_daemon(lambda: serve(settings))
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(run, name="samphire-node")
+
+
+if __name__ == "__main__":
+    main()
