Read on generating engines only where their streams stay within their pause; peers, usage, counts

Cause: 476 of 623 short replies came late although their first event took 0.17 s: prompts read on generating engines stop the running streams, and an event of several tokens adds these stops up beyond the pause of 0.15 s. Ruled out: slots (busiest engine far from full), first events (in time). Change: such a plan is taken only if all unread prompt there fits half the pause.

--- a/samphirehall/core/log.py
+++ b/samphirehall/core/log.py
@@ -132,7 +132,7 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     _leave_out_unused_fields()
-    for noisy in ("httpcore", "hpack", "asyncio"):
+    for noisy in ("httpcore", "hpack", "asyncio", "uvicorn"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
 
 
--- a/samphirehall/gateway/front.py
+++ b/samphirehall/gateway/front.py
@@ -147,9 +147,7 @@
     try:
         limit = state.limits().body_bytes
         body = await read_request_body(receive, max_bytes=limit, timeout=BODY_SECONDS)
-        request = decode(
-            scope["method"], scope[TARGET], scope["headers"], body, boot_seconds()
-        )
+        request = decode(scope["method"], scope[TARGET], scope["headers"], body, boot_seconds())
         request_id = request.request_id
         await serve(request, caller)
     except CallerGoneError:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -30,6 +30,7 @@
 SILENCE_FACTOR = 3.0  # the same for the first event of a stream that may be resumed
 SILENCE_SLACK_S = 1.0
 PAUSES = 8.0  # pauses of the goal's length after which callers give a stream up
+DEFAULT_PAUSE_S = 0.15  # of streams whose route states none; readers notice longer ones
 LEAST_PAUSE_S = 1.0  # shorter silences are ordinary preemptions
 DROP_SECONDS = 0.3  # bounds the call that frees a copy; it lapses by itself soon after
 
@@ -91,7 +92,13 @@
             journey.service.name, now=context.clock(), without=journey.tried, stage=stage
         )
     ]
-    plan = plan_generation(views, prompt, limits, hand_over=context.hand_over.value)
+    plan = plan_generation(
+        views,
+        prompt,
+        limits,
+        hand_over=context.hand_over.value,
+        pause=journey.route.pause_goal or DEFAULT_PAUSE_S,
+    )
     if plan is not None:
         journey.notes["choice"] = _describe(plan, len(views))
     return plan
@@ -110,6 +117,7 @@
         stage,
         load.requests,
         load.tokens_up_to(journey.rank),
+        sum(load.unread_tokens),
         state.cache.cached_tokens(prompt.parts) if state.cache else 0,
         rate.tokens_per_second,
         rate.overhead,
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -14,6 +14,9 @@
 LEAST_FETCH_TOKENS = 512  # fewer are read sooner than a transfer is set up
 SLOT_WAIT_S = 0.2  # cost of joining an engine whose batch is full: some request must end first
 BITS = 8
+# Reading on a generating engine stops its streams. An event may hold several tokens, so that
+# the stops between them add up; half of the allowed pause is left for generating.
+INTERRUPTION_SHARE = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,6 +33,8 @@
         Requests that all hosts have there.
     tokens_ahead : int
         Prompt tokens that it reads before a new prompt of this urgency.
+    unread_tokens : int
+        Prompt tokens of any urgency that it has still to read.
     cached_tokens : int
         Leading tokens of this prompt that it keeps.
     tokens_per_second : float
@@ -46,6 +51,7 @@
     stage: Stage
     requests: int
     tokens_ahead: int
+    unread_tokens: int
     cached_tokens: int
     tokens_per_second: float
     overhead: float
@@ -86,7 +92,12 @@
 
 
 def plan_generation(
-    engines: Iterable[EngineView], prompt: Prompt, limits: EngineLimits, *, hand_over: float
+    engines: Iterable[EngineView],
+    prompt: Prompt,
+    limits: EngineLimits,
+    *,
+    hand_over: float,
+    pause: float,
 ) -> GenerationPlan | None:
     """Return the plan with the earliest first event, or None without a generating engine.
 
@@ -100,19 +111,32 @@
         Sizes and rates of the engines.
     hand_over : float
         Seconds from a read prompt to the first event elsewhere, besides the transfer.
+    pause : float
+        Longest pause in seconds between events of the streams that run.
     """
     views = list(engines)
     decoders = [view for view in views if view.stage is Stage.DECODE]
     if not decoders:
         return None
-    plans = [_plan(None, decode, views, prompt, limits, 0.0) for decode in decoders]
+    plans = []
     for prefill in views:
         if prefill.stage is Stage.PREFILL:
             target = min(decoders, key=lambda view: _hand_over(prefill, view, prompt, limits))
             plans.append(_plan(prefill, target, views, prompt, limits, hand_over))
+    whole = [_plan(None, decode, views, prompt, limits, 0.0) for decode in decoders]
+    plans += [plan for plan in whole if not plans or _interruption(plan) <= pause]
     return min(plans, key=lambda plan: plan.first_event + _suspicion(plan))
 
 
+def _interruption(plan: GenerationPlan) -> float:
+    """Return the pause in seconds that reading brings to the streams of a generating engine."""
+    engine = plan.decode
+    if engine.requests == 0:
+        return 0.0
+    tokens = engine.unread_tokens + plan.unread_tokens
+    return tokens / engine.tokens_per_second / INTERRUPTION_SHARE
+
+
 def _plan(
     prefill: EngineView | None,
     decode: EngineView,
--- /dev/null
+++ b/samphirehall/gateway/peers.py
@@ -0,0 +1,195 @@
+"""What hosts tell each other while serving: their work, what engines keep, their clocks.
+
+Each host sends small datagrams to each other one. A lost datagram costs a
+worse estimate, never a wrong answer; nothing that must be agreed is told here.
+"""
+
+import logging
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+from anyio.abc import UDPSocket
+
+from samphirehall.backing.table import Table, Write
+from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
+from samphirehall.gateway.agreed_time import AgreedTime
+from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.load import EndpointLoad
+from samphirehall.gateway.types import PromptPart
+
+TICK_S = 0.05  # a decision seen so late by peers costs less than the goal's tenth
+QUIET_S = 0.5  # a host without news is heard so often, well within a load's lifetime
+LIST_S = 10.0  # new hosts also make themselves heard; the list only helps after lost datagrams
+RETRY_LIST_S = 1.0
+LIVE_S = 2.0  # four quiet intervals
+MAX_NOTES = 12  # notes of cached prompts in one datagram, which must fit a packet
+MAX_WAITING_NOTES = 200  # older ones are dropped while datagrams do not keep up
+HOST_PREFIX = "hosts/"
+
+_log = logging.getLogger(__name__)
+
+
+class _PeerNews(msgspec.Struct, array_like=True):
+    """One datagram."""
+
+    host: str
+    address: str
+    wall: float
+    version: int
+    loads: dict[str, list[int]]
+    notes: list[tuple[str, list[tuple[str, int]]]]
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: tuple[str, int]
+    heard_at: float = float("-inf")
+    version: int = 0
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_PeerNews)
+
+
+class Peers:
+    """The other hosts, as this one knows them.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Work and endpoints of this host.
+    table : Table
+        Where hosts find each other.
+    address : str
+        IP number and port of this host's datagrams.
+    agreed : AgreedTime
+        Learns the peers' clocks.
+    version : callable
+        Configuration version in force here.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        table: Table,
+        address: str,
+        agreed: AgreedTime,
+        version: Callable[[], int],
+    ) -> None:
+        self._context = context
+        self._table = table
+        self._address = address
+        self._agreed = agreed
+        self._version = version
+        self._peers: dict[str, _Peer] = {}
+        self._sent_changes = -1
+        self._sent_at = float("-inf")
+
+    def live(self, *, now: float) -> list[str]:
+        """Return the hosts heard lately, this one among them."""
+        heard = [name for name, peer in self._peers.items() if now - peer.heard_at < LIVE_S]
+        return sorted([self._context.host, *heard])
+
+    def known(self) -> int:
+        """Return the number of hosts ever listed or heard: more than live ones, never fewer."""
+        return len(self._peers) + 1
+
+    async def run(self) -> None:
+        """Exchange news until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        async with (
+            await anyio.create_udp_socket(local_host=host, local_port=int(port)) as udp,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._register)
+            group.start_soon(self._receive, udp)
+            while True:
+                await anyio.sleep(TICK_S)
+                await self._send_if_due(udp, now=boot_seconds())
+
+    async def _register(self) -> None:
+        """Write this host's address, and read those of others, for as long as the host runs."""
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    own = Write(f"{HOST_PREFIX}{self._context.host}", self._address)
+                    await self._table.transact([], [own])
+                    registered = True
+                for row in await self._table.scan(HOST_PREFIX):
+                    self._learn(row.key.removeprefix(HOST_PREFIX), row.value)
+                await anyio.sleep(LIST_S)
+            except PlatformUnavailableError as error:
+                _log.warning("peers-unlisted", extra={"reason": str(error)})
+                await anyio.sleep(RETRY_LIST_S)
+
+    def _learn(self, name: str, address: object) -> None:
+        if name == self._context.host or not isinstance(address, str):
+            return
+        host, _, port = address.rpartition(":")
+        peer = self._peers.get(name)
+        if peer is None:
+            self._peers[name] = _Peer((host, int(port)))
+            log_decision(_log, "peer", "listed or heard", peer=name, address=address)
+        else:
+            peer.address = (host, int(port))
+
+    async def _send_if_due(self, udp: UDPSocket, *, now: float) -> None:
+        changes = self._context.loads.changes
+        if changes == self._sent_changes and now - self._sent_at < QUIET_S:
+            return
+        self._sent_changes, self._sent_at = changes, now
+        datagram = _encoder.encode(self._news())
+        for peer in list(self._peers.values()):
+            try:
+                await udp.sendto(datagram, *peer.address)
+            except OSError as error:
+                _log.warning("peer-unreachable", extra={"reason": os.strerror(error.errno or 0)})
+
+    def _news(self) -> _PeerNews:
+        notes = self._context.cache_notes
+        del notes[: max(0, len(notes) - MAX_WAITING_NOTES)]
+        told, notes[:] = notes[:MAX_NOTES], notes[MAX_NOTES:]
+        loads = {
+            endpoint_id: [load.requests, *load.unread_tokens]
+            for endpoint_id, load in self._context.loads.own().items()
+        }
+        encoded = [
+            (endpoint_id, [(part.part_id, part.tokens) for part in parts])
+            for endpoint_id, parts in told
+        ]
+        return _PeerNews(
+            self._context.host, self._address, wall_seconds(), self._version(), loads, encoded
+        )
+
+    async def _receive(self, udp: UDPSocket) -> None:
+        async for datagram, _ in udp:
+            try:
+                news = _decoder.decode(datagram)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                _log.warning("peer-unreadable", extra={"reason": str(error)})
+                continue
+            self._take(news, now=boot_seconds())
+
+    def _take(self, news: _PeerNews, *, now: float) -> None:
+        self._learn(news.host, news.address)
+        peer = self._peers.get(news.host)
+        if peer is None:
+            return
+        peer.heard_at = now
+        peer.version = news.version
+        self._agreed.hear(news.host, news.wall, wall=wall_seconds(), now=now)
+        loads = {
+            endpoint_id: EndpointLoad(numbers[0], list(numbers[1:]))
+            for endpoint_id, numbers in news.loads.items()
+        }
+        self._context.loads.hear(news.host, loads, now=now)
+        for endpoint_id, parts in news.notes:
+            state = self._context.fleet.endpoint(endpoint_id)
+            if state is not None and state.cache is not None:
+                state.cache.note([PromptPart(part_id, tokens) for part_id, tokens in parts])
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -8,6 +8,7 @@
 
 PATH_VARIABLE = "SAMPHIREHALL_BOOT"
 DEFAULT_PATH = "/etc/samphirehall/settings.conf"
+USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 MILLI = 1e-3
 
 
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -11,14 +11,15 @@
 import msgspec
 
 from samphirehall.backing.table import Check, Row, TransactionResult, Write
-from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
 
 CALL_SECONDS = 1.0  # an ordinary answer takes some milliseconds; a slow one a quarter of a second
 FEED_SLACK_S = 1.0  # an answer to a feed call may be so late before its connection counts as silent
-MAX_ANSWER_BYTES = 4 * 1024 * 1024  # of one page of rows, which the store bounds to 1 MB before base64
+MAX_ANSWER_BYTES = (
+    4 * 1024 * 1024
+)  # of one page of rows, which the store bounds to 1 MB before base64
 PAGE_ROWS = 500  # the store's own limit
 OWN_TABLE = "samphirehall"  # the product's rows
 CONFIGURATION_TABLE = "op"
@@ -38,7 +39,6 @@
 class _RowsAnswer(msgspec.Struct):
     rows: list[msgspec.Raw] = []
     ver: int = 0
-    now_ms: float = 0.0
     has_more: bool = False
 
 
@@ -53,13 +53,10 @@
     ----------
     address : str
         IP number and port.
-    on_steady_time : callable
-        Called with the store's steady clock and the boot clock, both in seconds.
     """
 
-    def __init__(self, address: str, on_steady_time: Callable[[float, float], None]) -> None:
+    def __init__(self, address: str) -> None:
         self._pool = ConnectionPool(address, connect_timeout=CALL_SECONDS)
-        self._on_steady_time = on_steady_time
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -103,7 +100,7 @@
         """Return the rows changed after a version; see `RowSource.changes`."""
         query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
         status, answer = await self._call(
-            "GET", f"/rows-feed?{urlencode(query)}", limit=wait + FEED_SLACK_S, timed=False
+            "GET", f"/rows-feed?{urlencode(query)}", limit=wait + FEED_SLACK_S
         )
         if status == 410:
             raise HistoryGoneError
@@ -132,10 +129,8 @@
         *,
         body: bytes | None = None,
         limit: float = CALL_SECONDS,
-        timed: bool = True,
     ) -> tuple[int, _RowsAnswer]:
         headers = {b"Content-Type": b"application/json"} if body is not None else None
-        sent_at = boot_seconds()
         try:
             with anyio.fail_after(limit):
                 async with self._pool.request(
@@ -151,9 +146,6 @@
             answer = _rows_decoder.decode(content) if content else _RowsAnswer()
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise PlatformUnavailableError(f"{method} {path[:20]}: {error}") from error
-        if timed and answer.now_ms:
-            middle = (sent_at + boot_seconds()) / 2
-            self._on_steady_time(answer.now_ms / 1000, middle)
         return status, answer
 
 
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -5,17 +5,27 @@
 
 import anyio
 import fire
+from anyio.abc import TaskGroup
 
-from samphirehall.core.clock import boot_seconds
+from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
+from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
+from samphirehall.gateway.duty import Duty, may_act, now_right
+from samphirehall.gateway.endpoint_counts import CountOrder
 from samphirehall.gateway.front import FrontState, front_app, front_protocol
 from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.peers import Peers
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, TableFollower
+from samphirehall.gateway.scaling import Scaling, scale_forever
+from samphirehall.gateway.usage_windows import UsageCounter, UsageReports, report_forever
 from samphirehall.platform import documents, store, wire
+from samphirehall.platform.duties import Duties
 from samphirehall.platform.settings import (
+    SCALING_DUTY,
+    USAGE_DUTY,
     PlatformSettings,
     load_platform_settings,
     settings_path,
@@ -37,17 +47,31 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
         self.incarnation = new_incarnation()
-        self.store = store.Store(settings.store_address, lambda steady, boot: None)
+        self.store = store.Store(settings.store_address)
+        self.duties = Duties(settings.cloud_address, settings.host)
+        self.agreed = AgreedTime()
+        process = f"{settings.host}/{self.incarnation}"
+        self.duty = Duty(self.store, process, settings.lease_time)
+        self.usage = UsageCounter(process, settings.usage_window, self.agreed_now)
         self.context = GatewayContext(
             settings.host,
             settings.zone,
             wire.DIALECT,
             RepeatLimits(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window),
-            live_hosts=lambda: 8,
-            note_start=lambda customer: None,
+            live_hosts=lambda: self.peers.known(),
+            note_start=self.usage.note,
             clock=boot_seconds,
         )
         self.gateway = Gateway(self.context)
+        self.peers = Peers(
+            self.context,
+            self.store,
+            f"{settings.ip}:{settings.first_peer_port}",
+            self.agreed,
+            lambda: self.gateway.version,
+        )
+        self.reports = UsageReports(self.store, self._report_usage, settings.usage_window)
+        self.scaling = Scaling(self.context.fleet, self._order_endpoints)
         self.front = FrontState(lambda: self.gateway.limits)
         self.configurations = TableFollower(
             self.store, store.CONFIGURATION_TABLE, self._take_configuration
@@ -61,6 +85,16 @@
         """Whether new connections may come."""
         return self.gateway.version > 0 and not self.front.stopping
 
+    def agreed_now(self) -> float:
+        """Return the agreed seconds since 1970."""
+        return self.agreed.at(wall=wall_seconds(), now=boot_seconds())
+
+    async def _report_usage(self, window: int, counts: dict[str, int]) -> None:
+        await self.duties.report_usage(now_right(self.duty), window, counts)
+
+    async def _order_endpoints(self, order: CountOrder) -> bool:
+        return await self.duties.order_endpoints(now_right(self.duty), order)
+
     def _take_configuration(self, change: RowChange) -> None:
         if change.key != store.CONFIGURATION_KEY or change.value is None:
             return
@@ -95,10 +129,15 @@
     node = Node(settings)
     async with AsyncExitStack() as stack:
         stack.push_async_callback(node.store.aclose)
+        stack.push_async_callback(node.duties.aclose)
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(node.configurations.run)
         group.start_soon(node.endpoints.run)
         group.start_soon(node.close_retired)
+        group.start_soon(node.peers.run)
+        group.start_soon(node.duty.run)
+        group.start_soon(node.usage.save_forever, node.store)
+        _start_duties(group, node)
         readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
         await stack.enter_async_context(serving(readiness, settings.listen_readiness))
         app = front_app(node.front, wire.decode_request, node.gateway.serve)
@@ -112,6 +151,20 @@
     _log.info("stop", extra={"open": node.front.open_requests})
 
 
+def _start_duties(group: TaskGroup, node: Node) -> None:
+    allowed = may_act(node.duty)
+    if USAGE_DUTY in node.settings.duties:
+        group.start_soon(
+            lambda: report_forever(node.reports, may_act=allowed, agreed_now=node.agreed_now)
+        )
+    if SCALING_DUTY in node.settings.duties:
+        group.start_soon(
+            lambda: scale_forever(
+                node.scaling, may_act=allowed, configuration=lambda: node.gateway.configuration
+            )
+        )
+
+
 async def _drain(node: Node) -> None:
     """Turn not ready, serve until the balancer has moved on, and finish what runs."""
     _log.info("drain", extra={"open": node.front.open_requests})
@@ -121,6 +174,9 @@
         node.front.close_idle()
         while node.front.open_requests:
             await anyio.sleep(POLL_S)
+    with anyio.move_on_after(STOP_MARGIN_S):
+        await node.usage.save(node.store)
+        await node.duty.release()
 
 
 def run(check: bool = False) -> None:
