Follow demand with endpoint counts and engines' stages

Change: demand of all hosts, reading rate by expectile regression, one stage change at a time, standard endpoints only for what the cheap kind falls short of; usage waits for living hosts' counts.

--- a/samphirehall/gateway/agreed_time.py
+++ b/samphirehall/gateway/agreed_time.py
@@ -6,7 +6,7 @@
 
 
 class AgreedTime:
-    """This host's wall clock, corrected by the median of all hosts' clocks."""
+    """The wall clock of this host, corrected by the median of all hosts' clocks."""
 
     def __init__(self) -> None:
         self._ahead: dict[str, tuple[float, float]] = {}
--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -144,9 +144,11 @@
         raise BrokenAnswerError(f"got {type(event).__name__} inside a body")
 
     async def aclose(self) -> None:
-        with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_SECONDS):
-            with contextlib.suppress(OSError, anyio.BrokenResourceError):
-                await self._stream.aclose()
+        with (
+            contextlib.suppress(OSError, anyio.BrokenResourceError),
+            anyio.move_on_after(CLOSE_SECONDS, shield=True),
+        ):
+            await self._stream.aclose()
 
     def _start(self, parser: h11.Connection, body: bytes) -> bytes:
         assert self._request is not None
--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from samphirehall.gateway.demand import DemandMeter
 from samphirehall.gateway.dialect import Dialect
 from samphirehall.gateway.fleet import Fleet
 from samphirehall.gateway.load import LoadBoard
@@ -57,6 +58,7 @@
     rates: dict[tuple[str, Stage], ReadingRate] = field(default_factory=dict)
     hand_over: Average = field(default_factory=lambda: Average(PRIOR_HAND_OVER_S))
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
+    demands: dict[str, DemandMeter] = field(default_factory=dict)
     cache_notes: list[tuple[str, tuple[PromptPart, ...]]] = field(default_factory=list)
 
     def rate(self, service: str, stage: Stage) -> ReadingRate:
@@ -67,6 +69,16 @@
             self.rates[key] = ReadingRate(share_of_prior=share)
         return self.rates[key]
 
+    def demand(self, service: str) -> DemandMeter:
+        """Return what this host's callers ask of a service's engines."""
+        return self.demands.setdefault(service, DemandMeter())
+
+    def note_changing(self, endpoint_id: str, *, now: float) -> None:
+        """Keep work from an engine that changes its stage, and tell peers."""
+        state = self.fleet.endpoint(endpoint_id)
+        if state is not None:
+            state.changing_since = now
+
     def budget(self, service: str) -> RepeatBudget:
         """Return the allowance of repeats at a service."""
         if service not in self.budgets:
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -20,7 +20,7 @@
 
 
 class Duty:
-    """This host's part in the lease of the duties.
+    """The part of this host in the lease of the duties.
 
     A new holder waits for one more lease time before it acts, so that holders
     never take turns within that time.
--- a/samphirehall/gateway/endpoint_counts.py
+++ b/samphirehall/gateway/endpoint_counts.py
@@ -2,15 +2,46 @@
 
 The load it answers: prompts and generations that swing within seconds, while
 an endpoint takes seconds to come and may be reclaimed with its whole zone. The
-cheap kind carries what it can get; the standard kind stands in where it is not
-to be had.
+cheap kind carries what it can; the standard kind stands in for what the cheap
+one falls short of the demand.
 """
 
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from samphirehall.gateway.types import ListedEndpoint, ScalingLimits, Service
+from samphirehall.gateway.types import EngineLimits, ListedEndpoint, Service, Stage
 
-CHEAP_WAIT_FACTOR = 3.0  # boot times after which an ordered cheap endpoint counts as not to be had
+READING_USE = 0.6  # part of an engine's reading that is planned for: prompts come in clumps
+GENERATING_USE = 0.25  # part of the slots: a full batch generates more slowly and lacks memory
+LEAST_GENERATING = 2  # one may be lost at any time
+
+
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """What callers ask of a service's engines.
+
+    Parameters
+    ----------
+    reading : float
+        Engines that would read all prompts without a pause.
+    generating : float
+        Batches that the running streams fill.
+    """
+
+    reading: float
+    generating: float
+
+    @property
+    def readers(self) -> float:
+        """Engines that should read."""
+        return self.reading / READING_USE
+
+    @property
+    def generators(self) -> float:
+        """Engines that should generate."""
+        return max(LEAST_GENERATING, self.generating / GENERATING_USE)
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,67 +56,140 @@
 
 @dataclass(slots=True)
 class ZoneSupply:
-    """Endpoints of one service in one zone.
+    """Ready endpoints of one service in one zone.
 
     Parameters
     ----------
     standard, cheap : int
-        Ready endpoints of each kind.
+        Endpoints of each kind.
+    cheap_refused : bool
+        Whether cheap ones were not to be had there lately.
     """
 
     standard: int = 0
     cheap: int = 0
+    cheap_refused: bool = False
+
+
+def measure_demand(
+    tokens_per_second: float, rate: float, streams: int, limits: EngineLimits
+) -> Demand:
+    """Return the demand of prompt tokens and running streams.
 
+    Parameters
+    ----------
+    tokens_per_second : float
+        Prompt tokens to be read, over all hosts.
+    rate : float
+        Tokens a second that one engine reads.
+    streams : int
+        Streams that run, over all hosts.
+    limits : EngineLimits
+        Slots of an engine.
+    """
+    return Demand(tokens_per_second / rate, streams / limits.slots)
 
-def supply_by_zone(listed: list[ListedEndpoint], service: str) -> dict[str, ZoneSupply]:
-    """Return the ready endpoints of a service by zone."""
-    supply: dict[str, ZoneSupply] = {}
+
+def supply_by_zone(listed: Iterable[ListedEndpoint], service: Service) -> dict[str, ZoneSupply]:
+    """Return the ready endpoints of a service by zone, empty zones among them."""
+    zones = service.scaling.zone_prices if service.scaling else ()
+    supply = {zone: ZoneSupply() for zone in zones}
     for endpoint in listed:
-        if endpoint.service != service or not endpoint.ready:
+        if endpoint.service != service.name:
             continue
         zone = supply.setdefault(endpoint.zone, ZoneSupply())
-        if endpoint.cheap:
+        if endpoint.ready and endpoint.cheap:
             zone.cheap += 1
-        else:
+        elif endpoint.ready:
             zone.standard += 1
     return supply
 
 
 def wanted_counts(
-    service: Service, supply: ZoneSupply, *, zone: str, cheap_available: bool
+    service: Service, supply: Mapping[str, ZoneSupply], demand: Demand
 ) -> list[CountOrder]:
-    """Return the orders for one zone, the one that adds endpoints first.
+    """Return the counts that should be in force, those that add endpoints first.
 
     Parameters
     ----------
     service : Service
         Service with limits of scaling.
-    supply : ZoneSupply
-        What is there now.
-    zone : str
-        Zone.
-    cheap_available : bool
-        Whether cheap endpoints were to be had there lately.
+    supply : mapping of str to ZoneSupply
+        What is there by zone.
+    demand : Demand
+        What callers ask for.
     """
     limits = service.scaling
-    if limits is None:
+    if limits is None or not supply:
         return []
-    cheap = _wanted_cheap(limits) if cheap_available else supply.cheap
-    standard = _wanted_standard(limits, supply, cheap)
-    return [
-        CountOrder(service.name, zone, True, cheap),
-        CountOrder(service.name, zone, False, standard),
-    ]
-
-
-def _wanted_cheap(limits: ScalingLimits) -> int:
-    if limits.cheap_price is None or limits.cheap_price >= 1.0:
-        return 0
-    return max(limits.minimum, limits.maximum)
-
+    has_cheap = limits.cheap_price is not None and limits.cheap_price < 1.0
+    cheap = dict.fromkeys(supply, limits.maximum if has_cheap else 0)
+    standard = _stand_ins(service, supply, demand, has_cheap=has_cheap)
+    orders = [CountOrder(service.name, zone, True, count) for zone, count in cheap.items()]
+    if not has_cheap:
+        orders = []
+    orders += [CountOrder(service.name, zone, False, count) for zone, count in standard.items()]
+    return orders
+
+
+def _stand_ins(
+    service: Service, supply: Mapping[str, ZoneSupply], demand: Demand, *, has_cheap: bool
+) -> dict[str, int]:
+    """Return the standard endpoints by zone: what the cheap ones there fall short of.
+
+    A standard endpoint goes only when cheap ones have come in its place.
+    """
+    limits = service.scaling
+    assert limits is not None
+    wanted = math.ceil(demand.readers + demand.generators)
+    short = wanted - sum(zone.cheap for zone in supply.values())
+    counts: dict[str, int] = {}
+    by_price = sorted(supply, key=lambda name: limits.zone_prices.get(name, 1.0))
+    for name in by_price:
+        zone = supply[name]
+        least = limits.minimum if zone.cheap < limits.minimum else 0
+        # Both kinds share the limit: a place is left for a cheap one to come in.
+        kept_free = 1 if has_cheap and not zone.cheap_refused else 0
+        room = max(0, limits.maximum - zone.cheap - kept_free)
+        may_add = zone.cheap_refused or not has_cheap or zone.standard > 0
+        extra = min(room, max(0, short)) if may_add else 0
+        counts[name] = max(least, extra)
+        short -= counts[name]
+    return counts
+
+
+def wanted_stage_change(
+    engines: Iterable[ListedEndpoint], demand: Demand
+) -> tuple[str, Stage] | None:
+    """Return one engine whose stage should change, and the new stage, or None.
+
+    An engine is away for seconds when it changes. It does so only when its new
+    stage lacks an engine and its old one can spare it, and never as the last of
+    its stage in a zone with several engines.
 
-def _wanted_standard(limits: ScalingLimits, supply: ZoneSupply, cheap: int) -> int:
-    """Return the standard endpoints: those that the cheap ones there do not replace."""
-    if cheap > 0 and supply.cheap >= limits.minimum:
-        return 0
-    return max(limits.minimum, min(supply.standard, limits.maximum - supply.cheap))
+    Parameters
+    ----------
+    engines : iterable of ListedEndpoint
+        Ready engines of one service.
+    demand : Demand
+        What callers ask for, over a time longer than a change takes.
+    """
+    members = sorted(engines, key=lambda engine: engine.endpoint_id)
+    readers = [engine for engine in members if engine.stage is Stage.PREFILL]
+    generators = [engine for engine in members if engine.stage is Stage.DECODE]
+    if len(readers) < demand.readers and len(generators) - 1 >= demand.generators:
+        return _first_to_spare(generators, Stage.PREFILL)
+    if len(generators) < demand.generators and len(readers) - 1 >= demand.readers:
+        return _first_to_spare(readers, Stage.DECODE)
+    return None
+
+
+def _first_to_spare(
+    engines: Sequence[ListedEndpoint], new_stage: Stage
+) -> tuple[str, Stage] | None:
+    """Return an engine of the zone that has most of this stage, if it has two at least."""
+    zones = Counter(engine.zone for engine in engines)
+    zone, count = zones.most_common(1)[0]
+    if count < 2:
+        return None
+    return next(engine.endpoint_id for engine in engines if engine.zone == zone), new_stage
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.cache_model import CacheModel
@@ -12,6 +12,7 @@
 SUSPECT_SECONDS = 0.5  # first pause after a failure; a crashed process resets at once
 MOST_SUSPECT_SECONDS = 4.0  # longest pause; crashed endpoints are back in seconds
 SUSPICION_PENALTY_S = 0.5  # added to an estimate for an endpoint that fails all of its requests
+CHANGE_SECONDS = 6.0  # an ordered engine finishes its work and is away for some seconds
 FAILURE_MEMORY = 0.8  # weight of earlier outcomes when a new one is seen
 
 _log = logging.getLogger(__name__)
@@ -37,7 +38,7 @@
     failures_in_row: int = 0
     failure_share: float = 0.0
     suspect_until: float = 0.0
-    refused: bool = field(default=False)
+    changing_since: float = float("-inf")
 
     def succeeded(self) -> None:
         """Take note of an answer."""
@@ -52,6 +53,10 @@
         pause = min(SUSPECT_SECONDS * 2 ** (self.failures_in_row - 1), MOST_SUSPECT_SECONDS)
         self.suspect_until = now + pause
 
+    def is_changing(self, *, now: float) -> bool:
+        """Return whether the engine has been ordered to change and is not back."""
+        return now - self.changing_since < CHANGE_SECONDS
+
     def suspicion(self) -> float:
         """Return the seconds by which failures make this endpoint less attractive."""
         return SUSPICION_PENALTY_S * self.failure_share
@@ -84,6 +89,8 @@
         if known is not None and known.listed.identity == listed.identity:
             if known.listed != listed:
                 self._log_change("endpoint-changed", listed)
+            if known.listed.stage is not listed.stage:
+                known.changing_since = float("-inf")
             known.listed = listed
             return
         if known is not None:
@@ -124,7 +131,7 @@
             for endpoint_id, state in self._states.items()
             if state.listed.service == service
             and state.listed.ready
-            and not state.refused
+            and not state.is_changing(now=now)
             and endpoint_id not in without
             and (stage is None or state.listed.stage is stage)
         ]
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -60,6 +60,7 @@
     delivery = _Delivery(caller, journey.request.resume_after)
     while (plan := _next_plan(context, journey, prompt)) is not None:
         if not journey.sends:
+            context.demand(journey.service.name).note(plan.unread_tokens, now=context.clock())
             _admit(context, journey, plan)
         elif not context.may_repeat(journey.service.name):
             journey.notes["stopped"] = "repeat budget spent"
@@ -133,6 +134,8 @@
         "considered": considered,
         "tokens_ahead": plan.reader.tokens_ahead,
         "unread_tokens": plan.unread_tokens,
+        "tokens_per_second": round(plan.reader.tokens_per_second),
+        "overhead": round(plan.reader.overhead, 4),
         "wait": round(plan.wait, 4),
         "first_event": round(plan.first_event, 4),
     }
@@ -358,6 +361,7 @@
 
 def _learn(context: GatewayContext, journey: Journey, plan: GenerationPlan, seconds: float) -> None:
     """Measure the reading engine, unless others were read before."""
+    journey.notes["read_in"] = round(seconds, 4)
     if plan.reader.tokens_ahead == 0 and plan.fetch_from is None:
         rate = context.rate(journey.service.name, plan.reader.stage)
         rate.note(plan.unread_tokens, seconds)
--- a/samphirehall/gateway/load.py
+++ b/samphirehall/gateway/load.py
@@ -31,10 +31,14 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerLoad:
-    """What a peer said of its work, and when it was heard on the boot clock."""
+    """What a peer said of its work, and when it was heard on the boot clock.
+
+    `demand` holds the prompt tokens a second that its callers ask for, by service.
+    """
 
     heard_at: float
     loads: dict[str, EndpointLoad]
+    demand: dict[str, float]
 
 
 def clamp_rank(rank: int) -> int:
@@ -79,9 +83,25 @@
         """Return this host's work."""
         return self._own
 
-    def hear(self, peer: str, loads: dict[str, EndpointLoad], *, now: float) -> None:
+    def hear(
+        self,
+        peer: str,
+        loads: dict[str, EndpointLoad],
+        demand: dict[str, float],
+        *,
+        now: float,
+    ) -> None:
         """Replace what is known of a peer's work."""
-        self._peers[peer] = PeerLoad(now, loads)
+        self._peers[peer] = PeerLoad(now, loads, demand)
+
+    def reading_demand(self, own: float, service: str, *, now: float) -> float:
+        """Return the prompt tokens a second that all hosts' callers ask of a service."""
+        heard = (
+            peer.demand.get(service, 0.0)
+            for peer in self._peers.values()
+            if now - peer.heard_at < PEER_LOAD_SECONDS
+        )
+        return own + sum(heard)
 
     def at(self, endpoint_id: str, *, now: float) -> EndpointLoad:
         """Return the work of all hosts at an endpoint."""
--- a/samphirehall/gateway/peers.py
+++ b/samphirehall/gateway/peers.py
@@ -26,9 +26,10 @@
 QUIET_S = 0.5  # a host without news is heard so often, well within a load's lifetime
 LIST_S = 10.0  # new hosts also make themselves heard; the list only helps after lost datagrams
 RETRY_LIST_S = 1.0
-LIVE_S = 2.0  # four quiet intervals
+LIVE_S = 6.0  # a host that is cut off for less has counts to give
 MAX_NOTES = 12  # notes of cached prompts in one datagram, which must fit a packet
 MAX_WAITING_NOTES = 200  # older ones are dropped while datagrams do not keep up
+TELL_CHANGING_S = 1.0  # peers hear of an ordered change several times in this time
 HOST_PREFIX = "hosts/"
 
 _log = logging.getLogger(__name__)
@@ -43,6 +44,8 @@
     version: int
     loads: dict[str, list[int]]
     notes: list[tuple[str, list[tuple[str, int]]]]
+    demand: dict[str, float]
+    changing: list[str]
 
 
 @dataclass(slots=True)
@@ -144,27 +147,40 @@
         if changes == self._sent_changes and now - self._sent_at < QUIET_S:
             return
         self._sent_changes, self._sent_at = changes, now
-        datagram = _encoder.encode(self._news())
+        datagram = _encoder.encode(self._news(now))
         for peer in list(self._peers.values()):
             try:
                 await udp.sendto(datagram, *peer.address)
             except OSError as error:
                 _log.warning("peer-unreachable", extra={"reason": os.strerror(error.errno or 0)})
 
-    def _news(self) -> _PeerNews:
-        notes = self._context.cache_notes
+    def _news(self, now: float) -> _PeerNews:
+        context = self._context
+        notes = context.cache_notes
         del notes[: max(0, len(notes) - MAX_WAITING_NOTES)]
         told, notes[:] = notes[:MAX_NOTES], notes[MAX_NOTES:]
         loads = {
             endpoint_id: [load.requests, *load.unread_tokens]
-            for endpoint_id, load in self._context.loads.own().items()
+            for endpoint_id, load in context.loads.own().items()
         }
         encoded = [
             (endpoint_id, [(part.part_id, part.tokens) for part in parts])
             for endpoint_id, parts in told
         ]
+        changing = [
+            state.listed.endpoint_id
+            for state in context.fleet.states()
+            if now - state.changing_since < TELL_CHANGING_S
+        ]
         return _PeerNews(
-            self._context.host, self._address, wall_seconds(), self._version(), loads, encoded
+            context.host,
+            self._address,
+            wall_seconds(),
+            self._version(),
+            loads,
+            encoded,
+            {name: round(meter.rate(now=now)) for name, meter in context.demands.items()},
+            changing,
         )
 
     async def _receive(self, udp: UDPSocket) -> None:
@@ -188,8 +204,16 @@
             endpoint_id: EndpointLoad(numbers[0], list(numbers[1:]))
             for endpoint_id, numbers in news.loads.items()
         }
-        self._context.loads.hear(news.host, loads, now=now)
+        self._context.loads.hear(news.host, loads, news.demand, now=now)
+        self._take_engine_news(news, now=now)
+
+    def _take_engine_news(self, news: _PeerNews, *, now: float) -> None:
+        fleet = self._context.fleet
         for endpoint_id, parts in news.notes:
-            state = self._context.fleet.endpoint(endpoint_id)
+            state = fleet.endpoint(endpoint_id)
             if state is not None and state.cache is not None:
                 state.cache.note([PromptPart(part_id, tokens) for part_id, tokens in parts])
+        for endpoint_id in news.changing:
+            state = fleet.endpoint(endpoint_id)
+            if state is not None and not state.is_changing(now=now):
+                state.changing_since = now
--- a/samphirehall/gateway/reading_rate.py
+++ b/samphirehall/gateway/reading_rate.py
@@ -1,7 +1,14 @@
 """How fast engines read prompts, measured while running."""
 
-FORGET = 0.97  # weight of a sample after the next one: about thirty samples count
+from collections import deque
+
 AVERAGE_FORGET = 0.9  # about ten samples count
+SAMPLES = 48  # the last calls of one host that count; about ten seconds at ordinary load
+PASSES = 4  # of weighting and fitting, after which the fit hardly changes
+# Calls are slower when others were read before them, which this host may not know. A call that
+# is faster than the fit tells more than one that is slower.
+FASTER_WEIGHT = 0.9
+SLOWER_WEIGHT = 0.1
 PRIOR_OVERHEAD_S = 0.03  # a call without a prompt: network and one step, until measured
 PRIOR_TOKENS_PER_S = 30_000.0  # a cautious large engine, until measured
 PRIOR_WEIGHT = 0.5  # a few real calls outweigh the prior
@@ -11,15 +18,24 @@
 
 
 class ReadingRate:
-    """Fit of ``seconds = overhead + tokens / rate`` over recent calls that met no queue."""
+    """Fit of ``seconds = overhead + tokens / rate`` to the faster of the recent calls.
+
+    The fit is an expectile regression (Newey and Powell, "Asymmetric Least
+    Squares Estimation and Testing", 1987).
+
+    Parameters
+    ----------
+    share_of_prior : float
+        Speed until something is measured, as a share of the usual one.
+    """
 
     def __init__(self, *, share_of_prior: float = 1.0) -> None:
-        rate = PRIOR_TOKENS_PER_S * share_of_prior
-        self._weight = self._x = self._y = self._xx = self._xy = 0.0
+        self._rate = PRIOR_TOKENS_PER_S * share_of_prior
         self._overhead = PRIOR_OVERHEAD_S
-        self._rate = rate
-        for tokens in (0.0, PRIOR_TOKENS):
-            self._add(tokens, PRIOR_OVERHEAD_S + tokens / rate, PRIOR_WEIGHT)
+        self._prior = [
+            (tokens, PRIOR_OVERHEAD_S + tokens / self._rate) for tokens in (0.0, PRIOR_TOKENS)
+        ]
+        self._samples: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
 
     @property
     def tokens_per_second(self) -> float:
@@ -33,27 +49,31 @@
 
     def note(self, tokens: float, seconds: float) -> None:
         """Take a call into account that read `tokens` without waiting for others."""
-        for name in ("_weight", "_x", "_y", "_xx", "_xy"):
-            setattr(self, name, getattr(self, name) * FORGET)
-        self._add(tokens, seconds, 1.0)
-        self._fit()
-
-    def _add(self, x: float, y: float, weight: float) -> None:
-        self._weight += weight
-        self._x += weight * x
-        self._y += weight * y
-        self._xx += weight * x * x
-        self._xy += weight * x * y
+        self._samples.append((tokens, seconds))
+        for _ in range(PASSES):
+            self._fit()
 
     def _fit(self) -> None:
-        spread = self._weight * self._xx - self._x * self._x
-        if spread <= 0:
-            return
-        slope = (self._weight * self._xy - self._x * self._y) / spread
-        slowest, fastest = 1 / SLOWEST_TOKENS_PER_S, 1 / FASTEST_TOKENS_PER_S
-        slope = min(max(slope, fastest), slowest)
+        weight = x = y = xx = xy = 0.0
+        for tokens, seconds, share in self._weighted():
+            weight += share
+            x += share * tokens
+            y += share * seconds
+            xx += share * tokens * tokens
+            xy += share * tokens * seconds
+        slope = (weight * xy - x * y) / (weight * xx - x * x)
+        slope = min(max(slope, 1 / FASTEST_TOKENS_PER_S), 1 / SLOWEST_TOKENS_PER_S)
         self._rate = 1 / slope
-        self._overhead = max(0.0, (self._y - slope * self._x) / self._weight)
+        self._overhead = max(0.0, (y - slope * x) / weight)
+
+    def _weighted(self) -> list[tuple[float, float, float]]:
+        """Return tokens, seconds and weight of each sample, the prior's among them."""
+        weighted = [(tokens, seconds, PRIOR_WEIGHT) for tokens, seconds in self._prior]
+        for tokens, seconds in self._samples:
+            expected = self._overhead + tokens / self._rate
+            share = FASTER_WEIGHT if seconds < expected else SLOWER_WEIGHT
+            weighted.append((tokens, seconds, share))
+        return weighted
 
 
 class Average:
--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -1,45 +1,73 @@
-"""Keeps the endpoint counts of all services in force while this host holds the duty."""
+"""Keeps endpoint counts and engines' stages in step with demand while this host holds the duty."""
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections import deque
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 
 import anyio
 
+from samphirehall.authority.lease import LeaseLostError
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
+from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.endpoint_counts import (
     CountOrder,
+    Demand,
     ZoneSupply,
+    measure_demand,
     supply_by_zone,
     wanted_counts,
+    wanted_stage_change,
 )
-from samphirehall.gateway.fleet import Fleet
-from samphirehall.gateway.types import GatewayConfiguration
+from samphirehall.gateway.types import GatewayConfiguration, ListedEndpoint, Service, Stage
 
 LOOK_S = 0.5  # between looks at the fleet; an endpoint takes seconds to come
-ARRIVAL_FACTOR = 1.5  # boot times after which an order that has not come is sent again
 REFUSED_S = 3.0  # until a kind that was not to be had is asked for again
+RESEND_S = 2.0  # until an order is sent again whose endpoints are not all there: it may be cut
+STAGE_PATIENCE_S = 2.0  # a change must be wanted for so long, and follows an earlier one so late
+DEMAND_MEMORY_S = 6.0  # counts follow the highest demand of this time; bursts last seconds
 
 _log = logging.getLogger(__name__)
 
+Subject = tuple[str, str, bool]
+
+
+@dataclass(slots=True, frozen=True)
+class ScalingCalls:
+    """Calls that only the holder of the duty makes.
+
+    Parameters
+    ----------
+    order_count : callable
+        Orders endpoints; returns whether they are to be had.
+    order_stage : callable
+        Orders an engine to work on another stage; returns whether it accepted.
+    """
+
+    order_count: Callable[[CountOrder], Awaitable[bool]]
+    order_stage: Callable[[ListedEndpoint, Stage], Awaitable[bool]]
+
 
 class Scaling:
-    """Orders for endpoints, sent again only when they change or were refused.
+    """Orders, sent again only when they change, were refused or have not come true.
 
     Parameters
     ----------
-    fleet : Fleet
-        Endpoints that are there.
-    send : callable
-        Sends an order; returns whether the endpoints are to be had.
+    context : GatewayContext
+        Endpoints, load and demand.
+    calls : ScalingCalls
+        How orders are sent.
     """
 
-    def __init__(self, fleet: Fleet, send: Callable[[CountOrder], Awaitable[bool]]) -> None:
-        self._fleet = fleet
-        self._send = send
-        self._accepted: dict[tuple[str, str, bool], tuple[int, float]] = {}
-        self._refused_at: dict[tuple[str, str, bool], float] = {}
+    def __init__(self, context: GatewayContext, calls: ScalingCalls) -> None:
+        self._context = context
+        self._calls = calls
+        self._accepted: dict[Subject, tuple[int, float]] = {}
+        self._refused_at: dict[Subject, float] = {}
+        self._recent: dict[str, deque[tuple[float, Demand]]] = {}
+        self._wanted_stage: dict[str, tuple[Stage | None, float]] = {}
 
     def forget(self) -> None:
         """Forget what was ordered: another host may have ordered since."""
@@ -54,32 +82,68 @@
         PlatformUnavailableError
             The platform did not answer.
         """
-        listed = [state.listed for state in self._fleet.states()]
+        listed = [state.listed for state in self._context.fleet.states()]
         for service in configuration.services.values():
-            if service.scaling is None:
+            if service.engine is None:
                 continue
-            supplies = supply_by_zone(listed, service.name)
-            for zone in sorted({*supplies, *service.scaling.zone_prices}):
-                refused = self._refused_at.get((service.name, zone, True), float("-inf"))
-                orders = wanted_counts(
-                    service,
-                    supplies.get(zone, ZoneSupply()),
-                    zone=zone,
-                    cheap_available=now - refused >= REFUSED_S,
-                )
-                supply = supplies.get(zone, ZoneSupply())
-                for order in orders:
-                    there = supply.cheap if order.cheap else supply.standard
-                    await self._order(order, there, service.scaling.boot_time, now=now)
-
-    async def _order(self, order: CountOrder, there: int, boot_time: float, *, now: float) -> None:
+            demand = self._demand(service, listed, now=now)
+            if service.scaling is not None:
+                await self._keep_counts(service, listed, demand, now=now)
+            await self._keep_stages(service, listed, demand, now=now)
+
+    def _demand(self, service: Service, listed: list[ListedEndpoint], *, now: float) -> Demand:
+        assert service.engine is not None
+        context = self._context
+        streams = sum(
+            context.loads.at(endpoint.endpoint_id, now=now).requests
+            for endpoint in listed
+            if endpoint.service == service.name and endpoint.stage is Stage.DECODE
+        )
+        rate = context.rate(service.name, Stage.PREFILL).tokens_per_second
+        tokens = context.loads.reading_demand(
+            context.demand(service.name).rate(now=now), service.name, now=now
+        )
+        return measure_demand(tokens, rate, streams, service.engine)
+
+    async def _keep_counts(
+        self, service: Service, listed: list[ListedEndpoint], demand: Demand, *, now: float
+    ) -> None:
+        supply = supply_by_zone(listed, service)
+        for zone, there in supply.items():
+            refused = self._refused_at.get((service.name, zone, True), float("-inf"))
+            there.cheap_refused = now - refused < 2 * REFUSED_S
+        peak = self._peak(service, demand, now=now)
+        for order in wanted_counts(service, supply, peak):
+            await self._order(order, supply, peak, now=now)
+
+    def _peak(self, service: Service, demand: Demand, *, now: float) -> Demand:
+        """Return the highest demand of the last seconds."""
+        recent = self._recent.setdefault(service.name, deque())
+        recent.append((now, demand))
+        while recent[0][0] < now - DEMAND_MEMORY_S:
+            recent.popleft()
+        return Demand(
+            max(sample.reading for _, sample in recent),
+            max(sample.generating for _, sample in recent),
+        )
+
+    async def _order(
+        self,
+        order: CountOrder,
+        supply: Mapping[str, ZoneSupply],
+        demand: Demand,
+        *,
+        now: float,
+    ) -> None:
         """Send an order unless it stands; an accepted one may have been cut to the limits."""
         subject = (order.service, order.zone, order.cheap)
-        count, ordered_at = self._accepted.get(subject, (-1, 0.0))
-        waiting = now - ordered_at < boot_time * ARRIVAL_FACTOR
-        if count == order.count and (there >= count or waiting):
+        there = supply[order.zone].cheap if order.cheap else supply[order.zone].standard
+        count, ordered_at = self._accepted.get(subject, (-1, float("-inf")))
+        if count == order.count and (there >= count or now - ordered_at < RESEND_S):
+            return
+        if now - self._refused_at.get(subject, float("-inf")) < REFUSED_S:
             return
-        accepted = await self._send(order)
+        accepted = await self._calls.order_count(order)
         log_decision(
             _log,
             "endpoints-ordered",
@@ -88,12 +152,46 @@
             zone=order.zone,
             cheap=order.cheap,
             count=order.count,
+            there=there,
+            reading=round(demand.reading, 2),
+            generating=round(demand.generating, 2),
         )
         if accepted:
             self._accepted[subject] = order.count, now
         else:
             self._refused_at[subject] = now
 
+    async def _keep_stages(
+        self, service: Service, listed: list[ListedEndpoint], demand: Demand, *, now: float
+    ) -> None:
+        """Change one engine at a time, if a change has been wanted for some time."""
+        engines = {
+            endpoint.endpoint_id: endpoint
+            for endpoint in listed
+            if endpoint.service == service.name and endpoint.ready and endpoint.stage
+        }
+        change = wanted_stage_change(engines.values(), demand)
+        stage = change[1] if change else None
+        if stage is not self._wanted_stage.get(service.name, (None, 0.0))[0]:
+            self._wanted_stage[service.name] = stage, now
+        if change is None or now - self._wanted_stage[service.name][1] < STAGE_PATIENCE_S:
+            return
+        endpoint_id, new_stage = change
+        self._wanted_stage[service.name] = None, now
+        accepted = await self._calls.order_stage(engines[endpoint_id], new_stage)
+        log_decision(
+            _log,
+            "stage-ordered",
+            "accepted" if accepted else "refused",
+            endpoint=endpoint_id,
+            zone=engines[endpoint_id].zone,
+            stage=new_stage.value,
+            reading=round(demand.reading, 2),
+            generating=round(demand.generating, 2),
+        )
+        if accepted:
+            self._context.note_changing(endpoint_id, now=now)
+
 
 async def scale_forever(
     scaling: Scaling,
@@ -101,7 +199,7 @@
     may_act: Callable[[float], bool],
     configuration: Callable[[], GatewayConfiguration | None],
 ) -> None:
-    """Keep the counts in force until cancelled.
+    """Keep counts and stages in step until cancelled.
 
     Parameters
     ----------
@@ -121,5 +219,5 @@
             continue
         try:
             await scaling.step(present, now=now)
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, LeaseLostError) as error:
             _log.warning("endpoints-unordered", extra={"reason": str(error)})
--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -7,18 +7,20 @@
 
 import logging
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import anyio
 
-from samphirehall.backing.table import ABSENT, Check, Table, Write
+from samphirehall.authority.lease import LeaseLostError
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
 SAVE_S = 1.0  # counts that a killed host may lose; one small write a host a second
-SETTLE_S = 2.5  # after a window's end: the last save of each host, and a slow store's answer
+CLOSE_S = 0.3  # after a window's end, for requests that begin at it, and clocks that differ
+WAIT_SHARE = 0.7  # part of the time until a report is due for which a host's counts are waited for
 KEPT_WINDOWS = 24  # rows of older windows are deleted; reports are due within a few
 WINDOW_DIGITS = 12  # keys sort as numbers
 COUNTS_PREFIX = "usage/counts/"
@@ -56,6 +58,7 @@
         self._agreed_now = agreed_now
         self._counts: dict[int, Counter[str]] = defaultdict(Counter)
         self._unsaved: set[int] = set()
+        self._open = self.window_now
 
     @property
     def window_now(self) -> int:
@@ -75,22 +78,27 @@
             await self.save(table)
 
     async def save(self, table: Table) -> None:
-        """Write the windows that have changed since they were written last."""
+        """Write the windows that have changed or ended since they were written last."""
+        open_window = int((self._agreed_now() - CLOSE_S) / self._seconds)
+        self._unsaved.update(range(self._open, open_window))
+        self._open = max(self._open, open_window)
         changed, self._unsaved = self._unsaved, set()
         if not changed:
             return
-        writes = [
-            Write(counts_prefix(window) + self._host, dict(self._counts[window]))
-            for window in changed
-        ]
+        writes = [self._row(window) for window in changed]
         try:
             await table.transact([], writes)
         except PlatformUnavailableError as error:
             self._unsaved |= changed
             _log.warning("usage-unsaved", extra={"windows": len(changed), "reason": str(error)})
+            return
         for window in [old for old in self._counts if old < self.window_now - KEPT_WINDOWS]:
             del self._counts[window]
 
+    def _row(self, window: int) -> Write:
+        row = {"closed": window < self._open, "counts": dict(self._counts[window])}
+        return Write(counts_prefix(window) + self._host, row)
+
 
 @dataclass(slots=True)
 class UsageReports:
@@ -102,13 +110,17 @@
         Where counts and sums are.
     send : callable
         Reports a window's sum to the platform.
-    window_seconds : float
-        Length of a window.
+    live_hosts : callable
+        Hosts whose counts are waited for.
+    window_seconds, due_seconds : float
+        Length of a window, and how long after its end its report is due.
     """
 
     table: Table
     send: Callable[[int, dict[str, int]], Awaitable[None]]
+    live_hosts: Callable[[], Iterable[str]]
     window_seconds: float
+    due_seconds: float
     next_window: int | None = None
 
     async def report_due(self, agreed_now: float) -> None:
@@ -119,12 +131,14 @@
         PlatformUnavailableError
             The store or the platform did not answer.
         """
-        last = int((agreed_now - SETTLE_S) / self.window_seconds) - 1
+        last = int((agreed_now - CLOSE_S) / self.window_seconds) - 1
         if self.next_window is None:
             self.next_window = await self._first_unreported(last)
         while self.next_window <= last:
             window = self.next_window
-            counts = await self._settle(window)
+            counts = await self._settle(window, agreed_now)
+            if counts is None:
+                return
             await self.send(window, counts)
             self.next_window = window + 1
             log_decision(_log, "usage-reported", "window has settled", window=window, counts=counts)
@@ -139,16 +153,18 @@
             return int(counts[0].key.removeprefix(COUNTS_PREFIX).split("/")[0])
         return last
 
-    async def _settle(self, window: int) -> dict[str, int]:
-        """Return the sum of a window, stored once and never changed."""
+    async def _settle(self, window: int, agreed_now: float) -> dict[str, int] | None:
+        """Return the sum of a window, stored once and never changed; None to wait for a host."""
         key = sum_key(window)
         stored = (await self.table.read([key])).get(key)
         if stored is not None:
             return dict(stored.value)
         rows = await self.table.scan(counts_prefix(window))
+        if self._waits(window, rows, agreed_now):
+            return None
         total: Counter[str] = Counter()
         for row in rows:
-            total.update(row.value)
+            total.update(row.value["counts"])
         old = sum_key(window - KEPT_WINDOWS)
         writes = [Write(key, dict(total)), Write(old, None)]
         result = await self.table.transact([Check(key, ABSENT)], writes)
@@ -157,6 +173,14 @@
         await self._delete_counts(window - KEPT_WINDOWS)
         return dict(total)
 
+    def _waits(self, window: int, rows: Sequence[Row], agreed_now: float) -> bool:
+        """Return whether a host that lives has not closed the window, and there is time."""
+        end = (window + 1) * self.window_seconds
+        if agreed_now >= end + WAIT_SHARE * self.due_seconds:
+            return False
+        closed = {row.key.split("/")[3] for row in rows if row.value["closed"]}
+        return not closed.issuperset(self.live_hosts())
+
     async def _delete_counts(self, window: int) -> None:
         rows = await self.table.scan(counts_prefix(window))
         if rows:
@@ -187,5 +211,5 @@
             continue
         try:
             await reports.report_due(agreed_now())
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, LeaseLostError) as error:
             _log.warning("usage-unreported", extra={"reason": str(error)})
--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -160,23 +160,28 @@
 
 
 def _service(service: _Service) -> Service:
-    engine, scaling = service.engine, service.scaling
     return Service(
         service.name,
         service.health_path,
         service.max_conns,
-        engine
-        and EngineLimits(
-            engine.slots,
-            engine.kv_tokens,
-            engine.kv_token_bytes,
-            engine.link_mbps * MEGABIT,
-            engine.handle_ttl_s,
-        ),
-        scaling
-        and ScalingLimits(
-            scaling.min, scaling.max, scaling.boot_s, scaling.spot_price, scaling.zone_prices
-        ),
+        None if service.engine is None else _engine_limits(service.engine),
+        None if service.scaling is None else _scaling_limits(service.scaling),
+    )
+
+
+def _engine_limits(engine: _Engine) -> EngineLimits:
+    return EngineLimits(
+        engine.slots,
+        engine.kv_tokens,
+        engine.kv_token_bytes,
+        engine.link_mbps * MEGABIT,
+        engine.handle_ttl_s,
+    )
+
+
+def _scaling_limits(scaling: _Scaling) -> ScalingLimits:
+    return ScalingLimits(
+        scaling.min, scaling.max, scaling.boot_s, scaling.spot_price, scaling.zone_prices
     )
 
 
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -17,9 +17,7 @@
 
 CALL_SECONDS = 1.0  # an ordinary answer takes some milliseconds; a slow one a quarter of a second
 FEED_SLACK_S = 1.0  # an answer to a feed call may be so late before its connection counts as silent
-MAX_ANSWER_BYTES = (
-    4 * 1024 * 1024
-)  # of one page of rows, which the store bounds to 1 MB before base64
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # of one page of rows, at most 1 MB before encoding
 PAGE_ROWS = 500  # the store's own limit
 OWN_TABLE = "samphirehall"  # the product's rows
 CONFIGURATION_TABLE = "op"
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -19,10 +19,12 @@
 from samphirehall.gateway.peers import Peers
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, TableFollower
-from samphirehall.gateway.scaling import Scaling, scale_forever
+from samphirehall.gateway.scaling import Scaling, ScalingCalls, scale_forever
+from samphirehall.gateway.types import ListedEndpoint, Stage
 from samphirehall.gateway.usage_windows import UsageCounter, UsageReports, report_forever
 from samphirehall.platform import documents, store, wire
 from samphirehall.platform.duties import Duties
+from samphirehall.platform.engine_orders import order_stage
 from samphirehall.platform.settings import (
     SCALING_DUTY,
     USAGE_DUTY,
@@ -70,8 +72,15 @@
             self.agreed,
             lambda: self.gateway.version,
         )
-        self.reports = UsageReports(self.store, self._report_usage, settings.usage_window)
-        self.scaling = Scaling(self.context.fleet, self._order_endpoints)
+        self.reports = UsageReports(
+            self.store,
+            self._report_usage,
+            lambda: self.peers.live(now=boot_seconds()),
+            settings.usage_window,
+            settings.usage_due,
+        )
+        calls = ScalingCalls(self._order_count, self._order_stage)
+        self.scaling = Scaling(self.context, calls)
         self.front = FrontState(lambda: self.gateway.limits)
         self.configurations = TableFollower(
             self.store, store.CONFIGURATION_TABLE, self._take_configuration
@@ -92,9 +101,17 @@
     async def _report_usage(self, window: int, counts: dict[str, int]) -> None:
         await self.duties.report_usage(now_right(self.duty), window, counts)
 
-    async def _order_endpoints(self, order: CountOrder) -> bool:
+    async def _order_count(self, order: CountOrder) -> bool:
         return await self.duties.order_endpoints(now_right(self.duty), order)
 
+    async def _order_stage(self, engine: ListedEndpoint, stage: Stage) -> bool:
+        state = self.context.fleet.endpoint(engine.endpoint_id)
+        if state is None:
+            return False
+        return await order_stage(
+            state.connections, engine, stage, host=self.settings.host, duty=self.duty
+        )
+
     def _take_configuration(self, change: RowChange) -> None:
         if change.key != store.CONFIGURATION_KEY or change.value is None:
             return
