Hear of a lost store within two seconds, reload on SIGHUP, refuse at the end of a stop

Change: feed calls of 1 s with 0.5 s slack; settings are read again on SIGHUP and on change; the last 2.5 s of a stop refuse new requests.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -88,6 +88,12 @@
             )
         return self.budgets[service]
 
+    def set_repeat_limits(self, limits: RepeatLimits) -> None:
+        """Put new bounds of further sends in force; counting begins anew if they differ."""
+        if limits != self.repeat_limits:
+            self.repeat_limits = limits
+            self.budgets.clear()
+
     def may_repeat(self, service: str) -> bool:
         """Return whether one more send to a service is allowed, and count it."""
         return self.budget(service).take(hosts=self.live_hosts(), now=self.clock())
--- a/samphirehall/gateway/front.py
+++ b/samphirehall/gateway/front.py
@@ -11,7 +11,7 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import INTERNAL_NOT_RUN, INTERNAL_UNKNOWN
+from samphirehall.core.results import INTERNAL_NOT_RUN, INTERNAL_UNKNOWN, SHUTTING_DOWN
 from samphirehall.forwarding.answers import (
     JSON,
     Receive,
@@ -32,6 +32,7 @@
 from samphirehall.gateway.types import CallerLimits, Headers, Request
 
 BODY_SECONDS = 30.0  # a client that is slower than this has stopped sending
+OTHER_HOST_S = 0.05  # a refused client finds another host at once
 CLOSE = (b"connection", b"close")
 
 _log = logging.getLogger(__name__)
@@ -50,12 +51,15 @@
         The limits now in force.
     stopping : bool
         Whether each answer ends its connection.
+    refusing : bool
+        Whether new requests are refused, as there is no time left to finish them.
     open_requests : int
         Requests read and not answered.
     """
 
     limits: Callable[[], CallerLimits]
     stopping: bool = False
+    refusing: bool = False
     open_requests: int = 0
     connections: WeakSet[HttpToolsProtocol] = field(default_factory=WeakSet)
 
@@ -149,6 +153,8 @@
         body = await read_request_body(receive, max_bytes=limit, timeout=BODY_SECONDS)
         request = decode(scope["method"], scope[TARGET], scope["headers"], body, boot_seconds())
         request_id = request.request_id
+        if state.refusing:
+            raise SamphireError(SHUTTING_DOWN, "the host is stopping", retry_after=OTHER_HOST_S)
         await serve(request, caller)
     except CallerGoneError:
         return
--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -10,7 +10,7 @@
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
-FEED_WAIT_S = 5.0  # a call that hears nothing ends after so long, which shows a silent connection
+FEED_WAIT_S = 1.0  # a call that hears nothing ends after so long; a later end hides a lost store
 RETRY_S = 0.25  # between calls to a store that does not answer; a quarter of what callers notice
 
 _log = logging.getLogger(__name__)
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -16,7 +16,7 @@
 from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
 
 CALL_SECONDS = 1.0  # an ordinary answer takes some milliseconds; a slow one a quarter of a second
-FEED_SLACK_S = 1.0  # an answer to a feed call may be so late before its connection counts as silent
+FEED_SLACK_S = 0.5  # an answer to a feed call may be so late before its connection counts as silent
 MAX_ANSWER_BYTES = 4 * 1024 * 1024  # of one page of rows, at most 1 MB before encoding
 PAGE_ROWS = 500  # the store's own limit
 OWN_TABLE = "samphirehall"  # the product's rows
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -1,6 +1,8 @@
 """``samphire-node``: the whole of one host on the users' platform, as one process."""
 
 import logging
+import os
+import signal
 from contextlib import AsyncExitStack
 
 import anyio
@@ -33,11 +35,14 @@
     settings_path,
 )
 from samphirehall.programs.running import new_incarnation, run_daemon, wait_for_stop
+from samphirehall.settings.loading import SettingsError
 
 READINESS_PATH = "/ready"
-GATHER_S = 0.3  # endpoints' entries change several times a second; leaving must show within two
+GATHER_S = 0.5  # endpoints' entries change several times a second; leaving must show within two
 BALANCER_S = 3.0  # two missed questions a second apart, and one second for the answer
 STOP_MARGIN_S = 1.0  # before the platform ends the process
+FINISH_S = 2.5  # before that, for requests that run; ordinary ones take one or two seconds
+SETTINGS_LOOK_S = 1.0  # between looks at the settings file
 POLL_S = 0.05  # looking for the end of the last request
 
 _log = logging.getLogger(__name__)
@@ -133,6 +138,18 @@
         service = configuration.services.get(listed.service) if configuration else None
         self.context.fleet.take(listed, service)
 
+    def reload(self, reason: str) -> None:
+        """Take over what may change while the process runs; a broken file changes nothing."""
+        try:
+            settings = load_platform_settings(settings_path())
+        except SettingsError as error:
+            _log.error("reload-refused", extra={"reason": str(error)})
+            return
+        limits = RepeatLimits(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window)
+        self.context.set_repeat_limits(limits)
+        self.settings = settings
+        _log.info("reload", extra={"reason": reason})
+
     async def close_retired(self) -> None:
         """Close connections to endpoints that are gone, until cancelled."""
         while True:
@@ -154,6 +171,7 @@
         group.start_soon(node.peers.run)
         group.start_soon(node.duty.run)
         group.start_soon(node.usage.save_forever, node.store)
+        group.start_soon(_follow_settings, node)
         _start_duties(group, node)
         readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
         await stack.enter_async_context(serving(readiness, settings.listen_readiness))
@@ -182,20 +200,53 @@
         )
 
 
+async def _follow_settings(node: Node) -> None:
+    """Read the settings again on SIGHUP, and when the file has changed without one."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_reload_on_signal, node)
+        seen = _changed_at()
+        while True:
+            await anyio.sleep(SETTINGS_LOOK_S)
+            if _changed_at() != seen:
+                seen = _changed_at()
+                node.reload("file has changed")
+
+
+async def _reload_on_signal(node: Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            node.reload("signal")
+
+
+def _changed_at() -> int:
+    try:
+        return os.stat(settings_path()).st_mtime_ns
+    except OSError:
+        return 0
+
+
 async def _drain(node: Node) -> None:
     """Turn not ready, serve until the balancer has moved on, and finish what runs."""
     _log.info("drain", extra={"open": node.front.open_requests})
     node.front.stopping = True
-    with anyio.move_on_after(node.settings.stop_time - STOP_MARGIN_S):
+    stop_time = node.settings.stop_time - STOP_MARGIN_S
+    with anyio.move_on_after(stop_time):
         await anyio.sleep(BALANCER_S)
         node.front.close_idle()
-        while node.front.open_requests:
-            await anyio.sleep(POLL_S)
+        with anyio.move_on_after(max(0.0, stop_time - BALANCER_S - FINISH_S)):
+            await _until_idle(node)
+        node.front.refusing = True
+        await _until_idle(node)
     with anyio.move_on_after(STOP_MARGIN_S):
         await node.usage.save(node.store)
         await node.duty.release()
 
 
+async def _until_idle(node: Node) -> None:
+    while node.front.open_requests:
+        await anyio.sleep(POLL_S)
+
+
 def run(check: bool = False) -> None:
     """Run this host with the settings that the platform has written.
 
