--- /dev/null
+++ b/tests/gateway/helpers.py
@@ -0,0 +1,214 @@
+"""Scripted endpoints on loopback, and values that tests of the gateway share."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import h11
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.gateway.context import GatewayContext, RepeatLimits
+from samphirehall.gateway.types import (
+    CallerLimits,
+    Customer,
+    EngineLimits,
+    GatewayConfiguration,
+    ListedEndpoint,
+    Prompt,
+    PromptPart,
+    Request,
+    RequestKind,
+    Route,
+    ScalingLimits,
+    Service,
+    Share,
+    Stage,
+)
+from samphirehall.platform import wire
+from tests.support.resets import RESET_ON_CLOSE
+
+ENGINE = EngineLimits(64, 400_000, 163_840.0, 1.7e12, 5.0)
+SCALING = ScalingLimits(1, 3, 4.0, 0.18, {"a": 1.0, "b": 0.8, "c": 1.2})
+DESK = Service("desk", "/health", 100)
+MODEL = Service("model", "/health", 300, ENGINE, SCALING)
+TO_DESK, TO_MODEL = (Share("desk", 1),), (Share("model", 1),)
+ONCE, STREAM, AGAIN = RequestKind.ONCE, RequestKind.STREAM, RequestKind.IDEMPOTENT
+ROUTES = (
+    Route("read", "h.example", "/read/", AGAIN, TO_DESK, 1.0, 0.1, 2, 2),
+    Route("book", "h.example", "/book/", ONCE, TO_DESK, 1.0, 0.1, 2, 1),
+    Route("chat", "h.example", "/chat/", STREAM, TO_MODEL, 4.0, 0.5, 1, 2, False, True, 0.15),
+    Route("once", "h.example", "/once/", STREAM, TO_MODEL, 4.0, 0.5, 1, 1, False, False, 0.15),
+    Route("open", "h.example", "/open/", AGAIN, TO_DESK, 1.0, 0.1, public=True),
+)
+
+
+def configuration(version=1, *, routes=ROUTES, customers=None, limits=None):
+    """Return a configuration with one customer, whose key is ``key-1``."""
+    if customers is None:
+        customers = {"key-1": Customer("acme")}
+    services = {"desk": DESK, "model": MODEL}
+    return GatewayConfiguration(version, routes, services, customers, limits or CallerLimits())
+
+
+def prompt(tokens=1000, *, shared=0, own="own", common="common"):
+    """Return a prompt with an optional shared part before its own one."""
+    parts = [PromptPart(common, shared)] if shared else []
+    parts.append(PromptPart(own, tokens - shared))
+    return Prompt("m", tuple(parts), tokens, 20)
+
+
+def request(path="/read/x", *, request_id="r1", key="key-1", body=b"", of=None, method=None):
+    """Return a request as it has been read just now."""
+    headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
+    verb = method or ("POST" if body or of else "GET")
+    now = boot_seconds()
+    return Request(
+        request_id, verb, "h.example", path.encode(), headers, body, key, of, None, None, now
+    )
+
+
+def listed(endpoint_id, address="127.0.0.1:1", *, service="desk", zone="a", **changes):
+    """Return an endpoint that is ready."""
+    return ListedEndpoint(endpoint_id, service, address, zone, 6, True, **changes)
+
+
+def engine(endpoint_id, stage=Stage.DECODE, *, zone="a", cheap=True, address="127.0.0.1:1"):
+    """Return an engine that is ready."""
+    return listed(endpoint_id, address, service="model", zone=zone, stage=stage, cheap=cheap)
+
+
+def context(**changes):
+    """Return the context of a host alone."""
+    started = []
+    made = GatewayContext(
+        "host-a",
+        "a",
+        wire.DIALECT,
+        RepeatLimits(0.2, 20.0, 10.0),
+        live_hosts=lambda: 1,
+        note_start=started.append,
+        clock=boot_seconds,
+        **changes,
+    )
+    return made, started
+
+
+class KeptCaller:
+    """A caller that keeps what it gets."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = []
+        self.body = b""
+        self.complete = False
+
+    @property
+    def started(self):
+        return self.status is not None
+
+    async def start(self, status, headers):
+        self.status, self.headers = status, headers
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.complete = True
+
+
+def answer_bytes(received, body=b"ok", *, status=200, length=None, extra=()):
+    """Return a whole answer to a received request, signed, with its id echoed."""
+    head = [
+        f"HTTP/1.1 {status} X",
+        f"Content-Length: {len(body) if length is None else length}",
+        f"X-Request-Id: {received.get('x-request-id', '')}",
+        "X-Response-Stamp: s",
+        *extra,
+    ]
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+
+
+def reset_on_close(writer):
+    """End a connection with a reset."""
+    option = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.get_extra_info("socket").setsockopt(*option)
+    writer.transport.abort()
+
+
+class ScriptedEndpoint:
+    """What an endpoint got, and where it listens."""
+
+    def __init__(self):
+        self.address = ""
+        self.received = []
+        self.connections = 0
+        self.broken_off = 0
+
+
+@asynccontextmanager
+async def scripted_endpoint(script):
+    """Serve `script`, an async function of one received request and the stream writer.
+
+    A received request is a dict of lower-case headers with ``:method``, ``:target`` and ``:body``.
+    The script closes the writer to end the connection.
+    """
+    endpoint = ScriptedEndpoint()
+    tasks = set()
+
+    async def serve(reader, writer):
+        tasks.add(asyncio.current_task())
+        endpoint.connections += 1
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while not writer.is_closing():
+                received = await _receive(parser, reader)
+                if received is None:
+                    return
+                endpoint.received.append(received)
+                work = asyncio.ensure_future(script(received, writer))
+                gone = asyncio.ensure_future(reader.read(1))
+                done, _ = await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if work not in done:
+                    endpoint.broken_off += 1
+                    work.cancel()
+                    return
+                gone.cancel()
+                await asyncio.wait({gone})
+                work.result()
+                parser = h11.Connection(h11.SERVER)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endpoint.address = f"{host}:{port}"
+    try:
+        yield endpoint
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _receive(parser, reader):
+    received, body = None, b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            data = await reader.read(65_536)
+            if not data:
+                return None
+            parser.receive_data(data)
+        elif isinstance(event, h11.Request):
+            received = {name.decode(): value.decode() for name, value in event.headers}
+            received |= {":method": event.method.decode(), ":target": event.target.decode()}
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            received[":body"] = body
+            return received
+        else:
+            return None
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,134 @@
+"""Answers are matched to requests, and doubtful connections are not used again."""
+
+import asyncio
+
+import pytest
+
+from samphirehall.gateway.connections import (
+    BrokenAnswerError,
+    EndpointConnections,
+    NotSentError,
+)
+from samphirehall.platform.wire import belongs
+from tests.gateway.helpers import answer_bytes, reset_on_close, scripted_endpoint
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+
+async def ask(connections, request_id, *, once=False, body=b""):
+    headers = [(b"Host", b"h"), (b"X-Request-Id", request_id.encode())]
+    method = "POST" if body else "GET"
+    async with connections.exchange(
+        method, b"/x", headers, body, belongs=lambda found: belongs(request_id, found), once=once
+    ) as answer:
+        return await answer.read(max_bytes=1000)
+
+
+async def test_a_connection_serves_one_request_after_another():
+    async def script(received, writer):
+        writer.write(answer_bytes(received, received["x-request-id"].encode()))
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        assert [await ask(connections, name) for name in ("1", "2", "3")] == [b"1", b"2", b"3"]
+        assert endpoint.connections == 1
+
+
+async def test_a_late_answer_to_another_request_is_left_out():
+    async def script(received, writer):
+        writer.write(answer_bytes({"x-request-id": "other"}, b"wrong"))
+        writer.write(answer_bytes(received, b"right"))
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        assert await ask(connections, "1") == b"right"
+        assert await ask(connections, "2") == b"right"
+        assert endpoint.connections == 2
+
+
+async def test_bytes_after_an_answer_belong_to_nobody():
+    async def script(received, writer):
+        writer.write(answer_bytes(received, b"ok") + b"HTTP/1.1 200 OK\r\n")
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        await ask(connections, "1")
+        await ask(connections, "2")
+        assert endpoint.connections == 2
+
+
+async def test_bytes_that_come_while_idle_end_the_connection():
+    async def script(received, writer):
+        writer.write(answer_bytes(received, b"ok"))
+        await writer.drain()
+        asyncio.get_running_loop().call_later(0.02, writer.write, b"late")
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        await ask(connections, "1")
+        await asyncio.sleep(0.05)
+        assert await ask(connections, "2") == b"ok"
+        assert endpoint.connections == 2
+
+
+@pytest.mark.parametrize("cut", [b"HTTP/1.1 200", b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nab"])
+async def test_an_answer_that_ends_early_is_broken(cut):
+    async def script(received, writer):
+        echo = f"X-Request-Id: {received['x-request-id']}\r\n\r\n".encode()
+        writer.write(cut.replace(b"\r\n\r\n", b"\r\n" + echo, 1))
+        writer.close()
+
+    async with scripted_endpoint(script) as endpoint:
+        with pytest.raises(BrokenAnswerError):
+            await ask(EndpointConnections(endpoint.address), "1")
+
+
+async def test_an_answer_without_length_that_is_reset_is_broken():
+    async def script(received, writer):
+        echo = f"X-Request-Id: {received['x-request-id']}".encode()
+        writer.write(b"HTTP/1.1 200 X\r\n" + echo + b"\r\n\r\nhalf")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        reset_on_close(writer)
+
+    async with scripted_endpoint(script) as endpoint:
+        with pytest.raises(BrokenAnswerError):
+            await ask(EndpointConnections(endpoint.address), "1")
+
+
+async def test_an_early_answer_to_a_long_body_is_read():
+    async def script(received, writer):
+        writer.write(answer_bytes(received, b"no", status=413))
+
+    async with scripted_endpoint(script) as endpoint:
+        body = b"x" * 2_000_000
+        assert await ask(EndpointConnections(endpoint.address), "1", body=body) == b"no"
+
+
+async def test_a_closed_port_means_not_sent():
+    with pytest.raises(NotSentError):
+        await ask(EndpointConnections(free_address()), "1")
+
+
+async def test_leaving_early_cancels_at_the_endpoint():
+    async def script(received, writer):
+        await asyncio.sleep(5)
+
+    async with scripted_endpoint(script) as endpoint:
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(ask(EndpointConnections(endpoint.address), "1"), 0.05)
+        await asyncio.sleep(0.05)
+        assert endpoint.broken_off == 1
+
+
+async def test_a_request_that_runs_once_uses_no_old_connection(monkeypatch):
+    async def script(received, writer):
+        writer.write(answer_bytes(received))
+
+    monkeypatch.setattr("samphirehall.gateway.connections.ONCE_IDLE_SECONDS", 0.0)
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        await ask(connections, "1")
+        await ask(connections, "2", once=True)
+        assert endpoint.connections == 2
--- /dev/null
+++ b/tests/gateway/test_duties.py
@@ -0,0 +1,226 @@
+"""Usage by window, orders for endpoints and the lease that allows them."""
+
+import anyio
+import pytest
+
+from samphirehall.authority.lease import LeaseLostError
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.gateway import duty as duty_module
+from samphirehall.gateway.duty import Duty
+from samphirehall.gateway.scaling import RESEND_S, STAGE_PATIENCE_S, Scaling, ScalingCalls
+from samphirehall.gateway.scaling import scale_forever as keep_scaling
+from samphirehall.gateway.types import Stage
+from samphirehall.gateway.usage_windows import (
+    UsageCounter,
+    UsageReports,
+    report_forever,
+    sum_key,
+)
+from tests.gateway.helpers import MODEL, configuration, context, engine
+from tests.support.table import FaultyTable
+
+pytestmark = pytest.mark.anyio
+
+WINDOW = 5.0
+
+
+class Clock:
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class Reported:
+    """Keeps what is reported; refuses while `down`."""
+
+    def __init__(self):
+        self.windows = []
+        self.down = False
+
+    async def send(self, window, counts):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        self.windows.append((window, counts))
+
+
+def reports_of(table, sent, hosts=("a", "b")):
+    return UsageReports(table, sent.send, lambda: hosts, WINDOW, 10.0)
+
+
+class TestUsage:
+    async def counted(self, table, clock, host, count, customer="acme"):
+        counter = UsageCounter(f"{host}/1", WINDOW, clock)
+        for _ in range(count):
+            counter.note(customer)
+        await counter.save(table)
+        return counter
+
+    async def test_window_is_summed_over_hosts_once_all_have_closed_it(self):
+        table, clock, sent = FaultyTable(), Clock(101.0), Reported()
+        counters = [await self.counted(table, clock, host, n) for host, n in (("a", 3), ("b", 4))]
+        reports = reports_of(table, sent)
+        reports.next_window = 20
+        clock.now = 105.5
+        await counters[0].save(table)
+        await reports.report_due(clock.now)
+        assert sent.windows == []
+        await counters[1].save(table)
+        await reports.report_due(clock.now)
+        assert sent.windows == [(20, {"acme": 7})]
+
+    async def test_host_that_never_closes_is_not_waited_for_until_the_report_is_late(self):
+        table, clock, sent = FaultyTable(), Clock(101.0), Reported()
+        counter = await self.counted(table, clock, "a", 3)
+        reports = reports_of(table, sent)
+        reports.next_window = 20
+        clock.now = 105.5
+        await counter.save(table)
+        await reports.report_due(111.0)
+        assert sent.windows == []
+        await reports.report_due(112.5)
+        assert sent.windows[0] == (20, {"acme": 3})
+
+    async def test_next_holder_repeats_the_stored_sum_whatever_was_counted_since(self):
+        table, clock, sent = FaultyTable(), Clock(101.0), Reported()
+        counter = await self.counted(table, clock, "a", 3)
+        first, sent.down = reports_of(table, sent, ["a"]), True
+        first.next_window = 20
+        clock.now = 105.5
+        await counter.save(table)
+        with pytest.raises(PlatformUnavailableError):
+            await first.report_due(clock.now)
+        await self.counted(table, Clock(101.0), "late", 5)
+        sent.down = False
+        second = reports_of(table, sent, ["a"])
+        await second.report_due(clock.now)
+        assert (20, {"acme": 3}) in sent.windows
+        assert {counts["acme"] for window, counts in sent.windows if window == 20} == {3}
+
+    async def test_counts_that_could_not_be_saved_are_saved_later(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        table.faults.outage = True
+        counter = await self.counted(table, clock, "a", 2)
+        table.faults.outage = False
+        await counter.save(table)
+        rows = await table.scan("usage/counts/")
+        assert rows[0].value["counts"] == {"acme": 2}
+
+    async def test_lost_lease_in_the_middle_of_a_report_ends_no_process(self):
+        table, clock = FaultyTable(), Clock(120.0)
+
+        async def lost(window, counts):
+            raise LeaseLostError("duties", "lost")
+
+        reports = UsageReports(table, lost, lambda: (), WINDOW, 10.0)
+        with anyio.move_on_after(1.3) as scope:
+            await report_forever(reports, may_act=lambda now: True, agreed_now=clock)
+        assert scope.cancelled_caught
+        assert (await table.read([sum_key(22)])) or reports.next_window is not None
+
+
+class Calls:
+    """Keeps orders; the cheap kind is not to be had in the zones of `dry`."""
+
+    def __init__(self):
+        self.counts, self.stages, self.dry = [], [], set()
+        self.error = None
+
+    async def order_count(self, order):
+        if self.error is not None:
+            raise self.error
+        self.counts.append(order)
+        return not (order.cheap and order.zone in self.dry)
+
+    async def order_stage(self, member, stage):
+        self.stages.append((member.endpoint_id, stage))
+        return True
+
+
+def scaling_with(*members):
+    shared, _ = context()
+    for member in members:
+        shared.fleet.take(member, MODEL)
+    calls = Calls()
+    return shared, calls, Scaling(shared, ScalingCalls(calls.order_count, calls.order_stage))
+
+
+class TestScaling:
+    async def test_order_that_stands_is_not_sent_again(self):
+        members = [engine(f"{zone}{n}", zone=zone) for zone in "abc" for n in range(3)]
+        _, calls, scaling = scaling_with(*members)
+        for step in range(5):
+            await scaling.step(configuration(), now=float(step))
+        assert len(calls.counts) == 6
+
+    async def test_order_whose_endpoints_did_not_all_come_is_sent_again(self):
+        _, calls, scaling = scaling_with(engine("a0", zone="a"))
+        await scaling.step(configuration(), now=0.0)
+        sent = len(calls.counts)
+        await scaling.step(configuration(), now=RESEND_S / 2)
+        assert len(calls.counts) == sent
+        await scaling.step(configuration(), now=RESEND_S)
+        assert len(calls.counts) > sent
+
+    async def test_standard_engines_come_where_the_cheap_kind_is_refused(self):
+        shared, calls, scaling = scaling_with(engine("c0", zone="c"), engine("c1", zone="c"))
+        calls.dry = {"a", "b"}
+        shared.demand("model").note(200_000, now=shared.clock())
+        for step in range(2):
+            await scaling.step(configuration(), now=shared.clock() + step * 0.5)
+        standard = {order.zone: order.count for order in calls.counts if not order.cheap}
+        assert standard["a"] + standard["b"] >= 3
+
+    async def test_one_stage_changes_at_a_time_and_only_after_some_time(self):
+        members = [engine(f"{zone}{n}", zone=zone) for zone in "abc" for n in range(3)]
+        shared, calls, scaling = scaling_with(*members)
+        now = shared.clock()
+        for step in range(3):
+            shared.demand("model").note(300_000, now=now)
+            await scaling.step(configuration(), now=now + step * STAGE_PATIENCE_S / 4)
+        assert calls.stages == []
+        await scaling.step(configuration(), now=now + STAGE_PATIENCE_S)
+        assert [stage for _, stage in calls.stages] == [Stage.PREFILL]
+        changing = shared.fleet.endpoint(calls.stages[0][0])
+        assert changing not in shared.fleet.candidates("model", now=now + STAGE_PATIENCE_S)
+
+    @pytest.mark.parametrize(
+        "error", [LeaseLostError("duties", "lost"), PlatformUnavailableError("down")]
+    )
+    async def test_failed_order_ends_no_process(self, error, monkeypatch):
+        monkeypatch.setattr("samphirehall.gateway.scaling.LOOK_S", 0.01)
+        _, calls, scaling = scaling_with()
+        calls.error = error
+        with anyio.move_on_after(0.1) as scope:
+            await keep_scaling(scaling, may_act=lambda now: True, configuration=configuration)
+        assert scope.cancelled_caught
+
+
+class TestDuty:
+    async def test_second_holder_waits_before_it_acts(self, monkeypatch):
+        table, clock = FaultyTable(), Clock(0.0)
+        monkeypatch.setattr("samphirehall.authority.keeper.boot_seconds", clock)
+        one = Duty(table, "a/1", 3.0)
+        two = Duty(table, "b/1", 3.0)
+        for holder in (one, two):
+            holder._keeper._clock = clock
+        await one._keeper.step()
+        assert one.right(now=0.0).fencing == 1
+        await two._keeper.step()
+        clock.now = 10.0
+        assert one.right(now=10.0) is None
+        await two._keeper.step()
+        assert two.right(now=10.0) is None
+        for clock.now in (11.0, 12.0, 13.1):
+            await two._keeper.step()
+        assert two.right(now=13.1).fencing == 2
+
+    async def test_right_that_ends_within_a_call_does_not_count(self):
+        table, clock = FaultyTable(), Clock(0.0)
+        holder = Duty(table, "a/1", 3.0)
+        holder._keeper._clock = clock
+        await holder._keeper.step()
+        end = holder._keeper._held.until
+        assert holder.right(now=end - duty_module.DELIVERY_S - 0.01) is not None
+        assert holder.right(now=end - duty_module.DELIVERY_S + 0.01) is None
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,176 @@
+"""Clients' connections: limits, answers that break off, clients that leave, and a stop."""
+
+import anyio
+import pytest
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import OVERLOADED, STREAM_CUT
+from samphirehall.core.serving import serving
+from samphirehall.gateway.front import FrontState, front_app, front_protocol
+from samphirehall.gateway.types import CallerLimits
+from samphirehall.platform.wire import decode_request
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+GET = b"GET /a?b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n"
+
+
+class Front:
+    """A front whose requests are served by a function of request and caller."""
+
+    def __init__(self, serve, limits=None):
+        self.limits = limits or CallerLimits()
+        self.state = FrontState(lambda: self.limits)
+        self.address = free_address()
+        app = front_app(self.state, decode_request, serve)
+        self.serving = serving(
+            app, self.address, protocol=front_protocol(self.state), graceful_seconds=0.1
+        )
+
+    async def connect(self):
+        host, _, port = self.address.rpartition(":")
+        return await anyio.connect_tcp(host, int(port))
+
+
+async def read_all(stream):
+    received = b""
+    try:
+        with anyio.fail_after(3):
+            while True:
+                received += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return received
+
+
+async def answer(request, caller):
+    await caller.start(200, [(b"content-length", b"2"), (b"x-target", request.target)])
+    await caller.write(b"ok")
+    await caller.finish()
+
+
+async def read_answer(stream):
+    received = b""
+    with anyio.fail_after(2):
+        while not received.endswith(b"ok"):
+            received += await stream.receive()
+    return received
+
+
+class TestAnswers:
+    async def test_target_is_kept_as_it_was_sent(self):
+        front = Front(answer)
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET)
+            assert b"x-target: /a?b\r\n" in await read_answer(stream)
+
+    async def test_refusal_tells_a_fraction_of_a_second(self):
+        async def refuse(request, caller):
+            raise SamphireError(OVERLOADED, "full", retry_after=0.25)
+
+        front = Front(refuse)
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+            received = await read_all(stream)
+        assert received.startswith(b"HTTP/1.1 503") and b"retry-after: 0.250\r\n" in received
+
+    async def test_broken_stream_does_not_look_complete(self):
+        async def cut(request, caller):
+            await caller.start(200, [])
+            await caller.write(b"half")
+            raise SamphireError(STREAM_CUT, "cut")
+
+        front = Front(cut)
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET)
+            received = await read_all(stream)
+        assert b"half" in received and b"0\r\n\r\n" not in received
+
+    async def test_unreadable_request_is_refused(self):
+        front = Front(answer)
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET.replace(b"X-Request-Id: r1", b"X: y"))
+            with anyio.fail_after(2):
+                assert (await stream.receive()).startswith(b"HTTP/1.1 400")
+
+
+class TestClients:
+    async def test_request_of_a_client_that_left_is_cancelled(self):
+        ended = anyio.Event()
+
+        async def slow(request, caller):
+            try:
+                await anyio.sleep(10)
+            finally:
+                ended.set()
+
+        front = Front(slow)
+        async with front.serving:
+            stream = await front.connect()
+            await stream.send(GET)
+            await anyio.sleep(0.05)
+            await stream.aclose()
+            with anyio.fail_after(0.5):
+                await ended.wait()
+            assert front.state.open_requests == 0
+
+    async def test_body_over_the_limit_is_refused(self):
+        front = Front(answer, CallerLimits(body_bytes=10))
+        async with front.serving, await front.connect() as stream:
+            post = b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 20\r\n\r\n"
+            await stream.send(post + b"x" * 20)
+            with anyio.fail_after(2):
+                assert (await stream.receive()).startswith(b"HTTP/1.1 413")
+
+    async def test_slow_head_is_refused(self):
+        front = Front(answer, CallerLimits(head_time=0.1))
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET[:20])
+            assert (await read_all(stream)).startswith(b"HTTP/1.1 408")
+
+    async def test_new_connection_may_stay_idle(self):
+        front = Front(answer, CallerLimits(head_time=0.05, idle_time=5.0))
+        async with front.serving, await front.connect() as stream:
+            await anyio.sleep(0.2)
+            await stream.send(GET)
+            assert b"200 OK" in await read_answer(stream)
+
+    async def test_idle_time_that_grows_holds_for_open_connections(self):
+        front = Front(answer, CallerLimits(idle_time=0.15))
+        async with front.serving, await front.connect() as stream:
+            await stream.send(GET)
+            await read_answer(stream)
+            front.limits = CallerLimits(idle_time=5.0)
+            await anyio.sleep(0.3)
+            await stream.send(GET)
+            assert b"200 OK" in await read_answer(stream)
+
+
+class TestStop:
+    async def test_answers_end_their_connections(self):
+        front = Front(answer)
+        async with front.serving, await front.connect() as stream:
+            front.state.stopping = True
+            await stream.send(GET)
+            assert b"connection: close" in await read_all(stream)
+
+    async def test_idle_connections_are_closed_and_running_requests_finish(self):
+        async def slow(request, caller):
+            await anyio.sleep(0.1)
+            await answer(request, caller)
+
+        front = Front(slow)
+        async with front.serving, await front.connect() as busy, await front.connect() as idle:
+            await busy.send(GET)
+            await anyio.sleep(0.03)
+            front.state.close_idle()
+            assert await read_all(idle) == b""
+            assert b"200 OK" in await read_all(busy)
+
+    async def test_last_requests_are_refused_as_not_run(self):
+        front = Front(answer)
+        async with front.serving, await front.connect() as stream:
+            front.state.stopping = front.state.refusing = True
+            await stream.send(GET)
+            received = await read_all(stream)
+        assert received.startswith(b"HTTP/1.1 503") and b"samphire-run: not-run" in received
--- /dev/null
+++ b/tests/gateway/test_plain.py
@@ -0,0 +1,168 @@
+"""Whole answers from plain endpoints, repeated only where that is allowed."""
+
+import asyncio
+
+import pytest
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.core.results import NO_ENDPOINT, OUTCOME_UNKNOWN
+from samphirehall.gateway.gateway import Gateway
+from tests.gateway.helpers import (
+    DESK,
+    KeptCaller,
+    answer_bytes,
+    configuration,
+    context,
+    listed,
+    request,
+    reset_on_close,
+    scripted_endpoint,
+)
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+
+def gateway_with(*addresses):
+    shared, started = context()
+    for number, address in enumerate(addresses):
+        shared.fleet.take(listed(f"e{number}", address), DESK)
+    gateway = Gateway(shared)
+    gateway.take_configuration(configuration(), source="test")
+    return gateway, started
+
+
+async def answered(received, writer):
+    writer.write(answer_bytes(received, b"body", extra=["X-Other: 1"]))
+
+
+async def failed(received, writer):
+    writer.write(answer_bytes(received, b"oops", status=500))
+
+
+async def refused(received, writer):
+    writer.write(answer_bytes(received, b"", status=503, extra=["X-Not-Executed: 1"]))
+
+
+async def reset(received, writer):
+    reset_on_close(writer)
+
+
+async def truncated(received, writer):
+    writer.write(answer_bytes(received, b"half", length=100))
+    writer.close()
+
+
+class TestAnswers:
+    async def test_answer_is_passed_on_unchanged(self):
+        async with scripted_endpoint(answered) as endpoint:
+            gateway, started = gateway_with(endpoint.address)
+            caller = KeptCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body, caller.complete) == (200, b"body", True)
+        assert (b"x-response-stamp", b"s") in caller.headers
+        assert (b"x-other", b"1") in caller.headers
+        assert started == ["acme"]
+
+    async def test_endpoint_gets_customer_incarnation_and_time_left_but_no_key(self):
+        async with scripted_endpoint(answered) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            await gateway.serve(request(), KeptCaller())
+        received = endpoint.received[0]
+        assert received["x-tenant"] == "acme"
+        assert received["x-expect-instance"] == "e0"
+        assert 900 < int(received["x-deadline-ms"]) <= 1000
+        assert "key-1" not in str(received)
+
+    @pytest.mark.parametrize("script", [failed, refused, reset, truncated])
+    async def test_idempotent_request_is_answered_by_another_endpoint(self, script):
+        async with scripted_endpoint(script) as bad, scripted_endpoint(answered) as good:
+            gateway, _ = gateway_with(bad.address, good.address)
+            bodies = []
+            for number in range(6):
+                caller = KeptCaller()
+                await gateway.serve(request(request_id=f"r{number}"), caller)
+                bodies.append((caller.status, caller.body))
+        assert bodies == [(200, b"body")] * 6
+
+    async def test_silent_endpoint_is_given_up_for_another(self):
+        async def silent(received, writer):
+            await asyncio.sleep(5)
+
+        async with scripted_endpoint(silent) as bad, scripted_endpoint(answered) as good:
+            gateway, _ = gateway_with(bad.address, good.address)
+            for number in range(4):
+                caller = KeptCaller()
+                await gateway.serve(request(request_id=f"r{number}"), caller)
+                assert caller.status == 200
+
+    async def test_endpoints_own_failure_is_passed_on_if_no_other_is_there(self):
+        async with scripted_endpoint(failed) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            caller = KeptCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body) == (500, b"oops")
+
+
+class TestOnce:
+    @pytest.mark.parametrize("script", [reset, truncated])
+    async def test_doubtful_outcome_is_unknown_and_not_repeated(self, script):
+        async with scripted_endpoint(script) as bad, scripted_endpoint(answered) as good:
+            gateway, _ = gateway_with(bad.address, good.address)
+            results = []
+            for number in range(4):
+                try:
+                    await gateway.serve(request("/book/x", request_id=f"r{number}"), KeptCaller())
+                except SamphireError as error:
+                    results.append(error.result)
+            assert set(results) == {OUTCOME_UNKNOWN}
+            ids = [item["x-request-id"] for item in bad.received + good.received]
+            assert len(ids) == len(set(ids))
+
+    async def test_refused_request_goes_to_another_endpoint(self):
+        async with scripted_endpoint(refused) as bad, scripted_endpoint(answered) as good:
+            gateway, _ = gateway_with(bad.address, good.address)
+            for number in range(4):
+                caller = KeptCaller()
+                await gateway.serve(request("/book/x", request_id=f"r{number}"), caller)
+                assert caller.status == 200
+
+    async def test_request_that_no_endpoint_took_has_not_run(self):
+        gateway, _ = gateway_with(free_address(), free_address())
+        with pytest.raises(SamphireError) as caught:
+            await gateway.serve(request("/book/x"), KeptCaller())
+        assert caught.value.result is NO_ENDPOINT
+        assert caught.value.retry_after is not None
+
+    async def test_503_without_the_statement_is_not_passed_on_as_a_promise(self):
+        async def busy(received, writer):
+            writer.write(answer_bytes(received, b"", status=503))
+
+        async with scripted_endpoint(busy) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            with pytest.raises(SamphireError) as caught:
+                await gateway.serve(request("/book/x"), KeptCaller())
+        assert caught.value.result is OUTCOME_UNKNOWN
+
+
+class TestBudget:
+    async def test_repeats_end_with_the_budget(self):
+        async with scripted_endpoint(failed) as one, scripted_endpoint(failed) as two:
+            gateway, _ = gateway_with(one.address, two.address)
+            for number in range(60):
+                await gateway.serve(request(request_id=f"r{number}"), KeptCaller())
+            arrivals = len(one.received) + len(two.received)
+        assert 60 < arrivals <= 60 + 0.2 * 60 + 20
+
+
+class TestDeadline:
+    async def test_final_answer_comes_at_the_timeout_of_the_route(self):
+        async def silent(received, writer):
+            await asyncio.sleep(5)
+
+        async with scripted_endpoint(silent) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            with pytest.raises(SamphireError) as caught:
+                await asyncio.wait_for(gateway.serve(request("/book/x"), KeptCaller()), 1.4)
+        assert caught.value.result.http_status == 504
+        assert caught.value.result.run == "unknown"
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,198 @@
+"""A stand-in of the users' store and of their interface of duties, with faults by switch."""
+
+import asyncio
+import base64
+import json
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from samphirehall.core.serving import serving
+from tests.support.ports import free_address
+
+SILENT_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """Switches: `silent` answers nothing, `status` refuses each call, `slow` waits some seconds.
+
+    `lose_answers` carries writes out and answers nothing; `forget` drops the history.
+    """
+
+    silent: bool = False
+    status: int | None = None
+    slow: float = 0.0
+    lose_answers: bool = False
+    forget: bool = False
+
+
+@dataclass(slots=True)
+class StoreStandin:
+    """Rows by table, part and key, with a feed of changes."""
+
+    address: str = ""
+    faults: Faults = field(default_factory=Faults)
+    rows: dict = field(default_factory=dict)
+    history: list = field(default_factory=list)
+    version: int = 0
+    calls: list = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, table, key, value, *, part=""):
+        """Write a row as another writer would; None removes it."""
+        self.version += 1
+        raw = value if isinstance(value, bytes | None) else json.dumps(value).encode()
+        self._apply((table, part, key), raw)
+        self._notify()
+
+    def own(self, prefix=""):
+        """Return the product's rows by key."""
+        return {
+            key: json.loads(raw)
+            for (table, _, key), (raw, _) in sorted(self.rows.items())
+            if table == "samphirehall" and key.startswith(prefix)
+        }
+
+    def _apply(self, name, raw):
+        if raw is None:
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = raw, self.version
+        self.history.append((self.version, name, raw))
+
+    def _notify(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _answer(self, rows, status=200, **fields):
+        body = {"rows": rows, "ver": self.version, "now_ms": 1000.0, **fields}
+        return JSONResponse(body, status)
+
+    async def transact(self, request):
+        document = await request.json()
+        failed = [row for row in document["expected"] if self._version_of(row) != row["ver"]]
+        if failed:
+            named = [self._name(row) for row in failed]
+            return self._answer([self._row(name) for name in named if name in self.rows], 412)
+        self.version += 1
+        for row in document["puts"]:
+            self._apply(self._name(row), base64.b64decode(row["value"]))
+        for row in document["remove"]:
+            self._apply(self._name(row), None)
+        self._notify()
+        return self._answer([])
+
+    async def get(self, request):
+        query = request.query_params
+        end = query.get("to", "\U0010ffff\U0010ffff")
+        names = [
+            name
+            for name in sorted(self.rows)
+            if name[0] == query["table"] and query.get("from", "") <= name[2] < end
+        ]
+        limit = int(query.get("limit", 500))
+        page = [self._row(name) for name in names[:limit]]
+        return self._answer(page, has_more=len(names) > limit)
+
+    async def feed(self, request):
+        if self.faults.forget:
+            self.faults.forget = False
+            return Response(status_code=410)
+        query = request.query_params
+        after, table = int(query["after"]), query["table"]
+        waited = asyncio.ensure_future(asyncio.sleep(int(query["wait_ms"]) / 1000))
+        while not (found := self._changes(table, after)) and not waited.done():
+            changed = asyncio.ensure_future(self.changed.wait())
+            await asyncio.wait({waited, changed}, return_when=asyncio.FIRST_COMPLETED)
+            changed.cancel()
+        waited.cancel()
+        return self._answer(found)
+
+    def _changes(self, table, after):
+        newest = {
+            name: (version, raw)
+            for version, name, raw in self.history
+            if version > after and name[0] == table
+        }
+        return [self._encode(name, raw, version) for name, (version, raw) in newest.items()]
+
+    def _row(self, name):
+        raw, version = self.rows[name]
+        return self._encode(name, raw, version)
+
+    def _encode(self, name, raw, version):
+        table, part, key = name
+        row = {"table": table, "part": part, "key": key, "ver": version}
+        if raw is None:
+            return row | {"tombstone": True}
+        return row | {"value": base64.b64encode(raw).decode()}
+
+    def _name(self, row):
+        return row["table"], row["part"], row["key"]
+
+    def _version_of(self, row):
+        return self.rows.get(self._name(row), (None, 0))[1]
+
+    def with_faults(self, handler):
+        async def serve(request):
+            self.calls.append(request.url.path)
+            if self.faults.silent:
+                await asyncio.sleep(SILENT_SECONDS)
+            await asyncio.sleep(self.faults.slow)
+            if self.faults.status is not None:
+                return Response(status_code=self.faults.status)
+            answer = await handler(request)
+            if self.faults.lose_answers and request.method == "POST":
+                await asyncio.sleep(SILENT_SECONDS)
+            return answer
+
+        return serve
+
+    def app(self):
+        return Starlette(
+            routes=[
+                Route("/rows-tx", self.with_faults(self.transact), methods=["POST"]),
+                Route("/rows-get", self.with_faults(self.get)),
+                Route("/rows-feed", self.with_faults(self.feed)),
+            ]
+        )
+
+
+@dataclass(slots=True)
+class DutiesStandin:
+    """Keeps the calls that only one host at a time may make."""
+
+    address: str = ""
+    usage: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    status: int = 200
+
+    async def take_usage(self, request):
+        self.usage.append((dict(request.headers), await request.json()))
+        return Response(status_code=self.status)
+
+    async def take_order(self, request):
+        self.orders.append((dict(request.headers), await request.json()))
+        return Response(status_code=self.status)
+
+    def app(self):
+        return Starlette(
+            routes=[
+                Route("/usage", self.take_usage, methods=["POST"]),
+                Route("/scale", self.take_order, methods=["POST"]),
+            ]
+        )
+
+
+@asynccontextmanager
+async def platform_standin():
+    """Serve a store and an interface of duties; yield both."""
+    store, duties = StoreStandin(free_address()), DutiesStandin(free_address())
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(serving(store.app(), store.address, graceful_seconds=0.1))
+        await stack.enter_async_context(serving(duties.app(), duties.address, graceful_seconds=0.1))
+        yield store, duties
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,243 @@
+"""Decoding of settings, documents and requests, broken ones among them."""
+
+import json
+
+import pytest
+
+from samphirehall.core.errors import SamphireError
+from samphirehall.gateway.dialect import Dispatch, PromptCopy
+from samphirehall.gateway.types import RequestKind, Stage
+from samphirehall.platform import documents, wire
+from samphirehall.platform.settings import SettingsError, parse_settings
+from tests.gateway.helpers import listed
+
+SETTINGS = {
+    "node": "front-a-1",
+    "zone": "a",
+    "region": "r",
+    "ip": "10.1.0.31",
+    "listen.front": "10.1.0.31:8368",
+    "listen.ready": "10.1.0.31:8369",
+    "port_range": "7780,7795",
+    "bounds.drain_ms": "2000",
+    "bounds.grace_s": "8",
+    "bounds.lease_ms": "3000",
+    "bounds.report_window_s": "5",
+    "bounds.usage_late_s": "10",
+    "bounds.budget_ratio": "0.2",
+    "bounds.retry_slack": "56",
+    "bounds.budget_window_s": "10",
+    "platform.address": "10.200.1.7:8362",
+    "platform.row_bytes": "65536",
+    "cloud.address": "10.200.0.99:8362",
+    "cloud.duties": "usage_report,autoscale",
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "H.example",
+            "prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "latency_goal_ms": 500,
+            "priority": 1,
+            "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "max_attempts": 2,
+            "resumable": True,
+            "target_gap_ms": 150,
+            "a_new_field": 1,
+        },
+        {"name": "r2", "host": "h", "prefix": "/q/", "kind": "of-a-new-kind", "service": "s"},
+    ],
+    "services": [
+        {
+            "name": "s",
+            "max_conns": 370,
+            "engine": {
+                "slots": 64,
+                "kv_tokens": 484150,
+                "kv_token_bytes": 163840,
+                "link_mbps": 1700000.0,
+                "handle_ttl_s": 5.0,
+            },
+            "scaling": {"min": 1, "max": 4, "boot_s": 4.0, "spot_price": 0.18},
+        }
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "acme", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+ENTRY = {"service": "s", "address": "10.0.0.9:80", "zone": "a", "slots": 64, "state": "ready"}
+
+
+def settings_text(**changes):
+    fields = {**SETTINGS, **changes}
+    return "\n".join(f"{name}={value}" for name, value in fields.items() if value is not None)
+
+
+class TestSettings:
+    def test_times_are_seconds(self):
+        settings = parse_settings(settings_text(unknown="x"), file="f")
+        assert (settings.drain_time, settings.lease_time) == (2.0, 3.0)
+        assert (settings.first_peer_port, settings.last_peer_port) == (7780, 7795)
+        assert settings.duties == ("usage_report", "autoscale")
+
+    def test_everything_wrong_is_listed(self):
+        text = settings_text(**{"node": None, "platform.address": "nowhere", "bounds.grace_s": "x"})
+        with pytest.raises(SettingsError) as caught:
+            parse_settings(text, file="f")
+        keys = {problem.key for problem in caught.value.problems}
+        assert {"node", "platform.address", "bounds.grace_s"} <= keys
+
+
+class TestConfiguration:
+    def test_names_and_units_are_the_projects(self):
+        made = documents.decode_configuration(json.dumps(CONFIGURATION).encode())
+        route = made.routes[0]
+        assert (route.kind, route.timeout, route.goal) == (RequestKind.STREAM, 4.0, 0.5)
+        assert (route.host, route.pause_goal, route.resumable) == ("h.example", 0.15, True)
+        assert [share.weight for share in route.shares] == [90, 10]
+        assert made.services["s"].engine.link_bits_per_second == 1.7e12
+        assert made.customers_by_key["k2"].name == "acme"
+        assert (made.limits.head_bytes, made.limits.idle_time) == (16384, 15.0)
+
+    def test_route_of_an_unknown_kind_is_left_out(self):
+        made = documents.decode_configuration(json.dumps(CONFIGURATION).encode())
+        assert [route.name for route in made.routes] == ["r1"]
+
+    def test_without_customers_no_key_is_needed(self):
+        document = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
+        made = documents.decode_configuration(json.dumps(document).encode())
+        assert made.customers_by_key is None
+
+    @pytest.mark.parametrize("content", [b"", b"{", b"\xff", b'{"version":"x"}'])
+    def test_unreadable_document_is_an_error(self, content):
+        with pytest.raises(ValueError, match="configuration"):
+            documents.decode_configuration(content)
+
+
+class TestEndpoints:
+    def test_entry_names_an_endpoint(self):
+        entry = {**ENTRY, "stage": "decode", "spot": True, "born": 12}
+        found = documents.decode_endpoint("i-1", json.dumps(entry).encode())
+        assert (found.ready, found.stage, found.cheap, found.born) == (True, Stage.DECODE, True, 12)
+
+    def test_leaving_endpoint_is_not_ready(self):
+        entry = {**ENTRY, "state": "draining"}
+        assert not documents.decode_endpoint("i-1", json.dumps(entry).encode()).ready
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "odd"},
+            {"slots": "many"},
+            {"address": "nowhere"},
+            {"address": 7},
+            {"stage": "odd"},
+            {"service": None},
+        ],
+        ids=str,
+    )
+    def test_broken_entry_names_none(self, change):
+        assert documents.decode_endpoint("i-1", json.dumps({**ENTRY, **change}).encode()) is None
+
+    @pytest.mark.parametrize("content", [b"", b"\xff\x00", b"[]", b"null"])
+    def test_unreadable_entry_names_none(self, content):
+        assert documents.decode_endpoint("i-1", content) is None
+
+
+HEADERS = [
+    (b"host", b"H.example:80"),
+    (b"x-request-id", b"r1"),
+    (b"x-deadline-ms", b"1500"),
+    (b"x-key", b"secret"),
+    (b"x-model", b"m"),
+    (b"x-token-counts", b"1460,80"),
+    (b"x-prompt-prefix", b"5c:800,91:410,e4:250"),
+    (b"last-event-id", b"12"),
+    (b"accept", b"*/*"),
+]
+FORGED = [
+    (b"x-tenant", b"other"),
+    (b"x-kv-hold", b"1"),
+    (b"x-pin-ms", b"1"),
+    (b"x-kv-backup", b"1"),
+    (b"x-kv-source", b"1"),
+    (b"x-stage", b"prefill"),
+    (b"x-expect-instance", b"i-9"),
+    (b"x-request-urgency", b"0"),
+]
+
+
+def decoded(extra=(), without=()):
+    headers = [pair for pair in [*HEADERS, *extra] if pair[0] not in without]
+    return wire.decode_request("POST", b"/a?b=1", headers, b"body", 10.0)
+
+
+class TestRequests:
+    def test_fields_hold_what_they_say(self):
+        request = decoded()
+        assert (request.host, request.path, request.target) == ("h.example", "/a", b"/a?b=1")
+        assert (request.patience, request.resume_after, request.key) == (1.5, 12, "secret")
+        assert request.prompt.prompt_tokens == 1460
+        assert request.prompt.shared_tokens == 1210
+
+    @pytest.mark.parametrize("without", [b"x-request-id"])
+    def test_request_without_an_id_is_refused(self, without):
+        with pytest.raises(SamphireError) as caught:
+            decoded(without=[without])
+        assert caught.value.result.http_status == 400
+
+    def test_body_with_two_framings_is_refused(self):
+        with pytest.raises(SamphireError):
+            decoded([(b"content-length", b"4"), (b"transfer-encoding", b"chunked")])
+
+    @pytest.mark.parametrize(
+        "pair",
+        [(b"x-deadline-ms", b"soon"), (b"x-token-counts", b"1"), (b"x-prompt-prefix", b"a:b")],
+    )
+    def test_unreadable_numbers_are_refused(self, pair):
+        with pytest.raises(SamphireError):
+            decoded([pair], without=[pair[0]] if pair[0] == b"x" else [])
+
+    def test_what_is_the_systems_to_set_is_not_taken_from_a_client(self):
+        request = decoded(FORGED)
+        headers = wire.send_headers(request, Dispatch(listed("i-1"), "acme", 2, 1.25))
+        found = dict(headers)
+        assert len(found) == len(headers)
+        assert found[b"x-tenant"] == b"acme" and found[b"x-expect-instance"] == b"i-1"
+        assert found[b"x-deadline-ms"] == b"1250" and found[b"x-request-urgency"] == b"2"
+        for name in (b"x-key", b"x-kv-hold", b"x-pin-ms", b"x-kv-backup", b"x-kv-source"):
+            assert name not in found
+        assert b"x-stage" not in found and found[b"x-token-counts"] == b"1460,80"
+
+    def test_send_names_copy_and_place_to_resume(self):
+        copy = PromptCopy("10.0.0.1:80", "c0ffee")
+        dispatch = Dispatch(listed("i-1"), None, 2, 1.0, copy=copy, resume_after=5)
+        found = dict(wire.send_headers(decoded(), dispatch))
+        assert found[b"x-kv-source"] == b"10.0.0.1:80/c0ffee" and found[b"last-event-id"] == b"5"
+
+
+class TestAnswers:
+    def test_answer_belongs_by_its_echoed_id(self):
+        assert wire.belongs("r1", [(b"x-request-id", b"r1")])
+        assert not wire.belongs("r1", [(b"x-request-id", b"r2")])
+        assert not wire.belongs("r1", [])
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected"),
+        [
+            (421, [], True),
+            (503, [(b"x-not-executed", b"1")], True),
+            (503, [], False),
+            (500, [], False),
+        ],
+    )
+    def test_only_the_statement_means_not_run(self, status, headers, expected):
+        assert wire.says_not_run(status, headers) is expected
+
+    def test_encoded_body_is_not_vouched_for(self):
+        signature = (b"x-response-stamp", b"s")
+        assert wire.is_vouched([signature])
+        assert not wire.is_vouched([signature, (b"content-encoding", b"gzip")])
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,151 @@
+"""The client of the users' store, against the stand-in over real sockets."""
+
+import anyio
+import pytest
+
+from samphirehall.authority.keeper import LeaseKeeper
+from samphirehall.authority.lease import LeaseTimes
+from samphirehall.backing.table import ABSENT, Check, Write
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows, TableFollower
+from samphirehall.platform.store import Store
+from tests.platform.standin import platform_standin
+
+pytestmark = pytest.mark.anyio
+
+
+class TestTable:
+    async def test_transaction_checks_versions(self):
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            first = await store.transact([Check("k", ABSENT)], [Write("k", {"n": 1})])
+            again = await store.transact([Check("k", ABSENT)], [Write("k", {"n": 2})])
+            assert first.committed and not again.committed
+            assert again.conflicts[0].value == {"n": 1}
+            version = first.versions["k"]
+            assert (await store.transact([Check("k", version)], [Write("k", None)])).committed
+            assert await store.read(["k"]) == {}
+            await store.aclose()
+
+    async def test_scan_reads_all_pages(self, monkeypatch):
+        monkeypatch.setattr("samphirehall.platform.store.PAGE_ROWS", 3)
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            for number in range(8):
+                standin.put("samphirehall", f"a/{number}", number)
+            standin.put("samphirehall", "b/0", "other")
+            assert [row.value for row in await store.scan("a/")] == list(range(8))
+            await store.aclose()
+
+    @pytest.mark.parametrize("status", [429, 503, 500])
+    async def test_refused_call_is_unavailable(self, status):
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            standin.faults.status = status
+            with pytest.raises(PlatformUnavailableError):
+                await store.read(["k"])
+            await store.aclose()
+
+    async def test_lost_answer_is_unavailable_though_the_write_took_effect(self, monkeypatch):
+        monkeypatch.setattr("samphirehall.platform.store.CALL_SECONDS", 0.2)
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            standin.faults.lose_answers = True
+            with pytest.raises(PlatformUnavailableError):
+                await store.transact([], [Write("k", 1)])
+            assert standin.own() == {"k": 1}
+            await store.aclose()
+
+    async def test_lease_goes_to_one_holder_at_a_time(self):
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            times = LeaseTimes(1.0, 0.2, 0.1)
+            one = LeaseKeeper(store, "duties", holder="a/1", times=times)
+            two = LeaseKeeper(store, "duties", holder="b/1", times=times)
+            await one.step()
+            await two.step()
+            assert one.right(now=boot_seconds()).fencing == 1
+            assert two._held is None
+            await store.aclose()
+
+
+class ScriptedSource:
+    """Gives answers in their order, then none."""
+
+    def __init__(self, answers):
+        self._answers = answers
+
+    async def snapshot(self, table):
+        return await self._next()
+
+    async def changes(self, table, *, after, wait):
+        return await self._next()
+
+    async def _next(self):
+        if not self._answers:
+            await anyio.sleep_forever()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestFollowing:
+    async def follow(self, group, standin, changes):
+        follower = TableFollower(Store(standin.address), "op", changes.append)
+        group.start_soon(follower.run)
+        with anyio.fail_after(2):
+            await follower.read_once.wait()
+        return follower
+
+    async def until(self, condition):
+        with anyio.fail_after(4):
+            while not condition():
+                await anyio.sleep(0.02)
+
+    async def test_changes_and_removals_arrive(self):
+        changes = []
+        async with platform_standin() as (standin, _), anyio.create_task_group() as group:
+            standin.put("op", "config", {"version": 1})
+            await self.follow(group, standin, changes)
+            standin.put("op", "config", {"version": 2})
+            standin.put("op", "config", None)
+            await self.until(lambda: changes and changes[-1].value is None)
+            group.cancel_scope.cancel()
+
+    async def test_rows_removed_while_the_history_was_dropped_are_noticed(self):
+        changes = []
+        async with platform_standin() as (standin, _), anyio.create_task_group() as group:
+            standin.put("op", "x", 1)
+            await self.follow(group, standin, changes)
+            standin.faults.forget = True
+            standin.rows.clear()
+            standin.version += 1
+            standin._notify()
+            await self.until(lambda: changes[-1].value is None)
+            assert changes[-1].key == "x"
+            group.cancel_scope.cancel()
+
+    async def test_store_that_fell_silent_is_left_for_a_new_call(self):
+        changes = []
+        async with platform_standin() as (standin, _), anyio.create_task_group() as group:
+            follower = await self.follow(group, standin, changes)
+            standin.faults.silent = True
+            await self.until(lambda: not follower.available)
+            standin.faults.silent = False
+            standin.put("op", "config", {"version": 3})
+            with anyio.fail_after(2):
+                await self.until(lambda: changes and changes[-1].key == "config")
+            group.cancel_scope.cancel()
+
+    async def test_an_older_row_never_replaces_a_newer_one(self):
+        answers = [
+            Rows([RowChange("config", 7, b"new")], 7),
+            HistoryGoneError(),
+            Rows([RowChange("config", 5, b"old")], 5),
+        ]
+        changes = []
+        with anyio.move_on_after(0.3):
+            await TableFollower(ScriptedSource(answers), "op", changes.append).run()
+        assert [change.value for change in changes] == [b"new"]
--- /dev/null
+++ b/tests/programs/test_node.py
@@ -0,0 +1,234 @@
+"""``samphire-node`` as a process, between a stand-in of the platform and scripted endpoints."""
+
+import json
+import os
+import signal
+import sys
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpcore
+import pytest
+
+from tests.gateway.helpers import answer_bytes, scripted_endpoint
+from tests.gateway.test_generation import generate
+from tests.platform.standin import platform_standin
+from tests.platform.test_decoding import CONFIGURATION, SETTINGS
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+ROOT = Path(__file__).parents[2]
+ROUTE = {"host": "h.example", "timeout_ms": 2000, "latency_goal_ms": 200, "max_attempts": 2}
+ROUTES = [
+    {**ROUTE, "name": "read", "prefix": "/read/", "kind": "safe", "service": "t"},
+    {**ROUTE, "name": "book", "prefix": "/book/", "kind": "unsafe", "service": "t"},
+    {**ROUTE, "name": "chat", "prefix": "/chat/", "kind": "streaming", "service": "s"},
+]
+DOCUMENT = {**CONFIGURATION, "routes": ROUTES}
+DOCUMENT["services"] = [*CONFIGURATION["services"], {"name": "t", "max_conns": 100}]
+PROMPT = [(b"X-Token-Counts", b"1460,80"), (b"X-Prompt-Prefix", b"5c:800,e4:660")]
+
+
+async def desk(received, writer):
+    await anyio.sleep(0.05 if received[":target"].endswith("slow") else 0)
+    writer.write(answer_bytes(received, received["x-tenant"].encode()))
+
+
+class System:
+    """A node with its platform and one endpoint of each service."""
+
+    def __init__(self, tmp_path, store, duties, plain, engine):
+        self.store, self.duties = store, duties
+        self.plain, self.engine = plain, engine
+        self.settings = tmp_path / "settings.conf"
+        self.log = tmp_path / "log"
+        self.clients = free_address()
+        self.readiness = free_address()
+        self.process = None
+
+    def write_settings(self, **changes):
+        fields = {
+            **SETTINGS,
+            "ip": "127.0.0.1",
+            "listen.front": self.clients,
+            "listen.ready": self.readiness,
+            "port_range": ",".join([free_address().rpartition(":")[2]] * 2),
+            "platform.address": self.store.address,
+            "cloud.address": self.duties.address,
+            "bounds.report_window_s": "1",
+            "bounds.usage_late_s": "3",
+            **changes,
+        }
+        lines = "\n".join(f"{name}={value}" for name, value in fields.items())
+        self.settings.write_text(lines)
+
+    def list_endpoint(self, name, service, endpoint, **changes):
+        host = {"service": service, "address": endpoint.address, "zone": "a", "slots": 6}
+        self.store.put("servers", name, {**host, "state": "ready", "born": 1, **changes})
+
+    async def start(self):
+        environment = {**os.environ, "SAMPHIREHALL_BOOT": str(self.settings)}
+        self.process = await anyio.open_process(
+            [sys.executable, "-m", "samphirehall.programs.node"],
+            cwd=ROOT,
+            env=environment,
+            stdout=self.log.open("wb"),
+        )
+        await self.until(lambda: self.ready(), "ready")
+
+    async def until(self, condition, what, seconds=8.0):
+        try:
+            with anyio.fail_after(seconds):
+                while not await condition():
+                    await anyio.sleep(0.05)
+        except TimeoutError:
+            raise AssertionError(f"not {what}: {self.log.read_text()[-2000:]}") from None
+
+    async def ready(self):
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request("GET", f"http://{self.readiness}/ready")
+                return answer.status == 200
+        except httpcore.ConnectError:
+            return False
+
+    async def ask(self, path, *, number=0, key=b"k1", headers=()):
+        sent = [
+            (b"Host", b"h.example"),
+            (b"X-Request-Id", b"r%d" % number),
+            (b"X-Key", key),
+            *headers,
+        ]
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request("GET", f"http://{self.clients}{path}", headers=sent)
+
+    def lines(self, message):
+        found = [json.loads(line) for line in self.log.read_text().splitlines() if line[:1] == "{"]
+        return [line for line in found if line["message"] == message]
+
+
+@asynccontextmanager
+async def running(tmp_path):
+    async with AsyncExitStack() as stack:
+        store, duties = await stack.enter_async_context(platform_standin())
+        plain = await stack.enter_async_context(scripted_endpoint(desk))
+        engine = await stack.enter_async_context(scripted_endpoint(generate))
+        system = System(tmp_path, store, duties, plain, engine)
+        store.put("op", "config", DOCUMENT)
+        system.list_endpoint("t1", "t", plain)
+        system.list_endpoint("s1", "s", engine, stage="decode")
+        system.write_settings()
+        try:
+            await system.start()
+            yield system
+        finally:
+            if system.process is not None and system.process.returncode is None:
+                system.process.kill()
+                await system.process.wait()
+
+
+async def test_a_calm_day(tmp_path):
+    async with running(tmp_path) as system:
+        await system.until(lambda: served(system), "served")
+        answer = await system.ask("/chat/x", number=1, headers=PROMPT)
+        assert answer.status == 200 and answer.content.count(b"data:") == 5
+        assert (await system.ask("/book/x", number=2)).status == 200
+        assert (await system.ask("/read/x", number=3, key=b"old")).status == 401
+        assert (await system.ask("/nowhere/", number=4)).status == 404
+        await system.until(lambda: reported(system, 3), "reported")
+        assert {headers["x-fence-token"] for headers, _ in system.duties.usage} == {"1"}
+        assert any(order["service"] == "s" for _, order in system.duties.orders)
+        story = [line for line in system.lines("request") if line["request"] == "r1"]
+        assert story[0]["result"] == 1000 and story[0]["sends"][-1][0] == "s1"
+        assert "k1" not in system.log.read_text()
+
+
+async def served(system):
+    return (await system.ask("/read/x")).content == b"acme"
+
+
+async def reported(system, count):
+    total = sum(body["counts"].get("acme", 0) for _, body in system.duties.usage)
+    windows = [body["window"] for _, body in system.duties.usage]
+    assert len(set(windows)) == len(windows)
+    return total >= count
+
+
+async def test_new_configuration_and_leaving_endpoint_are_heard_of_in_time(tmp_path):
+    async with running(tmp_path) as system:
+        await system.until(lambda: served(system), "served")
+        async with scripted_endpoint(desk) as other:
+            system.list_endpoint("t2", "t", other)
+            system.list_endpoint("t1", "t", system.plain, state="draining")
+            routes = [*ROUTES, {**ROUTES[0], "name": "new", "prefix": "/new/"}]
+            tenants = [{"name": "acme", "api_keys": ["k2"]}]
+            system.store.faults.forget = True
+            system.store.put(
+                "op", "config", DOCUMENT | {"version": 9, "routes": routes, "tenants": tenants}
+            )
+            await anyio.sleep(1.9)
+            before = len(system.plain.received)
+            assert (await system.ask("/new/x", number=7, key=b"k2")).status == 200
+            assert (await system.ask("/read/x", number=8)).status == 401
+            assert len(system.plain.received) == before
+
+
+async def test_store_that_is_down_stops_no_request(tmp_path):
+    async with running(tmp_path) as system:
+        await system.until(lambda: served(system), "served")
+        system.store.faults.status = 503
+        await anyio.sleep(1.5)
+        assert (await system.ask("/book/x", number=5)).status == 200
+        assert await system.ready()
+        system.store.faults.status = None
+        await system.until(lambda: regained(system), "regained")
+        assert system.lines("store-lost")
+
+
+async def regained(system):
+    return bool(system.lines("store-regained"))
+
+
+async def test_sighup_reads_the_settings_again(tmp_path):
+    async with running(tmp_path) as system:
+        system.process.send_signal(signal.SIGHUP)
+        await system.until(lambda: reloaded(system), "reloaded")
+        assert await system.ready()
+
+
+async def reloaded(system):
+    return bool(system.lines("reload"))
+
+
+async def test_stop_turns_not_ready_at_once_and_finishes_what_runs(tmp_path):
+    async with running(tmp_path) as system:
+        await system.until(lambda: served(system), "served")
+        system.process.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.1)
+        assert not await system.ready()
+        answer = await system.ask("/book/slow", number=6)
+        assert answer.status == 200 and (b"connection", b"close") in answer.headers
+        with anyio.fail_after(8):
+            assert await system.process.wait() == 0
+        assert system.lines("stop")
+
+
+async def test_without_a_configuration_the_node_is_not_ready_and_says_not_run(tmp_path):
+    async with AsyncExitStack() as stack:
+        store, duties = await stack.enter_async_context(platform_standin())
+        plain = await stack.enter_async_context(scripted_endpoint(desk))
+        system = System(tmp_path, store, duties, plain, plain)
+        system.write_settings()
+        with pytest.raises(AssertionError, match="not ready"):
+            original = system.until
+            system.until = lambda condition, what: original(condition, what, seconds=2.0)
+            await system.start()
+        try:
+            answer = await system.ask("/read/x")
+            assert answer.status == 503
+            assert (b"samphire-run", b"not-run") in answer.headers
+        finally:
+            system.process.kill()
+            await system.process.wait()
