--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -1,6 +1,7 @@
 """The way of every request, read from top to bottom."""
 
 import logging
+from collections.abc import Callable
 
 import anyio
 
@@ -25,6 +26,13 @@
 _log = logging.getLogger(__name__)
 
 
+Observe = Callable[[Journey, Result, float], None]
+
+
+def _observe_nothing(journey: Journey, result: Result, seconds: float) -> None:
+    """Leave a request out of all counts."""
+
+
 class Gateway:
     """Serves requests by the newest configuration.
 
@@ -32,10 +40,13 @@
     ----------
     context : GatewayContext
         State shared by all requests of this host.
+    observe : callable
+        Called with each request that had a route, its result and its seconds.
     """
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(self, context: GatewayContext, observe: Observe = _observe_nothing) -> None:
         self.context = context
+        self._observe = observe
         self._routes: RouteTable | None = None
 
     @property
@@ -86,9 +97,14 @@
         try:
             result = await self._run(journey, caller)
         except SamphireError as error:
-            journey.log(error.result, error.detail, now=self.context.clock())
+            self._end(journey, error.result, error.detail)
             raise
-        journey.log(result, "answered", now=self.context.clock())
+        self._end(journey, result, "answered")
+
+    def _end(self, journey: Journey, result: Result, detail: str) -> None:
+        now = self.context.clock()
+        journey.log(result, detail, now=now)
+        self._observe(journey, result, journey.elapsed(now=now))
 
     def _admit(self, request: Request) -> Journey:
         """Return the journey of a request that the configuration allows."""
--- /dev/null
+++ b/samphirehall/gateway/metrics.py
@@ -0,0 +1,92 @@
+"""Counters and latency histograms of a host's requests."""
+
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from samphirehall.core.results import Result
+from samphirehall.forwarding.answers import Receive, Scope, Send, send_whole
+from samphirehall.gateway.journey import Journey
+
+# Seconds; the goals of today's routes lie between 0.1 and 0.6, their deadlines below 8.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+TEXT = b"text/plain; version=0.0.4"
+
+Read = Callable[[], float]
+
+
+class GatewayMetrics:
+    """Metrics of the requests and of what the host believes.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+        Where they are collected.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+        self._requests = Counter(
+            "samphire_requests",
+            "Requests by route and result code.",
+            ["route", "result"],
+            registry=registry,
+        )
+        self._customers = Counter(
+            "samphire_customer_requests",
+            "Requests by customer and whether they ran.",
+            ["customer", "run"],
+            registry=registry,
+        )
+        self._sends = Counter(
+            "samphire_sends",
+            "Sends to endpoints by purpose and outcome.",
+            ["purpose", "outcome"],
+            registry=registry,
+        )
+        self._seconds = Histogram(
+            "samphire_request_seconds",
+            "Seconds from the whole request to the end of its answer.",
+            ["route"],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self._first_event = Histogram(
+            "samphire_first_event_seconds",
+            "Seconds from the whole request to the first event of its stream.",
+            ["route"],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+
+    def observe(self, journey: Journey, result: Result, seconds: float) -> None:
+        """Count a request that has ended."""
+        route = journey.route.name
+        self._requests.labels(route, str(result.code)).inc()
+        self._seconds.labels(route).observe(seconds)
+        if journey.customer_name is not None:
+            self._customers.labels(journey.customer_name, result.run.value).inc()
+        for _, purpose, outcome in journey.sends:
+            self._sends.labels(purpose, outcome).inc()
+        first_event = journey.notes.get("first_event_after")
+        if first_event is not None:
+            self._first_event.labels(route).observe(first_event)
+
+    def gauge(self, name: str, help_text: str, read: Read) -> None:
+        """Serve a value that is read when it is asked for."""
+        Gauge(f"samphire_{name}", help_text, registry=self._registry).set_function(read)
+
+    def app(self, path: str) -> Any:
+        """Return the ASGI application that serves the metrics as text at `path`."""
+
+        async def serve(scope: Scope, receive: Receive, send: Send) -> None:
+            if scope["type"] != "http":
+                return
+            if scope["path"] != path:
+                await send_whole(send, 404, [], b"")
+                return
+            body = generate_latest(self._registry)
+            await send_whole(send, 200, [(b"content-type", TEXT)], body)
+
+        return serve
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -8,6 +8,7 @@
 import anyio
 import fire
 from anyio.abc import TaskGroup
+from prometheus_client import CollectorRegistry
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging
@@ -18,6 +19,7 @@
 from samphirehall.gateway.endpoint_counts import CountOrder
 from samphirehall.gateway.front import FrontState, front_app, front_protocol
 from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.metrics import GatewayMetrics
 from samphirehall.gateway.peers import Peers
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, TableFollower
@@ -38,6 +40,7 @@
 from samphirehall.settings.loading import SettingsError
 
 READINESS_PATH = "/ready"
+METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # as deploy/system.toml tells the platform
 GATHER_S = 0.5  # endpoints' entries change several times a second; leaving must show within two
 BALANCER_S = 3.0  # two missed questions a second apart, and one second for the answer
 STOP_MARGIN_S = 1.0  # before the platform ends the process
@@ -69,7 +72,8 @@
             note_start=self.usage.note,
             clock=boot_seconds,
         )
-        self.gateway = Gateway(self.context)
+        self.metrics = GatewayMetrics(CollectorRegistry())
+        self.gateway = Gateway(self.context, self.metrics.observe)
         self.peers = Peers(
             self.context,
             self.store,
@@ -94,6 +98,29 @@
             self.store, store.ENDPOINT_TABLE, self._take_endpoint, pause=GATHER_S
         )
 
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("configuration_version", "Version in force.", lambda: self.gateway.version)
+        gauge("endpoints", "Endpoints listed.", lambda: len(list(self.context.fleet.states())))
+        gauge("open_requests", "Requests not answered.", lambda: self.front.open_requests)
+        gauge(
+            "live_hosts",
+            "Hosts heard lately, this one among them.",
+            lambda: len(self.peers.live(now=boot_seconds())),
+        )
+        gauge(
+            "duty_held",
+            "Whether this host holds the duty of usage reports and orders.",
+            lambda: self.duty.right(now=boot_seconds()) is not None,
+        )
+        gauge(
+            "store_available",
+            "Whether the store answered the last calls for both tables.",
+            lambda: self.configurations.available and self.endpoints.available,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether new connections may come."""
@@ -175,6 +202,7 @@
         _start_duties(group, node)
         readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
         await stack.enter_async_context(serving(readiness, settings.listen_readiness))
+        await _serve_metrics(stack, node)
         app = front_app(node.front, wire.decode_request, node.gateway.serve)
         await stack.enter_async_context(
             serving(app, settings.listen_clients, protocol=front_protocol(node.front))
@@ -186,6 +214,16 @@
     _log.info("stop", extra={"open": node.front.open_requests})
 
 
+async def _serve_metrics(stack: AsyncExitStack, node: Node) -> None:
+    """Serve metrics; a host whose port is taken serves requests all the same."""
+    address = f"{node.settings.ip}:{METRICS_PORT}"
+    try:
+        await stack.enter_async_context(serving(node.metrics.app(METRICS_PATH), address))
+    except OSError as error:
+        extra = {"address": address, "reason": os.strerror(error.errno or 0)}
+        _log.warning("metrics-unavailable", extra=extra)
+
+
 def _start_duties(group: TaskGroup, node: Node) -> None:
     allowed = may_act(node.duty)
     if USAGE_DUTY in node.settings.duties:
