Refuse requests that crash endpoints; hand configurations and leaving endpoints between hosts

Cause: a request that takes an endpoint along comes again at any host; a host that the store turns away hears of no new version and of no leaving endpoint. Ruled out: counting every broken connection as a crash (answers are lost while the endpoint lives); a crash counts when the endpoint is then found to be gone. Change: crash board keyed by route, target, key and body, told to peers; peers tell versions and leaving endpoints, a host fetches a newer document from a peer.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from samphirehall.gateway.crashes import CrashBoard
 from samphirehall.gateway.demand import DemandMeter
 from samphirehall.gateway.dialect import Dialect
 from samphirehall.gateway.fleet import Fleet
@@ -54,6 +55,7 @@
     clock: Callable[[], float]
     fleet: Fleet = field(default_factory=Fleet)
     loads: LoadBoard = field(default_factory=LoadBoard)
+    crashes: CrashBoard = field(default_factory=CrashBoard)
     random_source: random.Random = field(default_factory=random.Random)
     rates: dict[tuple[str, Stage], ReadingRate] = field(default_factory=dict)
     hand_over: Average = field(default_factory=lambda: Average(PRIOR_HAND_OVER_S))
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.cache_model import CacheModel
@@ -39,6 +39,7 @@
     failure_share: float = 0.0
     suspect_until: float = 0.0
     changing_since: float = float("-inf")
+    leaving_since: float = float("-inf")
 
     def succeeded(self) -> None:
         """Take note of an answer."""
@@ -69,6 +70,7 @@
         self._states: dict[str, EndpointState] = {}
         self._left: set[tuple[str, int, str]] = set()
         self.retired: list[EndpointConnections] = []
+        self.lost: list[str] = []
 
     def endpoint(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint of the list."""
@@ -78,38 +80,61 @@
         """Return all endpoints of the list."""
         return self._states.values()
 
-    def take(self, listed: ListedEndpoint, service: Service | None) -> None:
+    def take(
+        self, listed: ListedEndpoint, service: Service | None, *, now: float = float("-inf")
+    ) -> None:
         """Add or change an endpoint.
 
         An incarnation that has said that it leaves is never ready again.
         """
         if not listed.ready:
             self._left.add(listed.identity)
+        elif self.has_left(listed.identity):
+            listed = replace(listed, ready=False)
+        limits = service.engine if service else None
         known = self._states.get(listed.endpoint_id)
         if known is not None and known.listed.identity == listed.identity:
             if known.listed != listed:
                 self._log_change("endpoint-changed", listed)
+            if known.listed.ready and not listed.ready:
+                known.leaving_since = now
             if known.listed.stage is not listed.stage:
                 known.changing_since = float("-inf")
             known.listed = listed
+            if known.cache is None and limits is not None:
+                known.cache = CacheModel(limits.memory_tokens)
             return
         if known is not None:
-            self.retired.append(known.connections)
-        limits = service.engine if service else None
+            self._retire(known)
         cache = CacheModel(limits.memory_tokens) if limits else None
         connections = EndpointConnections(listed.address)
         self._states[listed.endpoint_id] = EndpointState(listed, connections, cache)
         self._log_change("endpoint-listed", listed)
 
+    def hear_leaving(self, endpoint_id: str, *, now: float) -> None:
+        """Take a peer's word that an endpoint leaves; it is never ready again."""
+        state = self._states.get(endpoint_id)
+        if state is not None and state.listed.ready:
+            self._left.add(state.listed.identity)
+            state.listed = replace(state.listed, ready=False)
+            state.leaving_since = now
+            self._log_change("endpoint-leaving-heard", state.listed)
+
     def remove(self, endpoint_id: str) -> None:
         """Drop an endpoint that is gone from the list."""
         state = self._states.pop(endpoint_id, None)
         if state is None:
             return
         self._left.add(state.listed.identity)
-        self.retired.append(state.connections)
+        self._retire(state)
         self._log_change("endpoint-gone", state.listed)
 
+    def _retire(self, state: EndpointState) -> None:
+        """Hand connections over for closing; an endpoint that never said it leaves is lost."""
+        self.retired.append(state.connections)
+        if state.listed.ready:
+            self.lost.append(state.listed.endpoint_id)
+
     def has_left(self, identity: tuple[str, int, str]) -> bool:
         """Return whether an incarnation has said that it leaves, or is gone from the list."""
         return identity in self._left
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -12,9 +12,11 @@
     DEADLINE_UNKNOWN,
     NO_CONFIGURATION,
     NO_ROUTE,
+    QUARANTINED,
     Result,
 )
 from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.crashes import CRASHES, fingerprint
 from samphirehall.gateway.generation import run_generation
 from samphirehall.gateway.journey import Caller, Journey, log_refusal
 from samphirehall.gateway.plain import run_plain
@@ -91,6 +93,7 @@
         now = self.context.clock()
         try:
             journey = self._admit(request)
+            self._refuse_if_it_crashes(journey)
         except SamphireError as error:
             log_refusal(request, error, version=self.version, now=now)
             raise
@@ -128,8 +131,14 @@
             urgency(route, customer),
             request.received_at + patience,
             self.version,
+            fingerprint(request, route),
         )
 
+    def _refuse_if_it_crashes(self, journey: Journey) -> None:
+        crashed = self.context.crashes.crashed(journey.fingerprint, now=self.context.clock())
+        if crashed >= CRASHES:
+            raise SamphireError(QUARANTINED, f"{crashed} endpoints broke off while running it")
+
     async def _run(self, journey: Journey, caller: Caller) -> Result:
         engines = journey.service.engine is not None and journey.request.prompt is not None
         run = run_generation if engines else run_plain
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -22,6 +22,7 @@
     PROMISE_STATUSES,
     answer_headers,
     no_answer,
+    note_crash,
 )
 from samphirehall.gateway.types import Prompt, Stage
 
@@ -235,6 +236,7 @@
         outcome = SendOutcome.SILENT
     finally:
         journey.record(plan.decode.endpoint_id, "generate", outcome)
+    note_crash(context, journey, engine, outcome)
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
         journey.runs += 1
         journey.may_have_run = True
--- a/samphirehall/gateway/journey.py
+++ b/samphirehall/gateway/journey.py
@@ -56,6 +56,8 @@
         Boot clock in seconds of the final answer.
     version : int
         Configuration version that decided.
+    fingerprint : int
+        What the request has in common with itself sent again.
     sends : list
         Endpoint, purpose and outcome of each send.
     """
@@ -67,6 +69,7 @@
     rank: int
     deadline: float
     version: int
+    fingerprint: int = 0
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
--- a/samphirehall/gateway/peers.py
+++ b/samphirehall/gateway/peers.py
@@ -19,6 +19,7 @@
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.crashes import Crash
 from samphirehall.gateway.load import EndpointLoad
 from samphirehall.gateway.types import PromptPart
 
@@ -30,6 +31,7 @@
 MAX_NOTES = 12  # notes of cached prompts in one datagram, which must fit a packet
 MAX_WAITING_NOTES = 200  # older ones are dropped while datagrams do not keep up
 TELL_CHANGING_S = 1.0  # peers hear of an ordered change several times in this time
+TELL_LEAVING_S = 3.0  # longer than a host may go on sending work to a leaving endpoint
 HOST_PREFIX = "hosts/"
 
 _log = logging.getLogger(__name__)
@@ -46,6 +48,8 @@
     notes: list[tuple[str, list[tuple[str, int]]]]
     demand: dict[str, float]
     changing: list[str]
+    leaving: list[str]
+    crashes: list[tuple[int, str]]
 
 
 @dataclass(slots=True)
@@ -102,6 +106,20 @@
         """Return the number of hosts ever listed or heard: more than live ones, never fewer."""
         return len(self._peers) + 1
 
+    @property
+    def address(self) -> str:
+        """IP number and port of this host, for datagrams and connections of peers."""
+        return self._address
+
+    def with_newer_configuration(self, *, now: float) -> tuple[str, int] | None:
+        """Return the address of a live peer whose version in force is above this host's."""
+        newer = [
+            (peer.version, peer.address)
+            for peer in self._peers.values()
+            if now - peer.heard_at < LIVE_S and peer.version > self._version()
+        ]
+        return max(newer)[1] if newer else None
+
     async def run(self) -> None:
         """Exchange news until cancelled."""
         host, _, port = self._address.rpartition(":")
@@ -181,8 +199,24 @@
             encoded,
             {name: round(meter.rate(now=now)) for name, meter in context.demands.items()},
             changing,
+            self._leaving_to_tell(now),
+            self._crashes_to_tell(),
         )
 
+    def _leaving_to_tell(self, now: float) -> list[str]:
+        """Return the endpoints that have begun to leave lately: a peer may not hear the store."""
+        return [
+            state.listed.endpoint_id
+            for state in self._context.fleet.states()
+            if not state.listed.ready and now - state.leaving_since < TELL_LEAVING_S
+        ]
+
+    def _crashes_to_tell(self) -> list[tuple[int, str]]:
+        untold = self._context.crashes.untold
+        count = min(len(untold), MAX_NOTES)
+        crashes = [untold.popleft() for _ in range(count)]
+        return [(crash.fingerprint, crash.endpoint) for crash in crashes]
+
     async def _receive(self, udp: UDPSocket) -> None:
         async for datagram, _ in udp:
             try:
@@ -217,3 +251,7 @@
             state = fleet.endpoint(endpoint_id)
             if state is not None and not state.is_changing(now=now):
                 state.changing_since = now
+        for endpoint_id in news.leaving:
+            fleet.hear_leaving(endpoint_id, now=now)
+        for crashed, endpoint in news.crashes:
+            self._context.crashes.hear(Crash(crashed, endpoint), now=now)
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -8,6 +8,7 @@
 from samphirehall.core.results import NO_ENDPOINT, OK, OUTCOME_UNKNOWN, Result
 from samphirehall.gateway.connections import Answer, BrokenAnswerError, NotSentError
 from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.crashes import Crash
 from samphirehall.gateway.dialect import Dispatch
 from samphirehall.gateway.fleet import EndpointState, choose_plain
 from samphirehall.gateway.journey import Caller, Journey, SendOutcome
@@ -120,6 +121,7 @@
     with context.loads.request(endpoint_id):
         outcome, answer = await _exchange(context, journey, endpoint)
     journey.record(endpoint_id, "run", outcome)
+    note_crash(context, journey, endpoint, outcome)
     if outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN, SendOutcome.SILENT):
         endpoint.failed(now=context.clock())
     elif answer is not None and answer.status >= FIRST_SERVER_ERROR:
@@ -132,6 +134,21 @@
     return answer
 
 
+def note_crash(
+    context: GatewayContext, journey: Journey, endpoint: EndpointState, outcome: SendOutcome
+) -> None:
+    """Keep in mind that an endpoint broke off in a request, or that the request was answered."""
+    now = context.clock()
+    endpoint_id = endpoint.listed.endpoint_id
+    if outcome is SendOutcome.BROKEN:
+        crash = Crash(journey.fingerprint, f"{endpoint_id}/{endpoint.listed.born}")
+        context.crashes.suspect(endpoint_id, crash, now=now)
+    elif outcome is SendOutcome.NOT_SENT:
+        context.crashes.confirm(endpoint_id, now=now)
+    elif outcome is SendOutcome.ANSWERED:
+        context.crashes.clear(journey.fingerprint)
+
+
 async def _exchange(
     context: GatewayContext, journey: Journey, endpoint: EndpointState
 ) -> tuple[SendOutcome, WholeAnswer | None]:
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -14,6 +14,7 @@
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
 from samphirehall.gateway.agreed_time import AgreedTime
+from samphirehall.gateway.configuration_exchange import ConfigurationExchange
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
 from samphirehall.gateway.duty import Duty, may_act, now_right
 from samphirehall.gateway.endpoint_counts import CountOrder
@@ -81,6 +82,7 @@
             self.agreed,
             lambda: self.gateway.version,
         )
+        self.configuration_exchange = ConfigurationExchange(self.peers, self._heard_configuration)
         self.reports = UsageReports(
             self.store,
             self._report_usage,
@@ -145,14 +147,18 @@
         )
 
     def _take_configuration(self, change: RowChange) -> None:
-        if change.key != store.CONFIGURATION_KEY or change.value is None:
-            return
+        if change.key == store.CONFIGURATION_KEY and change.value is not None:
+            self._heard_configuration(change.value, "store")
+
+    def _heard_configuration(self, content: bytes, source: str) -> None:
+        """Put a document in force if it can be read and is newer."""
         try:
-            configuration = documents.decode_configuration(change.value)
+            configuration = documents.decode_configuration(content)
         except ValueError as error:
             _log.error("configuration-unreadable", extra={"reason": str(error)})
             return
-        self.gateway.take_configuration(configuration, source="store")
+        if self.gateway.take_configuration(configuration, source=source):
+            self.configuration_exchange.keep(configuration.version, content)
 
     def _take_endpoint(self, change: RowChange) -> None:
         if change.value is None:
@@ -163,7 +169,7 @@
             return
         configuration = self.gateway.configuration
         service = configuration.services.get(listed.service) if configuration else None
-        self.context.fleet.take(listed, service)
+        self.context.fleet.take(listed, service, now=boot_seconds())
 
     def reload(self, reason: str) -> None:
         """Take over what may change while the process runs; a broken file changes nothing."""
@@ -181,6 +187,9 @@
         """Close connections to endpoints that are gone, until cancelled."""
         while True:
             await anyio.sleep(GATHER_S)
+            while self.context.fleet.lost:
+                endpoint_id = self.context.fleet.lost.pop()
+                self.context.crashes.confirm(endpoint_id, now=boot_seconds())
             while self.context.fleet.retired:
                 await self.context.fleet.retired.pop().aclose()
 
@@ -196,6 +205,7 @@
         group.start_soon(node.endpoints.run)
         group.start_soon(node.close_retired)
         group.start_soon(node.peers.run)
+        group.start_soon(node.configuration_exchange.run)
         group.start_soon(node.duty.run)
         group.start_soon(node.usage.save_forever, node.store)
         group.start_soon(_follow_settings, node)
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,132 @@
+"""Hosts that tell each other their work, configurations, leaving endpoints and crashes."""
+
+import anyio
+import pytest
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.gateway.agreed_time import AgreedTime
+from samphirehall.gateway.configuration_exchange import ConfigurationExchange
+from samphirehall.gateway.crashes import CONFIRM_S, CRASHES, Crash, CrashBoard, fingerprint
+from samphirehall.gateway.peers import Peers
+from samphirehall.gateway.types import PromptPart, Stage
+from tests.gateway.helpers import MODEL, ROUTES, context, engine, request
+from tests.support.ports import free_address
+from tests.support.table import FaultyTable
+
+pytestmark = pytest.mark.anyio
+
+
+class Host:
+    """A host's peers over real datagrams on loopback."""
+
+    def __init__(self, name, table):
+        self.context, _ = context()
+        self.context.host = name
+        self.context.fleet.take(engine("d1"), MODEL)
+        self.agreed = AgreedTime()
+        self.version = 1
+        self.taken = []
+        self.peers = Peers(self.context, table, free_address(), self.agreed, lambda: self.version)
+        self.exchange = ConfigurationExchange(
+            self.peers, lambda content, source: self.taken.append(content)
+        )
+
+
+async def until(condition):
+    with anyio.fail_after(3):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def two_hosts(group, *, exchange=False):
+    table = FaultyTable()
+    hosts = [Host(name, table) for name in ("a", "b")]
+    for host in hosts:
+        group.start_soon(host.peers.run)
+        if exchange:
+            group.start_soon(host.exchange.run)
+    await until(lambda: all(len(host.peers.live(now=boot_seconds())) == 2 for host in hosts))
+    return hosts
+
+
+class TestPeers:
+    async def test_work_and_kept_prompts_are_known_elsewhere(self):
+        async with anyio.create_task_group() as group:
+            one, two = await two_hosts(group)
+            parts = (PromptPart("common", 900), PromptPart("own", 100))
+            one.context.note_cached("d1", parts)
+            with one.context.loads.request("d1"), one.context.loads.reading("d1", 700, 2):
+                await until(
+                    lambda: two.context.loads.at("d1", now=boot_seconds()).tokens_up_to(2) == 700
+                )
+            await until(lambda: two.context.loads.at("d1", now=boot_seconds()).requests == 0)
+            assert two.context.fleet.endpoint("d1").cache.cached_tokens(parts) == 1000
+            group.cancel_scope.cancel()
+
+    async def test_host_that_falls_silent_counts_no_longer(self):
+        one = Host("a", FaultyTable())
+        one.context.loads.hear("b", {"d1": one.context.loads._own["d1"]}, {"model": 9.0}, now=1.0)
+        assert one.context.loads.reading_demand(1.0, "model", now=1.5) == 10.0
+        assert one.context.loads.reading_demand(1.0, "model", now=3.0) == 1.0
+
+    async def test_leaving_endpoint_is_heard_of_without_the_store(self):
+        async with anyio.create_task_group() as group:
+            one, two = await two_hosts(group)
+            gone = engine("d1")
+            leaving = gone.__class__(**{name: getattr(gone, name) for name in gone.__slots__})
+            object.__setattr__(leaving, "ready", False)
+            one.context.fleet.take(leaving, MODEL, now=boot_seconds())
+            await until(lambda: not two.context.fleet.endpoint("d1").listed.ready)
+            two.context.fleet.take(engine("d1"), MODEL)
+            assert not two.context.fleet.candidates("model", now=0.0, stage=Stage.DECODE)
+            group.cancel_scope.cancel()
+
+    async def test_newer_configuration_is_fetched_from_a_peer(self):
+        async with anyio.create_task_group() as group:
+            one, two = await two_hosts(group, exchange=True)
+            one.exchange.keep(7, b"document")
+            one.version = 7
+            await until(lambda: two.taken)
+            assert two.taken[0] == b"document" and not one.taken
+            group.cancel_scope.cancel()
+
+    async def test_unreadable_datagram_ends_nothing(self):
+        async with anyio.create_task_group() as group:
+            _, two = await two_hosts(group)
+            host, _, port = two.peers.address.rpartition(":")
+            async with await anyio.create_udp_socket(local_host=host) as udp:
+                await udp.sendto(b"\xc1garbage", host, int(port))
+            before = two.peers._peers["a"].heard_at
+            await until(lambda: two.peers._peers["a"].heard_at > before)
+            group.cancel_scope.cancel()
+
+
+class TestCrashes:
+    def board(self, *endpoints, confirmed=True):
+        board = CrashBoard()
+        for endpoint in endpoints:
+            board.suspect(endpoint, Crash(1, endpoint), now=0.0)
+            if confirmed:
+                board.confirm(endpoint, now=1.0)
+        return board
+
+    def test_request_that_took_several_endpoints_along_is_known(self):
+        assert self.board("x", "y", "z").crashed(1, now=2.0) == CRASHES
+
+    def test_lost_answers_of_living_endpoints_are_no_crashes(self):
+        assert self.board("x", "y", "z", confirmed=False).crashed(1, now=2.0) == 0
+
+    def test_endpoint_that_goes_much_later_did_not_crash_by_it(self):
+        board = self.board("x", confirmed=False)
+        board.confirm("x", now=CONFIRM_S + 1)
+        assert board.crashed(1, now=CONFIRM_S + 1) == 0
+
+    def test_answer_clears_a_request(self):
+        board = self.board("x", "y", "z")
+        board.clear(1)
+        assert board.crashed(1, now=2.0) == 0
+
+    def test_same_request_has_the_same_fingerprint_whatever_its_id(self):
+        again = [fingerprint(request(request_id=name, body=b"b"), ROUTES[0]) for name in "xy"]
+        other = fingerprint(request(body=b"c"), ROUTES[0])
+        assert again[0] == again[1] != other
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -5,7 +5,7 @@
 import pytest
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import NO_ENDPOINT, OUTCOME_UNKNOWN
+from samphirehall.core.results import NO_ENDPOINT, OUTCOME_UNKNOWN, QUARANTINED
 from samphirehall.gateway.gateway import Gateway
 from tests.gateway.helpers import (
     DESK,
@@ -166,3 +166,22 @@
                 await asyncio.wait_for(gateway.serve(request("/book/x"), KeptCaller()), 1.4)
         assert caught.value.result.http_status == 504
         assert caught.value.result.run == "unknown"
+
+
+class TestCrashingRequest:
+    async def test_request_that_crashes_endpoints_is_refused_after_the_third(self):
+        shared, _ = context()
+        gateway = Gateway(shared)
+        gateway.take_configuration(configuration(), source="test")
+        codes = []
+        for number in range(5):
+            async with scripted_endpoint(reset) as endpoint:
+                shared.fleet.take(listed(f"e{number}", endpoint.address), DESK)
+                with pytest.raises(SamphireError) as caught:
+                    await gateway.serve(
+                        request("/book/x", request_id=f"r{number}", body=b"poison"), KeptCaller()
+                    )
+                codes.append(caught.value.result.code)
+            shared.fleet.remove(f"e{number}")
+            shared.crashes.confirm(f"e{number}", now=shared.clock())
+        assert codes == [OUTCOME_UNKNOWN.code] * 3 + [QUARANTINED.code] * 2
