--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -47,6 +47,10 @@
         self.failure_share *= FAILURE_MEMORY
         self.suspect_until = 0.0
 
+    def answered_with_failure(self) -> None:
+        """Take note of a failure that the endpoint itself answered; it stays in use."""
+        self.failure_share = FAILURE_MEMORY * self.failure_share + 1 - FAILURE_MEMORY
+
     def failed(self, *, now: float) -> None:
         """Take note of a failure of the endpoint or of the way to it."""
         self.failures_in_row += 1
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -102,6 +102,9 @@
         except SamphireError as error:
             self._end(journey, error.result, error.detail)
             raise
+        except anyio.get_cancelled_exc_class():
+            journey.log_client_left(now=self.context.clock())
+            raise
         self._end(journey, result, "answered")
 
     def _end(self, journey: Journey, result: Result, detail: str) -> None:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -182,7 +182,7 @@
     request, dialect = journey.request, context.dialect
     dispatch = _dispatch(context, journey, plan, reader, None)
     started = context.clock()
-    outcome = SendOutcome.NOT_RUN
+    outcome = SendOutcome.CUT
     limit = plan.first_event * READING_FACTOR + READING_SLACK_S
     try:
         with anyio.fail_after(limit), _reading(context, journey, plan):
@@ -194,6 +194,7 @@
                 belongs=lambda found: dialect.belongs(request.request_id, found),
             ) as answer:
                 body = await answer.read(max_bytes=MAX_ANSWER_BYTES)
+        outcome = SendOutcome.NOT_RUN
         if answer.status == 200:
             outcome = SendOutcome.ANSWERED
             reader.succeeded()
@@ -223,7 +224,7 @@
     engine = context.fleet.endpoint(plan.decode.endpoint_id)
     if engine is None:
         return False
-    outcome = SendOutcome.BROKEN
+    outcome = SendOutcome.CUT
     journey.tried.add(plan.decode.endpoint_id)
     try:
         with context.loads.request(plan.decode.endpoint_id):
--- a/samphirehall/gateway/journey.py
+++ b/samphirehall/gateway/journey.py
@@ -30,7 +30,10 @@
 
 
 class SendOutcome(enum.StrEnum):
-    """What became of one send to an endpoint."""
+    """What became of one send to an endpoint.
+
+    `CUT` is a send that this host ended: the deadline passed or the client left.
+    """
 
     ANSWERED = "answered"
     NOT_SENT = "not-sent"
@@ -38,6 +41,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     FAILED = "failed"
+    CUT = "cut"
 
 
 @dataclass(slots=True)
@@ -96,23 +100,24 @@
     def log(self, result: Result, detail: str, *, now: float) -> None:
         """Write the one line that tells the request's story."""
         level = logging.INFO if result is OK else logging.WARNING
-        _log.log(
-            level,
-            "request",
-            extra={
-                "request": self.request.request_id,
-                "route": self.route.name,
-                "customer": self.customer_name,
-                "rank": self.rank,
-                "configuration": self.version,
-                "result": result.code,
-                "outcome": result.name,
-                "reason": detail,
-                "seconds": round(self.elapsed(now=now), 4),
-                "sends": self.sends,
-                **self.notes,
-            },
-        )
+        outcome = {"result": result.code, "outcome": result.name, "reason": detail}
+        _log.log(level, "request", extra={**self._facts(now), **outcome})
+
+    def log_client_left(self, *, now: float) -> None:
+        """Write the line of a request whose client closed its connection before the answer."""
+        _log.info("client-left", extra=self._facts(now))
+
+    def _facts(self, now: float) -> dict[str, Any]:
+        return {
+            "request": self.request.request_id,
+            "route": self.route.name,
+            "customer": self.customer_name,
+            "rank": self.rank,
+            "configuration": self.version,
+            "seconds": round(self.elapsed(now=now), 4),
+            "sends": self.sends,
+            **self.notes,
+        }
 
 
 def log_refusal(request: Request, error: SamphireError, *, version: int, now: float) -> None:
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -118,14 +118,17 @@
     """Send once; return the whole answer, or None if there is none to pass on."""
     endpoint_id = endpoint.listed.endpoint_id
     journey.tried.add(endpoint_id)
-    with context.loads.request(endpoint_id):
-        outcome, answer = await _exchange(context, journey, endpoint)
-    journey.record(endpoint_id, "run", outcome)
+    outcome, answer = SendOutcome.CUT, None
+    try:
+        with context.loads.request(endpoint_id):
+            outcome, answer = await _exchange(context, journey, endpoint)
+    finally:
+        journey.record(endpoint_id, "run", outcome)
     note_crash(context, journey, endpoint, outcome)
     if outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN, SendOutcome.SILENT):
         endpoint.failed(now=context.clock())
     elif answer is not None and answer.status >= FIRST_SERVER_ERROR:
-        endpoint.failure_share += (1 - endpoint.failure_share) * (1 - 0.8)
+        endpoint.answered_with_failure()
     elif outcome is SendOutcome.ANSWERED:
         endpoint.succeeded()
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -185,3 +185,18 @@
             shared.fleet.remove(f"e{number}")
             shared.crashes.confirm(f"e{number}", now=shared.clock())
         assert codes == [OUTCOME_UNKNOWN.code] * 3 + [QUARANTINED.code] * 2
+
+
+class TestStory:
+    async def test_send_that_the_deadline_cut_stands_in_the_log(self, caplog):
+        async def silent(received, writer):
+            await asyncio.sleep(5)
+
+        caplog.set_level("INFO")
+        async with scripted_endpoint(silent) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            with pytest.raises(SamphireError):
+                await gateway.serve(request("/book/x"), KeptCaller())
+        story = next(record for record in caplog.records if record.message == "request")
+        assert story.sends == [("e0", "run", "cut")]
+        assert (story.request, story.customer, story.configuration) == ("r1", "acme", 1)
