--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -3,7 +3,7 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -21,6 +21,7 @@
     wanted_counts,
     wanted_stage_change,
 )
+from samphirehall.gateway.fleet import CHANGE_SECONDS
 from samphirehall.gateway.types import GatewayConfiguration, ListedEndpoint, Service, Stage
 
 LOOK_S = 0.5  # between looks at the fleet; an endpoint takes seconds to come
@@ -67,6 +68,7 @@
         self._accepted: dict[Subject, tuple[int, float]] = {}
         self._refused_at: dict[Subject, float] = {}
         self._recent: dict[str, deque[tuple[float, Demand]]] = {}
+        self._staged: dict[str, tuple[Stage, float]] = {}
         self._wanted_stage: dict[str, tuple[Stage | None, float]] = {}
 
     def forget(self) -> None:
@@ -166,7 +168,7 @@
     ) -> None:
         """Change one engine at a time, if a change has been wanted for some time."""
         engines = {
-            endpoint.endpoint_id: endpoint
+            endpoint.endpoint_id: self._as_ordered(endpoint, now=now)
             for endpoint in listed
             if endpoint.service == service.name and endpoint.ready and endpoint.stage
         }
@@ -190,8 +192,14 @@
             generating=round(demand.generating, 2),
         )
         if accepted:
+            self._staged[endpoint_id] = new_stage, now
             self._context.note_changing(endpoint_id, now=now)
 
+    def _as_ordered(self, endpoint: ListedEndpoint, *, now: float) -> ListedEndpoint:
+        """Return an engine with the stage it was ordered to take, until its entry shows it."""
+        stage, at = self._staged.get(endpoint.endpoint_id, (endpoint.stage, float("-inf")))
+        return replace(endpoint, stage=stage) if now - at < CHANGE_SECONDS else endpoint
+
 
 async def scale_forever(
     scaling: Scaling,
