--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -134,6 +134,9 @@
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
         journey.runs += 1
         journey.may_have_run = True
+    if outcome is SendOutcome.BROKEN and journey.customer_name is not None:
+        # Most answers that are lost were to requests that ran, and usage is what ran.
+        context.note_start(journey.customer_name)
     return answer
 
 
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -1,6 +1,7 @@
 """Whole answers from plain endpoints, repeated only where that is allowed."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -104,6 +105,16 @@
         assert (caller.status, caller.body) == (500, b"oops")
 
 
+class TestUsage:
+    @pytest.mark.parametrize(("script", "count"), [(answered, 1), (reset, 1), (refused, 0)])
+    async def test_requests_that_ran_count_also_if_their_answer_was_lost(self, script, count):
+        async with scripted_endpoint(script) as endpoint:
+            gateway, started = gateway_with(endpoint.address)
+            with contextlib.suppress(SamphireError):
+                await gateway.serve(request("/book/x"), KeptCaller())
+        assert started == ["acme"] * count
+
+
 class TestOnce:
     @pytest.mark.parametrize("script", [reset, truncated])
     async def test_doubtful_outcome_is_unknown_and_not_repeated(self, script):
