Count only sends that arrived against the budget of repeats

Ruled out: full engines (the sends ended as not-sent within 2 ms) and a short deadline (the requests were 2 to 7 ms old).

Change: a journey knows how many sends may have arrived; only what goes beyond the first is a repeat, a second reading of the prompt included. An engine that only reads and cannot be reached is left out until its pause is over. While nothing has run, each new plan passes admission again, so that a request that has become hopeless is refused with a time to come back.

Five of the six new tests fail before; the sixth pins that a repeat still needs an allowance.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -96,9 +96,9 @@
             self.repeat_limits = limits
             self.budgets.clear()
 
-    def may_repeat(self, service: str) -> bool:
-        """Return whether one more send to a service is allowed, and count it."""
-        return self.budget(service).take(hosts=self.live_hosts(), now=self.clock())
+    def may_repeat(self, service: str, sends: int) -> bool:
+        """Return whether so many repeated sends to a service are allowed, and count them."""
+        return self.budget(service).take(sends, hosts=self.live_hosts(), now=self.clock())
 
     def note_cached(self, endpoint_id: str, parts: tuple[PromptPart, ...]) -> None:
         """Take note that an engine reads or copies a prompt, and tell peers."""
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -38,6 +38,7 @@
     failures_in_row: int = 0
     failure_share: float = 0.0
     suspect_until: float = 0.0
+    unreachable_until: float = 0.0
     changing_since: float = float("-inf")
     leaving_since: float = float("-inf")
 
@@ -46,17 +47,28 @@
         self.failures_in_row = 0
         self.failure_share *= FAILURE_MEMORY
         self.suspect_until = 0.0
+        self.unreachable_until = 0.0
 
     def answered_with_failure(self) -> None:
         """Take note of a failure that the endpoint itself answered; it stays in use."""
         self.failure_share = FAILURE_MEMORY * self.failure_share + 1 - FAILURE_MEMORY
 
-    def failed(self, *, now: float) -> None:
-        """Take note of a failure of the endpoint or of the way to it."""
+    def failed(self, *, now: float, unreachable: bool = False) -> None:
+        """Take note of a failure of the endpoint or of the way to it.
+
+        Parameters
+        ----------
+        now : float
+            Boot clock in seconds.
+        unreachable : bool
+            Whether there was no connection.
+        """
         self.failures_in_row += 1
         self.failure_share = FAILURE_MEMORY * self.failure_share + 1 - FAILURE_MEMORY
         pause = min(SUSPECT_SECONDS * 2 ** (self.failures_in_row - 1), MOST_SUSPECT_SECONDS)
         self.suspect_until = now + pause
+        if unreachable:
+            self.unreachable_until = self.suspect_until
 
     def is_changing(self, *, now: float) -> bool:
         """Return whether the engine has been ordered to change and is not back."""
@@ -153,7 +165,8 @@
     ) -> list[EndpointState]:
         """Return the endpoints of a service, or of one stage of it, that take new work.
 
-        Those that have just failed are left out as long as there are others.
+        Those that have just failed are left out as long as there are others. Engines that
+        only read and cannot be reached are left out in any case: others can read as well.
         """
         ready = [
             state
@@ -165,6 +178,8 @@
             and (stage is None or state.listed.stage is stage)
         ]
         trusted = [state for state in ready if state.suspect_until <= now]
+        if stage is Stage.PREFILL and not trusted:
+            return [state for state in ready if state.unreachable_until <= now]
         return trusted or ready
 
     def _log_change(self, event: str, listed: ListedEndpoint) -> None:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -14,7 +14,7 @@
 from samphirehall.gateway.exchange import SEND_ERRORS, note_crash, outcome_of, send
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import EngineView, GenerationPlan, plan_generation
-from samphirehall.gateway.journey import Caller, Journey, SendOutcome
+from samphirehall.gateway.journey import READ, Caller, Journey, SendOutcome
 from samphirehall.gateway.plain import MAX_ANSWER_BYTES, no_answer
 from samphirehall.gateway.relay import Delivery, allow_silence, relay, settle_failure
 from samphirehall.gateway.types import Prompt, PromptPart, Stage
@@ -41,8 +41,10 @@
     while (plan := _next_plan(context, journey, prompt)) is not None:
         if not journey.sends:
             context.demand(journey.service.name).note(plan.unread_tokens, now=context.clock())
+        if not journey.may_have_run:
             _admit(context, journey, plan)
-        elif not context.may_repeat(journey.service.name):
+        repeats = journey.repeats_of(reads_apart=plan.prefill is not None)
+        if not context.may_repeat(journey.service.name, repeats):
             journey.notes["stopped"] = "repeat budget spent"
             break
         if await _attempt(context, journey, plan, delivery):
@@ -175,8 +177,8 @@
     except SEND_ERRORS as error:
         outcome = outcome_of(error)
     finally:
-        journey.record(plan.reader.endpoint_id, "read", outcome)
-    reader.failed(now=context.clock())
+        journey.record(plan.reader.endpoint_id, READ, outcome)
+    reader.failed(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
     journey.tried.add(plan.reader.endpoint_id)
     return None
 
@@ -208,7 +210,7 @@
     if outcome is SendOutcome.ANSWERED:
         engine.succeeded()
     elif outcome is not SendOutcome.NOT_RUN:
-        engine.failed(now=context.clock())
+        engine.failed(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
     return outcome is SendOutcome.ANSWERED
 
 
--- a/samphirehall/gateway/journey.py
+++ b/samphirehall/gateway/journey.py
@@ -9,6 +9,8 @@
 from samphirehall.core.results import OK, Result
 from samphirehall.gateway.types import Customer, Headers, Request, Route, Service
 
+READ = "read"  # purpose of a send that only has a prompt read
+
 _log = logging.getLogger(__name__)
 
 
@@ -64,6 +66,10 @@
         What the request has in common with itself sent again.
     sends : list
         Endpoint, purpose and outcome of each send.
+    arrivals : int
+        Sends that may have reached an endpoint, the first reading of the prompt left out.
+    prompt_was_read : bool
+        Whether an engine has read the prompt apart.
     """
 
     request: Request
@@ -78,6 +84,8 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     sends: list[tuple[str, str, str]] = field(default_factory=list)
+    arrivals: int = 0
+    prompt_was_read: bool = False
     notes: dict[str, Any] = field(default_factory=dict)
 
     @property
@@ -94,8 +102,26 @@
         return self.deadline - now
 
     def record(self, endpoint_id: str, purpose: str, outcome: SendOutcome) -> None:
-        """Keep the outcome of one send for the log."""
+        """Keep the outcome of one send."""
         self.sends.append((endpoint_id, purpose, outcome.value))
+        if outcome is SendOutcome.NOT_SENT:
+            return
+        first_reading = purpose == READ and not self.prompt_was_read
+        if first_reading and outcome is SendOutcome.ANSWERED:
+            self.prompt_was_read = True
+        else:
+            self.arrivals += 1
+
+    def repeats_of(self, *, reads_apart: bool = False) -> int:
+        """Return how many sends of the next attempt repeat what an endpoint has got before.
+
+        Parameters
+        ----------
+        reads_apart : bool
+            Whether one engine only reads the prompt, which repeats nothing the first time.
+        """
+        sends = 2 if reads_apart and self.prompt_was_read else 1
+        return sends if self.arrivals else sends - 1
 
     def log(self, result: Result, detail: str, *, now: float) -> None:
         """Write the one line that tells the request's story."""
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -93,7 +93,7 @@
     chosen = choose_plain(candidates, requests_at, zone=context.zone, tie=tie)
     if chosen is None:
         return None
-    if journey.sends and not context.may_repeat(journey.service.name):
+    if not context.may_repeat(journey.service.name, journey.repeats_of()):
         journey.notes["stopped"] = "repeat budget spent"
         return None
     journey.notes["choice"] = {
@@ -125,7 +125,7 @@
         journey.record(endpoint_id, "run", outcome)
     note_crash(context, journey, endpoint, outcome)
     if outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN, SendOutcome.SILENT):
-        endpoint.failed(now=context.clock())
+        endpoint.failed(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
     elif answer is not None and answer.status >= FIRST_SERVER_ERROR:
         endpoint.answered_with_failure()
     elif outcome is SendOutcome.ANSWERED:
--- a/samphirehall/gateway/repeat_budget.py
+++ b/samphirehall/gateway/repeat_budget.py
@@ -46,11 +46,13 @@
         """Count a request of a client."""
         self._requests.add(now)
 
-    def take(self, *, hosts: int, now: float) -> bool:
-        """Count a repeat if it is allowed; return whether it is.
+    def take(self, count: int = 1, *, hosts: int, now: float) -> bool:
+        """Count repeats if they are allowed; return whether they are.
 
         Parameters
         ----------
+        count : int
+            Number of repeats.
         hosts : int
             Hosts that share the slack.
         now : float
@@ -59,7 +61,8 @@
         requests = self._requests.within(self._window, now=now)
         repeats = self._repeats.within(self._window, now=now)
         allowed = SAFETY * (self._ratio * requests + self._slack / max(1, hosts))
-        if repeats + 1 > allowed:
+        if count and repeats + count > allowed:
             return False
-        self._repeats.add(now)
+        for _ in range(count):
+            self._repeats.add(now)
         return True
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -1,12 +1,14 @@
 """Streams over engines: prompts read apart, breaks, resumption and clients that leave."""
 
 import asyncio
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import OUTCOME_UNKNOWN, OVERLOADED, STREAM_CUT
+from samphirehall.gateway.context import RepeatLimits
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.types import Stage
 from tests.gateway.helpers import (
@@ -24,6 +26,7 @@
 
 pytestmark = pytest.mark.anyio
 
+UNREACHABLE = SimpleNamespace(address="127.0.0.1:1")
 EVENTS = [f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)]
 WHOLE = b"".join(EVENTS)
 
@@ -174,6 +177,55 @@
             assert sum(len(item.received) for item in (one, two, three)) == 2
 
 
+class TestUnreachableEngines:
+    """A send without a connection has repeated nothing, so that it costs no allowance."""
+
+    NO_REPEATS = RepeatLimits(0.0, 0.0, 10.0)
+
+    async def test_other_engine_answers_without_a_repeat(self):
+        async with scripted_endpoint(generate) as decode:
+            gateway, _ = gateway_with(d1=UNREACHABLE, d2=decode)
+            gateway.context.set_repeat_limits(self.NO_REPEATS)
+            gateway.context.loads._own["d2"].requests = 40
+            caller = await serve(gateway, "/once/x")
+        assert caller.body == WHOLE
+
+    async def test_prompt_is_read_where_it_is_generated_without_a_repeat(self):
+        async with scripted_endpoint(generate) as decode:
+            gateway, _ = gateway_with(p1=UNREACHABLE, d1=decode)
+            gateway.context.set_repeat_limits(self.NO_REPEATS)
+            gateway.context.loads._own["d1"].requests = 3
+            caller = await serve(gateway, of=prompt(8000))
+        assert caller.body == WHOLE
+
+    async def test_only_reading_engine_is_left_alone_after_a_failure(self):
+        async with scripted_endpoint(generate) as decode:
+            gateway, _ = gateway_with(p1=UNREACHABLE, d1=decode)
+            gateway.context.loads._own["d1"].requests = 3
+            await serve(gateway, of=prompt(8000))
+            p1 = gateway.context.fleet.endpoint("p1")
+            await serve(gateway, of=prompt(8000))
+        assert p1.failures_in_row == 1
+
+    async def test_request_that_repeats_needs_an_allowance(self):
+        async with scripted_endpoint(refuse) as full, scripted_endpoint(generate) as decode:
+            gateway, _ = gateway_with(d1=full, d2=decode)
+            gateway.context.set_repeat_limits(self.NO_REPEATS)
+            gateway.context.loads._own["d2"].requests = 40
+            with pytest.raises(SamphireError):
+                await serve(gateway)
+        assert not decode.received
+
+    async def test_request_that_no_longer_meets_a_short_queue_is_refused(self):
+        async with scripted_endpoint(generate) as decode:
+            gateway, _ = gateway_with(d1=UNREACHABLE, d2=decode)
+            gateway.context.loads._own["d2"].unread_tokens[0] = 100_000
+            with pytest.raises(SamphireError) as caught:
+                await serve(gateway)
+        assert caught.value.result is OVERLOADED and caught.value.retry_after > 0
+        assert not decode.received
+
+
 class TestClientsAndLoad:
     async def test_client_that_leaves_ends_the_run(self):
         async def slow(received, writer):
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -7,6 +7,7 @@
 
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import NO_ENDPOINT, OUTCOME_UNKNOWN, QUARANTINED
+from samphirehall.gateway.context import RepeatLimits
 from samphirehall.gateway.gateway import Gateway
 from tests.gateway.helpers import (
     DESK,
@@ -165,6 +166,15 @@
             arrivals = len(one.received) + len(two.received)
         assert 60 < arrivals <= 60 + 0.2 * 60 + 20
 
+    async def test_endpoint_that_cannot_be_reached_costs_no_allowance(self):
+        async with scripted_endpoint(answered) as sound:
+            gateway, _ = gateway_with("127.0.0.1:1", sound.address)
+            gateway.context.set_repeat_limits(RepeatLimits(0.0, 0.0, 10.0))
+            for number in range(8):
+                caller = KeptCaller()
+                await gateway.serve(request("/book/x", request_id=f"r{number}"), caller)
+                assert caller.status == 200
+
 
 class TestDeadline:
     async def test_final_answer_comes_at_the_timeout_of_the_route(self):
