Hand usage counts to peers, and let a holder take its own lease over at once

Change: hosts tell peers their counts of the last windows in a datagram each half second, and the holder adds up the newer of row and news; a restarted host closes the windows that its earlier process left open; the wait for a host ends at half of the time that is left, so that another host can still take over; a holder that finds its own lease row unchanged goes on at once.

--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -23,7 +23,8 @@
     """The part of this host in the lease of the duties.
 
     A new holder waits for one more lease time before it acts, so that holders
-    never take turns within that time.
+    never take turns within that time. One that takes its own lease over again
+    goes on at once: the fencing number shows that nobody held it in between.
 
     Parameters
     ----------
@@ -55,7 +56,9 @@
         except LeaseLostError:
             return None
         if right.fencing != self._fencing:
-            self._fencing, self._held_since = right.fencing, now
+            if right.fencing != self._fencing + 1 or not self._fencing:
+                self._held_since = now
+            self._fencing = right.fencing
         settled = right.fencing == 1 or now - self._held_since >= self._lease_time
         return right if settled else None
 
--- a/samphirehall/gateway/peers.py
+++ b/samphirehall/gateway/peers.py
@@ -22,6 +22,7 @@
 from samphirehall.gateway.crashes import Crash
 from samphirehall.gateway.load import EndpointLoad
 from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.usage_windows import HeardUsage, HostCounts, UsageCounter
 
 TICK_S = 0.05  # a decision seen so late by peers costs less than the goal's tenth
 QUIET_S = 0.5  # a host without news is heard so often, well within a load's lifetime
@@ -31,6 +32,7 @@
 MAX_NOTES = 12  # notes of cached prompts in one datagram, which must fit a packet
 MAX_WAITING_NOTES = 200  # older ones are dropped while datagrams do not keep up
 TELL_CHANGING_S = 1.0  # peers hear of an ordered change several times in this time
+TELL_USAGE_S = 0.5  # counts that are lost if a host ends while the store is away
 TELL_LEAVING_S = 3.0  # longer than a host may go on sending work to a leaving endpoint
 HOST_PREFIX = "hosts/"
 
@@ -50,6 +52,8 @@
     changing: list[str]
     leaving: list[str]
     crashes: list[tuple[int, str]]
+    process: str
+    usage: dict[int, tuple[bool, dict[str, int]]]
 
 
 @dataclass(slots=True)
@@ -78,6 +82,10 @@
         Learns the peers' clocks.
     version : callable
         Configuration version in force here.
+    usage : UsageCounter
+        What this host counts for usage reports.
+    heard_usage : HeardUsage
+        Takes what peers have counted.
     """
 
     def __init__(
@@ -87,7 +95,12 @@
         address: str,
         agreed: AgreedTime,
         version: Callable[[], int],
+        usage: UsageCounter,
+        heard_usage: HeardUsage,
     ) -> None:
+        self._usage = usage
+        self._heard_usage = heard_usage
+        self._usage_told_at = float("-inf")
         self._context = context
         self._table = table
         self._address = address
@@ -201,8 +214,21 @@
             changing,
             self._leaving_to_tell(now),
             self._crashes_to_tell(),
+            self._usage.process,
+            self._usage_to_tell(now),
         )
 
+    def tell_usage(self) -> None:
+        """Have the next datagram, which is due at once, carry this host's counts."""
+        self._sent_changes, self._usage_told_at = -1, float("-inf")
+
+    def _usage_to_tell(self, now: float) -> dict[int, tuple[bool, dict[str, int]]]:
+        if now - self._usage_told_at < TELL_USAGE_S:
+            return {}
+        self._usage_told_at = now
+        told = self._usage.news().items()
+        return {window: (counts.closed, dict(counts.counts)) for window, counts in told}
+
     def _leaving_to_tell(self, now: float) -> list[str]:
         """Return the endpoints that have begun to leave lately: a peer may not hear the store."""
         return [
@@ -239,6 +265,8 @@
             for endpoint_id, numbers in news.loads.items()
         }
         self._context.loads.hear(news.host, loads, news.demand, now=now)
+        for window, (closed, counts) in news.usage.items():
+            self._heard_usage.hear(news.process, window, HostCounts(closed, counts))
         self._take_engine_news(news, now=now)
 
     def _take_engine_news(self, news: _PeerNews, *, now: float) -> None:
--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -1,26 +1,31 @@
 """Counting what customers used by window, and reporting each window once.
 
-Each host keeps its counts in rows of its own. The holder of the duty adds them
-up, stores the sum once under a condition, and reports just that sum: whoever
-holds the duty next can only repeat it.
+Each host keeps its counts in rows of its own, and tells them to its peers, for
+the case that the store is away when the host ends. The holder of the duty adds
+them up, stores the sum once under a condition, and reports just that sum:
+whoever holds the duty next can only repeat it.
 """
 
 import logging
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import anyio
 
 from samphirehall.authority.lease import LeaseLostError
-from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
+from samphirehall.backing.table import ABSENT, Check, Table, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
 SAVE_S = 1.0  # counts that a killed host may lose; one small write a host a second
 CLOSE_S = 0.3  # after a window's end, for requests that begin at it, and clocks that differ
-WAIT_SHARE = 0.7  # part of the time until a report is due for which a host's counts are waited for
+# Part of the time until a report is due for which a host's counts are waited for. The rest is
+# enough for another host to take the duty over if its holder is cut off meanwhile.
+WAIT_SHARE = 0.5
+TOLD_WINDOWS = 3  # windows that peers hear of; older ones have been reported
+TOLD_CUSTOMERS = 60  # customers in one datagram, which must fit a packet
 KEPT_WINDOWS = 24  # rows of older windows are deleted; reports are due within a few
 WINDOW_DIGITS = 12  # keys sort as numbers
 COUNTS_PREFIX = "usage/counts/"
@@ -39,6 +44,46 @@
     return f"{SUMS_PREFIX}{window:0{WINDOW_DIGITS}d}"
 
 
+@dataclass(slots=True, frozen=True)
+class HostCounts:
+    """What one process counted in one window.
+
+    Parameters
+    ----------
+    closed : bool
+        Whether it adds nothing any more.
+    counts : mapping of str to int
+        Requests by customer.
+    """
+
+    closed: bool
+    counts: Mapping[str, int]
+
+    def merged(self, other: "HostCounts") -> "HostCounts":
+        """Return the newer of both: counts only grow."""
+        names = {*self.counts, *other.counts}
+        counts = {name: max(self.counts.get(name, 0), other.counts.get(name, 0)) for name in names}
+        return HostCounts(self.closed or other.closed, counts)
+
+
+class HeardUsage:
+    """What peers said of their counts, by window and process."""
+
+    def __init__(self) -> None:
+        self._windows: dict[int, dict[str, HostCounts]] = defaultdict(dict)
+
+    def hear(self, process: str, window: int, counts: HostCounts) -> None:
+        """Take a peer's word on one of its windows."""
+        known = self._windows[window].get(process)
+        self._windows[window][process] = known.merged(counts) if known else counts
+        for old in [other for other in self._windows if other < window - KEPT_WINDOWS]:
+            del self._windows[old]
+
+    def of(self, window: int) -> Mapping[str, HostCounts]:
+        """Return the counts of a window by process."""
+        return self._windows.get(window, {})
+
+
 class UsageCounter:
     """Requests that began to run, by window and customer, on this host.
 
@@ -50,15 +95,30 @@
         Length of a window.
     agreed_now : callable
         Agreed seconds since 1970.
+    reach : float
+        Seconds before the start whose windows are closed at once: an earlier process of this
+        host can add nothing to them.
     """
 
-    def __init__(self, host: str, window_seconds: float, agreed_now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        host: str,
+        window_seconds: float,
+        agreed_now: Callable[[], float],
+        *,
+        reach: float = 0.0,
+    ) -> None:
         self._host = host
         self._seconds = window_seconds
         self._agreed_now = agreed_now
         self._counts: dict[int, Counter[str]] = defaultdict(Counter)
         self._unsaved: set[int] = set()
-        self._open = self.window_now
+        self._open = int((agreed_now() - reach) / window_seconds)
+
+    @property
+    def process(self) -> str:
+        """Process that counts."""
+        return self._host
 
     @property
     def window_now(self) -> int:
@@ -95,6 +155,17 @@
         for window in [old for old in self._counts if old < self.window_now - KEPT_WINDOWS]:
             del self._counts[window]
 
+    def news(self) -> dict[int, HostCounts]:
+        """Return the last windows for peers; those with many customers are left to the store."""
+        newest = self.window_now
+        windows = {
+            window: HostCounts(window < self._open, dict(self._counts[window]))
+            for window in range(newest - TOLD_WINDOWS + 1, newest + 1)
+            if window in self._counts or window < self._open
+        }
+        customers = sum(len(told.counts) for told in windows.values())
+        return windows if customers <= TOLD_CUSTOMERS else {}
+
     def _row(self, window: int) -> Write:
         row = {"closed": window < self._open, "counts": dict(self._counts[window])}
         return Write(counts_prefix(window) + self._host, row)
@@ -112,6 +183,8 @@
         Reports a window's sum to the platform.
     live_hosts : callable
         Hosts whose counts are waited for.
+    heard : callable
+        Counts of a window that peers have told, by process.
     window_seconds, due_seconds : float
         Length of a window, and how long after its end its report is due.
     """
@@ -119,6 +192,7 @@
     table: Table
     send: Callable[[int, dict[str, int]], Awaitable[None]]
     live_hosts: Callable[[], Iterable[str]]
+    heard: Callable[[int], Mapping[str, HostCounts]]
     window_seconds: float
     due_seconds: float
     next_window: int | None = None
@@ -159,12 +233,12 @@
         stored = (await self.table.read([key])).get(key)
         if stored is not None:
             return dict(stored.value)
-        rows = await self.table.scan(counts_prefix(window))
-        if self._waits(window, rows, agreed_now):
+        counted = await self._counted(window)
+        if self._waits(window, counted, agreed_now):
             return None
         total: Counter[str] = Counter()
-        for row in rows:
-            total.update(row.value["counts"])
+        for counts in counted.values():
+            total.update(counts.counts)
         old = sum_key(window - KEPT_WINDOWS)
         writes = [Write(key, dict(total)), Write(old, None)]
         result = await self.table.transact([Check(key, ABSENT)], writes)
@@ -173,12 +247,24 @@
         await self._delete_counts(window - KEPT_WINDOWS)
         return dict(total)
 
-    def _waits(self, window: int, rows: Sequence[Row], agreed_now: float) -> bool:
+    async def _counted(self, window: int) -> dict[str, HostCounts]:
+        """Return the counts of a window by process, as stored or as told, whichever is newer."""
+        prefix = counts_prefix(window)
+        counted = {
+            row.key.removeprefix(prefix): HostCounts(row.value["closed"], row.value["counts"])
+            for row in await self.table.scan(prefix)
+        }
+        for process, told in self.heard(window).items():
+            stored = counted.get(process)
+            counted[process] = stored.merged(told) if stored else told
+        return counted
+
+    def _waits(self, window: int, counted: Mapping[str, HostCounts], agreed_now: float) -> bool:
         """Return whether a host that lives has not closed the window, and there is time."""
         end = (window + 1) * self.window_seconds
         if agreed_now >= end + WAIT_SHARE * self.due_seconds:
             return False
-        closed = {row.key.split("/")[3] for row in rows if row.value["closed"]}
+        closed = {process.split("/")[0] for process, host in counted.items() if host.closed}
         return not closed.issuperset(self.live_hosts())
 
     async def _delete_counts(self, window: int) -> None:
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -26,7 +26,12 @@
 from samphirehall.gateway.rows import RowChange, TableFollower
 from samphirehall.gateway.scaling import Scaling, ScalingCalls, scale_forever
 from samphirehall.gateway.types import ListedEndpoint, Stage
-from samphirehall.gateway.usage_windows import UsageCounter, UsageReports, report_forever
+from samphirehall.gateway.usage_windows import (
+    HeardUsage,
+    UsageCounter,
+    UsageReports,
+    report_forever,
+)
 from samphirehall.platform import documents, store, wire
 from samphirehall.platform.duties import Duties
 from samphirehall.platform.engine_orders import order_stage
@@ -47,6 +52,7 @@
 STOP_MARGIN_S = 1.0  # before the platform ends the process
 FINISH_S = 2.5  # before that, for requests that run; ordinary ones take one or two seconds
 SETTINGS_LOOK_S = 1.0  # between looks at the settings file
+LAST_NEWS_S = 0.1  # in which a last datagram leaves; one is looked at every 50 ms
 POLL_S = 0.05  # looking for the end of the last request
 
 _log = logging.getLogger(__name__)
@@ -63,7 +69,10 @@
         self.agreed = AgreedTime()
         process = f"{settings.host}/{self.incarnation}"
         self.duty = Duty(self.store, process, settings.lease_time)
-        self.usage = UsageCounter(process, settings.usage_window, self.agreed_now)
+        self.usage = UsageCounter(
+            process, settings.usage_window, self.agreed_now, reach=settings.usage_due
+        )
+        self.heard_usage = HeardUsage()
         self.context = GatewayContext(
             settings.host,
             settings.zone,
@@ -81,12 +90,15 @@
             f"{settings.ip}:{settings.first_peer_port}",
             self.agreed,
             lambda: self.gateway.version,
+            self.usage,
+            self.heard_usage,
         )
         self.configuration_exchange = ConfigurationExchange(self.peers, self._heard_configuration)
         self.reports = UsageReports(
             self.store,
             self._report_usage,
             lambda: self.peers.live(now=boot_seconds()),
+            self.heard_usage.of,
             settings.usage_window,
             settings.usage_due,
         )
@@ -286,6 +298,8 @@
         node.front.refusing = True
         await _until_idle(node)
     with anyio.move_on_after(STOP_MARGIN_S):
+        node.peers.tell_usage()
+        await anyio.sleep(LAST_NEWS_S)
         await node.usage.save(node.store)
         await node.duty.release()
 
