Take the duty over after a gap of over half a lease, not a whole one

Change: what must not happen is that one host acts, another, and the first again within one lease. A gap of 0.6 of a lease at each change keeps that, and a lease that lapsed has been watched for most of it already.

--- a/samphirehall/authority/keeper.py
+++ b/samphirehall/authority/keeper.py
@@ -74,6 +74,7 @@
         self._row: LeaseRow | None = None
         self._counter = 0
         self._stopped = False
+        self._taken_after_release = False
 
     @property
     def scope(self) -> str:
@@ -85,6 +86,11 @@
         """Lease row as this process last knew it."""
         return self._row
 
+    @property
+    def taken_after_release(self) -> bool:
+        """Whether the holder before this process gave the lease back."""
+        return self._taken_after_release
+
     def right(self, *, now: float) -> Right:
         """Return the right of this process.
 
@@ -198,6 +204,7 @@
 
     async def _take_over(self, seen: Observation, reason: str) -> None:
         fencing = 1 if self._row is None else self._row.fencing + 1
+        after_release = self._row is not None and self._row.holder == NOBODY
         row = LeaseRow(self._holder, fencing, self._times.ttl)
         counter = self._next_counter()
         sent_at = self._clock()
@@ -209,7 +216,7 @@
         elif self._stopped or self._clock() >= until:
             log_decision(_log, "takeover-failed", "the answer came too late", **inputs)
         else:
-            self._row = row
+            self._row, self._taken_after_release = row, after_release
             self._held = Right(self._scope, self._holder, fencing, until, version)
             log_decision(_log, "takeover", reason, **inputs)
 
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -14,6 +14,9 @@
 SCOPE = "duties"
 MARGIN_SHARE = 0.2  # part of a lease that its holder leaves unused, for drift of clocks
 DELIVERY_S = 1.0  # longest time between the check of a right and the end of its call
+# Part of a lease that passes between the last call of one holder and the first of the next, so
+# that two changes of the holder take longer than one lease.
+GAP_SHARE = 0.6
 LOOK_SHARE = 0.3  # part of a lease after which a candidate looks at it again
 
 _log = logging.getLogger(__name__)
@@ -22,9 +25,9 @@
 class Duty:
     """The part of this host in the lease of the duties.
 
-    A new holder waits for one more lease time before it acts, so that holders
-    never take turns within that time. One that takes its own lease over again
-    goes on at once: the fencing number shows that nobody held it in between.
+    A new holder acts after a gap, so that holders never take turns within one
+    lease time. One that takes its own lease over again goes on at once: the
+    fencing number shows that nobody held it in between.
 
     Parameters
     ----------
@@ -49,6 +52,15 @@
         """Gives the lease back at a planned stop."""
         return self._keeper.release
 
+    @property
+    def _gap(self) -> float:
+        """Seconds that a new holder still waits after it has taken the lease."""
+        gap = self._lease_time * GAP_SHARE
+        if self._keeper.taken_after_release:
+            return gap
+        # A lease that was not released was watched for this long after its holder's last call.
+        return max(0.0, gap - self._lease_time * MARGIN_SHARE - DELIVERY_S)
+
     def right(self, *, now: float) -> Right | None:
         """Return the right to act that lasts for one call at least, or None."""
         try:
@@ -59,7 +71,7 @@
             if right.fencing != self._fencing + 1 or not self._fencing:
                 self._held_since = now
             self._fencing = right.fencing
-        settled = right.fencing == 1 or now - self._held_since >= self._lease_time
+        settled = right.fencing == 1 or now - self._held_since >= self._gap
         return right if settled else None
 
     async def run(self) -> None:
