Explain a request's end from the logs: samphirectl explain and causes

Whether an answer was late needed the route's goal from elsewhere.

Change: lines of requests hold goal, pause goal, longest pause and the status that was passed on; the front writes the line of what it refuses itself. `samphirectl explain ID FILES` tells one request's story over all hosts' logs with what happened to its endpoints and hosts around it and the cause; `samphirectl causes FILES` counts causes and the share that has one. Both say what was left out or unreadable.

--- a/samphirehall/gateway/front.py
+++ b/samphirehall/gateway/front.py
@@ -28,7 +28,7 @@
     connection_of,
 )
 from samphirehall.forwarding.inbound import CallerGoneError, read_request_body
-from samphirehall.gateway.journey import Caller
+from samphirehall.gateway.journey import Caller, log_refusal
 from samphirehall.gateway.types import CallerLimits, Headers, Request
 
 BODY_SECONDS = 30.0  # a client that is slower than this has stopped sending
@@ -139,6 +139,24 @@
     return app
 
 
+async def _read_request(
+    state: FrontState, decode: DecodeRequest, scope: Scope, receive: Receive
+) -> Request:
+    """Return a request, or refuse it here and write the line that says why."""
+    request_id = ""
+    try:
+        limit = state.limits().body_bytes
+        body = await read_request_body(receive, max_bytes=limit, timeout=BODY_SECONDS)
+        request = decode(scope["method"], scope[TARGET], scope["headers"], body, boot_seconds())
+        request_id = request.request_id
+        if state.refusing:
+            raise SamphireError(SHUTTING_DOWN, "the host is stopping", retry_after=OTHER_HOST_S)
+    except SamphireError as error:
+        log_refusal(request_id, error)
+        raise
+    return request
+
+
 async def _answer(
     state: FrontState,
     decode: DecodeRequest,
@@ -149,12 +167,8 @@
 ) -> None:
     request_id = ""
     try:
-        limit = state.limits().body_bytes
-        body = await read_request_body(receive, max_bytes=limit, timeout=BODY_SECONDS)
-        request = decode(scope["method"], scope[TARGET], scope["headers"], body, boot_seconds())
+        request = await _read_request(state, decode, scope, receive)
         request_id = request.request_id
-        if state.refusing:
-            raise SamphireError(SHUTTING_DOWN, "the host is stopping", retry_after=OTHER_HOST_S)
         await serve(request, caller)
     except CallerGoneError:
         return
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -95,7 +95,8 @@
             journey = self._admit(request)
             self._refuse_if_it_crashes(journey)
         except SamphireError as error:
-            log_refusal(request, error, version=self.version, now=now)
+            seconds = now - request.received_at
+            log_refusal(request.request_id, error, version=self.version, seconds=seconds)
             raise
         try:
             result = await self._run(journey, caller)
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -203,6 +203,7 @@
         outcome = outcome_of(error)
     finally:
         journey.record(plan.decode.endpoint_id, "generate", outcome)
+        journey.notes["longest_pause"] = round(delivery.longest_pause, 4)
     note_crash(context, journey, engine, outcome)
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
         journey.runs += 1
@@ -233,6 +234,7 @@
         allow_silence(scope, journey, plan.first_event * SILENCE_FACTOR + SILENCE_SLACK_S)
 
         def on_event() -> None:
+            delivery.note_event(now=context.clock())
             if delivery.first_event_at is None:
                 _note_first(context, journey, plan, delivery, started, copy)
             unread.close()
--- a/samphirehall/gateway/journey.py
+++ b/samphirehall/gateway/journey.py
@@ -139,6 +139,8 @@
             "route": self.route.name,
             "customer": self.customer_name,
             "rank": self.rank,
+            "goal": self.route.goal,
+            "pause_goal": self.route.pause_goal,
             "configuration": self.version,
             "seconds": round(self.elapsed(now=now), 4),
             "sends": self.sends,
@@ -146,16 +148,30 @@
         }
 
 
-def log_refusal(request: Request, error: SamphireError, *, version: int, now: float) -> None:
-    """Write the line of a request that was refused before it had a route and a service."""
+def log_refusal(
+    request_id: str, error: SamphireError, *, version: int | None = None, seconds: float = 0.0
+) -> None:
+    """Write the line of a request that was refused before it had a route and a service.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier; empty if the request could not be read.
+    error : SamphireError
+        Why it was refused.
+    version : int or None
+        Configuration version that decided, if one did.
+    seconds : float
+        Time since the request had been read.
+    """
     _log.warning(
         "request",
         extra={
-            "request": request.request_id,
+            "request": request_id,
             "configuration": version,
             "result": error.result.code,
             "outcome": error.result.name,
             "reason": error.detail,
-            "seconds": round(now - request.received_at, 4),
+            "seconds": round(seconds, 4),
         },
     )
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -53,7 +53,7 @@
     while (endpoint := _next_endpoint(context, journey)) is not None:
         answer = await _send(context, journey, endpoint)
         if answer is not None and _is_final(journey, answer):
-            await _pass_on(caller, answer)
+            await _pass_on(journey, caller, answer)
             return OK
         last = answer or last
         if answer is None and journey.may_have_run and not journey.route.repeatable:
@@ -61,7 +61,7 @@
         if journey.runs >= journey.route.max_attempts:
             break
     if last is not None:
-        await _pass_on(caller, last)
+        await _pass_on(journey, caller, last)
         return OK
     raise no_answer(journey)
 
@@ -74,7 +74,8 @@
     return SamphireError(NO_ENDPOINT, detail, retry_after=RETRY_AFTER_S)
 
 
-async def _pass_on(caller: Caller, answer: WholeAnswer) -> None:
+async def _pass_on(journey: Journey, caller: Caller, answer: WholeAnswer) -> None:
+    journey.notes["status"] = answer.status
     await caller.start(answer.status, answer_headers(answer.headers))
     if answer.body:
         await caller.write(answer.body)
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -33,16 +33,26 @@
         Number of the last event that the caller has.
     resumable : bool
         Whether all events so far had numbers.
-    first_event_at : float or None
-        Boot clock in seconds of the first event.
+    first_event_at, last_event_at : float or None
+        Boot clock in seconds of the first and the last event.
+    longest_pause : float
+        Longest time in seconds between two events.
     """
 
     caller: Caller
     last_event: int | None
     resumable: bool = True
     first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
+    def note_event(self, *, now: float) -> None:
+        """Take note that an event has arrived."""
+        if self.last_event_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+
 
 async def relay(
     journey: Journey,
@@ -88,6 +98,7 @@
     hopeless = answer.status < 300 or answer.status in PROMISE_STATUSES
     if hopeless or delivery.caller.started:
         return SendOutcome.FAILED
+    journey.notes["status"] = answer.status
     last_try = journey.runs + 1 >= journey.route.max_attempts
     if answer.status >= FIRST_SERVER_ERROR and journey.route.resumable and not last_try:
         return SendOutcome.FAILED
--- a/samphirehall/programs/ctl.py
+++ b/samphirehall/programs/ctl.py
@@ -11,6 +11,7 @@
 import anyio
 import fire
 import msgspec
+from fire.decorators import SetParseFns
 
 from samphirehall.configuration.documents import (
     ConfigurationError,
@@ -22,7 +23,10 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import key_digest, new_customer_key
 from samphirehall.core.results import CONTROL_UNREACHABLE, by_code
+from samphirehall.explain.lines import log_lines
+from samphirehall.explain.story import as_data, collect_story, count_causes, tell
 from samphirehall.programs.ctl_tables import (
+    format_causes,
     format_endpoints,
     format_hosts,
     format_in_force,
@@ -254,6 +258,39 @@
         listed = self._client.call("GET", f"/usage?windows={windows}")
         return _dump(listed) if json else format_usage(listed)
 
+    @SetParseFns(request=str)
+    def explain(self, request: str, *files: str, json: bool = False) -> str:
+        """Tell why a request ended as it did, from the logs of all hosts.
+
+        Parameters
+        ----------
+        request : str
+            Identifier of the request.
+        *files : str
+            Log files of the hosts; standard input if there is none.
+        json : bool
+            Print the causes and the lines as JSON.
+        """
+        with log_lines(_paths(files)) as open_lines:
+            story = collect_story(open_lines, request)
+        return _dump(as_data(story)) if json else "\n".join(tell(story))
+
+    def causes(self, *files: str, json: bool = False) -> str:
+        """Count why requests ended without success, with an example of each cause.
+
+        Parameters
+        ----------
+        *files : str
+            Log files of the hosts; standard input if there is none.
+        json : bool
+            Print the counts as JSON.
+        """
+        with log_lines(_paths(files)) as open_lines:
+            counts, examples = count_causes(open_lines())
+        if json:
+            return _dump({"causes": dict(counts), "examples": examples})
+        return format_causes(counts, examples)
+
     def status(self, json: bool = False) -> str:
         """Show hosts, leases, endpoints, versions and what is unhealthy.
 
--- a/samphirehall/programs/ctl_tables.py
+++ b/samphirehall/programs/ctl_tables.py
@@ -1,7 +1,10 @@
 """Readable tables of ``samphirectl``."""
 
+from collections import Counter
 from typing import Any
 
+from samphirehall.explain.story import traced_share
+
 MISSING = "-"
 
 
@@ -40,6 +43,13 @@
     return format_table(list(columns.values()), rows)
 
 
+def format_causes(counts: Counter[str], examples: dict[str, str]) -> str:
+    """Return causes as a table, the most frequent first, with the share that has one."""
+    rows: list[list[Any]] = [[count, name, examples[name]] for name, count in counts.most_common()]
+    table = format_table(["REQUESTS", "CAUSE", "EXAMPLE"], rows)
+    return f"{table}\ntraced: {traced_share(counts):.1%} of {counts.total()} requests"
+
+
 def format_endpoints(endpoints: list[dict[str, Any]]) -> str:
     """Return endpoints as a table."""
     columns = {
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -4,7 +4,7 @@
 import pytest
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import OVERLOADED, STREAM_CUT
+from samphirehall.core.results import OVERLOADED, SHUTTING_DOWN, STREAM_CUT
 from samphirehall.core.serving import serving
 from samphirehall.gateway.front import FrontState, front_app, front_protocol
 from samphirehall.gateway.types import CallerLimits
@@ -167,10 +167,12 @@
             assert await read_all(idle) == b""
             assert b"200 OK" in await read_all(busy)
 
-    async def test_last_requests_are_refused_as_not_run(self):
+    async def test_last_requests_are_refused_as_not_run(self, caplog):
         front = Front(answer)
         async with front.serving, await front.connect() as stream:
             front.state.stopping = front.state.refusing = True
             await stream.send(GET)
             received = await read_all(stream)
         assert received.startswith(b"HTTP/1.1 503") and b"samphire-run: not-run" in received
+        (line,) = [record for record in caplog.records if record.message == "request"]
+        assert (line.request, line.result) == ("r1", SHUTTING_DOWN.code)
