List settings problems of samphire-node line by line; keep platform paths in the adapter

Change: load_or_exit takes the loader, so that all programs share it; the constants are in platform/settings.py. The test fails before.

--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -8,6 +8,8 @@
 
 PATH_VARIABLE = "SAMPHIREHALL_BOOT"
 DEFAULT_PATH = "/etc/samphirehall/settings.conf"
+READINESS_PATH = "/ready"  # where the balancer asks
+METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # as deploy/system.toml tells the platform
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 MILLI = 1e-3
 
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -35,6 +35,7 @@
 from samphirehall.routing.outstanding import QueueAims
 from samphirehall.routing.setup import routing_policy
 from samphirehall.settings import EntrySettings
+from samphirehall.settings.loading import settings_of
 from samphirehall.usage.meter import UsageMeter
 from samphirehall.usage.publisher import UsagePublisher
 
@@ -160,7 +161,7 @@
     check : bool
         Only check the settings.
     """
-    loaded = load_or_exit(settings, EntrySettings, check=check)
+    loaded = load_or_exit(settings, settings_of(EntrySettings), check=check)
     configure_logging(loaded.logging.level, host=loaded.host.id, program="samphire-entry")
     run_daemon(lambda: serve(loaded))
 
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -36,17 +36,23 @@
 from samphirehall.platform.duties import Duties
 from samphirehall.platform.engine_orders import order_stage
 from samphirehall.platform.settings import (
+    METRICS_PATH,
+    METRICS_PORT,
+    READINESS_PATH,
     SCALING_DUTY,
     USAGE_DUTY,
     PlatformSettings,
     load_platform_settings,
     settings_path,
 )
-from samphirehall.programs.running import new_incarnation, run_daemon, wait_for_stop
+from samphirehall.programs.running import (
+    load_or_exit,
+    new_incarnation,
+    run_daemon,
+    wait_for_stop,
+)
 from samphirehall.settings.loading import SettingsError
 
-READINESS_PATH = "/ready"
-METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # as deploy/system.toml tells the platform
 GATHER_S = 0.5  # endpoints' entries change several times a second; leaving must show within two
 BALANCER_S = 3.0  # two missed questions a second apart, and one second for the answer
 STOP_MARGIN_S = 1.0  # before the platform ends the process
@@ -317,10 +323,7 @@
     check : bool
         Only check the settings.
     """
-    settings = load_platform_settings(settings_path())
-    if check:
-        print(f"{settings_path()}: ok")
-        return
+    settings = load_or_exit(settings_path(), load_platform_settings, check=check)
     configure_logging("info", host=settings.host, program="samphire-node", to_stdout=True)
     run_daemon(lambda: serve(settings))
 
--- a/samphirehall/programs/running.py
+++ b/samphirehall/programs/running.py
@@ -10,25 +10,25 @@
 import uvloop
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.settings.loading import SettingsError, load_settings
+from samphirehall.settings.loading import SettingsError
 
 T = TypeVar("T")
 
 
-def load_or_exit(path: str, settings_type: type[T], *, check: bool) -> T:
+def load_or_exit(path: str, load: Callable[[str], T], *, check: bool) -> T:
     """Return the settings of a file; exit with the result's status if they are refused.
 
     Parameters
     ----------
     path : str
         Settings file.
-    settings_type : type
-        Dataclass of the file's tables.
+    load : callable
+        Returns the checked settings of a file, or raises `SettingsError`.
     check : bool
         Whether to exit after checking.
     """
     try:
-        settings = load_settings(path, settings_type)
+        settings = load(path)
     except SettingsError as error:
         for problem in error.problems:
             print(f"{error.result.code} {error.result.name}: {problem}", file=sys.stderr)
--- a/samphirehall/settings/loading.py
+++ b/samphirehall/settings/loading.py
@@ -4,6 +4,7 @@
 import ipaddress
 import tomllib
 import typing
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -69,6 +70,11 @@
     return typing.cast(T, settings)
 
 
+def settings_of(settings_type: type[T]) -> Callable[[str], T]:
+    """Return a function that loads files of one kind of settings."""
+    return lambda path: load_settings(path, settings_type)
+
+
 def build_checked(
     table_type: type,
     document: dict[str, Any],
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -11,6 +11,9 @@
 import httpcore
 import pytest
 
+from samphirehall.core.results import SETTINGS_INVALID
+from samphirehall.platform.settings import PATH_VARIABLE
+from samphirehall.programs import node
 from tests.gateway.helpers import answer_bytes, scripted_endpoint
 from tests.gateway.test_generation import generate
 from tests.platform.standin import platform_standin
@@ -238,3 +241,26 @@
         finally:
             system.process.kill()
             await system.process.wait()
+
+
+class TestCheck:
+    def check(self, monkeypatch, capsys, path):
+        monkeypatch.setenv(PATH_VARIABLE, str(path))
+        with pytest.raises(SystemExit) as ended:
+            node.run(check=True)
+        return ended.value.code, capsys.readouterr()
+
+    def test_sound_file_is_ok(self, monkeypatch, capsys, tmp_path):
+        path = tmp_path / "settings.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in SETTINGS.items()))
+        status, printed = self.check(monkeypatch, capsys, path)
+        assert status == 0 and printed.out == f"{path}: ok\n"
+
+    def test_each_problem_has_a_line(self, monkeypatch, capsys, tmp_path):
+        fields = {**SETTINGS, "bounds.lease_ms": "soon", "platform.address": "nowhere"}
+        path = tmp_path / "settings.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
+        status, printed = self.check(monkeypatch, capsys, path)
+        lines = printed.err.splitlines()
+        assert status == SETTINGS_INVALID.exit_status and len(lines) == 2
+        assert "platform.address" in lines[0] and "bounds.lease_ms" in lines[1]
