Allow for rounding in the test of the byte budget

A search over 200,000 random schedules shows sums that exceed the bound by 2e-13 to 2e-12 bytes: rounding of the times, not the budget. The bound allows 1e-9 bytes now.

--- a/tests/membership/test_pacing.py
+++ b/tests/membership/test_pacing.py
@@ -14,6 +14,7 @@
 from tests.support.mesh import mesh_settings
 
 RATE = 100.0
+ROUNDING = 1e-9  # bytes; sums of floating-point times are off by 1e-12
 names = st.sets(st.from_regex(r"host-[0-9]{1,3}", fullmatch=True), min_size=1, max_size=40)
 
 
@@ -31,7 +32,7 @@
             now += budget.wait(now=now)
             budget.spend(size, now=now)
             sent += size
-            assert sent <= RATE * (now + BURST_SECONDS) + size
+            assert sent <= RATE * (now + BURST_SECONDS) + size + ROUNDING
 
     @given(st.integers(1, 10_000_000))
     def test_urgent_bytes_hold_the_rest_back_for_a_bounded_time(self, size):
