Open the clients' listener before the balancer's

Cause: two tests of the node as a process failed, three times in eight runs side by side: the first request found no listener. The readiness page was served before the clients' listener was open, so that a host that already knew a configuration said it was ready some milliseconds before it could take a connection.

Ruled out: a crash of the process (its log has no end) and the change under test (the order is older; other tests ask after a longer wait).

Change: the listeners are opened in one place, the balancer's last.

--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -228,13 +228,7 @@
         group.start_soon(node.usage.save_forever, node.store)
         group.start_soon(_follow_settings, node)
         _start_duties(group, node)
-        readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
-        await stack.enter_async_context(serving(readiness, settings.listen_readiness))
-        await _serve_metrics(stack, node)
-        app = front_app(node.front, wire.decode_request, node.gateway.serve)
-        await stack.enter_async_context(
-            serving(app, settings.listen_clients, protocol=front_protocol(node.front))
-        )
+        await _listen(stack, node)
         _log.info("start", extra={"incarnation": node.incarnation, "zone": settings.zone})
         await wait_for_stop()
         await _drain(node)
@@ -242,6 +236,17 @@
     _log.info("stop", extra={"open": node.front.open_requests})
 
 
+async def _listen(stack: AsyncExitStack, node: Node) -> None:
+    """Open all listeners; the balancer's is the last, so that a ready host takes connections."""
+    app = front_app(node.front, wire.decode_request, node.gateway.serve)
+    await stack.enter_async_context(
+        serving(app, node.settings.listen_clients, protocol=front_protocol(node.front))
+    )
+    await _serve_metrics(stack, node)
+    readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
+    await stack.enter_async_context(serving(readiness, node.settings.listen_readiness))
+
+
 async def _serve_metrics(stack: AsyncExitStack, node: Node) -> None:
     """Serve metrics; a host whose port is taken serves requests all the same."""
     address = f"{node.settings.ip}:{METRICS_PORT}"
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -12,7 +12,7 @@
 import pytest
 
 from samphirehall.core.results import SETTINGS_INVALID
-from samphirehall.platform.settings import PATH_VARIABLE
+from samphirehall.platform.settings import PATH_VARIABLE, load_platform_settings
 from samphirehall.programs import node
 from tests.gateway.helpers import answer_bytes, scripted_endpoint
 from tests.gateway.test_generation import generate
@@ -243,6 +243,23 @@
             await system.process.wait()
 
 
+async def test_ready_host_takes_connections(monkeypatch, tmp_path):
+    """The balancer is answered only once clients can connect."""
+    path, opened = tmp_path / "settings.conf", []
+    path.write_text("".join(f"{key}={value}\n" for key, value in SETTINGS.items()))
+    settings = load_platform_settings(str(path))
+
+    @asynccontextmanager
+    async def recorded(app, address, **options):
+        opened.append(address)
+        yield
+
+    monkeypatch.setattr(node, "serving", recorded)
+    async with AsyncExitStack() as stack:
+        await node._listen(stack, node.Node(settings))
+    assert opened.index(settings.listen_clients) < opened.index(settings.listen_readiness)
+
+
 class TestCheck:
     def check(self, monkeypatch, capsys, path):
         monkeypatch.setenv(PATH_VARIABLE, str(path))
