Reset connections whose request has been given up

Ruled out: the shorter gap between holders of today (with the whole lease of before, the late call would have arrived just the same, with a lower number).

Change: a connection is set to reset while a request is on it, and to close plainly once its answer is whole. The tests send into a small window, give up and count the bytes that still arrive: all 200,000 before.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -135,6 +135,7 @@
             extensions={"timeout": timeouts},
         )
         connection = await self._dial() if fresh else await self._take()
+        connection.stream.reset_on_close(True)
         if content is None or isinstance(content, bytes):
             connection.stream.hold_writes()
         try:
@@ -188,6 +189,8 @@
 
     async def _give_back(self, connection: _Connection) -> None:
         reusable = connection.http.is_idle() and not self._closed
+        if connection.http.is_idle():
+            connection.stream.reset_on_close(False)
         if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append((boot_seconds(), connection))
             return
--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -4,8 +4,10 @@
 request asks for a timeout; who watches a stream in another way asks for none.
 """
 
+import contextlib
 import select
 import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -13,6 +15,8 @@
 import httpcore
 from anyio.abc import SocketStream
 
+NO_LINGER = struct.pack("ii", 1, 0)  # on, for zero seconds
+LINGER_OFF = struct.pack("ii", 0, 0)
 READ_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -94,6 +98,17 @@
         except READ_ERRORS as error:
             raise httpcore.WriteError(str(error)) from error
 
+    def reset_on_close(self, reset: bool) -> None:
+        """Set whether a close drops what the peer has not received yet.
+
+        A plain close goes on delivering it: a request that has been given up would
+        arrive when the network is whole again, seconds later.
+        """
+        with contextlib.suppress(OSError):  # a stream that is closed already
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER if reset else LINGER_OFF
+            )
+
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -144,6 +144,8 @@
         raise BrokenAnswerError(f"got {type(event).__name__} inside a body")
 
     async def aclose(self) -> None:
+        if self._request is not None and self._parser.their_state is not h11.DONE:
+            self._stream.reset_on_close(True)
         with (
             contextlib.suppress(OSError, anyio.BrokenResourceError),
             anyio.move_on_after(CLOSE_SECONDS, shield=True),
--- a/tests/core/test_connections.py
+++ b/tests/core/test_connections.py
@@ -4,7 +4,7 @@
 import pytest
 
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool
-from tests.support.resets import resetting_listener
+from tests.support.resets import read_to_the_end, resetting_listener, unread_listener
 
 pytestmark = pytest.mark.anyio
 
@@ -42,3 +42,16 @@
                 group.start_soon(dial)
         assert len(errors) == DIALS
         assert [error for error in errors if not isinstance(error, TRANSPORT_ERRORS)] == []
+
+
+class TestGivenUp:
+    async def test_request_that_was_given_up_is_not_delivered_later(self):
+        body = bytes(200_000)
+        with unread_listener() as listener:
+            host, port = listener.getsockname()
+            pool = ConnectionPool(f"{host}:{port}")
+            with pytest.raises(TRANSPORT_ERRORS):
+                async with pool.request("POST", "/", content=body, read_timeout=0.1):
+                    pass
+            received = await anyio.to_thread.run_sync(read_to_the_end, listener)
+        assert received < len(body)
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -1,9 +1,9 @@
 """Scripted endpoints on loopback, and values that tests of the gateway share."""
 
 import asyncio
+import contextlib
 import random
 import socket
-from contextlib import asynccontextmanager
 
 import h11
 
@@ -147,7 +147,7 @@
         self.broken_off = 0
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def scripted_endpoint(script):
     """Serve `script`, an async function of one received request and the stream writer.
 
@@ -168,7 +168,7 @@
                     return
                 endpoint.received.append(received)
                 work = asyncio.ensure_future(script(received, writer))
-                gone = asyncio.ensure_future(reader.read(1))
+                gone = asyncio.ensure_future(_until_gone(reader))
                 done, _ = await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
                 if work not in done:
                     endpoint.broken_off += 1
@@ -195,6 +195,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def _until_gone(reader):
+    """Wait until the client ends the connection, or resets it."""
+    with contextlib.suppress(ConnectionError):
+        await reader.read(1)
+
+
 async def _receive(parser, reader):
     received, body = None, b""
     while True:
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import anyio
 import pytest
 
 from samphirehall.gateway.connections import (
@@ -12,6 +13,7 @@
 from samphirehall.platform.wire import belongs
 from tests.gateway.helpers import answer_bytes, reset_on_close, scripted_endpoint
 from tests.support.ports import free_address
+from tests.support.resets import read_to_the_end, unread_listener
 
 pytestmark = pytest.mark.anyio
 
@@ -132,3 +134,14 @@
         await ask(connections, "1")
         await ask(connections, "2", once=True)
         assert endpoint.connections == 2
+
+
+async def test_a_request_that_was_given_up_is_not_delivered_later():
+    body = bytes(200_000)
+    with unread_listener() as listener:
+        host, port = listener.getsockname()
+        connections = EndpointConnections(f"{host}:{port}")
+        with anyio.move_on_after(0.1):
+            await ask(connections, "1", body=body)
+        received = await anyio.to_thread.run_sync(read_to_the_end, listener)
+    assert received < len(body)
