--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -136,6 +136,13 @@
             state.leaving_since = now
             self._log_change("endpoint-leaving-heard", state.listed)
 
+    def suspend(self, endpoint_id: str) -> None:
+        """Give an endpoint no work until its entry can be read again."""
+        state = self._states.get(endpoint_id)
+        if state is not None and state.listed.ready:
+            state.listed = replace(state.listed, ready=False)
+            self._log_change("endpoint-suspended", state.listed)
+
     def remove(self, endpoint_id: str) -> None:
         """Drop an endpoint that is gone from the list."""
         state = self._states.pop(endpoint_id, None)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -184,6 +184,7 @@
             return
         listed = documents.decode_endpoint(change.key, change.value)
         if listed is None:
+            self.context.fleet.suspend(change.key)
             return
         configuration = self.gateway.configuration
         service = configuration.services.get(listed.service) if configuration else None
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -12,12 +12,13 @@
 import pytest
 
 from samphirehall.core.results import SETTINGS_INVALID
+from samphirehall.gateway.rows import RowChange
 from samphirehall.platform.settings import PATH_VARIABLE, load_platform_settings
 from samphirehall.programs import node
 from tests.gateway.helpers import answer_bytes, scripted_endpoint
 from tests.gateway.test_generation import generate
 from tests.platform.standin import platform_standin
-from tests.platform.test_decoding import CONFIGURATION, SETTINGS
+from tests.platform.test_decoding import CONFIGURATION, ENTRY, SETTINGS
 from tests.support.ports import free_address
 
 pytestmark = pytest.mark.anyio
@@ -260,6 +261,32 @@
     assert opened.index(settings.listen_clients) < opened.index(settings.listen_readiness)
 
 
+class TestEntries:
+    def node_with_an_endpoint(self, tmp_path):
+        path = tmp_path / "settings.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in SETTINGS.items()))
+        made = node.Node(load_platform_settings(str(path)))
+        self.entry = {**ENTRY, "service": "t", "stage": None}
+        made._take_endpoint(RowChange("e1", 1, json.dumps(self.entry).encode()))
+        return made
+
+    def candidates(self, made):
+        return made.context.fleet.candidates("t", now=0.0)
+
+    def test_entry_that_cannot_be_read_names_no_endpoint_to_use(self, tmp_path):
+        made = self.node_with_an_endpoint(tmp_path)
+        assert self.candidates(made)
+        made._take_endpoint(RowChange("e1", 2, b"{"))
+        assert not self.candidates(made)
+        made._take_endpoint(RowChange("e1", 3, json.dumps(self.entry).encode()))
+        assert self.candidates(made)
+
+    def test_entry_of_another_key_that_cannot_be_read_changes_nothing(self, tmp_path):
+        made = self.node_with_an_endpoint(tmp_path)
+        made._take_endpoint(RowChange("e2", 2, b"{"))
+        assert self.candidates(made)
+
+
 class TestCheck:
     def check(self, monkeypatch, capsys, path):
         monkeypatch.setenv(PATH_VARIABLE, str(path))
