--- a/samphirehall/core/log.py
+++ b/samphirehall/core/log.py
@@ -56,6 +56,11 @@
     ----------
     descriptor : int
         Open descriptor; it is made non-blocking.
+
+    Attributes
+    ----------
+    dropped_in_all : int
+        Lines left out since the start.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -67,6 +72,7 @@
         self._urgent = 0
         self._dropped = 0
         self._rest = b""
+        self.dropped_in_all = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or count it as left out."""
@@ -79,6 +85,7 @@
             allowed = self._ordinary <= MAX_ORDINARY_LINES
         if not allowed or not self._write(self.format(record)):
             self._dropped += 1
+            self.dropped_in_all += 1
 
     def _begin_second(self, second: int) -> None:
         if second == self._second:
@@ -136,6 +143,13 @@
         logging.getLogger(noisy).setLevel(logging.WARNING)
 
 
+def dropped_lines() -> int:
+    """Return how many lines this process has left out since its start."""
+    handlers = logging.getLogger().handlers
+    bounded = [item for item in handlers if isinstance(item, BoundedStreamHandler)]
+    return sum(handler.dropped_in_all for handler in bounded)
+
+
 def _leave_out_unused_fields() -> None:
     """Spare the work for fields that no line shows, as the library's documentation describes."""
     logging.logThreads = False
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -88,6 +88,9 @@
         self.retired: list[EndpointConnections] = []
         self.lost: list[str] = []
 
+    def __contains__(self, endpoint_id: object) -> bool:
+        return endpoint_id in self._states
+
     def endpoint(self, endpoint_id: str) -> EndpointState | None:
         """Return an endpoint of the list."""
         return self._states.get(endpoint_id)
--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
@@ -86,6 +87,15 @@
         Called with each change, and whether the store has just been away.
     pause : float
         Seconds between an answer and the next call, in which changes gather.
+
+    Attributes
+    ----------
+    available : bool
+        Whether the last call was answered.
+    heard_at : float
+        Boot clock in seconds of the last answer.
+    read_once : Event
+        Set when all rows have been read.
     """
 
     def __init__(
@@ -104,6 +114,7 @@
         self._present: set[str] = set()
         self._position: int | None = None
         self.available = True
+        self.heard_at = float("-inf")
         self.read_once = anyio.Event()
 
     async def run(self) -> None:
@@ -112,6 +123,7 @@
             try:
                 await self._step()
                 self._note_available()
+                self.heard_at = boot_seconds()
                 await anyio.sleep(self._pause)
             except HistoryGoneError:
                 log_decision(_log, "feed-gap", "history is gone", table=self._table)
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -11,6 +11,7 @@
 import msgspec
 
 from samphirehall.backing.table import Check, Row, TransactionResult, Write
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
@@ -26,6 +27,12 @@
 
 _log = logging.getLogger(__name__)
 
+ObserveCall = Callable[[str, float, bool], None]
+
+
+def _observe_nothing(kind: str, seconds: float, answered: bool) -> None:
+    """Leave a call out of all counts."""
+
 
 class _StoredRow(msgspec.Struct):
     key: str
@@ -51,10 +58,13 @@
     ----------
     address : str
         IP number and port.
+    observe : callable
+        Called with the kind, the seconds and the success of each call.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, observe: ObserveCall = _observe_nothing) -> None:
         self._pool = ConnectionPool(address, connect_timeout=CALL_SECONDS)
+        self._observe = observe
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -73,7 +83,7 @@
             "remove": [_name(write.key) for write in writes if write.value is None],
         }
         body = msgspec.json.encode(document)
-        status, answer = await self._call("POST", "/rows-tx", body=body)
+        status, answer = await self._call("transaction", "POST", "/rows-tx", body=body)
         if status == 412:
             rows = [_product_row(row) for row in _stored_rows(answer)]
             return TransactionResult(False, tuple(rows))
@@ -98,7 +108,7 @@
         """Return the rows changed after a version; see `RowSource.changes`."""
         query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
         status, answer = await self._call(
-            "GET", f"/rows-feed?{urlencode(query)}", limit=wait + FEED_SLACK_S
+            "changes", "GET", f"/rows-feed?{urlencode(query)}", limit=wait + FEED_SLACK_S
         )
         if status == 410:
             raise HistoryGoneError
@@ -112,7 +122,7 @@
             query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_ROWS, "from": start}
             if end is not None:
                 query["to"] = end
-            _, answer = await self._call("GET", f"/rows-get?{urlencode(query)}")
+            _, answer = await self._call("range", "GET", f"/rows-get?{urlencode(query)}")
             page = _stored_rows(answer)
             rows.extend(page)
             version = answer.ver if version is None else version
@@ -122,11 +132,23 @@
 
     async def _call(
         self,
+        kind: str,
         method: str,
         path: str,
         *,
         body: bytes | None = None,
         limit: float = CALL_SECONDS,
+    ) -> tuple[int, _RowsAnswer]:
+        started, answered = boot_seconds(), False
+        try:
+            result = await self._exchange(method, path, body, limit)
+            answered = True
+            return result
+        finally:
+            self._observe(kind, boot_seconds() - started, answered)
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes | None, limit: float
     ) -> tuple[int, _RowsAnswer]:
         headers = {b"Content-Type": b"application/json"} if body is not None else None
         try:
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
-from samphirehall.core.log import configure_logging
+from samphirehall.core.log import configure_logging, dropped_lines
 from samphirehall.core.serving import serving
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.configuration_exchange import ConfigurationExchange
@@ -70,7 +70,8 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
         self.incarnation = new_incarnation()
-        self.store = store.Store(settings.store_address)
+        self.metrics = GatewayMetrics(CollectorRegistry())
+        self.store = store.Store(settings.store_address, self.metrics.observe_store_call)
         self.duties = Duties(settings.cloud_address, settings.host)
         self.agreed = AgreedTime()
         process = f"{settings.host}/{self.incarnation}"
@@ -88,7 +89,6 @@
             note_start=self.usage.note,
             clock=boot_seconds,
         )
-        self.metrics = GatewayMetrics(CollectorRegistry())
         self.gateway = Gateway(self.context, self.metrics.observe)
         self.peers = Peers(
             self.context,
@@ -135,6 +135,17 @@
             "Whether this host holds the duty of usage reports and orders.",
             lambda: self.duty.right(now=boot_seconds()) is not None,
         )
+        gauge(
+            "configuration_age_seconds",
+            "Seconds since the store last said which configuration is the newest.",
+            lambda: boot_seconds() - self.configurations.heard_at,
+        )
+        gauge(
+            "endpoint_list_age_seconds",
+            "Seconds since the store last said what the endpoint list is.",
+            lambda: boot_seconds() - self.endpoints.heard_at,
+        )
+        gauge("log_lines_dropped", "Log lines left out since the start.", dropped_lines)
         gauge(
             "store_available",
             "Whether the store answered the last calls for both tables.",
@@ -206,6 +217,7 @@
         """Close connections to endpoints that are gone, until cancelled."""
         while True:
             await anyio.sleep(GATHER_S)
+            self.metrics.keep_endpoints(self.context.fleet)
             while self.context.fleet.lost:
                 endpoint_id = self.context.fleet.lost.pop()
                 self.context.crashes.confirm(endpoint_id, now=boot_seconds())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -47,6 +47,20 @@
                 await store.read(["k"])
             await store.aclose()
 
+    async def test_calls_are_observed(self):
+        seen = []
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address, lambda *call: seen.append(call))
+            await store.read(["k"])
+            standin.faults.status = 503
+            with pytest.raises(PlatformUnavailableError):
+                await store.transact([], [Write("k", 1)])
+            await store.aclose()
+        assert [(kind, answered) for kind, _, answered in seen] == [
+            ("range", True),
+            ("transaction", False),
+        ]
+
     async def test_lost_answer_is_unavailable_though_the_write_took_effect(self, monkeypatch):
         monkeypatch.setattr("samphirehall.platform.store.CALL_SECONDS", 0.2)
         async with platform_standin() as (standin, _):
