Log an endpoint's failure only if it was passed on

Cause (found by reading): a failure after which another engine answered left its status in the line of the request, so that explain called a served request a failure. The test fails before.

--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -98,10 +98,10 @@
     hopeless = answer.status < 300 or answer.status in PROMISE_STATUSES
     if hopeless or delivery.caller.started:
         return SendOutcome.FAILED
-    journey.notes["status"] = answer.status
     last_try = journey.runs + 1 >= journey.route.max_attempts
     if answer.status >= FIRST_SERVER_ERROR and journey.route.resumable and not last_try:
         return SendOutcome.FAILED
+    journey.notes["status"] = answer.status
     await delivery.caller.start(answer.status, answer_headers(answer.headers))
     await delivery.caller.write(body)
     await delivery.caller.finish()
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -31,6 +31,7 @@
     reset_on_close,
     scripted_endpoint,
 )
+from tests.gateway.test_generation import generate
 
 pytestmark = pytest.mark.anyio
 
@@ -124,6 +125,18 @@
         await serve("/book/x", broken_service, method="POST")
         assert set(count_causes(logs())[0]) == {"endpoint answered a failure"}
 
+    async def test_failure_that_another_engine_made_good_is_none(self, logs):
+        async with scripted_endpoint(broken_service) as bad, scripted_endpoint(generate) as good:
+            shared, _ = context()
+            shared.fleet.take(engine("d1", address=bad.address), MODEL)
+            shared.fleet.take(engine("d2", address=good.address), MODEL)
+            shared.loads._own["d2"].requests = 40
+            gateway = Gateway(shared)
+            gateway.take_configuration(configuration(), source="test")
+            await gateway.serve(request("/chat/x", of=prompt()), KeptCaller())
+        assert bad.received and good.received
+        assert not count_causes(logs())[0]
+
     async def test_unknown_key(self, logs):
         await serve("/read/x", slow, key="other")
         assert set(count_causes(logs())[0]) == {"key-unknown"}
