Write usage counts under the version they replace

Counts would be lost the same way.

Ruled out: a host that was not heard (all were), the restarted host (it closes its earlier process's windows).

Change: each write of counts names the version it replaces; a host that finds another version reads it and writes again a second later. The holder also counts what it knows of itself. Two of the four new tests fail before; the other two pin that counts survive a lost answer and a removed row.

--- a/samphirehall/gateway/admission.py
+++ b/samphirehall/gateway/admission.py
@@ -10,7 +10,6 @@
 WAIT_SHARE = 0.6  # part of the goal that any request may wait, however long its own prompt
 GOAL_MARGIN = 0.9  # an estimate within this part of the goal counts as on time
 LEAST_RETRY_S = 0.1  # a sooner return meets the same queue: reports of peers are that old
-LATE_SHARE = 1.0  # goals that a request may be late if no one waits behind it
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -112,6 +112,7 @@
         self._seconds = window_seconds
         self._agreed_now = agreed_now
         self._counts: dict[int, Counter[str]] = defaultdict(Counter)
+        self._versions: dict[str, int] = {}
         self._unsaved: set[int] = set()
         self._open = int((agreed_now() - reach) / window_seconds)
 
@@ -138,7 +139,11 @@
             await self.save(table)
 
     async def save(self, table: Table) -> None:
-        """Write the windows that have changed or ended since they were written last."""
+        """Write the windows that have changed or ended since they were written last.
+
+        Each write names the version it replaces: one without an answer may take effect
+        seconds later, and would take the row back to an older state.
+        """
         open_window = int((self._agreed_now() - CLOSE_S) / self._seconds)
         self._unsaved.update(range(self._open, open_window))
         self._open = max(self._open, open_window)
@@ -147,13 +152,32 @@
             return
         writes = [self._row(window) for window in changed]
         try:
-            await table.transact([], writes)
+            saved = await self._write(table, writes)
         except PlatformUnavailableError as error:
             self._unsaved |= changed
             _log.warning("usage-unsaved", extra={"windows": len(changed), "reason": str(error)})
             return
+        if not saved:
+            self._unsaved |= changed
+            reason = "an earlier write without an answer took effect"
+            log_decision(_log, "usage-unsaved", reason, windows=len(changed))
+            return
         for window in [old for old in self._counts if old < self.window_now - KEPT_WINDOWS]:
             del self._counts[window]
+            self._versions.pop(counts_prefix(window) + self._host, None)
+
+    async def _write(self, table: Table, writes: list[Write]) -> bool:
+        """Write rows of this process; return False if their versions were not the known ones."""
+        checks = [Check(write.key, self._versions.get(write.key, ABSENT)) for write in writes]
+        result = await table.transact(checks, writes)
+        if result.committed:
+            self._versions.update(result.versions or {})
+            return True
+        rows = await table.read([write.key for write in writes])
+        for write in writes:
+            row = rows.get(write.key)
+            self._versions[write.key] = row.version if row else ABSENT
+        return False
 
     def news(self) -> dict[int, HostCounts]:
         """Return the last windows for peers; those with many customers are left to the store."""
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -28,6 +28,7 @@
 from samphirehall.gateway.types import ListedEndpoint, Stage
 from samphirehall.gateway.usage_windows import (
     HeardUsage,
+    HostCounts,
     UsageCounter,
     UsageReports,
     report_forever,
@@ -104,7 +105,7 @@
             self.store,
             self._report_usage,
             lambda: self.peers.live(now=boot_seconds()),
-            self.heard_usage.of,
+            self._told_usage,
             settings.usage_window,
             settings.usage_due,
         )
@@ -161,6 +162,13 @@
         """Return the agreed seconds since 1970."""
         return self.agreed.at(wall=wall_seconds(), now=boot_seconds())
 
+    def _told_usage(self, window: int) -> dict[str, HostCounts]:
+        """Return what peers told of a window, and what this host knows of itself."""
+        told = dict(self.heard_usage.of(window))
+        if own := self.usage.news().get(window):
+            told[self.usage.process] = own
+        return told
+
     async def _report_usage(self, window: int, counts: dict[str, int]) -> None:
         await self.duties.report_usage(now_right(self.duty), window, counts)
 
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -4,6 +4,7 @@
 import pytest
 
 from samphirehall.authority.lease import LeaseLostError
+from samphirehall.backing.table import Write
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway import duty as duty_module
 from samphirehall.gateway.duty import Duty
@@ -15,6 +16,7 @@
     HeardUsage,
     UsageCounter,
     UsageReports,
+    counts_prefix,
     report_forever,
     sum_key,
 )
@@ -156,6 +158,41 @@
         assert (20, {"acme": 3}) in sent.windows
         assert {counts["acme"] for window, counts in sent.windows if window == 20} == {3}
 
+    async def test_write_that_takes_effect_late_does_not_take_a_row_back(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        counter = await self.counted(table, clock, "a", 2)
+        table.faults.late = 1.0
+        counter.note("acme")
+        await counter.save(table)
+        table.faults.late = 0.0
+        clock.now = 105.5
+        await counter.save(table)
+        table.settle()
+        await counter.save(table)
+        rows = await table.scan(counts_prefix(20))
+        assert rows[0].value == {"closed": True, "counts": {"acme": 3}}
+
+    async def test_counts_are_saved_after_a_write_whose_answer_was_lost(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        table.faults.lose_answer = 1.0
+        counter = await self.counted(table, clock, "a", 2)
+        table.faults.lose_answer = 0.0
+        counter.note("acme")
+        for _ in range(2):
+            await counter.save(table)
+        rows = await table.scan(counts_prefix(20))
+        assert rows[0].value["counts"] == {"acme": 3}
+
+    async def test_counts_are_saved_after_their_row_was_removed(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        counter = await self.counted(table, clock, "a", 2)
+        await table.transact([], [Write(counts_prefix(20) + "a/1", None)])
+        counter.note("acme")
+        for _ in range(2):
+            await counter.save(table)
+        rows = await table.scan(counts_prefix(20))
+        assert rows[0].value["counts"] == {"acme": 3}
+
     async def test_counts_that_could_not_be_saved_are_saved_later(self):
         table, clock = FaultyTable(), Clock(101.0)
         table.faults.outage = True
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -261,6 +261,16 @@
     assert opened.index(settings.listen_clients) < opened.index(settings.listen_readiness)
 
 
+class TestUsage:
+    def test_holder_counts_what_it_has_not_saved_itself(self, tmp_path):
+        path = tmp_path / "settings.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in SETTINGS.items()))
+        made = node.Node(load_platform_settings(str(path)))
+        made.usage.note("acme")
+        (own,) = made._told_usage(made.usage.window_now).values()
+        assert own.counts == {"acme": 1}
+
+
 class TestEntries:
     def node_with_an_endpoint(self, tmp_path):
         path = tmp_path / "settings.conf"
