--- a/samphirehall/explain/story.py
+++ b/samphirehall/explain/story.py
@@ -11,6 +11,11 @@
 BEFORE_S = 5.0  # an endpoint's end or a lost store this long before may explain a failure
 AFTER_S = 3.0  # an endpoint that crashed is off the list about so much later
 
+DROPPED = "log-lines-dropped"
+# Fields that each line has, or that the story tells in another way.
+COMMON_FIELDS = frozenset(
+    ("time", "level", "logger", "message", "host", "program", "request", "incarnation")
+)
 # Lines of a request's host that tell what the host believed at the time.
 HOST_EVENTS = frozenset(
     (
@@ -28,11 +33,9 @@
         "peers-unlisted",
         "takeover",
         "lease-lost",
-        "log-lines-dropped",
+        DROPPED,
     )
 )
-DROPPED = "log-lines-dropped"
-
 OpenLines = Callable[[], Iterable[str]]
 
 
@@ -120,7 +123,7 @@
     told: list[tuple[float, str]] = [
         (line.time, f"{line.host}: {text}") for line in story.own for text in _tell_own(line)
     ]
-    told += [(line.time, f"{line.host}: {_tell_around(line)}") for line in story.around]
+    told += [(line.time, f"{line.host}: {_tell_event(line)}") for line in story.around]
     told.sort(key=lambda item: item[0])
     lines = [f"request {story.request}; times count from its arrival, by the hosts' clocks"]
     lines += [f"{time - origin:+9.3f} s  {text}" for time, text in told]
@@ -159,8 +162,7 @@
 def _tell_own(line: LogLine) -> list[str]:
     fields = line.fields
     if not is_end(line):
-        shown = {key: value for key, value in fields.items() if key not in _COMMON}
-        return [f"{line.event}: {_pairs(shown)}"]
+        return [_tell_event(line)]
     where = (
         f"route {fields.get('route')}, customer {fields.get('customer')}, "
         f"configuration {fields.get('configuration')}"
@@ -175,16 +177,10 @@
     return [where, *sends, end]
 
 
-def _tell_around(line: LogLine) -> str:
-    shown = {key: value for key, value in line.fields.items() if key not in _COMMON}
-    return f"{line.event}: {_pairs(shown)}"
-
-
-_COMMON = ("time", "level", "logger", "message", "host", "program", "request", "incarnation")
-
-
-def _pairs(fields: dict[str, Any]) -> str:
-    return ", ".join(f"{key} {value}" for key, value in fields.items() if value is not None)
+def _tell_event(line: LogLine) -> str:
+    shown = {key: value for key, value in line.fields.items() if key not in COMMON_FIELDS}
+    pairs = ", ".join(f"{key} {value}" for key, value in shown.items() if value is not None)
+    return f"{line.event}: {pairs}"
 
 
 def _gaps(story: Story) -> list[str]:
