--- a/samphirehall/programs/control.py
+++ b/samphirehall/programs/control.py
@@ -52,7 +52,9 @@
         Only check the settings.
     """
     loaded = load_or_exit(settings, settings_of(ControlSettings), check=check)
-    configure_logging(loaded.logging.level, host=loaded.host.id, program="samphire-control")
+    configure_logging(
+        loaded.logging.level, host=loaded.host.id, program="samphire-control", to_stdout=True
+    )
     run_daemon(lambda: serve(loaded))
 
 
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -162,7 +162,9 @@
         Only check the settings.
     """
     loaded = load_or_exit(settings, settings_of(EntrySettings), check=check)
-    configure_logging(loaded.logging.level, host=loaded.host.id, program="samphire-entry")
+    configure_logging(
+        loaded.logging.level, host=loaded.host.id, program="samphire-entry", to_stdout=True
+    )
     run_daemon(lambda: serve(loaded))
 
 
--- a/samphirehall/settings/tables.py
+++ b/samphirehall/settings/tables.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class LoggingTable:
-    """``[logging]``: verbosity of the log on standard error."""
+    """``[logging]``: verbosity of the log on standard output."""
 
     level: LogLevel = "info"
 
