--- a/samphirehall/programs/control.py
+++ b/samphirehall/programs/control.py
@@ -37,8 +37,10 @@
             group.start_soon(CONTROL_SERVICES.get(name), context, name=name)
         _log.info("serving", extra={"services": CONTROL_SERVICES.names()})
         await wait_for_stop()
+        _log.info("shutdown-begin")
         await context.stop(STOP_SECONDS)
         group.cancel_scope.cancel()
+    _log.info("shutdown-end")
 
 
 def run(settings: str, check: bool = False) -> None:
