--- a/samphirehall/explain/story.py
+++ b/samphirehall/explain/story.py
@@ -34,6 +34,8 @@
         "platform-unavailable",
         "platform-available",
         "peers-unlisted",
+        "peer-lost",
+        "peer-regained",
         "takeover",
         "lease-lost",
         DROPPED,
--- a/samphirehall/gateway/peers.py
+++ b/samphirehall/gateway/peers.py
@@ -61,6 +61,7 @@
     address: tuple[str, int]
     heard_at: float = float("-inf")
     version: int = 0
+    lost: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -144,7 +145,9 @@
             group.start_soon(self._receive, udp)
             while True:
                 await anyio.sleep(TICK_S)
-                await self._send_if_due(udp, now=boot_seconds())
+                now = boot_seconds()
+                self._note_lost(now=now)
+                await self._send_if_due(udp, now=now)
 
     async def _register(self) -> None:
         """Write this host's address, and read those of others, for as long as the host runs."""
@@ -173,6 +176,14 @@
         else:
             peer.address = (host, int(port))
 
+    def _note_lost(self, *, now: float) -> None:
+        """Write a line for each peer that counts as live no longer."""
+        for name, peer in self._peers.items():
+            silent = now - peer.heard_at
+            if not peer.lost and LIVE_S <= silent < float("inf"):
+                peer.lost = True
+                _log.warning("peer-lost", extra={"peer": name, "silent": round(silent, 1)})
+
     async def _send_if_due(self, udp: UDPSocket, *, now: float) -> None:
         changes = self._context.loads.changes
         if changes == self._sent_changes and now - self._sent_at < QUIET_S:
@@ -257,6 +268,10 @@
         peer = self._peers.get(news.host)
         if peer is None:
             return
+        if peer.lost:
+            silent = round(now - peer.heard_at, 1)
+            _log.info("peer-regained", extra={"peer": news.host, "silent": silent})
+            peer.lost = False
         peer.heard_at = now
         peer.version = news.version
         self._agreed.hear(news.host, news.wall, wall=wall_seconds(), now=now)
--- a/samphirehall/platform/duties.py
+++ b/samphirehall/platform/duties.py
@@ -31,6 +31,7 @@
     def __init__(self, address: str, host: str) -> None:
         self._pool = ConnectionPool(address, connect_timeout=CALL_SECONDS)
         self._host = host
+        self._lost = False
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -79,8 +80,20 @@
                 ) as response:
                     content = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
         except (*TRANSPORT_ERRORS, TimeoutError, ValueError) as error:
+            self._note_lost(repr(error))
             raise PlatformUnavailableError(f"{path}: {error!r}") from error
+        self._note_regained()
         if response.status not in (OK, also):
             detail = content[:200].decode("utf-8", "replace")
             raise PlatformUnavailableError(f"{path}: status {response.status}: {detail}")
         return response.status
+
+    def _note_lost(self, reason: str) -> None:
+        if not self._lost:
+            _log.warning("duties-interface-lost", extra={"reason": reason})
+        self._lost = True
+
+    def _note_regained(self) -> None:
+        if self._lost:
+            _log.info("duties-interface-regained")
+        self._lost = False
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,5 +1,7 @@
 """Hosts that tell each other their work, configurations, leaving endpoints and crashes."""
 
+import logging
+
 import anyio
 import pytest
 
@@ -7,7 +9,7 @@
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.configuration_exchange import ConfigurationExchange
 from samphirehall.gateway.crashes import CONFIRM_S, CRASHES, Crash, CrashBoard, fingerprint
-from samphirehall.gateway.peers import Peers
+from samphirehall.gateway.peers import LIVE_S, Peers
 from samphirehall.gateway.types import PromptPart, Stage
 from samphirehall.gateway.usage_windows import HeardUsage, HostCounts, UsageCounter
 from samphirehall.programs.node import LAST_NEWS_S
@@ -79,6 +81,20 @@
             assert two.heard_usage.of(20)["a/1"].counts == {"acme": 1}
             group.cancel_scope.cancel()
 
+    async def test_peer_that_is_lost_and_regained_is_logged_once_each(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with anyio.create_task_group() as group:
+            one, _ = await two_hosts(group)
+            now = boot_seconds()
+            for later in (0.0, LIVE_S + 1.0, LIVE_S + 2.0):
+                one.peers._note_lost(now=now + later)
+            events = [record.message for record in caplog.records]
+            assert events.count("peer-lost") == 1
+            await until(
+                lambda: [record.message for record in caplog.records].count("peer-regained") == 1
+            )
+            group.cancel_scope.cancel()
+
     async def test_work_and_kept_prompts_are_known_elsewhere(self):
         async with anyio.create_task_group() as group:
             one, two = await two_hosts(group)
--- /dev/null
+++ b/tests/platform/test_duties.py
@@ -0,0 +1,30 @@
+"""The client of the platform's interface of duties, against the stand-in over real sockets."""
+
+import logging
+
+import pytest
+
+from samphirehall.authority.lease import Right
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.platform.duties import Duties
+from tests.platform.standin import platform_standin
+from tests.support.ports import free_address
+
+pytestmark = pytest.mark.anyio
+
+RIGHT = Right("duties", "a/1", 1, 1e9, 1)
+
+
+async def test_interface_that_is_lost_and_regained_is_logged_once_each(caplog):
+    caplog.set_level(logging.INFO)
+    duties = Duties(free_address(), "a")
+    for _ in range(2):
+        with pytest.raises(PlatformUnavailableError):
+            await duties.report_usage(RIGHT, 7, {"acme": 1})
+    async with platform_standin() as (_, standin):
+        duties._pool = Duties(standin.address, "a")._pool
+        for _ in range(2):
+            await duties.report_usage(RIGHT, 7, {"acme": 1})
+        await duties.aclose()
+    events = [item.message for item in caplog.records if item.message.startswith("duties-")]
+    assert events == ["duties-interface-lost", "duties-interface-regained"]
