--- a/tests/support/mesh.py
+++ b/tests/support/mesh.py
@@ -72,10 +72,17 @@
             scope.silent = True
 
     async def _serve(self, stream):
-        if self.refuses:
-            await stream.aclose()
-            return
-        async with stream, await anyio.connect_tcp(LOOPBACK, self.target) as onward:
+        async with stream:
+            if self.refuses:
+                return
+            try:
+                onward = await anyio.connect_tcp(LOOPBACK, self.target)
+            except OSError:
+                return  # the host has ended: its peer sees the connection end
+            await self._carry(stream, onward)
+
+    async def _carry(self, stream, onward):
+        async with onward:
             if self.refuses:
                 return
             with anyio.CancelScope() as scope:
