--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -113,16 +113,21 @@
             )
         return grant
 
-    async def run(self, poll_interval: Callable[[], float]) -> None:
+    async def run(
+        self, poll_interval: Callable[[], float], *, may_poll: Callable[[], bool] = lambda: True
+    ) -> None:
         """Renew the lease or poll its rows until cancelled or released.
 
         Parameters
         ----------
         poll_interval : callable
             Returns the seconds until a candidate reads the rows again.
+        may_poll : callable
+            Returns whether this process is a candidate; if not, it only renews a lease it holds.
         """
         while not self._stopped:
-            await self.step()
+            if self._grant is not None or may_poll():
+                await self.step()
             await self._sleep(self._seconds_until_next_step(poll_interval, now=self._clock()))
 
     async def step(self) -> None:
--- /dev/null
+++ b/samphirehall/gateway/catch_up.py
@@ -0,0 +1,198 @@
+"""Exchange of the configuration and the endpoint list between hosts, on request.
+
+Changes of the endpoint list are sent in datagrams; a host that has missed some, or
+learns of a newer configuration, asks the host from which it heard of it. A
+configuration is the document that the operator stored, and is validated like one
+from the store.
+"""
+
+import logging
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketStream
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import FrameError
+from samphirehall.core.frames import FrameStream
+from samphirehall.gateway.rows import RowChange, Rows, TableReplica
+
+CALL_TIMEOUT_SECONDS = 0.5  # a response within a region takes milliseconds
+RETRY_INTERVAL_SECONDS = 0.1  # at most ten calls a second of one host
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024  # after decompression
+COMPRESSION_LEVEL = 1  # a document goes to each host of a zone at once, on links of a few Mbit/s
+
+CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    FrameError,
+    zlib.error,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class CatchUpRequest:
+    """Request for all that is newer than a configuration version and a position."""
+
+    configuration_version: int
+    position: int
+
+
+@dataclass(slots=True, frozen=True)
+class ListedRow:
+    """Row of the endpoint list, with the version of its latest change."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class CatchUpAnswer:
+    """What is newer.
+
+    Parameters
+    ----------
+    configuration : bytes
+        Compressed configuration document; empty if there is no newer one.
+    position : int
+        Position of the endpoint list that follows; 0 if it is not newer.
+    rows : tuple of ListedRow
+        The whole endpoint list.
+    """
+
+    configuration: bytes
+    position: int
+    rows: tuple[ListedRow, ...]
+
+
+# Class names and the order of fields go on the wire between hosts.
+_MESSAGES = (CatchUpRequest, CatchUpAnswer)
+
+
+class CatchUp:
+    """Answers other hosts, and asks them when this host is behind.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port on which this host answers.
+    configuration_version : callable
+        Returns the version of the configuration in force.
+    endpoints : TableReplica
+        The endpoint list.
+    apply_configuration : callable
+        Applies a document if it is newer; called with its content and its source.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        configuration_version: Callable[[], int],
+        endpoints: TableReplica,
+        apply_configuration: Callable[[bytes, str], None],
+    ) -> None:
+        self._address = address
+        self._configuration_version = configuration_version
+        self._endpoints = endpoints
+        self._apply_configuration = apply_configuration
+        self._document = b""
+        self._sources: dict[tuple[str, int], None] = {}
+        self._requested = anyio.Event()
+
+    def set_document(self, content: bytes) -> None:
+        """Set the document in force, which other hosts can fetch."""
+        self._document = zlib.compress(content, COMPRESSION_LEVEL)
+
+    def request(self, address: tuple[str, int]) -> None:
+        """Ask a host soon; called again while this host is behind it."""
+        self._sources[address] = None
+        self._requested.set()
+
+    async def run(self) -> None:
+        """Answer and ask until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, self._serve)
+            while True:
+                await self._requested.wait()
+                self._requested = anyio.Event()
+                sources, self._sources = list(self._sources), {}
+                await self._fetch(sources[-1])
+                await anyio.sleep(RETRY_INTERVAL_SECONDS)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        try:
+            async with stream:
+                with anyio.fail_after(CALL_TIMEOUT_SECONDS):
+                    frames = FrameStream(stream, _MESSAGES)
+                    request = await frames.receive()
+                    if not isinstance(request, CatchUpRequest):
+                        raise FrameError(f"{type(request).__name__} is no request")
+                    await frames.send(self._answer(request))
+        except CALL_ERRORS as error:
+            _log.warning("peer-call-failed", extra={"reason": repr(error)})
+
+    def _answer(self, request: CatchUpRequest) -> CatchUpAnswer:
+        is_newer = self._configuration_version() > request.configuration_version
+        document = self._document if is_newer else b""
+        if not self._endpoints.has_snapshot or self._endpoints.position <= request.position:
+            return CatchUpAnswer(document, 0, ())
+        snapshot = self._endpoints.snapshot()
+        rows = tuple(
+            ListedRow(row.key, row.version, row.value)
+            for row in snapshot.rows
+            if row.value is not None
+        )
+        return CatchUpAnswer(document, snapshot.version, rows)
+
+    async def _fetch(self, address: tuple[str, int]) -> None:
+        source = f"{address[0]}:{address[1]}"
+        try:
+            answer = await self._call(address)
+            document = _decompress(answer.configuration) if answer.configuration else b""
+        except CALL_ERRORS as error:
+            _log.warning("catch-up-failed", extra={"peer": source, "reason": repr(error)})
+            return
+        if document:
+            self._apply_configuration(document, source)
+        if answer.position:
+            rows = [RowChange(row.key, row.version, row.value) for row in answer.rows]
+            self._endpoints.apply_snapshot(Rows(rows, answer.position), now=boot_seconds())
+
+    async def _call(self, address: tuple[str, int]) -> CatchUpAnswer:
+        position = self._endpoints.position if self._endpoints.has_snapshot else 0
+        with anyio.fail_after(CALL_TIMEOUT_SECONDS):
+            async with await anyio.connect_tcp(*address) as stream:
+                frames = FrameStream(stream, _MESSAGES)
+                await frames.send(CatchUpRequest(self._configuration_version(), position))
+                answer = await frames.receive()
+        if not isinstance(answer, CatchUpAnswer):
+            raise FrameError(f"{type(answer).__name__} is no answer")
+        return answer
+
+
+def _decompress(content: bytes) -> bytes:
+    """Decompress a document.
+
+    Raises
+    ------
+    FrameError
+        The document is longer than `MAX_DOCUMENT_BYTES` or cut off.
+    zlib.error
+        It is not compressed.
+    """
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(content, MAX_DOCUMENT_BYTES)
+    if not decompressor.eof:
+        raise FrameError(f"document over {MAX_DOCUMENT_BYTES} bytes, or cut off")
+    return document
--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -55,6 +55,8 @@
         Budget of repeated sends and demand for prefill by service.
     pending_cache_updates : list
         Endpoints and the prompts that they now cache, not yet sent to peers.
+    unpublished_stage_changes : list
+        Engines that were ordered to change their stage, not yet sent to peers.
     """
 
     host: str
@@ -75,6 +77,7 @@
     repeat_budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     prefill_demands: dict[str, DemandMeter] = field(default_factory=dict)
     pending_cache_updates: list[tuple[str, tuple[PromptPart, ...]]] = field(default_factory=list)
+    unpublished_stage_changes: list[str] = field(default_factory=list)
 
     def prefill_rate(self, service: str, stage: Stage) -> PrefillRate:
         """Return the measured prefill rate of a service's engines of one stage."""
@@ -93,6 +96,7 @@
         state = self.fleet.endpoint(endpoint_id)
         if state is not None:
             state.changing_since = now
+            self.unpublished_stage_changes.append(endpoint_id)
 
     def repeat_budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeated sends to a service."""
--- /dev/null
+++ b/samphirehall/gateway/datagrams.py
@@ -0,0 +1,72 @@
+"""UDP socket of a host for datagrams to and from other hosts."""
+
+import logging
+import os
+import socket
+from collections.abc import AsyncIterator, Iterator
+
+import anyio
+
+from samphirehall.gateway.host_directory import Address, parse_address
+
+MAX_DATAGRAM_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 1024 * 1024  # a hub may receive from all members at the same moment
+
+_log = logging.getLogger(__name__)
+
+
+class DatagramSocket:
+    """Sends without waiting and yields what arrives; a datagram that cannot be sent is lost.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port to bind.
+
+    Raises
+    ------
+    OSError
+        The address is invalid or in use.
+    """
+
+    def __init__(self, address: str) -> None:
+        parsed = parse_address(address)
+        if parsed is None:
+            raise OSError(f"{address!r} is no IP address and port")
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self._socket.setblocking(False)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            self._socket.bind(parsed)
+        except OSError:
+            self._socket.close()
+            raise
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Send a datagram; log a failure."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            reason = os.strerror(error.errno or 0)
+            _log.warning("peer-unreachable", extra={"peer": address[0], "reason": reason})
+
+    async def receive(self) -> AsyncIterator[bytes]:
+        """Yield datagrams as they arrive."""
+        while True:
+            await anyio.wait_readable(self._socket)
+            for data in self._pending():
+                yield data
+
+    def _pending(self) -> Iterator[bytes]:
+        while True:
+            try:
+                yield self._socket.recv(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                _log.warning("peer-unreachable", extra={"reason": os.strerror(error.errno or 0)})
+                return
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -37,9 +37,18 @@
         Unique name of this process, never reused.
     lease_time : float
         Length of the lease in seconds.
+    may_compete : callable
+        Returns whether this host tries to acquire the lease while it does not hold it.
     """
 
-    def __init__(self, table: Table, holder: str, lease_time: float) -> None:
+    def __init__(
+        self,
+        table: Table,
+        holder: str,
+        lease_time: float,
+        may_compete: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._may_compete = may_compete
         self._lease_time = lease_time
         times = LeaseTimes(lease_time, lease_time * LEASE_MARGIN_FRACTION, MAX_CALL_SECONDS)
         self._lease_manager = LeaseManager(table, SCOPE, holder=holder, times=times)
@@ -78,7 +87,7 @@
     async def run(self) -> None:
         """Renew or watch the lease until cancelled."""
         await anyio.sleep(self._random.random() * self._lease_time * CHECK_INTERVAL_FRACTION)
-        await self._lease_manager.run(self._next_check_delay)
+        await self._lease_manager.run(self._next_check_delay, may_poll=self._may_compete)
 
     def _next_check_delay(self) -> float:
         return self._lease_time * CHECK_INTERVAL_FRACTION * (0.5 + self._random.random())
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -136,15 +136,6 @@
         self._states[listed.endpoint_id] = EndpointState(listed, connections, cache)
         self._log_change("endpoint-listed", listed)
 
-    def mark_leaving(self, endpoint_id: str, *, now: float) -> None:
-        """Mark an endpoint as leaving, as reported by a peer; it never becomes ready again."""
-        state = self._states.get(endpoint_id)
-        if state is not None and state.listed.ready:
-            self._left_identities.add(state.listed.identity)
-            state.listed = replace(state.listed, ready=False)
-            state.leaving_since = now
-            self._log_change("endpoint-leaving-heard", state.listed)
-
     def suspend(self, endpoint_id: str) -> None:
         """Send an endpoint no requests until its entry is readable again."""
         state = self._states.get(endpoint_id)
--- /dev/null
+++ b/samphirehall/gateway/host_directory.py
@@ -0,0 +1,117 @@
+"""Addresses of hosts and hubs, registered in the store.
+
+A host reads the entries of its own zone once when it starts; after that hosts learn
+of each other from datagrams. Hubs read the entries periodically.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from samphirehall.backing.table import Table, Write
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
+
+HOST_PREFIX = "hosts/"
+HUB_PREFIX = "hubs/"
+RETRY_INTERVAL_SECONDS = 1.0
+
+_log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+
+
+def parse_address(address: object) -> Address | None:
+    """Return the parts of ``ip:port``, or None if it is no such address."""
+    if not isinstance(address, str):
+        return None
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return host, int(port)
+
+
+class HostDirectory:
+    """Known hosts of this zone, and hubs of the other zones.
+
+    Parameters
+    ----------
+    table : Table
+        Table of the store.
+    host, zone, address : str
+        Name and zone of this host, and the IP address and port on which it hears others.
+
+    Attributes
+    ----------
+    hosts : dict
+        Addresses of the other hosts of this zone by name.
+    hubs : dict
+        Names and addresses of the hubs of other zones by zone.
+    """
+
+    def __init__(self, table: Table, host: str, zone: str, address: str) -> None:
+        self._table = table
+        self._host = host
+        self._zone = zone
+        self._address = address
+        self._loaded = anyio.Event()
+        self.hosts: dict[str, Address] = {}
+        self.hubs: dict[str, tuple[str, Address]] = {}
+
+    def add_host(self, name: str, address: object) -> bool:
+        """Add a host of this zone or update its address; return whether the address is valid."""
+        parsed = parse_address(address)
+        if parsed is None:
+            return False
+        if name != self._host and self.hosts.get(name) != parsed:
+            self.hosts[name] = parsed
+            log_decision(_log, "peer", "listed or heard", peer=name, address=address)
+        return True
+
+    def add_hub(self, zone: str, name: str, address: object) -> bool:
+        """Set the hub of another zone; return whether its address is valid."""
+        parsed = parse_address(address)
+        if parsed is None:
+            return False
+        if zone != self._zone and self.hubs.get(zone) != (name, parsed):
+            self.hubs[zone] = (name, parsed)
+            log_decision(_log, "hub-of-zone", "listed or heard", zone_of_hub=zone, peer=name)
+        return True
+
+    async def wait_until_loaded(self) -> None:
+        """Wait until the entries of the zone have been read."""
+        await self._loaded.wait()
+
+    async def load(self) -> None:
+        """Register this host and read the entries of its zone, retrying until both succeeded."""
+        entry = Write(f"{HOST_PREFIX}{self._zone}/{self._host}", self._address)
+        while not await _try(lambda: self._register_and_load(entry)):
+            await anyio.sleep(RETRY_INTERVAL_SECONDS)
+        self._loaded.set()
+
+    async def refresh_as_hub(self) -> bool:
+        """Register this host as the hub and read all entries; return whether the store answered."""
+        entry = Write(f"{HUB_PREFIX}{self._zone}", [self._host, self._address])
+        return await _try(lambda: self._register_and_load(entry)) and await _try(self._load_hubs)
+
+    async def _register_and_load(self, entry: Write) -> None:
+        await self._table.transact([], [entry])
+        prefix = f"{HOST_PREFIX}{self._zone}/"
+        for row in await self._table.scan(prefix):
+            self.add_host(row.key.removeprefix(prefix), row.value)
+
+    async def _load_hubs(self) -> None:
+        for row in await self._table.scan(HUB_PREFIX):
+            if isinstance(row.value, list) and len(row.value) == 2:
+                self.add_hub(row.key.removeprefix(HUB_PREFIX), str(row.value[0]), row.value[1])
+
+
+async def _try(call: Callable[[], Awaitable[None]]) -> bool:
+    """Call the store; return whether it answered."""
+    try:
+        await call()
+    except PlatformUnavailableError as error:
+        _log.warning("peers-unlisted", extra={"reason": str(error)})
+        return False
+    return True
--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -1,6 +1,12 @@
-"""Replicate tables of the platform's store: a snapshot first, then each change."""
+"""Replicate tables of the platform's store: a snapshot first, then each change.
+
+Few hosts read the store; the others receive the relevant changes from them. A
+position is the store version up to which a replica has received all relevant
+changes, so a host can continue from any other host that has read at least as far.
+"""
 
 import logging
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -11,8 +17,9 @@
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
-FEED_WAIT_SECONDS = 1.0  # long-poll limit; a longer one hides a lost store
+FEED_WAIT_SECONDS = 1.0  # default long-poll limit; a longer one hides a lost store
 RETRY_INTERVAL_SECONDS = 0.25  # a quarter of the outage that callers notice
+JOURNAL_SECONDS = 1.0  # a host that has missed updates for longer fetches a snapshot
 
 _log = logging.getLogger(__name__)
 
@@ -72,10 +79,149 @@
         """
 
 
-class TableFollower:
-    """Replicates one table and reports each change.
+@dataclass(slots=True, frozen=True)
+class ChangeSet:
+    """All relevant changes of a table between two versions of the store.
+
+    Parameters
+    ----------
+    after, position : int
+        Versions; the changes are those above `after`, up to and including `position`.
+    changes : sequence of RowChange
+        Current states of the rows that changed.
+    """
+
+    after: int
+    position: int
+    changes: Sequence[RowChange]
+
+
+def _any_change(change: RowChange) -> bool:
+    return True
+
+
+class TableReplica:
+    """Newest known state of one table.
+
+    An older state never replaces a newer one, whatever the source and order of arrival.
+
+    Parameters
+    ----------
+    on_change : callable
+        Called with each relevant change.
+    is_relevant : callable
+        Returns whether a change has to be applied and passed on; a row that is rewritten
+        periodically has the same relevant content most of the time.
+
+    Attributes
+    ----------
+    has_snapshot : bool
+        Whether the table has been received as a whole.
+    position : int
+        Version of the store up to which all relevant changes have been applied.
+    """
+
+    def __init__(
+        self,
+        on_change: Callable[[RowChange], None],
+        is_relevant: Callable[[RowChange], bool] = _any_change,
+    ) -> None:
+        self._on_change = on_change
+        self._is_relevant = is_relevant
+        self._row_versions: dict[str, int] = {}
+        self._present: dict[str, RowChange] = {}
+        self._journal: deque[tuple[float, RowChange]] = deque()
+        self._journal_start = 0
+        self.has_snapshot = False
+        self.position = 0
+
+    def apply_snapshot(self, snapshot: Rows, *, now: float) -> None:
+        """Apply all rows of a table; rows missing from the snapshot are deleted."""
+        present = {row.key for row in snapshot.rows}
+        for key in self._present.keys() - present:
+            self._apply(RowChange(key, snapshot.version, None), now)
+        for row in snapshot.rows:
+            self._apply(row, now)
+        self.has_snapshot = True
+        self.position = max(self.position, snapshot.version)
+        # A snapshot does not tell which rows were deleted since the previous position.
+        self._journal.clear()
+        self._journal_start = self.position
+
+    def apply_changes(self, rows: Rows, *, now: float) -> None:
+        """Apply the changes that the store returned after the current position."""
+        for change in rows.rows:
+            self._apply(change, now)
+        self.position = max(self.position, rows.version)
+
+    def apply_change_set(self, change_set: ChangeSet, *, now: float) -> bool:
+        """Apply changes received from another host.
+
+        Returns
+        -------
+        bool
+            False if changes between the current position and the set are missing; the
+            received ones are applied, but the position is unchanged.
+        """
+        for change in change_set.changes:
+            self._apply(change, now)
+        if not self.has_snapshot or change_set.after > self.position:
+            return False
+        self.position = max(self.position, change_set.position)
+        return True
+
+    def recent_changes(self, *, now: float) -> ChangeSet:
+        """Return the changes of the last `JOURNAL_SECONDS` for other hosts."""
+        while self._journal and now - self._journal[0][0] > JOURNAL_SECONDS:
+            expired = self._journal.popleft()[1]
+            self._journal_start = max(self._journal_start, expired.version)
+        changes = [change for _, change in self._journal]
+        return ChangeSet(self._journal_start, self.position, changes)
+
+    def snapshot(self) -> Rows:
+        """Return all rows as of the current position."""
+        return Rows(list(self._present.values()), self.position)
+
+    def _apply(self, change: RowChange, now: float) -> None:
+        if change.version <= self._row_versions.get(change.key, 0):
+            return
+        self._row_versions[change.key] = change.version
+        if change.value is None:
+            self._present.pop(change.key, None)
+        else:
+            self._present[change.key] = change
+        if self._is_relevant(change):
+            self._journal.append((now, change))
+            self._on_change(change)
+
+
+class Switch:
+    """Something that this host does or does not do at present, such as reading the store."""
+
+    def __init__(self, *, on: bool = False) -> None:
+        self._on = anyio.Event()
+        if on:
+            self._on.set()
+
+    @property
+    def on(self) -> bool:
+        """Whether it is switched on."""
+        return self._on.is_set()
 
-    A late response never replaces a row by an older version.
+    def set(self, on: bool) -> None:
+        """Switch on or off."""
+        if on:
+            self._on.set()
+        elif self._on.is_set():
+            self._on = anyio.Event()
+
+    async def wait(self) -> None:
+        """Wait until it is switched on."""
+        await self._on.wait()
+
+
+class TableFollower:
+    """Follows one table of the store while reading is switched on.
 
     Parameters
     ----------
@@ -84,18 +230,26 @@
     table : str
         Name of the table.
     on_change : callable
-        Called with each change.
+        Called with each relevant change.
+    is_relevant : callable
+        See `TableReplica`.
     poll_delay : float
         Seconds from a response to the next call; changes are batched meanwhile.
+    feed_wait : float
+        Long-poll limit in seconds.
+    switch : Switch or None
+        Switches reading on and off; None reads always.
 
     Attributes
     ----------
+    replica : TableReplica
+        State of the table, which other hosts may update as well.
     available : bool
         Whether the last call succeeded.
     last_response_at : float
         Boot clock in seconds of the last response.
     snapshot_received : Event
-        Set after the first snapshot.
+        Set after the first snapshot from the store.
     """
 
     def __init__(
@@ -104,64 +258,68 @@
         table: str,
         on_change: Callable[[RowChange], None],
         *,
+        is_relevant: Callable[[RowChange], bool] = _any_change,
         poll_delay: float = 0.0,
+        feed_wait: float = FEED_WAIT_SECONDS,
+        switch: Switch | None = None,
     ) -> None:
         self._source = source
         self._table = table
-        self._on_change = on_change
         self._poll_delay = poll_delay
-        self._row_versions: dict[str, int] = {}
-        self._present_keys: set[str] = set()
-        self._store_version: int | None = None
+        self._feed_wait = feed_wait
+        self._switch = switch or Switch(on=True)
+        self._history_gone = False
+        self.replica = TableReplica(on_change, is_relevant)
         self.available = True
         self.last_response_at = float("-inf")
         self.snapshot_received = anyio.Event()
 
+    @property
+    def reading(self) -> bool:
+        """Whether this host reads the store."""
+        return self._switch.on
+
     async def run(self) -> None:
         """Replicate until cancelled."""
         while True:
+            await self._switch.wait()
             try:
-                await self._step()
-                self._mark_available()
-                self.last_response_at = boot_seconds()
+                await self.step()
                 await anyio.sleep(self._poll_delay)
-            except HistoryGoneError:
-                log_decision(_log, "feed-gap", "history is gone", table=self._table)
-                self._store_version = None
-            except PlatformUnavailableError as error:
-                self._mark_unavailable(str(error))
+            except PlatformUnavailableError:
                 await anyio.sleep(RETRY_INTERVAL_SECONDS)
 
-    async def _step(self) -> None:
-        if self._store_version is None:
+    async def step(self) -> None:
+        """Read the store once: a snapshot, or the changes after the current position.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The store did not respond.
+        """
+        try:
+            await self._read()
+        except HistoryGoneError:
+            log_decision(_log, "feed-gap", "history is gone", table=self._table)
+            self._history_gone = True
+        except PlatformUnavailableError as error:
+            self._mark_unavailable(str(error))
+            raise
+        else:
+            self._mark_available()
+            self.last_response_at = boot_seconds()
+
+    async def _read(self) -> None:
+        if not self.replica.has_snapshot or self._history_gone:
             snapshot = await self._source.snapshot(self._table)
-            self._apply_snapshot(snapshot)
-            self._store_version = snapshot.version
+            self.replica.apply_snapshot(snapshot, now=boot_seconds())
+            self._history_gone = False
             self.snapshot_received.set()
             return
         changes = await self._source.changes(
-            self._table, after=self._store_version, wait=FEED_WAIT_SECONDS
+            self._table, after=self.replica.position, wait=self._feed_wait
         )
-        for change in changes.rows:
-            self._apply(change)
-        self._store_version = max(self._store_version, changes.version)
-
-    def _apply_snapshot(self, snapshot: Rows) -> None:
-        present = {row.key for row in snapshot.rows}
-        for key in self._present_keys - present:
-            self._apply(RowChange(key, snapshot.version, None))
-        for row in snapshot.rows:
-            self._apply(row)
-
-    def _apply(self, change: RowChange) -> None:
-        if change.version <= self._row_versions.get(change.key, 0):
-            return
-        self._row_versions[change.key] = change.version
-        if change.value is None:
-            self._present_keys.discard(change.key)
-        else:
-            self._present_keys.add(change.key)
-        self._on_change(change)
+        self.replica.apply_changes(changes, now=boot_seconds())
 
     def _mark_unavailable(self, reason: str) -> None:
         if self.available:
@@ -170,6 +328,6 @@
 
     def _mark_available(self) -> None:
         if not self.available:
-            extra = {"table": self._table, "version": self._store_version}
+            extra = {"table": self._table, "version": self.replica.position}
             _log.info("store-regained", extra=extra)
         self.available = True
--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -1,8 +1,8 @@
 """Count the requests of customers by time window, and report each window once.
 
-Each host saves its counts in its own rows of the store, and sends them to its
-peers in case the store is unavailable when the host ends. The holder of the
-duty adds them up, stores the sum conditionally on its absence, and reports
+Each host sends its counts to the hub of its zone, which saves those of all its
+members in one call; a host without a hub saves its own. The holder of the duty
+adds up the saved counts, stores the sum conditionally on its absence, and reports
 only the stored sum, so that a later holder can only report the same sum again.
 """
 
@@ -20,12 +20,12 @@
 from samphirehall.core.log import log_decision
 
 SAVE_INTERVAL_SECONDS = 1.0  # bounds the counts a killed host loses; costs one small write
+MAX_ROWS_PER_CALL = 40  # a call may hold 100 entries, and a written row takes two
 WINDOW_CLOSE_DELAY_SECONDS = 0.3  # for requests that begin at the end, and clock differences
 # Fraction of the time until a report is due for which the counts of a host are awaited. The
 # remainder is enough for another host to take over the duty if its holder is cut off.
 MAX_WAIT_FRACTION = 0.5
 MAX_PUBLISHED_WINDOWS = 3  # older windows have been reported
-MAX_PUBLISHED_CUSTOMERS = 60  # a datagram must fit one packet
 RETAINED_WINDOWS = 24  # reports are due within a few windows
 WINDOW_KEY_DIGITS = 12  # zero-padded, so that keys sort as numbers
 COUNTS_PREFIX = "usage/counts/"
@@ -66,6 +66,29 @@
         return HostCounts(self.closed or other.closed, counts)
 
 
+def split_counts(
+    windows: Mapping[int, HostCounts], *, max_customers: int
+) -> list[dict[int, HostCounts]]:
+    """Split counts into parts that fit a datagram each; merging all parts gives the counts.
+
+    A window is closed only in its last part, so that a lost part leaves it open.
+    """
+    parts: list[dict[int, HostCounts]] = []
+    space = 0
+    for window, host in windows.items():
+        names = sorted(host.counts)
+        for start in range(0, max(1, len(names)), max_customers):
+            chosen = names[start : start + max_customers]
+            is_last = start + max_customers >= len(names)
+            if not parts or len(chosen) > space:
+                parts.append({})
+                space = max_customers
+            counts = {name: host.counts[name] for name in chosen}
+            parts[-1][window] = HostCounts(host.closed and is_last, counts)
+            space -= len(chosen)
+    return parts
+
+
 class PeerUsage:
     """Usage counts received from peers, by window and process."""
 
@@ -83,6 +106,80 @@
         """Return the counts of a window by process."""
         return self._counts_by_window.get(window, {})
 
+    def all_counts(self) -> dict[tuple[int, str], HostCounts]:
+        """Return all counts by window and process."""
+        return {
+            (window, process): counts
+            for window, by_process in self._counts_by_window.items()
+            for process, counts in by_process.items()
+        }
+
+
+class UsageRows:
+    """Saves counts by window and process in rows of the store.
+
+    Each write is conditional on the version it replaces: a write whose response was lost
+    may take effect seconds later, and would otherwise restore an older state.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[str, int] = {}
+        self._saved: dict[tuple[int, str], HostCounts] = {}
+
+    async def save(self, table: Table, counts: Mapping[tuple[int, str], HostCounts]) -> bool:
+        """Write the counts that changed since they were last written; return whether all are saved.
+
+        Counts that could not be written are written by the next call.
+        """
+        for old in self._saved.keys() - counts.keys():
+            del self._saved[old]
+            self._versions.pop(_row_key(*old), None)
+        merged = {
+            name: self._saved[name].merged(host) if name in self._saved else host
+            for name, host in counts.items()
+        }
+        changed = [name for name, host in merged.items() if self._saved.get(name) != host]
+        for start in range(0, len(changed), MAX_ROWS_PER_CALL):
+            names = changed[start : start + MAX_ROWS_PER_CALL]
+            try:
+                saved = await self._write(table, {name: merged[name] for name in names})
+            except PlatformUnavailableError as error:
+                _log.warning("usage-unsaved", extra={"rows": len(changed), "reason": str(error)})
+                return False
+            if not saved:
+                reason = "the rows were written by another host, or by a write without an answer"
+                log_decision(_log, "usage-unsaved", reason, rows=len(names))
+                return False
+        return True
+
+    async def _write(self, table: Table, counts: Mapping[tuple[int, str], HostCounts]) -> bool:
+        """Write rows; on a version conflict, read the rows and return False."""
+        writes = {name: _row(name, host) for name, host in counts.items()}
+        checks = [
+            Check(write.key, self._versions.get(write.key, ABSENT)) for write in writes.values()
+        ]
+        result = await table.transact(checks, list(writes.values()))
+        if result.committed:
+            self._versions.update(result.versions or {})
+            self._saved.update(counts)
+            return True
+        rows = await table.read([write.key for write in writes.values()])
+        for name, write in writes.items():
+            row = rows.get(write.key)
+            self._versions[write.key] = row.version if row else ABSENT
+            self._saved.pop(name, None)
+            if row is not None:
+                self._saved[name] = HostCounts(row.value["closed"], row.value["counts"])
+        return False
+
+
+def _row_key(window: int, process: str) -> str:
+    return counts_prefix(window) + process
+
+
+def _row(name: tuple[int, str], host: HostCounts) -> Write:
+    return Write(_row_key(*name), {"closed": host.closed, "counts": dict(host.counts)})
+
 
 class UsageCounter:
     """Counts the requests that began to run on this host, by window and customer.
@@ -112,9 +209,9 @@
         self._window_seconds = window_seconds
         self._agreed_now = agreed_now
         self._counts: dict[int, Counter[str]] = defaultdict(Counter)
-        self._versions: dict[str, int] = {}
-        self._unsaved: set[int] = set()
-        self._first_open_window = int((agreed_now() - lookback) / window_seconds)
+        self._rows = UsageRows()
+        self._first_window = int((agreed_now() - lookback) / window_seconds)
+        self._first_open_window = self._first_window
 
     @property
     def process(self) -> str:
@@ -128,71 +225,41 @@
 
     def record(self, customer: str) -> None:
         """Count a request of a customer in the current window."""
-        window = self.window_now
-        self._counts[window][customer] += 1
-        self._unsaved.add(window)
+        self._counts[self.window_now][customer] += 1
 
-    async def save_periodically(self, table: Table) -> None:
-        """Save this host's counts periodically until cancelled."""
-        while True:
-            await anyio.sleep(SAVE_INTERVAL_SECONDS)
-            await self.save(table)
+    async def save(
+        self, table: Table, received: Mapping[tuple[int, str], HostCounts] | None = None
+    ) -> bool:
+        """Write this host's counts, and those received from others; return whether all are saved.
+
+        Parameters
+        ----------
+        table : Table
+            Store of the counts.
+        received : mapping, optional
+            Counts of other hosts by window and process.
+        """
+        own = {(window, self._process): counts for window, counts in self._all_counts().items()}
+        return await self._rows.save(table, {**(received or {}), **own})
 
-    async def save(self, table: Table) -> None:
-        """Write the windows that changed or ended since they were last written.
+    def latest_counts(self) -> dict[int, HostCounts]:
+        """Return the counts of the latest windows."""
+        oldest = self.window_now - MAX_PUBLISHED_WINDOWS
+        return {window: counts for window, counts in self._all_counts().items() if window > oldest}
 
-        Each write is conditional on the version it replaces: a write whose response was lost
-        may take effect seconds later, and would otherwise restore an older state.
-        """
+    def _all_counts(self) -> dict[int, HostCounts]:
+        """Close the windows that have ended and return the counts of all that are retained."""
         open_window = int((self._agreed_now() - WINDOW_CLOSE_DELAY_SECONDS) / self._window_seconds)
-        self._unsaved.update(range(self._first_open_window, open_window))
         self._first_open_window = max(self._first_open_window, open_window)
-        changed, self._unsaved = self._unsaved, set()
-        if not changed:
-            return
-        writes = [self._row(window) for window in changed]
-        try:
-            saved = await self._write(table, writes)
-        except PlatformUnavailableError as error:
-            self._unsaved |= changed
-            _log.warning("usage-unsaved", extra={"windows": len(changed), "reason": str(error)})
-            return
-        if not saved:
-            self._unsaved |= changed
-            reason = "an earlier write without an answer took effect"
-            log_decision(_log, "usage-unsaved", reason, windows=len(changed))
-            return
-        for window in [old for old in self._counts if old < self.window_now - RETAINED_WINDOWS]:
-            del self._counts[window]
-            self._versions.pop(counts_prefix(window) + self._process, None)
-
-    async def _write(self, table: Table, writes: list[Write]) -> bool:
-        """Write rows of this process; on a version conflict, read the versions and return False."""
-        checks = [Check(write.key, self._versions.get(write.key, ABSENT)) for write in writes]
-        result = await table.transact(checks, writes)
-        if result.committed:
-            self._versions.update(result.versions or {})
-            return True
-        rows = await table.read([write.key for write in writes])
-        for write in writes:
-            row = rows.get(write.key)
-            self._versions[write.key] = row.version if row else ABSENT
-        return False
-
-    def latest_counts(self) -> dict[int, HostCounts]:
-        """Return the latest windows for peers, or none if they have too many customers to send."""
         newest = self.window_now
-        windows = {
-            window: HostCounts(window < self._first_open_window, dict(self._counts[window]))
-            for window in range(newest - MAX_PUBLISHED_WINDOWS + 1, newest + 1)
-            if window in self._counts or window < self._first_open_window
+        for window in [old for old in self._counts if old < newest - RETAINED_WINDOWS]:
+            del self._counts[window]
+        first = max(self._first_window, newest - RETAINED_WINDOWS)
+        windows = {*self._counts, *range(first, self._first_open_window)}
+        return {
+            window: HostCounts(window < self._first_open_window, dict(self._counts.get(window, {})))
+            for window in sorted(windows)
         }
-        customers = sum(len(host_counts.counts) for host_counts in windows.values())
-        return windows if customers <= MAX_PUBLISHED_CUSTOMERS else {}
-
-    def _row(self, window: int) -> Write:
-        row = {"closed": window < self._first_open_window, "counts": dict(self._counts[window])}
-        return Write(counts_prefix(window) + self._process, row)
 
 
 @dataclass(slots=True)
@@ -211,6 +278,8 @@
         Returns the counts of a window received from peers, by process.
     window_seconds, due_seconds : float
         Length of a window, and how long after its end its report is due.
+    others_closed : callable
+        Returns whether the hosts of other zones have closed a window and saved their counts.
     next_window : int or None
         Next window to report; None until it has been looked up in the store.
     """
@@ -221,6 +290,7 @@
     peer_counts: Callable[[int], Mapping[str, HostCounts]]
     window_seconds: float
     due_seconds: float
+    others_closed: Callable[[int], bool] = lambda window: True
     next_window: int | None = None
 
     async def report_due(self, agreed_now: float) -> None:
@@ -258,6 +328,8 @@
 
     async def _settle(self, window: int, agreed_now: float) -> dict[str, int] | None:
         """Store the sum of a window if there is none; return the stored sum, or None to wait."""
+        if not self.others_closed(window) and not self._is_overdue(window, agreed_now):
+            return None
         key = sum_key(window)
         stored = (await self.table.read([key])).get(key)
         if stored is not None:
@@ -292,18 +364,22 @@
         self, window: int, counts_by_process: Mapping[str, HostCounts], agreed_now: float
     ) -> bool:
         """Return whether to wait longer for a live host that has not closed the window."""
-        end = (window + 1) * self.window_seconds
-        if agreed_now >= end + MAX_WAIT_FRACTION * self.due_seconds:
+        if self._is_overdue(window, agreed_now):
             return False
         closed = {
             process.split("/")[0] for process, host in counts_by_process.items() if host.closed
         }
         return not closed.issuperset(self.live_hosts())
 
+    def _is_overdue(self, window: int, agreed_now: float) -> bool:
+        end = (window + 1) * self.window_seconds
+        return agreed_now >= end + MAX_WAIT_FRACTION * self.due_seconds
+
     async def _delete_counts(self, window: int) -> None:
         rows = await self.table.scan(counts_prefix(window))
-        if rows:
-            await self.table.transact([], [Write(row.key, None) for row in rows])
+        for start in range(0, len(rows), MAX_ROWS_PER_CALL):
+            expired = rows[start : start + MAX_ROWS_PER_CALL]
+            await self.table.transact([], [Write(row.key, None) for row in expired])
 
 
 async def report_periodically(
--- /dev/null
+++ b/samphirehall/gateway/zone_exchange.py
@@ -0,0 +1,504 @@
+"""Exchange of load, cache contents, endpoints, clocks and usage counts between hosts.
+
+Each host sends small datagrams to the hub of its zone, which sends back the state of
+the zone and of the other zones. A lost datagram makes an estimate less accurate but
+no response wrong; nothing that needs agreement between hosts is sent here.
+"""
+
+import contextlib
+import logging
+from collections.abc import Callable, Container
+
+import anyio
+
+from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.log import log_decision
+from samphirehall.gateway.agreed_time import AgreedTime
+from samphirehall.gateway.catch_up import CatchUp
+from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.crashes import Crash
+from samphirehall.gateway.datagrams import DatagramSocket
+from samphirehall.gateway.host_directory import Address, HostDirectory, parse_address
+from samphirehall.gateway.load import decode_loads, subtract_loads
+from samphirehall.gateway.rows import Switch, TableFollower
+from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
+from samphirehall.gateway.zone_hub import (
+    STORE_TIMEOUT_SECONDS,
+    HubElection,
+    should_read,
+    update_interval,
+)
+from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
+from samphirehall.gateway.zone_messages import (
+    EncodedChanges,
+    HubUpdate,
+    MemberUpdate,
+    News,
+    ZoneSummary,
+    datagram,
+    decode_datagram,
+    encode_message,
+)
+from samphirehall.gateway.zone_updates import ZoneUpdates, decode_changes
+from samphirehall.gateway.zone_view import StoreContact, ZoneView
+
+ROLE_INTERVAL_SECONDS = 0.1  # a sixth of the time after which a hub counts as silent
+MEMBER_HEARTBEAT_SECONDS = 0.4  # well within the maximum age of a load
+MIN_MEMBER_INTERVAL_SECONDS = 0.015  # changes of a request within a few milliseconds are sent once
+HUB_HEARTBEAT_SECONDS = 0.15  # a quarter of the time after which a hub counts as silent
+MIN_HUB_INTERVAL_SECONDS = 0.015
+HUB_DATAGRAMS_PER_SECOND = 600.0  # of one hub to its members; at 39 members one each 65 ms
+DIRECTORY_WAIT_SECONDS = 1.5  # for the store at the start, before a host does without the list
+DIRECTORY_REFRESH_SECONDS = 10.0  # covers hubs and hosts whose datagrams were lost
+DIRECTORY_RETRY_SECONDS = 1.0
+DIRECTORY_INTERVAL_SECONDS = 1.0  # between hub updates to hosts that are no members
+MEMBER_LIST_INTERVAL_SECONDS = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class ZoneExchange:
+    """Exchanges updates with the hub of the zone, or acts as the hub.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Loads and endpoints of this host.
+    directory : HostDirectory
+        Addresses of hosts and hubs.
+    address : str
+        IP address and port on which this host receives datagrams.
+    endpoints : TableFollower
+        The endpoint list; read from the store while `reading` is on.
+    reading : Switch
+        Switched on while this host reads the store for its zone.
+    catch_up : CatchUp
+        Fetches what this host has missed.
+    agreed_time : AgreedTime
+        Receives the clocks of other hosts.
+    configuration_version : callable
+        Returns the configuration version in force on this host.
+    usage : UsageCounter
+        Usage counts of this host.
+    peer_usage : PeerUsage
+        Receives the usage counts of other hosts.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        directory: HostDirectory,
+        address: str,
+        endpoints: TableFollower,
+        reading: Switch,
+        catch_up: CatchUp,
+        agreed_time: AgreedTime,
+        configuration_version: Callable[[], int],
+        usage: UsageCounter,
+        peer_usage: PeerUsage,
+    ) -> None:
+        self._context = context
+        self._directory = directory
+        self._address = address
+        self._endpoints = endpoints
+        self._reading = reading
+        self._catch_up = catch_up
+        self._agreed_time = agreed_time
+        self._configuration_version = configuration_version
+        self._usage = usage
+        self._peer_usage = peer_usage
+        self._view = ZoneView(context.host, context.zone)
+        self._updates = ZoneUpdates(
+            context,
+            address,
+            self._view,
+            endpoints,
+            agreed_time,
+            configuration_version,
+            usage,
+            peer_usage,
+        )
+        self._election = HubElection(context.host, context.zone, now=boot_seconds())
+        self._followed_since = boot_seconds()
+        self._acts_as_hub = Switch()
+        self._zone_processes: set[str] = set()
+        self._usage_is_stored = True
+        self._changed = anyio.Event()
+        self._zone_changed = anyio.Event()
+        self._cross_zone_changed = anyio.Event()
+        context.loads.on_change = self._record_change
+
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host is the hub of its zone."""
+        return self._election.is_hub
+
+    @property
+    def hub(self) -> str | None:
+        """Name of the hub that this host follows."""
+        return self._election.hub
+
+    @property
+    def view(self) -> ZoneView:
+        """What this host knows of the zones."""
+        return self._view
+
+    def store_age(self, *, now: float) -> float:
+        """Return the seconds since the store last confirmed the endpoint list to any host heard."""
+        return now - max(self._view.contact.at, self._endpoints.last_response_at)
+
+    def live_hosts(self, *, now: float) -> list[str]:
+        """Return the names of the live hosts of this zone, including this one."""
+        return self._view.live_hosts(is_hub=self.is_hub, now=now)
+
+    def usage_to_store(self) -> dict[tuple[int, str], HostCounts] | None:
+        """Return the usage counts that this host stores for others; None if its hub stores all."""
+        if self.is_hub:
+            counts = self._peer_usage.all_counts()
+            return {name: host for name, host in counts.items() if name[1] in self._zone_processes}
+        return {} if self.hub is None else None
+
+    def record_usage_stored(self, stored: bool, closed_window: int) -> None:
+        """Record whether all counts are stored.
+
+        Parameters
+        ----------
+        stored : bool
+            Whether the call to the store succeeded.
+        closed_window : int
+            Latest window that all live hosts of the zone had closed before the call.
+        """
+        self._usage_is_stored = stored
+        if stored:
+            self._updates.stored_window = max(self._updates.stored_window, closed_window)
+
+    def closed_window(self, *, now: float) -> int:
+        """Return the latest usage window that all live hosts of the zone have closed."""
+        own = [window for window, counts in self._usage.latest_counts().items() if counts.closed]
+        return self._view.members.closed_window(max(own, default=NO_WINDOW), now=now)
+
+    def publish_usage(self) -> None:
+        """Make the next update due at once and include this host's usage counts."""
+        self._updates.publish_usage()
+        self._record_change()
+
+    async def run(self) -> None:
+        """Send and receive updates until cancelled."""
+        with contextlib.closing(DatagramSocket(self._address)) as udp:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._directory.load)
+                group.start_soon(self._receive, udp)
+                group.start_soon(self._send_member_updates, udp)
+                group.start_soon(self._send_zone_updates, udp)
+                group.start_soon(self._send_cross_zone_updates, udp)
+                group.start_soon(self._refresh_directory)
+                group.start_soon(self._choose_roles, udp)
+
+    async def _refresh_directory(self) -> None:
+        """As the hub, read the entries of hosts and hubs periodically."""
+        while True:
+            await self._acts_as_hub.wait()
+            done = await self._directory.refresh_as_hub()
+            await anyio.sleep(DIRECTORY_REFRESH_SECONDS if done else DIRECTORY_RETRY_SECONDS)
+
+    # Roles
+
+    async def _choose_roles(self, udp: DatagramSocket) -> None:
+        """Decide periodically which host is the hub and whether this one reads the store."""
+        with anyio.move_on_after(DIRECTORY_WAIT_SECONDS):
+            await self._directory.wait_until_loaded()
+        if self.hub is None:
+            # All listed hosts are told, so that the hub among them answers at once.
+            greeting = self._updates.member_update(now=boot_seconds())
+            _send_to_all(udp, list(self._directory.hosts.values()), greeting)
+            self._election.start(now=boot_seconds())
+        while True:
+            now = boot_seconds()
+            self._choose_hub(now)
+            self._choose_reader(now)
+            for name, silent in self._view.members.remove_silent(now=now):
+                _log.warning("peer-lost", extra={"peer": name, "silent": round(silent, 1)})
+            await anyio.sleep(ROLE_INTERVAL_SECONDS)
+
+    def _choose_hub(self, now: float) -> None:
+        before = self.hub
+        decision = self._election.decide(self._directory.hosts, now=now)
+        if decision.hub == before:
+            return
+        log_decision(_log, "hub", decision.reason, hub=decision.hub, before=before)
+        # The load of the zone is counted once: by host at the hub, as a sum at its members.
+        members = self._view.members
+        self._context.loads.forget([_zone_source(self._context.zone), *members.live(now=now)])
+        members.clear()
+        self._updates.forget_sent()
+        self._followed_since = now
+        if self.is_hub:
+            self._agreed_time.stop_following()
+        self._acts_as_hub.set(self.is_hub)
+        self._record_change()
+
+    def _choose_reader(self, now: float) -> None:
+        context, contact = self._context, self._view.contact
+        own = StoreContact(self._endpoints.last_response_at, context.host)
+        if self.is_hub and (now - own.at < STORE_TIMEOUT_SECONDS or own.at >= contact.at):
+            contact = self._view.contact = own
+        reads = self.is_hub or (
+            self.hub is not None
+            and should_read(
+                self._view.listed_members,
+                host=context.host,
+                zone=context.zone,
+                reader=contact.reader,
+                store_age=now - max(contact.at, self._followed_since),
+            )
+        )
+        if reads != self._reading.on:
+            reason = "hub" if self.is_hub else "the hub does not hear from the store"
+            reason = reason if reads else "another host reads"
+            log_decision(_log, "reader", reason, reads=reads, hub=self.hub)
+        self._reading.set(reads)
+
+    # Sending
+
+    def _record_change(self) -> None:
+        self._changed.set()
+
+    def _record_zone_change(self) -> None:
+        self._zone_changed.set()
+        self._cross_zone_changed.set()
+
+    async def _send_member_updates(self, udp: DatagramSocket) -> None:
+        """Send this host's state to the hub when it changes, and periodically."""
+        while True:
+            with anyio.move_on_after(MEMBER_HEARTBEAT_SECONDS):
+                await self._changed.wait()
+            self._changed = anyio.Event()
+            if self.is_hub:
+                self._updates.queue_own_news(is_hub=True)
+                self._record_zone_change()
+            elif self.hub in self._directory.hosts:
+                update = self._updates.member_update(now=boot_seconds())
+                _send_to_all(udp, [self._directory.hosts[self.hub]], update)
+                if self._updates.has_unsent_usage:
+                    self._record_change()
+            await anyio.sleep(MIN_MEMBER_INTERVAL_SECONDS)
+
+    async def _send_zone_updates(self, udp: DatagramSocket) -> None:
+        """As the hub, send the state of all zones to the members when it changes."""
+        listed_at = others_at = directory_at = float("-inf")
+        while True:
+            await self._acts_as_hub.wait()
+            with anyio.move_on_after(HUB_HEARTBEAT_SECONDS):
+                await self._zone_changed.wait()
+            self._zone_changed = anyio.Event()
+            now = boot_seconds()
+            members = self._view.members.live(now=now)
+            update = self._updates.hub_update(self._updates.zone_news.take(), now=now)
+            if now - others_at >= _interval(self._view.count_hosts(now=now)):
+                others_at = now
+                update.others = list(self._view.other_zones(now=now))
+            if now - listed_at >= MEMBER_LIST_INTERVAL_SECONDS:
+                listed_at = now
+                own_entry = (self._context.host, self._address)
+                update.members = [own_entry, *names_by_address(members.items())]
+            encoded = encode_message(update)
+            for member in members.values():
+                udp.send(datagram(member.sequence, encoded), member.address)
+            if now - directory_at >= DIRECTORY_INTERVAL_SECONDS:
+                directory_at = now
+                self._send_to_listed(udp, encoded, members)
+            await anyio.sleep(_interval(len(members)))
+
+    def _send_to_listed(self, udp: DatagramSocket, encoded: bytes, members: Container[str]) -> None:
+        """Send an update to the hosts of the zone that are no members of this hub."""
+        for name, address in self._directory.hosts.items():
+            if name not in members:
+                udp.send(datagram(0, encoded), address)
+
+    async def _send_cross_zone_updates(self, udp: DatagramSocket) -> None:
+        """As the hub, send the state of the zone to the other hubs."""
+        while True:
+            await self._acts_as_hub.wait()
+            with anyio.move_on_after(HUB_HEARTBEAT_SECONDS):
+                await self._cross_zone_changed.wait()
+            self._cross_zone_changed = anyio.Event()
+            now = boot_seconds()
+            update = self._updates.hub_update(self._updates.cross_zone_news.take(), now=now)
+            if not self._usage_is_stored:
+                update.usage = self._updates.unstored_usage()
+            _send_to_all(udp, [address for _, address in self._directory.hubs.values()], update)
+            await anyio.sleep(_interval(self._view.count_hosts(now=now)))
+
+    # Receiving
+
+    async def _receive(self, udp: DatagramSocket) -> None:
+        async for data in udp.receive():
+            try:
+                acknowledged, message = decode_datagram(data)
+            except ValueError as error:
+                _log.warning("peer-unreadable", extra={"reason": str(error)})
+                continue
+            sender = message if isinstance(message, MemberUpdate) else message.summary
+            address = parse_address(sender.address)
+            if address is None:
+                reason = f"address {sender.address!r} is no IP address and port"
+                _log.warning("peer-unreadable", extra={"reason": reason})
+            elif isinstance(message, MemberUpdate):
+                self._apply_member_update(message, address, now=boot_seconds())
+            else:
+                self._apply_hub_update(message, acknowledged, address, now=boot_seconds())
+
+    def _apply_member_update(self, update: MemberUpdate, address: Address, *, now: float) -> None:
+        if update.zone != self._context.zone:
+            return
+        self._directory.add_host(update.host, update.address)
+        members = self._view.members
+        if not self.is_hub or not members.record(update, address, now=now):
+            return
+        silent = members.regained(update.host, now=now)
+        if silent is not None:
+            _log.info("peer-regained", extra={"peer": update.host, "silent": round(silent, 1)})
+        self._agreed_time.record_peer_clock(
+            update.host, update.wall_time, wall=wall_seconds(), now=now
+        )
+        loads = decode_loads(update.loads)
+        self._context.loads.receive(update.host, loads, update.demand, now=now)
+        self._zone_processes.add(update.process)
+        for window, counts in update.usage.items():
+            self._peer_usage.receive(update.process, window, HostCounts(*counts))
+        self._apply_news(update.news, now)
+        self._updates.pass_on(update.news)
+        self._take_endpoints(update.changes, update.store_age, update.host, address, now)
+        if update.configuration_version > self._configuration_version():
+            self._catch_up.request(address)
+        self._record_zone_change()
+
+    def _apply_hub_update(
+        self, update: HubUpdate, acknowledged: int, address: Address, *, now: float
+    ) -> None:
+        if update.summary.hub == self._context.host:
+            return
+        if update.configuration_version > self._configuration_version():
+            self._catch_up.request(address)
+        if update.summary.zone == self._context.zone:
+            self._apply_own_hub(update, acknowledged, address, now)
+        else:
+            self._apply_other_hub(update, address, now)
+
+    def _apply_own_hub(
+        self, update: HubUpdate, acknowledged: int, address: Address, now: float
+    ) -> None:
+        summary, view = update.summary, self._view
+        self._directory.add_host(summary.hub, summary.address)
+        self._election.record_hub(summary.hub, now=now)
+        if self.hub is None:
+            self._choose_hub(now)
+        if self.hub != summary.hub:
+            return
+        view.contact = StoreContact(now - update.store_age, update.reader)
+        self._agreed_time.follow(update.agreed_time, wall=wall_seconds(), now=now)
+        for name, member_address in update.members:
+            self._directory.add_host(name, member_address)
+        if update.members:
+            view.listed_members = [name for name, _ in update.members]
+        self._receive_zone_load(summary, acknowledged, now)
+        for other in update.others:
+            self._record_zone(other, now)
+        view.count_hosts(now=now)
+        self._apply_news(update.news, now)
+        self._take_endpoints(update.changes, None, summary.hub, address, now)
+
+    def _apply_other_hub(self, update: HubUpdate, address: Address, now: float) -> None:
+        summary = update.summary
+        self._directory.add_hub(summary.zone, summary.hub, summary.address)
+        if not self.is_hub:
+            return
+        self._record_zone(summary, now)
+        self._view.count_hosts(now=now)
+        self._agreed_time.record_peer_clock(
+            summary.hub, update.agreed_time, wall=wall_seconds(), now=now
+        )
+        for process, windows in update.usage.items():
+            for window, counts in windows.items():
+                self._peer_usage.receive(process, window, HostCounts(*counts))
+        self._apply_news(update.news, now)
+        self._updates.zone_news.add(update.news)
+        self._take_endpoints(update.changes, update.store_age, summary.hub, address, now)
+        self._zone_changed.set()
+
+    def _receive_zone_load(self, summary: ZoneSummary, acknowledged: int, now: float) -> None:
+        """Receive the load of the own zone without this host's part of it."""
+        sent = self._updates.sent_loads(acknowledged)
+        if sent is None:
+            return
+        own_demand = self._updates.local_demand(now=now)
+        demand = {
+            service: max(0.0, rate - own_demand.get(service, 0.0))
+            for service, rate in summary.demand.items()
+        }
+        others = subtract_loads(decode_loads(summary.loads), sent)
+        self._context.loads.receive(_zone_source(summary.zone), others, demand, now=now)
+
+    def _record_zone(self, summary: ZoneSummary, now: float) -> None:
+        """Record the state of another zone."""
+        self._view.record_zone(summary, now=now)
+        self._directory.add_hub(summary.zone, summary.hub, summary.address)
+        loads = decode_loads(summary.loads)
+        source = _zone_source(summary.zone)
+        self._context.loads.receive(source, loads, summary.demand, now=now)
+
+    def _take_endpoints(
+        self,
+        changes: EncodedChanges | None,
+        store_age: float | None,
+        sender: str,
+        address: Address,
+        now: float,
+    ) -> None:
+        """Apply changes of the endpoint list; fetch the list if some are missing.
+
+        `store_age` is that of a sender from which this hub may learn what the store says.
+        """
+        if store_age is not None and now - store_age > self._view.contact.at:
+            self._view.contact = StoreContact(now - store_age, sender)
+        if changes is None:
+            return
+        replica = self._endpoints.replica
+        is_behind = not replica.has_snapshot or changes.position > replica.position
+        if not replica.apply_change_set(decode_changes(changes), now=now) and is_behind:
+            self._catch_up.request(address)
+
+    def _apply_news(self, news: News, now: float) -> None:
+        fleet = self._context.fleet
+        for endpoint_id, parts in news.cached_prompts:
+            state = fleet.endpoint(endpoint_id)
+            if state is not None and state.cache is not None:
+                state.cache.record([PromptPart(part_id, tokens) for part_id, tokens in parts])
+        for endpoint_id in news.changing_engines:
+            state = fleet.endpoint(endpoint_id)
+            if state is not None and not state.is_changing(now=now):
+                state.changing_since = now
+        for fingerprint, endpoint in news.crashes:
+            self._context.crashes.record(Crash(fingerprint, endpoint), now=now)
+
+
+def _zone_source(zone: str) -> str:
+    """Return the name under which the load of a zone is received; no host has such a name."""
+    return f"zone:{zone}"
+
+
+def _interval(receivers: int) -> float:
+    return update_interval(
+        receivers,
+        datagrams_per_second=HUB_DATAGRAMS_PER_SECOND,
+        shortest=MIN_HUB_INTERVAL_SECONDS,
+    )
+
+
+def _send_to_all(
+    udp: DatagramSocket, addresses: list[Address], message: MemberUpdate | HubUpdate
+) -> None:
+    encoded = encode_message(message)
+    for address in addresses:
+        udp.send(datagram(0, encoded), address)
--- /dev/null
+++ b/samphirehall/gateway/zone_hub.py
@@ -0,0 +1,176 @@
+"""Choice of the hub of an availability zone, and of the host that reads the store for it.
+
+Made for hundreds of hosts that start, freeze and end at the same moment: if every
+host read the store and told every other host what it does, calls and messages
+would grow with the square of the hosts. In each zone, one host is the hub: it
+reads the store, adds up what the other hosts of the zone send it, and sends the
+result back and to the hubs of the other zones. Nothing is agreed upon. Hosts that
+choose different hubs for a moment know less of each other's load, and a host that
+hears no hub becomes one itself.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from samphirehall.core.rendezvous import ranked
+
+HUB_TIMEOUT_SECONDS = 0.6  # four heartbeats of a hub
+HUB_TAKEOVER_STEP_SECONDS = 0.2  # between candidates, so that the first is heard by the second
+MAX_HUB_TAKEOVER_DELAY_SECONDS = 1.2  # keeps a host without a hub within the drain time
+PAUSE_SECONDS = 0.4  # a longer time between two decisions means that this host was suspended
+SILENT_HUB_MEMORY_SECONDS = 15.0  # a hub that fell silent is no candidate for this long
+
+STORE_TIMEOUT_SECONDS = 1.2  # a reader normally hears from the store once a second at least
+READ_SLOT_SECONDS = 0.25  # between the attempts of two hosts to read a store that seems lost
+
+
+@dataclass(slots=True, frozen=True)
+class HubDecision:
+    """The hub that a host follows, and why.
+
+    Parameters
+    ----------
+    hub : str or None
+        Name of the hub; None while no hub is heard.
+    reason : str
+        Why this one.
+    """
+
+    hub: str | None
+    reason: str
+
+
+class HubElection:
+    """Chooses the hub of a zone from what one host hears.
+
+    A hub stays hub until it falls silent, so that hosts that come and go change nothing.
+    Of two hubs that hear each other, the one of lower rank stops being one.
+
+    Parameters
+    ----------
+    host, zone : str
+        Name and availability zone of this host.
+    now : float
+        Boot clock in seconds at the start.
+    """
+
+    def __init__(self, host: str, zone: str, *, now: float) -> None:
+        self._host = host
+        self._zone = zone
+        self._heard_hubs: dict[str, float] = {}
+        self._silent_hubs: dict[str, float] = {}
+        self._without_hub_since = now
+        self._decided_at = now
+        self._hub: str | None = None
+
+    @property
+    def hub(self) -> str | None:
+        """The hub last decided on."""
+        return self._hub
+
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host is the hub."""
+        return self._hub == self._host
+
+    def start(self, *, now: float) -> None:
+        """Begin to wait for a hub, once the hosts of the zone are known."""
+        self._without_hub_since = self._decided_at = now
+
+    def record_hub(self, name: str, *, now: float) -> None:
+        """Record that a host of this zone acts as its hub."""
+        self._heard_hubs[name] = now
+        self._silent_hubs.pop(name, None)
+
+    def decide(self, hosts: Iterable[str], *, now: float) -> HubDecision:
+        """Choose the hub.
+
+        Parameters
+        ----------
+        hosts : iterable of str
+            Known hosts of the zone, alive or not.
+        now : float
+            Boot clock in seconds.
+        """
+        was_paused = now - self._decided_at > PAUSE_SECONDS
+        self._decided_at = now
+        live = self._live_hubs(now)
+        ranking = ranked({self._host, *hosts}, self._zone)
+        if self.is_hub:
+            higher = [name for name in ranking[: ranking.index(self._host)] if name in live]
+            if not higher:
+                return HubDecision(self._host, "no hub of higher rank is heard")
+            return self._follow(higher[0], "a hub of higher rank is heard", now)
+        if self._hub in live:
+            return self._follow(self._hub, "still heard", now)
+        if live:
+            return self._follow(
+                next((name for name in ranking if name in live), min(live)), "heard", now
+            )
+        if self._hub is not None:
+            self._silent_hubs[self._hub] = now
+            self._without_hub_since = self._heard_hubs.get(self._hub, now)
+            self._hub = None
+        if was_paused:
+            self._without_hub_since = now
+        return self._without_hub(ranking, now)
+
+    def _follow(self, name: str | None, reason: str, now: float) -> HubDecision:
+        self._hub = name
+        self._without_hub_since = now
+        return HubDecision(name, reason)
+
+    def _without_hub(self, ranking: list[str], now: float) -> HubDecision:
+        candidates = [
+            name
+            for name in ranking
+            if now - self._silent_hubs.get(name, float("-inf")) >= SILENT_HUB_MEMORY_SECONDS
+        ]
+        position = candidates.index(self._host)
+        delay = min(position * HUB_TAKEOVER_STEP_SECONDS, MAX_HUB_TAKEOVER_DELAY_SECONDS)
+        if now - self._without_hub_since < HUB_TIMEOUT_SECONDS + delay:
+            return HubDecision(None, "waiting for a hub")
+        return self._follow(self._host, "no hub was heard", now)
+
+    def _live_hubs(self, now: float) -> set[str]:
+        return {
+            name
+            for name, heard_at in self._heard_hubs.items()
+            if name != self._host and now - heard_at < HUB_TIMEOUT_SECONDS
+        }
+
+
+def should_read(
+    hosts: Iterable[str],
+    *,
+    host: str,
+    zone: str,
+    reader: str | None,
+    store_age: float,
+) -> bool:
+    """Return whether a host that is no hub reads the store for its zone.
+
+    Answers an outage in which the store turns the hub away while it serves other hosts. The
+    hosts of the zone try in turn, so that a store that is down for all is not called by all.
+
+    Parameters
+    ----------
+    hosts : iterable of str
+        Live hosts of the zone.
+    host, zone : str
+        This host.
+    reader : str or None
+        Host that reads the store at present, as told by the hub.
+    store_age : float
+        Seconds since the zone last heard from the store.
+    """
+    if store_age < STORE_TIMEOUT_SECONDS:
+        return reader == host
+    ranking = ranked({host, *hosts}, f"{zone}/readers")
+    slot = int((store_age - STORE_TIMEOUT_SECONDS) / READ_SLOT_SECONDS)
+    return ranking[slot % len(ranking)] == host
+
+
+def update_interval(receivers: int, *, datagrams_per_second: float, shortest: float) -> float:
+    """Return the seconds between two updates so that a sender keeps to a rate of datagrams."""
+    return max(shortest, receivers / datagrams_per_second)
--- /dev/null
+++ b/samphirehall/gateway/zone_messages.py
@@ -0,0 +1,198 @@
+"""Datagrams that the hosts of an availability zone and their hub exchange.
+
+Encoded as msgpack arrays in the order of the fields. A datagram starts with the
+sequence number of the last update that the sender received from the receiver.
+"""
+
+import struct
+from typing import Annotated
+
+import msgspec
+
+_ACKNOWLEDGED = struct.Struct(">I")
+_Unsigned = Annotated[int, msgspec.Meta(ge=0)]
+
+# Whether a usage window is closed, and its requests by customer.
+EncodedCounts = tuple[bool, dict[str, int]]
+
+
+class News(msgspec.Struct, array_like=True):
+    """What happened since the previous datagram.
+
+    Parameters
+    ----------
+    cached_prompts : list
+        Engines and the parts of prompts, with their tokens, that they now cache.
+    changing_engines : list of str
+        Engines that were ordered to change their stage.
+    crashes : list
+        Fingerprints of requests and the endpoints that they crashed.
+    """
+
+    cached_prompts: list[tuple[str, list[tuple[str, _Unsigned]]]] = []
+    changing_engines: list[str] = []
+    crashes: list[tuple[int, str]] = []
+
+
+class EncodedChange(msgspec.Struct, array_like=True):
+    """Changed row of the endpoint list; `value` is None for a deleted row."""
+
+    key: str
+    version: _Unsigned
+    value: bytes | None
+
+
+class EncodedChanges(msgspec.Struct, array_like=True):
+    """Relevant changes of the endpoint list above one version and up to another."""
+
+    after: _Unsigned
+    position: _Unsigned
+    changes: list[EncodedChange] = []
+
+
+class MemberUpdate(msgspec.Struct, array_like=True, tag="member"):
+    """State of one host, sent to its hub.
+
+    Parameters
+    ----------
+    host, zone, address : str
+        Name, availability zone, and IP address and port of the host.
+    process : str
+        Incarnation of its process.
+    sequence : int
+        Number of this update.
+    wall_time : float
+        Wall clock in seconds since 1970.
+    configuration_version : int
+        Version of the configuration in force.
+    store_age : float or None
+        Seconds since this host heard from the store; None if it does not read it.
+    loads : dict
+        Requests in flight and pending prompt tokens by rank, by endpoint.
+    demand : dict
+        Prompt tokens per second to prefill, by service.
+    usage : dict
+        Usage counts of this host by window.
+    news : News
+        What happened on this host.
+    changes : EncodedChanges or None
+        Changes of the endpoint list, while this host reads the store for its hub.
+    """
+
+    host: str
+    zone: str
+    address: str
+    process: str
+    sequence: _Unsigned
+    wall_time: float
+    configuration_version: _Unsigned
+    store_age: float | None
+    loads: dict[str, list[int]]
+    demand: dict[str, float]
+    usage: dict[int, EncodedCounts]
+    news: News
+    changes: EncodedChanges | None = None
+
+
+class ZoneSummary(msgspec.Struct, array_like=True):
+    """State of all hosts of one zone together.
+
+    Parameters
+    ----------
+    zone, hub, address : str
+        Availability zone, its hub, and the hub's IP address and port.
+    hosts : int
+        Number of live hosts.
+    closed_window : int
+        Latest usage window that all live hosts have closed and that is stored; -1 if unknown.
+    loads, demand : dict
+        Sums over the hosts; see `MemberUpdate`.
+    """
+
+    zone: str
+    hub: str
+    address: str
+    hosts: _Unsigned
+    closed_window: int
+    loads: dict[str, list[int]]
+    demand: dict[str, float]
+
+
+class HubUpdate(msgspec.Struct, array_like=True, tag="hub"):
+    """State of a zone, sent by its hub to its members and to other hubs.
+
+    Parameters
+    ----------
+    summary : ZoneSummary
+        State of the zone of the sender.
+    agreed_time : float
+        Agreed time in seconds since 1970.
+    configuration_version : int
+        Version of the configuration in force at the sender.
+    store_age : float
+        Seconds since the zone heard from the store.
+    reader : str or None
+        Host through which it did.
+    changes : EncodedChanges
+        Recent changes of the endpoint list.
+    news : News
+        What happened in the zone and, for members, elsewhere.
+    others : list of ZoneSummary
+        Latest states of other zones, for members.
+    members : list
+        Names and addresses of the live hosts of the zone, for members; empty in most updates.
+    usage : dict
+        Usage by process and window that could not be stored, for other hubs; see `MemberUpdate`.
+    """
+
+    summary: ZoneSummary
+    agreed_time: float
+    configuration_version: _Unsigned
+    store_age: float
+    reader: str | None
+    changes: EncodedChanges
+    news: News
+    others: list[ZoneSummary] = []
+    members: list[tuple[str, str]] = []
+    usage: dict[str, dict[int, EncodedCounts]] = {}
+
+
+Message = MemberUpdate | HubUpdate
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message without its acknowledgement."""
+    return _encoder.encode(message)
+
+
+def datagram(acknowledged: int, encoded: bytes) -> bytes:
+    """Return the datagram that carries an encoded message.
+
+    Parameters
+    ----------
+    acknowledged : int
+        Sequence number of the last update received from the receiver; 0 without one.
+    encoded : bytes
+        See `encode_message`.
+    """
+    return _ACKNOWLEDGED.pack(acknowledged) + encoded
+
+
+def decode_datagram(data: bytes) -> tuple[int, Message]:
+    """Return the acknowledged sequence number and the message of a datagram.
+
+    Raises
+    ------
+    ValueError
+        The datagram is no message.
+    """
+    if len(data) < _ACKNOWLEDGED.size:
+        raise ValueError(f"datagram of {len(data)} bytes")
+    (acknowledged,) = _ACKNOWLEDGED.unpack_from(data)
+    try:
+        return acknowledged, _decoder.decode(data[_ACKNOWLEDGED.size :])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ValueError(str(error)) from error
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -14,25 +14,27 @@
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
 from samphirehall.gateway.agreed_time import AgreedTime
-from samphirehall.gateway.configuration_exchange import ConfigurationExchange
+from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
 from samphirehall.gateway.duty import Duty, current_grant, may_act
 from samphirehall.gateway.endpoint_counts import CountOrder
 from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.ingress import IngressState, ingress_app, ingress_protocol
 from samphirehall.gateway.metrics import GatewayMetrics
-from samphirehall.gateway.peers import Peers
 from samphirehall.gateway.readiness import readiness_app
-from samphirehall.gateway.rows import RowChange, TableFollower
+from samphirehall.gateway.rows import RowChange, Switch, TableFollower
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
 from samphirehall.gateway.types import ListedEndpoint, Stage
 from samphirehall.gateway.usage_windows import (
+    SAVE_INTERVAL_SECONDS,
     HostCounts,
     PeerUsage,
     UsageCounter,
     UsageReports,
     report_periodically,
 )
+from samphirehall.gateway.zone_exchange import ZoneExchange
 from samphirehall.platform import documents, store, wire
 from samphirehall.platform.duties import DutiesClient
 from samphirehall.platform.engine_orders import order_stage
@@ -56,6 +58,8 @@
 
 # Entries change several times a second; a draining endpoint must be noticed within two seconds.
 ENDPOINT_POLL_INTERVAL_SECONDS = 0.5
+# With the poll interval, shorter than the time after which the store counts as lost.
+ENDPOINT_FEED_WAIT_SECONDS = 0.5
 BALANCER_GRACE_SECONDS = 3.0  # two failed probes one second apart, and one second for the answer
 STOP_MARGIN_SECONDS = 1.0  # left before the platform kills the process
 FINISH_TIMEOUT_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
@@ -77,7 +81,7 @@
         self.duties = DutiesClient(settings.duties_address, settings.host)
         self.agreed_time = AgreedTime()
         process = f"{settings.host}/{self.incarnation}"
-        self.duty = Duty(self.store, process, settings.lease_time)
+        self.duty = Duty(self.store, process, settings.lease_time, lambda: self.exchange.is_hub)
         self.usage = UsageCounter(
             process, settings.usage_window, self.agreed_now, lookback=settings.usage_report_timeout
         )
@@ -91,42 +95,56 @@
                 settings.retry_budget_slack,
                 settings.retry_budget_window,
             ),
-            live_hosts=lambda: self.peers.known_host_count(),
+            live_hosts=lambda: self.exchange.view.most_hosts,
             record_start=self.usage.record,
             clock=boot_seconds,
         )
         self.gateway = Gateway(self.context, self.metrics.observe_request)
-        self.peers = Peers(
-            self.context,
+        self._listed: dict[str, ListedEndpoint | None] = {}
+        reading = Switch()
+        self.configurations = TableFollower(
+            self.store, store.CONFIGURATION_TABLE, self._apply_configuration_row, switch=reading
+        )
+        self.endpoints = TableFollower(
             self.store,
-            f"{settings.ip}:{settings.min_peer_port}",
+            store.ENDPOINT_TABLE,
+            self._apply_endpoint_row,
+            is_relevant=self._is_relevant_row,
+            poll_delay=ENDPOINT_POLL_INTERVAL_SECONDS,
+            feed_wait=ENDPOINT_FEED_WAIT_SECONDS,
+            switch=reading,
+        )
+        address = f"{settings.ip}:{settings.min_peer_port}"
+        self.catch_up = CatchUp(
+            address,
+            lambda: self.gateway.version,
+            self.endpoints.replica,
+            self._receive_configuration,
+        )
+        self.exchange = ZoneExchange(
+            self.context,
+            HostDirectory(self.store, settings.host, settings.zone, address),
+            address,
+            self.endpoints,
+            reading,
+            self.catch_up,
             self.agreed_time,
             lambda: self.gateway.version,
             self.usage,
             self.peer_usage,
         )
-        self.configuration_exchange = ConfigurationExchange(self.peers, self._receive_configuration)
         self.reports = UsageReports(
             self.store,
             self._report_usage,
-            lambda: self.peers.live_hosts(now=boot_seconds()),
+            lambda: self.exchange.live_hosts(now=boot_seconds()),
             self._usage_by_process,
             settings.usage_window,
             settings.usage_report_timeout,
+            lambda window: self.exchange.view.others_closed(window, now=boot_seconds()),
         )
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
         self.ingress = IngressState(lambda: self.gateway.limits)
-        self.configurations = TableFollower(
-            self.store, store.CONFIGURATION_TABLE, self._apply_configuration_row
-        )
-        self.endpoints = TableFollower(
-            self.store,
-            store.ENDPOINT_TABLE,
-            self._apply_endpoint_row,
-            poll_delay=ENDPOINT_POLL_INTERVAL_SECONDS,
-        )
-
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -136,28 +154,29 @@
         gauge("open_requests", "Requests not answered.", lambda: self.ingress.open_requests)
         gauge(
             "live_hosts",
-            "Hosts heard lately, this one among them.",
-            lambda: len(self.peers.live_hosts(now=boot_seconds())),
+            "Hosts of the zone heard lately, this one among them.",
+            lambda: len(self.exchange.live_hosts(now=boot_seconds())),
+        )
+        gauge("hub", "Whether this host is the hub of its zone.", lambda: self.exchange.is_hub)
+        gauge(
+            "reading_store",
+            "Whether this host reads the store for its zone.",
+            lambda: self.endpoints.reading,
         )
         gauge(
             "duty_held",
             "Whether this host holds the duty of usage reports and orders.",
             lambda: self.duty.grant(now=boot_seconds()) is not None,
         )
-        gauge(
-            "configuration_age_seconds",
-            "Seconds since the store last said which configuration is the newest.",
-            lambda: boot_seconds() - self.configurations.last_response_at,
-        )
         gauge(
             "endpoint_list_age_seconds",
-            "Seconds since the store last said what the endpoint list is.",
-            lambda: boot_seconds() - self.endpoints.last_response_at,
+            "Seconds since the store last said what the endpoint list is, to any host heard.",
+            lambda: self.exchange.store_age(now=boot_seconds()),
         )
         gauge("log_lines_dropped", "Log lines left out since the start.", dropped_line_count)
         gauge(
             "store_available",
-            "Whether the store answered the last calls for both tables.",
+            "Whether the store answered the last calls of this host for both tables.",
             lambda: self.configurations.available and self.endpoints.available,
         )
 
@@ -191,6 +210,18 @@
             state.connections, engine, stage, host=self.settings.host, duty=self.duty
         )
 
+    async def save_usage(self) -> bool:
+        """Save the usage counts that this host is responsible for; return whether all are saved."""
+        received = self.exchange.usage_to_store()
+        return received is None or await self.usage.save(self.store, received)
+
+    async def save_usage_periodically(self) -> None:
+        """Save usage counts until cancelled."""
+        while True:
+            await anyio.sleep(SAVE_INTERVAL_SECONDS)
+            closed = self.exchange.closed_window(now=boot_seconds())
+            self.exchange.record_usage_stored(await self.save_usage(), closed)
+
     def _apply_configuration_row(self, change: RowChange) -> None:
         if change.key == store.CONFIGURATION_KEY and change.value is not None:
             self._receive_configuration(change.value, "store")
@@ -203,16 +234,37 @@
             _log.error("configuration-unreadable", extra={"reason": str(error)})
             return
         if self.gateway.apply_configuration(configuration, source=source):
-            self.configuration_exchange.set_document(configuration.version, content)
+            self.catch_up.set_document(content)
+            self._update_services()
+
+    def _update_services(self) -> None:
+        """Apply the services of a new configuration to the endpoints listed before it."""
+        for listed in self._listed.values():
+            if listed is not None:
+                self._update_endpoint(listed)
+
+    def _is_relevant_row(self, change: RowChange) -> bool:
+        """Decode a row of the endpoint list; return whether it says anything new."""
+        known = change.key in self._listed
+        if change.value is None:
+            self._listed.pop(change.key, None)
+            return known
+        listed = documents.decode_endpoint(change.key, change.value)
+        is_new = not known or self._listed[change.key] != listed
+        self._listed[change.key] = listed
+        return is_new
 
     def _apply_endpoint_row(self, change: RowChange) -> None:
         if change.value is None:
             self.context.fleet.remove(change.key)
             return
-        listed = documents.decode_endpoint(change.key, change.value)
+        listed = self._listed[change.key]
         if listed is None:
             self.context.fleet.suspend(change.key)
             return
+        self._update_endpoint(listed)
+
+    def _update_endpoint(self, listed: ListedEndpoint) -> None:
         configuration = self.gateway.configuration
         service = configuration.services.get(listed.service) if configuration else None
         self.context.fleet.update(listed, service, now=boot_seconds())
@@ -256,10 +308,10 @@
         group.start_soon(node.configurations.run)
         group.start_soon(node.endpoints.run)
         group.start_soon(node.close_retired)
-        group.start_soon(node.peers.run)
-        group.start_soon(node.configuration_exchange.run)
+        group.start_soon(node.exchange.run)
+        group.start_soon(node.catch_up.run)
         group.start_soon(node.duty.run)
-        group.start_soon(node.usage.save_periodically, node.store)
+        group.start_soon(node.save_usage_periodically)
         group.start_soon(_follow_settings, node)
         _start_duties(group, node)
         await _listen(stack, node)
@@ -348,9 +400,9 @@
         node.ingress.refusing = True
         await _wait_until_idle(node)
     with anyio.move_on_after(STOP_MARGIN_SECONDS):
-        node.peers.publish_usage()
+        node.exchange.publish_usage()
         await anyio.sleep(FINAL_PUBLISH_SECONDS)
-        await node.usage.save(node.store)
+        await node.save_usage()
         await node.duty.release()
 
 
--- /dev/null
+++ b/tests/gateway/test_zone_exchange.py
@@ -0,0 +1,406 @@
+"""Exchange of loads, configurations, endpoints and usage between hosts and their hub."""
+
+import json
+import logging
+
+import anyio
+import pytest
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.gateway.agreed_time import AgreedTime
+from samphirehall.gateway.catch_up import CatchUp
+from samphirehall.gateway.crashes import (
+    CONFIRMATION_TIMEOUT_SECONDS,
+    MIN_CRASHES_FOR_QUARANTINE,
+    Crash,
+    CrashTracker,
+    fingerprint,
+)
+from samphirehall.gateway.datagrams import DatagramSocket
+from samphirehall.gateway.host_directory import HostDirectory
+from samphirehall.gateway.load import EndpointLoad
+from samphirehall.gateway.rows import RowChange, Rows, Switch, TableFollower
+from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
+from samphirehall.gateway.zone_exchange import ZoneExchange
+from samphirehall.gateway.zone_members import MEMBER_TIMEOUT_SECONDS
+from samphirehall.gateway.zone_messages import (
+    MemberUpdate,
+    News,
+    datagram,
+    encode_message,
+)
+from samphirehall.platform.documents import decode_endpoint
+from samphirehall.programs.node import FINAL_PUBLISH_SECONDS
+from tests.gateway.helpers import MODEL, ROUTES, context, request
+from tests.support.ports import free_address
+from tests.support.table import FaultyTable
+
+pytestmark = pytest.mark.anyio
+
+ENTRY = {"service": "model", "address": "127.0.0.1:1", "zone": "a", "slots": 6, "stage": "decode"}
+
+
+class EndpointTable:
+    """The endpoint list of a store, with a count of calls and hosts that it turns away."""
+
+    def __init__(self):
+        self.version, self.rows, self.history = 1, {}, []
+        self.calls, self.refused = [], set()
+        self.put("d1", state="ready")
+
+    def put(self, key, **fields):
+        self.version += 1
+        value = json.dumps({**ENTRY, **fields}).encode() if fields else None
+        change = RowChange(key, self.version, value)
+        self.history.append(change)
+        self.rows.pop(key, None)
+        if value is not None:
+            self.rows[key] = change
+
+    def source(self, host):
+        return _Source(self, host)
+
+
+class _Source:
+    def __init__(self, table, host):
+        self._table, self._host = table, host
+
+    def _call(self):
+        self._table.calls.append((boot_seconds(), self._host))
+        if self._host in self._table.refused:
+            raise PlatformUnavailableError("turned away")
+
+    async def snapshot(self, table):
+        self._call()
+        return Rows(list(self._table.rows.values()), self._table.version)
+
+    async def changes(self, table, *, after, wait):
+        self._call()
+        with anyio.move_on_after(wait):
+            while self._table.version <= after:
+                await anyio.sleep(0.01)
+        self._call()
+        rows = [change for change in self._table.history if change.version > after]
+        return Rows(rows, self._table.version)
+
+
+class Host:
+    """A host that exchanges real datagrams on loopback."""
+
+    def __init__(self, name, table, endpoints, *, zone="a"):
+        self.context, _ = context()
+        self.context.host, self.context.zone = name, zone
+        self.agreed = AgreedTime()
+        self.version = 1
+        self.taken = []
+        self.usage = UsageCounter(f"{name}/1", 5.0, lambda: 101.0)
+        self.peer_usage = PeerUsage()
+        address = free_address()
+        reading = Switch()
+        self.endpoints = TableFollower(
+            endpoints.source(name),
+            "endpoints",
+            self.apply,
+            poll_delay=0.1,
+            feed_wait=0.2,
+            switch=reading,
+        )
+        self.catch_up = CatchUp(
+            address, lambda: self.version, self.endpoints.replica, self.take_configuration
+        )
+        self.directory = HostDirectory(table, name, zone, address)
+        self.exchange = ZoneExchange(
+            self.context,
+            self.directory,
+            address,
+            self.endpoints,
+            reading,
+            self.catch_up,
+            self.agreed,
+            lambda: self.version,
+            self.usage,
+            self.peer_usage,
+        )
+        self.address = address
+        self.scope = anyio.CancelScope()
+
+    def take_configuration(self, content, source):
+        self.taken.append(content)
+        self.version = int(content)
+
+    def apply(self, change):
+        if change.value is None:
+            self.context.fleet.remove(change.key)
+        else:
+            listed = decode_endpoint(change.key, change.value)
+            self.context.fleet.update(listed, MODEL, now=boot_seconds())
+
+    def state(self, endpoint="d1"):
+        found = self.context.fleet.endpoint(endpoint)
+        return None if found is None else found.listed.ready
+
+    def load(self, endpoint="d1"):
+        return self.context.loads.total_load(endpoint, now=boot_seconds())
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.exchange.run)
+                group.start_soon(self.catch_up.run)
+                group.start_soon(self.endpoints.run)
+
+
+async def until(condition, seconds=4.0):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def settled(hosts):
+    """Return whether all hosts of a zone follow one hub and have the endpoint list."""
+    hubs = {(host.context.zone, host.exchange.hub) for host in hosts}
+    zones = {host.context.zone for host in hosts}
+    return (
+        len(hubs) == len(zones)
+        and all(name for _, name in hubs)
+        and all(host.state() is not None for host in hosts)
+    )
+
+
+async def start(group, names, *, table=None, endpoints=None, zone="a"):
+    table, endpoints = table or FaultyTable(), endpoints or EndpointTable()
+    hosts = [Host(name, table, endpoints, zone=zone) for name in names]
+    for host in hosts:
+        group.start_soon(host.run)
+    await until(lambda: settled(hosts))
+    return hosts, endpoints
+
+
+def hub_and_members(hosts):
+    hub = next(host for host in hosts if host.exchange.is_hub)
+    return hub, [host for host in hosts if host is not hub]
+
+
+class TestRoles:
+    async def test_only_the_hub_reads_the_store(self):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcdef")
+            hub, _ = hub_and_members(hosts)
+            await anyio.sleep(1.0)
+            endpoints.calls.clear()
+            await anyio.sleep(1.0)
+            assert {name for _, name in endpoints.calls} == {hub.context.host}
+            assert all(len(host.exchange.live_hosts(now=boot_seconds())) == 6 for host in hosts)
+            assert all(host.exchange.view.most_hosts == 6 for host in hosts)
+            group.cancel_scope.cancel()
+
+    async def test_another_host_takes_over_when_the_hub_ends(self):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcd")
+            hub, members = hub_and_members(hosts)
+            hub.scope.cancel()
+            endpoints.put("d1", state="draining")
+            await until(lambda: all(host.state() is False for host in members), 2.0)
+            await until(lambda: settled(members) and members[0].exchange.hub != hub.context.host)
+            group.cancel_scope.cancel()
+
+    async def test_another_host_reads_when_the_store_turns_the_hub_away(self):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcd")
+            hub, members = hub_and_members(hosts)
+            endpoints.refused.add(hub.context.host)
+            await anyio.sleep(0.3)
+            endpoints.put("d1", state="draining")
+            await until(lambda: all(host.state() is False for host in hosts), 2.0)
+            endpoints.refused.clear()
+            await until(lambda: not any(host.endpoints.reading for host in members))
+            group.cancel_scope.cancel()
+
+    async def test_store_that_is_down_is_called_by_one_member_at_a_time(self):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcdef")
+            hub, members = hub_and_members(hosts)
+            endpoints.refused.update(host.context.host for host in hosts)
+            await anyio.sleep(2.0)
+            endpoints.calls.clear()
+            await anyio.sleep(1.0)
+            others = [name for _, name in endpoints.calls if name != hub.context.host]
+            assert 1 <= len(others) <= 12
+            endpoints.refused.clear()
+            await until(lambda: not any(host.endpoints.reading for host in members))
+            group.cancel_scope.cancel()
+
+    async def test_host_that_starts_later_learns_all_from_the_hub(self):
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            hosts, _ = await start(group, "abc", table=table, endpoints=endpoints)
+            hub, _ = hub_and_members(hosts)
+            hub.version = 7
+            hub.catch_up.set_document(b"7")
+            late = Host("late", table, endpoints)
+            group.start_soon(late.run)
+            await until(lambda: late.state() and late.version == 7, 1.0)
+            assert not any(name == "late" for _, name in endpoints.calls)
+            group.cancel_scope.cancel()
+
+    async def test_host_that_hears_nobody_reads_for_itself(self):
+        table = FaultyTable()
+        table.faults.outage = True
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "a", table=table)
+            assert hosts[0].exchange.is_hub
+            group.cancel_scope.cancel()
+
+
+class TestUpdates:
+    async def test_loads_and_cached_prompts_reach_other_hosts(self):
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "abc")
+            _, (one, _) = hub_and_members(hosts)
+            parts = (PromptPart("common", 900), PromptPart("own", 100))
+            one.context.record_cached_prompt("d1", parts)
+            with (
+                one.context.loads.track_request("d1"),
+                one.context.loads.track_prefill("d1", 700, 2),
+            ):
+                for host in hosts:
+                    await until(lambda host=host: host.load().tokens_up_to(2) == 700, 0.5)
+                    assert host.load().requests == 1
+                await anyio.sleep(1.2)
+                assert all(host.load().requests == 1 for host in hosts)
+            for host in hosts:
+                await until(lambda host=host: host.load().requests == 0, 0.5)
+                assert host.context.fleet.endpoint("d1").cache.cached_tokens(parts) == 1000
+            group.cancel_scope.cancel()
+
+    async def test_loads_reach_other_zones(self):
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            here, _ = await start(group, "abc", table=table, endpoints=endpoints)
+            there, _ = await start(group, "xyz", table=table, endpoints=endpoints, zone="b")
+            sender = hub_and_members(here)[1][0]
+            receiver = hub_and_members(there)[1][0]
+            with sender.context.loads.track_request("d1"):
+                await until(lambda: receiver.load().requests == 1)
+                await until(lambda: receiver.exchange.view.most_hosts == 6)
+            await until(lambda: receiver.load().requests == 0, 0.5)
+            group.cancel_scope.cancel()
+
+    async def test_demand_of_a_silent_host_expires(self):
+        one = Host("a", FaultyTable(), EndpointTable())
+        one.context.loads.receive("b", {"d1": EndpointLoad(1)}, {"model": 9.0}, now=1.0)
+        assert one.context.loads.prefill_demand(1.0, "model", now=1.5) == 10.0
+        assert one.context.loads.prefill_demand(1.0, "model", now=3.0) == 1.0
+
+    async def test_usage_counts_reach_the_hub(self):
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "ab")
+            hub, (member,) = hub_and_members(hosts)
+            member.usage.record("acme")
+            process = f"{member.context.host}/1"
+            expected = HostCounts(False, {"acme": 1})
+            await until(lambda: hub.peer_usage.counts_by_process(20).get(process) == expected)
+            assert hub.exchange.usage_to_store()[20, process] == expected
+            assert member.exchange.usage_to_store() is None
+            group.cancel_scope.cancel()
+
+    async def test_last_usage_counts_of_a_stopping_host_are_published_at_once(self):
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "ab")
+            hub, (member,) = hub_and_members(hosts)
+            member.usage.record("acme")
+            member.exchange.publish_usage()
+            await anyio.sleep(FINAL_PUBLISH_SECONDS)
+            counts = hub.peer_usage.counts_by_process(20)[f"{member.context.host}/1"].counts
+            assert counts == {"acme": 1}
+            group.cancel_scope.cancel()
+
+    async def test_peer_that_is_lost_and_regained_is_logged_once_each(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "ab")
+            hub, (member,) = hub_and_members(hosts)
+            members = hub.exchange.view.members
+            await until(lambda: members.live(now=boot_seconds()))
+            later = boot_seconds() + MEMBER_TIMEOUT_SECONDS + 1.0
+            assert [name for name, _ in members.remove_silent(now=later)] == [member.context.host]
+            assert members.remove_silent(now=later + 1.0) == []
+            messages = [record.message for record in caplog.records]
+            await until(
+                lambda: [record.message for record in caplog.records].count("peer-regained") == 1
+            )
+            assert "peer-regained" not in messages
+            group.cancel_scope.cancel()
+
+    async def test_newer_configuration_is_fetched_from_the_hub(self):
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "abc")
+            hub, members = hub_and_members(hosts)
+            hub.version = 7
+            hub.catch_up.set_document(b"7")
+            await until(lambda: all(host.version == 7 for host in hosts), 1.0)
+            assert [host.taken for host in members] == [[b"7"], [b"7"]] and not hub.taken
+            group.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("change", [{}, {"address": "nowhere"}, {"loads": {"d1": []}}])
+    async def test_datagram_that_cannot_be_used_is_ignored(self, change):
+        fields = {
+            "host": "z",
+            "zone": "a",
+            "address": "127.0.0.1:9",
+            "process": "z/1",
+            "sequence": 1,
+            "wall_time": 0.0,
+            "configuration_version": 0,
+            "store_age": None,
+            "loads": {},
+            "demand": {},
+            "usage": {},
+            "news": News(),
+        }
+        data = datagram(0, encode_message(MemberUpdate(**fields | change))) if change else b"\xc1"
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "ab")
+            hub, (member,) = hub_and_members(hosts)
+            sender = DatagramSocket(free_address())
+            host, _, port = hub.address.rpartition(":")
+            sender.send(data, (host, int(port)))
+            sender.close()
+            await anyio.sleep(0.1)
+            assert hub.load().requests == 0
+            with member.context.loads.track_request("d1"):
+                await until(lambda: hub.load().requests == 1, 1.0)
+            group.cancel_scope.cancel()
+
+
+class TestCrashes:
+    def tracker(self, *endpoints, confirmed=True):
+        tracker = CrashTracker()
+        for endpoint in endpoints:
+            tracker.record_unconfirmed(endpoint, Crash(1, endpoint), now=0.0)
+            if confirmed:
+                tracker.confirm(endpoint, now=1.0)
+        return tracker
+
+    def test_request_that_crashed_several_endpoints_is_counted(self):
+        assert self.tracker("x", "y", "z").crash_count(1, now=2.0) == MIN_CRASHES_FOR_QUARANTINE
+
+    def test_lost_responses_of_live_endpoints_are_no_crashes(self):
+        assert self.tracker("x", "y", "z", confirmed=False).crash_count(1, now=2.0) == 0
+
+    def test_endpoint_that_disappears_much_later_did_not_crash(self):
+        tracker = self.tracker("x", confirmed=False)
+        tracker.confirm("x", now=CONFIRMATION_TIMEOUT_SECONDS + 1)
+        assert tracker.crash_count(1, now=CONFIRMATION_TIMEOUT_SECONDS + 1) == 0
+
+    def test_response_clears_a_request(self):
+        tracker = self.tracker("x", "y", "z")
+        tracker.clear(1)
+        assert tracker.crash_count(1, now=2.0) == 0
+
+    def test_same_request_has_the_same_fingerprint_whatever_its_id(self):
+        again = [fingerprint(request(request_id=name, body=b"b"), ROUTES[0]) for name in "xy"]
+        other = fingerprint(request(body=b"c"), ROUTES[0])
+        assert again[0] == again[1] != other
--- /dev/null
+++ b/tests/gateway/test_zone_hub.py
@@ -0,0 +1,197 @@
+"""Choice of the hub of a zone, and of the host that reads the store for it."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirehall.core.rendezvous import ranked
+from samphirehall.gateway.zone_hub import (
+    HUB_TIMEOUT_SECONDS,
+    MAX_HUB_TAKEOVER_DELAY_SECONDS,
+    READ_SLOT_SECONDS,
+    STORE_TIMEOUT_SECONDS,
+    HubElection,
+    should_read,
+    update_interval,
+)
+
+STEP = 0.1
+HEARTBEAT = 0.15
+LONGEST_WITHOUT_HUB = HUB_TIMEOUT_SECONDS + MAX_HUB_TAKEOVER_DELAY_SECONDS + 3 * STEP
+
+
+class Zone:
+    """Hosts that decide in steps; a hub is heard by each live host unless a datagram is lost."""
+
+    def __init__(self, count, *, loss=0.0, seed=1):
+        self.names = [f"host-{number}" for number in range(count)]
+        self.now = 0.0
+        self.loss = loss
+        self.random = random.Random(seed)
+        self.down = set()
+        self.cut = set()
+        self.elections = {name: HubElection(name, "a", now=0.0) for name in self.names}
+        self.heard_at = {}
+
+    def step(self):
+        self.now += STEP
+        for sender, election in self.elections.items():
+            if sender not in self.down and election.is_hub:
+                self.send(sender)
+        for name, election in self.elections.items():
+            if name not in self.down:
+                election.decide(self.names, now=self.now)
+
+    def send(self, sender):
+        for name, election in self.elections.items():
+            reachable = (name in self.cut) == (sender in self.cut)
+            if name != sender and name not in self.down and reachable:
+                for _ in range(2):
+                    if self.random.random() >= self.loss:
+                        election.record_hub(sender, now=self.now)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP)):
+            self.step()
+
+    def hubs(self, among=None):
+        live = [name for name in among or self.names if name not in self.down]
+        return {self.elections[name].hub for name in live}
+
+    def acting(self):
+        return [
+            name
+            for name, election in self.elections.items()
+            if election.is_hub and name not in self.down
+        ]
+
+
+class TestHubElection:
+    @pytest.mark.parametrize("count", [1, 2, 8, 40])
+    def test_hosts_that_start_together_follow_one_hub(self, count):
+        zone = Zone(count)
+        zone.run(LONGEST_WITHOUT_HUB)
+        assert zone.hubs() == {ranked(zone.names, "a")[0]}
+
+    def test_hub_stays_when_a_host_of_higher_rank_starts(self):
+        zone = Zone(8)
+        first, second, *_ = ranked(zone.names, "a")
+        zone.down = {first}
+        zone.run(LONGEST_WITHOUT_HUB)
+        assert zone.hubs() == {second}
+        zone.down = set()
+        zone.elections[first] = HubElection(first, "a", now=zone.now)
+        zone.run(2.0)
+        assert zone.hubs() == {second}
+
+    def test_next_host_takes_over_soon(self):
+        zone = Zone(40)
+        zone.run(LONGEST_WITHOUT_HUB)
+        first, second, *_ = ranked(zone.names, "a")
+        zone.down = {first}
+        zone.run(HUB_TIMEOUT_SECONDS + 3 * STEP)
+        assert zone.hubs() == {second}
+
+    def test_zone_cut_in_two_has_a_hub_on_each_side_and_one_afterwards(self):
+        zone = Zone(12)
+        zone.run(LONGEST_WITHOUT_HUB)
+        (hub,) = zone.hubs()
+        rest = [name for name in zone.names if name != hub]
+        zone.cut = set(rest[:6])
+        zone.run(LONGEST_WITHOUT_HUB)
+        assert len(zone.hubs(zone.cut)) == 1 and None not in zone.hubs(zone.cut)
+        assert zone.hubs([name for name in zone.names if name not in zone.cut]) == {hub}
+        zone.cut = set()
+        zone.run(1.0)
+        assert len(zone.hubs()) == 1
+
+    def test_suspended_host_does_not_become_hub_when_it_wakes(self):
+        zone = Zone(6)
+        zone.run(LONGEST_WITHOUT_HUB)
+        (hub,) = zone.hubs()
+        sleeper = next(name for name in zone.names if name != hub)
+        zone.down = {sleeper}
+        zone.run(5.0)
+        zone.down = set()
+        zone.elections[sleeper].decide(zone.names, now=zone.now)
+        assert not zone.elections[sleeper].is_hub
+        zone.run(0.5)
+        assert zone.hubs() == {hub}
+
+    @settings(deadline=None, max_examples=60)
+    @given(
+        seed=st.integers(0, 1000),
+        loss=st.floats(0.0, 0.3),
+        events=st.lists(
+            st.tuples(st.sampled_from(["down", "up", "restart", "cut", "heal"]), st.integers(0, 9)),
+            max_size=12,
+        ),
+    )
+    def test_zone_has_one_hub_again_after_any_faults(self, seed, loss, events):
+        zone = Zone(10, loss=loss, seed=seed)
+        for event, number in events:
+            name = zone.names[number]
+            if event == "down":
+                zone.down.add(name)
+            elif event == "up":
+                zone.down.discard(name)
+            elif event == "restart":
+                zone.down.discard(name)
+                zone.elections[name] = HubElection(name, "a", now=zone.now)
+            elif event == "cut":
+                zone.cut.add(name)
+            else:
+                zone.cut.clear()
+            zone.run(0.7)
+        zone.down, zone.cut, zone.loss = set(), set(), 0.0
+        zone.run(2 * LONGEST_WITHOUT_HUB)
+        assert len(zone.acting()) == 1 and zone.hubs() == set(zone.acting())
+
+
+HOSTS = tuple(f"host-{number}" for number in range(39))
+
+
+class TestShouldRead:
+    def readers(self, store_age, *, reader="hub", hosts=HOSTS):
+        return [
+            host
+            for host in hosts
+            if should_read(hosts, host=host, zone="a", reader=reader, store_age=store_age)
+        ]
+
+    def test_nobody_else_reads_while_the_store_is_heard(self):
+        assert self.readers(STORE_TIMEOUT_SECONDS - 0.01) == []
+
+    def test_reader_in_place_of_the_hub_goes_on(self):
+        assert self.readers(0.2, reader="host-3") == ["host-3"]
+
+    def test_one_host_at_a_time_tries_a_store_that_seems_lost(self):
+        tried = [
+            self.readers(STORE_TIMEOUT_SECONDS + (n + 0.5) * READ_SLOT_SECONDS) for n in range(39)
+        ]
+        assert all(len(readers) == 1 for readers in tried)
+        assert {readers[0] for readers in tried} == set(HOSTS)
+
+    def test_hosts_that_differ_on_who_is_alive_are_few(self):
+        """Each host misses another one in its list; slots then overlap by neighbours at most."""
+        readers = [
+            host
+            for number, host in enumerate(HOSTS)
+            if should_read(
+                HOSTS[:number] + HOSTS[number + 1 :],
+                host=host,
+                zone="a",
+                reader=None,
+                store_age=STORE_TIMEOUT_SECONDS + 2 * READ_SLOT_SECONDS,
+            )
+        ]
+        assert len(readers) <= 2
+
+
+class TestUpdateInterval:
+    @pytest.mark.parametrize("receivers", [1, 7, 38, 195, 420])
+    def test_datagrams_of_a_sender_stay_below_the_rate(self, receivers):
+        interval = update_interval(receivers, datagrams_per_second=600.0, shortest=0.015)
+        assert interval >= 0.015 and receivers / interval <= 600.0 + 1e-6
