Let one hub read the store for all zones that hear each other

Ruled out: longer waits of the feed, which hide a lost store.

Two hubs are candidates for the duties. A host that starts waits 0.2 s for the hub's answer to its greeting in place of 0.6 s.

--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -26,7 +26,9 @@
 from samphirehall.gateway.zone_hub import (
     STORE_TIMEOUT_SECONDS,
     HubElection,
-    should_read,
+    hub_should_read,
+    may_hold_duty,
+    member_should_read,
     update_interval,
 )
 from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
@@ -40,7 +42,7 @@
     decode_datagram,
     encode_message,
 )
-from samphirehall.gateway.zone_updates import ZoneUpdates, decode_changes
+from samphirehall.gateway.zone_updates import MAX_AGE_SECONDS, ZoneUpdates, decode_changes
 from samphirehall.gateway.zone_view import StoreContact, ZoneView
 
 ROLE_INTERVAL_SECONDS = 0.1  # a sixth of the time after which a hub counts as silent
@@ -139,6 +141,13 @@
         """Name of the hub that this host follows."""
         return self._election.hub
 
+    def may_hold_duty(self) -> bool:
+        """Return whether this host is a candidate for the duties."""
+        zones = self._view.other_zones(now=boot_seconds())
+        return self.is_hub and may_hold_duty(
+            [summary.hub for summary in zones], host=self._context.host
+        )
+
     @property
     def view(self) -> ZoneView:
         """What this host knows of the zones."""
@@ -241,22 +250,27 @@
     def _choose_reader(self, now: float) -> None:
         context, contact = self._context, self._view.contact
         own = StoreContact(self._endpoints.last_response_at, context.host)
-        if self.is_hub and (now - own.at < STORE_TIMEOUT_SECONDS or own.at >= contact.at):
+        is_fresh = now - own.at < STORE_TIMEOUT_SECONDS
+        if self.is_hub and self._reading.on and (is_fresh or own.at >= contact.at):
             contact = self._view.contact = own
-        reads = self.is_hub or (
-            self.hub is not None
-            and should_read(
+        reads = False
+        if self.is_hub:
+            readers = self._view.other_readers(max_age=STORE_TIMEOUT_SECONDS, now=now)
+            reads = hub_should_read(
+                readers, host=context.host, reads=self._reading.on, own_store_age=now - own.at
+            )
+        elif self.hub is not None:
+            reads = member_should_read(
                 self._view.listed_members,
                 host=context.host,
                 zone=context.zone,
                 reader=contact.reader,
                 store_age=now - max(contact.at, self._followed_since),
             )
-        )
         if reads != self._reading.on:
-            reason = "hub" if self.is_hub else "the hub does not hear from the store"
-            reason = reason if reads else "another host reads"
-            log_decision(_log, "reader", reason, reads=reads, hub=self.hub)
+            reason = "no other host is heard that reads" if reads else "another host reads"
+            age = round(min(now - contact.at, MAX_AGE_SECONDS), 2)
+            log_decision(_log, "reader", reason, reads=reads, hub=self.hub, store_age=age)
         self._reading.set(reads)
 
     # Sending
@@ -415,6 +429,8 @@
         if not self.is_hub:
             return
         self._record_zone(summary, now)
+        contact_at = now - update.store_age if update.reads else None
+        self._view.record_reader(summary.zone, summary.hub, contact_at)
         self._view.count_hosts(now=now)
         self._agreed_time.record_peer_clock(
             summary.hub, update.agreed_time, wall=wall_seconds(), now=now
@@ -424,7 +440,9 @@
                 self._peer_usage.receive(process, window, HostCounts(*counts))
         self._apply_news(update.news, now)
         self._updates.zone_news.add(update.news)
-        self._take_endpoints(update.changes, update.store_age, summary.hub, address, now)
+        # The age that a zone without a reader states is an echo of another zone's.
+        store_age = update.store_age if update.reads else None
+        self._take_endpoints(update.changes, store_age, summary.hub, address, now)
         self._zone_changed.set()
 
     def _receive_zone_load(self, summary: ZoneSummary, acknowledged: int, now: float) -> None:
--- a/samphirehall/gateway/zone_hub.py
+++ b/samphirehall/gateway/zone_hub.py
@@ -15,12 +15,14 @@
 from samphirehall.core.rendezvous import ranked
 
 HUB_TIMEOUT_SECONDS = 0.6  # four heartbeats of a hub
+GREETING_TIMEOUT_SECONDS = 0.2  # a hub answers a host that starts at once
 HUB_TAKEOVER_STEP_SECONDS = 0.2  # between candidates, so that the first is heard by the second
 MAX_HUB_TAKEOVER_DELAY_SECONDS = 1.2  # keeps a host without a hub within the drain time
 PAUSE_SECONDS = 0.4  # a longer time between two decisions means that this host was suspended
 SILENT_HUB_MEMORY_SECONDS = 15.0  # a hub that fell silent is no candidate for this long
 
 STORE_TIMEOUT_SECONDS = 1.2  # a reader normally hears from the store once a second at least
+DUTY_CANDIDATES = 2  # each reads the lease about once a second
 READ_SLOT_SECONDS = 0.25  # between the attempts of two hosts to read a store that seems lost
 
 
@@ -74,8 +76,9 @@
         return self._hub == self._host
 
     def start(self, *, now: float) -> None:
-        """Begin to wait for a hub, once the hosts of the zone are known."""
-        self._without_hub_since = self._decided_at = now
+        """Begin to wait for a hub, once all known hosts of the zone have been greeted."""
+        self._without_hub_since = now - HUB_TIMEOUT_SECONDS + GREETING_TIMEOUT_SECONDS
+        self._decided_at = now
 
     def record_hub(self, name: str, *, now: float) -> None:
         """Record that a host of this zone acts as its hub."""
@@ -140,7 +143,34 @@
         }
 
 
-def should_read(
+def hub_should_read(
+    readers: Iterable[str], *, host: str, reads: bool, own_store_age: float
+) -> bool:
+    """Return whether a hub reads the store, or leaves it to the hub of another zone.
+
+    Calls to the store are paid for, whoever makes them, so one hub reads for all zones that
+    hear each other. A reader goes on until it hears one of higher rank.
+
+    Parameters
+    ----------
+    readers : iterable of str
+        Hubs of other zones that read the store and have heard from it lately.
+    host : str
+        This hub.
+    reads : bool
+        Whether it reads the store at present.
+    own_store_age : float
+        Seconds since it heard from the store itself.
+    """
+    others = set(readers)
+    if not others:
+        return True
+    if not reads or own_store_age >= STORE_TIMEOUT_SECONDS:
+        return False
+    return ranked({host, *others}, "readers")[0] == host
+
+
+def member_should_read(
     hosts: Iterable[str],
     *,
     host: str,
@@ -150,8 +180,9 @@
 ) -> bool:
     """Return whether a host that is no hub reads the store for its zone.
 
-    Answers an outage in which the store turns the hub away while it serves other hosts. The
-    hosts of the zone try in turn, so that a store that is down for all is not called by all.
+    Answers an outage in which the store turns the hubs away while it serves other hosts. The
+    hosts of the zone try in turn, after the hub, so that a store that is down for all is not
+    called by all.
 
     Parameters
     ----------
@@ -164,13 +195,27 @@
     store_age : float
         Seconds since the zone last heard from the store.
     """
-    if store_age < STORE_TIMEOUT_SECONDS:
+    first_slot = STORE_TIMEOUT_SECONDS + READ_SLOT_SECONDS
+    if store_age < first_slot:
         return reader == host
     ranking = ranked({host, *hosts}, f"{zone}/readers")
-    slot = int((store_age - STORE_TIMEOUT_SECONDS) / READ_SLOT_SECONDS)
+    slot = int((store_age - first_slot) / READ_SLOT_SECONDS)
     return ranking[slot % len(ranking)] == host
 
 
+def may_hold_duty(hubs: Iterable[str], *, host: str) -> bool:
+    """Return whether a hub is one of the candidates for the duties.
+
+    Parameters
+    ----------
+    hubs : iterable of str
+        Hubs of other zones that are heard.
+    host : str
+        This hub.
+    """
+    return host in ranked({host, *hubs}, "duties")[:DUTY_CANDIDATES]
+
+
 def update_interval(receivers: int, *, datagrams_per_second: float, shortest: float) -> float:
     """Return the seconds between two updates so that a sender keeps to a rate of datagrams."""
     return max(shortest, receivers / datagrams_per_second)
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -133,6 +133,8 @@
         Seconds since the zone heard from the store.
     reader : str or None
         Host through which it did.
+    reads : bool
+        Whether that is a host of this zone.
     changes : EncodedChanges
         Recent changes of the endpoint list.
     news : News
@@ -150,6 +152,7 @@
     configuration_version: _Unsigned
     store_age: float
     reader: str | None
+    reads: bool
     changes: EncodedChanges
     news: News
     others: list[ZoneSummary] = []
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -181,6 +181,7 @@
             self._configuration_version(),
             min(now - contact.at, MAX_AGE_SECONDS),
             contact.reader,
+            self._endpoints.reading or contact.reader in self._view.members.live(now=now),
             encode_changes(self._endpoints.replica.recent_changes(now=now)),
             news,
         )
--- a/samphirehall/gateway/zone_view.py
+++ b/samphirehall/gateway/zone_view.py
@@ -47,6 +47,7 @@
         self._host = host
         self._zone = zone
         self._zones: dict[str, tuple[float, ZoneSummary]] = {}
+        self._readers: dict[str, tuple[str, float]] = {}
         self._most_hosts = 1
         self.members = ZoneMembers()
         self.listed_members: list[str] = []
@@ -61,6 +62,17 @@
         """Record the state of another zone."""
         self._zones[summary.zone] = now, summary
 
+    def record_reader(self, zone: str, hub: str, contact_at: float | None) -> None:
+        """Record whether another zone reads the store, and when it last heard from it."""
+        if contact_at is None:
+            self._readers.pop(zone, None)
+        else:
+            self._readers[zone] = hub, contact_at
+
+    def other_readers(self, *, max_age: float, now: float) -> list[str]:
+        """Return the hubs of other zones that read the store and have heard from it lately."""
+        return [hub for hub, contact_at in self._readers.values() if now - contact_at < max_age]
+
     def other_zones(self, *, now: float) -> Iterator[ZoneSummary]:
         """Yield the states of the other zones that are heard."""
         for zone, (heard_at, summary) in self._zones.items():
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -81,7 +81,9 @@
         self.duties = DutiesClient(settings.duties_address, settings.host)
         self.agreed_time = AgreedTime()
         process = f"{settings.host}/{self.incarnation}"
-        self.duty = Duty(self.store, process, settings.lease_time, lambda: self.exchange.is_hub)
+        self.duty = Duty(
+            self.store, process, settings.lease_time, lambda: self.exchange.may_hold_duty()
+        )
         self.usage = UsageCounter(
             process, settings.usage_window, self.agreed_now, lookback=settings.usage_report_timeout
         )
@@ -157,7 +159,11 @@
             "Hosts of the zone heard lately, this one among them.",
             lambda: len(self.exchange.live_hosts(now=boot_seconds())),
         )
-        gauge("hub", "Whether this host is the hub of its zone.", lambda: self.exchange.is_hub)
+        gauge(
+            "hub",
+            "Whether this host is the hub of its zone.",
+            lambda: self.exchange.may_hold_duty(),
+        )
         gauge(
             "reading_store",
             "Whether this host reads the store for its zone.",
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -196,6 +196,40 @@
             assert all(host.exchange.view.most_hosts == 6 for host in hosts)
             group.cancel_scope.cancel()
 
+    async def test_one_hub_reads_the_store_for_all_zones(self):
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            here, _ = await start(group, "abc", table=table, endpoints=endpoints)
+            there, _ = await start(group, "xyz", table=table, endpoints=endpoints, zone="b")
+            hosts = [*here, *there]
+            await until(lambda: sum(host.endpoints.reading for host in hosts) == 1)
+            await anyio.sleep(0.5)  # a call of a former reader may be under way
+            endpoints.calls.clear()
+            endpoints.put("d1", state="draining")
+            await until(lambda: all(host.state() is False for host in hosts), 1.0)
+            assert len({name for _, name in endpoints.calls}) == 1
+            reader = next(host for host in hosts if host.endpoints.reading)
+            reader.scope.cancel()
+            endpoints.put("d2", state="ready")
+            left = [host for host in hosts if host is not reader]
+            await until(lambda: all(host.state("d2") for host in left), 2.5)
+            group.cancel_scope.cancel()
+
+    async def test_reader_does_not_change_without_a_reason(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            hosts = []
+            for zone, names in (("a", "abc"), ("b", "xyz"), ("c", "mno")):
+                started, _ = await start(group, names, table=table, endpoints=endpoints, zone=zone)
+                hosts += started
+            await until(lambda: sum(host.endpoints.reading for host in hosts) == 1)
+            await anyio.sleep(0.5)
+            caplog.clear()
+            await anyio.sleep(3.0)
+            assert "reader" not in [record.message for record in caplog.records]
+            group.cancel_scope.cancel()
+
     async def test_another_host_takes_over_when_the_hub_ends(self):
         async with anyio.create_task_group() as group:
             hosts, endpoints = await start(group, "abcd")
