Bound what an endpoint that sends without end can take

Cause: informational responses were read without a limit, so a call to such an endpoint lasted until the deadline of the request; an event without an end was buffered up to 4 MB a stream and an answer up to 8 MB a request, more than a host of 200 MB has for some dozens of them.

Ruled out: heads, header lines, chunk sizes and trailers without end, which h11 bounds already.

Change: eight informational responses, 256 KB of a response to another request, 256 KB of an unfinished event, 64 KB of the answer to a prefill, 1 MB of any other answer.

--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -25,6 +25,8 @@
 RECEIVE_BUFFER_BYTES = 65_536  # a full receive window
 MAX_RESPONSE_HEAD_BYTES = 65_536  # the same as for requests
 MAX_STRAY_RESPONSES = 3  # skipped before the exchange fails
+MAX_STRAY_BODY_BYTES = 262_144  # of one of them; a longer one may have no end
+MAX_INFORMATIONAL_RESPONSES = 8  # before the response itself; more may have no end
 IDLE_TIMEOUT_FRACTION = 0.5  # of the endpoint's idle timeout, so that this side closes first
 DEFAULT_IDLE_TIMEOUT_SECONDS = 2.0  # when the endpoint states no timeout
 MAX_NON_REPEATABLE_IDLE_SECONDS = 0.5  # an older connection may be closing at the endpoint
@@ -123,9 +125,7 @@
 
     async def next_response(self, matches: ResponseMatcher) -> Response:
         for _ in range(MAX_STRAY_RESPONSES + 1):
-            response = await self._next_event()
-            while isinstance(response, h11.InformationalResponse):
-                response = await self._next_event()
+            response = await self._next_final_response()
             if not isinstance(response, h11.Response):
                 raise IncompleteResponseError(
                     f"got {type(response).__name__} where a response head was expected"
@@ -137,6 +137,16 @@
             await self._skip_stray_response()
         raise IncompleteResponseError("only responses to other requests arrived")
 
+    async def _next_final_response(self) -> object:
+        """Return the next event that is no informational response."""
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise IncompleteResponseError(
+            f"over {MAX_INFORMATIONAL_RESPONSES} informational responses arrived"
+        )
+
     async def next_data(self) -> bytes | None:
         event = await self._next_event()
         if isinstance(event, h11.Data):
@@ -164,8 +174,11 @@
     async def _skip_stray_response(self) -> None:
         """Read the rest of a response to another request and prepare the parser for the next."""
         self._no_stray_bytes = False
-        while await self.next_data() is not None:
-            pass
+        length = 0
+        while (data := await self.next_data()) is not None:
+            length += len(data)
+            if length > MAX_STRAY_BODY_BYTES:
+                raise IncompleteResponseError("the response to another request does not end")
         remainder, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
             raise IncompleteResponseError("the connection ends after a response to another request")
--- a/samphirehall/gateway/events.py
+++ b/samphirehall/gateway/events.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass
 
-MAX_EVENT_BYTES = 4 * 1024 * 1024  # bounds the buffer for an event without an end
+MAX_EVENT_BYTES = 256 * 1024  # bounds the buffer of each stream for an event without an end
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)", re.MULTILINE)
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -19,7 +19,7 @@
 )
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import EngineView, GenerationPlan, plan_generation
-from samphirehall.gateway.plain import MAX_ANSWER_BYTES, no_answer_error
+from samphirehall.gateway.plain import no_answer_error
 from samphirehall.gateway.relay import (
     Delivery,
     handle_failure_response,
@@ -35,6 +35,7 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0  # times the estimate, for a resumable stream
 FIRST_EVENT_TIMEOUT_SLACK_SECONDS = 1.0
 DEFAULT_INTER_EVENT_GAP_SECONDS = 0.15  # for routes without a target; readers notice longer gaps
+MAX_HANDLE_BYTES = 65_536  # the answer to a prefill holds a handle and two numbers
 WIDE_CHOICE_FACTOR = 4  # more candidates if the first cannot respond within the latency target
 RELEASE_TIMEOUT_SECONDS = 0.3  # the engine expires the KV handle itself soon after
 
@@ -225,7 +226,7 @@
     try:
         with anyio.fail_after(timeout), _count_pending_prefill(context, request_state, plan):
             async with send_request(context, request_state, prefill_engine, dispatch) as response:
-                body = await response.read(max_bytes=MAX_ANSWER_BYTES)
+                body = await response.read(max_bytes=MAX_HANDLE_BYTES)
         outcome = SendOutcome.NOT_RUN
         if response.status == 200:
             outcome = SendOutcome.ANSWERED
@@ -401,4 +402,4 @@
                 b"",
                 matches=lambda found: True,
             ) as response:
-                await response.read(max_bytes=MAX_ANSWER_BYTES)
+                await response.read(max_bytes=MAX_HANDLE_BYTES)
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -20,7 +20,8 @@
 from samphirehall.gateway.types import Headers
 from samphirehall.gateway.wire_codec import Dispatch
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024  # answers are buffered, so that a failed attempt can be retried
+# Answers are buffered, so that a failed attempt can be retried; bounds the memory of each request.
+MAX_ANSWER_BYTES = 1024 * 1024
 # Times the latency target, after which an idempotent request is sent to another endpoint.
 ANSWER_TIMEOUT_FACTOR = 2.0
 MIN_ANSWER_TIMEOUT_SECONDS = 0.1  # below this are normal service times
