Fix faults that readers of the code had listed

Each has a test that fails without the change: a deadline between the request and the response head was reported as not run though the engine may have it (forwarding); the 1,025th failure in a row of an endpoint raised OverflowError; a client timeout of 0 was taken for none; a stage change stayed due across a change of holder; 410 counted as a committed transaction and 412 as an answer to a read; a page without a readable row ended a table; nan and inf were accepted as settings. The status of an engine's report is checked as well; no test of its own.

--- a/samphirehall/forwarding/attempt.py
+++ b/samphirehall/forwarding/attempt.py
@@ -200,13 +200,20 @@
     async def _read_response(
         self, call: AbstractAsyncContextManager[httpcore.Response], head_timeout: float
     ) -> None:
-        with self._context.stalls.guard(boot_seconds() + head_timeout) as guard:
-            async with call as response:
-                if response.status != HTTP_OK:
-                    await _raise_for_status(response)
-                self._run.may_have_run = True
-                guard.until = boot_seconds() + self._limits.first_event_seconds
-                await self._relay_events(response, guard)
+        had_run = self._run.may_have_run
+        # A call that is cancelled while it waits for the response may have been written.
+        self._run.may_have_run = True
+        try:
+            with self._context.stalls.guard(boot_seconds() + head_timeout) as guard:
+                async with call as response:
+                    if response.status != HTTP_OK:
+                        self._run.may_have_run = had_run
+                        await _raise_for_status(response)
+                    guard.until = boot_seconds() + self._limits.first_event_seconds
+                    await self._relay_events(response, guard)
+        except NOT_WRITTEN_ERRORS:
+            self._run.may_have_run = had_run
+            raise
         if not self._reader.done:
             raise BrokenStreamError("the stream ended without an end marker")
 
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -11,6 +11,7 @@
 
 INITIAL_BACKOFF_SECONDS = 0.5  # a crashed process resets connections at once
 MAX_BACKOFF_SECONDS = 4.0  # crashed endpoints restart within seconds
+MAX_BACKOFF_DOUBLINGS = 3  # until the maximum is reached
 MAX_FAILURE_PENALTY_SECONDS = 0.5  # for an endpoint that fails every request
 STAGE_CHANGE_TIMEOUT_SECONDS = 6.0  # to finish running requests and change the stage
 FAILURE_RATE_DECAY = 0.8  # weight of the previous rate when an outcome is recorded
@@ -65,9 +66,8 @@
         """
         self.consecutive_failures += 1
         self.failure_rate = FAILURE_RATE_DECAY * self.failure_rate + 1 - FAILURE_RATE_DECAY
-        backoff = min(
-            INITIAL_BACKOFF_SECONDS * 2 ** (self.consecutive_failures - 1), MAX_BACKOFF_SECONDS
-        )
+        doublings = min(self.consecutive_failures - 1, MAX_BACKOFF_DOUBLINGS)
+        backoff = min(INITIAL_BACKOFF_SECONDS * 2**doublings, MAX_BACKOFF_SECONDS)
         self.backoff_until = now + backoff
         if unreachable:
             self.unreachable_until = self.backoff_until
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -127,7 +127,9 @@
         service = self._routes.configuration.services.get(service_name)
         if service is None:
             raise SamphireError(NO_ROUTE, f"route {route.name} names no service {service_name}")
-        timeout = min(request.timeout or route.timeout, route.timeout)
+        timeout = route.timeout
+        if request.timeout is not None:
+            timeout = min(request.timeout, route.timeout)
         self.context.repeat_budget(service_name).record_request(now=request.received_at)
         return RequestState(
             request,
@@ -154,8 +156,11 @@
             request_state.service.engine is not None and request_state.request.prompt is not None
         )
         run = run_generation if engines else run_plain
+        remaining = request_state.remaining_time(now=self.context.clock())
+        if remaining <= 0:
+            raise SamphireError(DEADLINE_NOT_RUN, "the deadline had passed on arrival")
         try:
-            with anyio.fail_after(request_state.remaining_time(now=self.context.clock())):
+            with anyio.fail_after(remaining):
                 return await run(self.context, request_state, caller)
         except TimeoutError as error:
             result = DEADLINE_UNKNOWN if request_state.tried_endpoints else DEADLINE_NOT_RUN
--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -77,6 +77,7 @@
         """Discard the record of orders; another host may have sent different ones since."""
         self._accepted_orders.clear()
         self._refused_at.clear()
+        self._pending_stage_change.clear()
 
     async def step(self, configuration: GatewayConfiguration, *, now: float) -> None:
         """Measure demand and send the orders that are due.
--- a/samphirehall/platform/engine_orders.py
+++ b/samphirehall/platform/engine_orders.py
@@ -16,7 +16,8 @@
 
 CALL_TIMEOUT_SECONDS = 0.4  # an order takes two calls, within the delivery time of a lease
 MAX_ANSWER_BYTES = 262_144  # a report lists every running request
-ACCEPTED_STATUSES = (200, 202)
+HTTP_OK = 200
+ACCEPTED_STATUSES = (HTTP_OK, 202)
 
 _log = logging.getLogger(__name__)
 
@@ -53,6 +54,8 @@
     try:
         with anyio.fail_after(CALL_TIMEOUT_SECONDS):
             report = await _call(connections, engine, "GET", b"/report", b"")
+            if report[0] != HTTP_OK:
+                return False
             state = _report_decoder.decode(report[1])
             if state.busy:
                 return False
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -158,7 +158,7 @@
             number = float(value or 0)
         except ValueError:
             number = -1.0
-        if number < 0:
+        if not 0 <= number < float("inf"):
             self._add_problem(name, value, "a number of at least 0")
         return number
 
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -86,7 +86,9 @@
             "remove": [_row_name(write.key) for write in writes if write.value is None],
         }
         body = msgspec.json.encode(document)
-        status, answer = await self._call("transaction", "POST", "/rows-tx", body=body)
+        status, answer = await self._call(
+            "transaction", "POST", "/rows-tx", body=body, accepted=(200, 412)
+        )
         if status == 412:
             rows = [_to_product_row(row) for row in _decode_rows(answer)]
             return TransactionResult(False, tuple(rows))
@@ -115,6 +117,7 @@
             "GET",
             f"/rows-feed?{urlencode(query)}",
             timeout=wait + FEED_TIMEOUT_MARGIN_SECONDS,
+            accepted=(200, 410),
         )
         if status == 410:
             raise HistoryGoneError
@@ -141,8 +144,10 @@
             page = _decode_rows(answer)
             rows.extend(page)
             version = answer.ver if version is None else version
-            if not answer.has_more or not page:
+            if not answer.has_more:
                 return Rows(rows, version)
+            if not page:
+                raise PlatformUnavailableError(f"no row after {start!r} could be decoded")
             start = page[-1].key + "\0"
 
     async def _call(
@@ -153,17 +158,23 @@
         *,
         body: bytes | None = None,
         timeout: float = CALL_TIMEOUT_SECONDS,
+        accepted: Container[int] = (200,),
     ) -> tuple[int, _RowsAnswer]:
         started, answered = boot_seconds(), False
         try:
-            result = await self._exchange(method, path, body, timeout)
+            result = await self._exchange(method, path, body, timeout, accepted)
             answered = True
             return result
         finally:
             self._observe(kind, boot_seconds() - started, answered)
 
     async def _exchange(
-        self, method: str, path: str, body: bytes | None, timeout: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout: float,
+        accepted: Container[int],
     ) -> tuple[int, _RowsAnswer]:
         headers = {b"Content-Type": b"application/json"} if body is not None else None
         try:
@@ -175,7 +186,7 @@
                     status = response.status
         except (*TRANSPORT_ERRORS, TimeoutError, ValueError) as error:
             raise PlatformUnavailableError(f"{method} {path[:20]}: {error!r}") from error
-        if status not in (200, 410, 412):
+        if status not in accepted:
             raise PlatformUnavailableError(f"{method} {path[:20]}: status {status}")
         try:
             answer = _rows_decoder.decode(content) if content else _RowsAnswer()
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -9,6 +9,7 @@
 import pytest
 
 from samphirehall.configuration.version import Configuration
+from samphirehall.core.results import DEADLINE_UNKNOWN
 from samphirehall.endpoints.events import extract_tokens
 from samphirehall.forwarding import attempt
 from samphirehall.forwarding.caller_protocol import CONNECTION_SCOPE_KEY, CallerConnection
@@ -178,6 +179,16 @@
         assert b'"code":3001' in reply.body
         assert b"[DONE]" not in reply.body
 
+    async def test_deadline_before_the_response_head_leaves_the_outcome_unknown(self):
+        async def silent(exchange, writer):
+            await asyncio.sleep(30)
+
+        async with entry(silent) as (app, endpoints, context):
+            context.settings.entry.stall_seconds = 5.0
+            reply = await complete(app, headers=[(b"samphire-deadline", b"0.3")])
+        assert endpoints[0].calls["POST"] == 1
+        assert DEADLINE_UNKNOWN.name.encode() in reply.body
+
     async def test_an_idle_connection_that_went_silent_costs_one_new_connection(self):
         async def send_nothing_if_reused(exchange, writer):
             if exchange.method == "POST" and getattr(writer, "used", False):
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -1,13 +1,14 @@
 """Unit tests of routing, planning, admission, scaling, budgets and estimators."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import KEY_MISSING, KEY_UNKNOWN, NO_ROUTE
+from samphirehall.core.results import DEADLINE_NOT_RUN, KEY_MISSING, KEY_UNKNOWN, NO_ROUTE
 from samphirehall.gateway.admission import decide_admission
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.cache_model import USABLE_FRACTION, CacheModel
@@ -18,12 +19,24 @@
     desired_stage_change,
 )
 from samphirehall.gateway.events import EventSplitter
+from samphirehall.gateway.fleet import MAX_BACKOFF_SECONDS, EndpointState
+from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.generation_plan import EngineView, plan_generation
 from samphirehall.gateway.prefill_rate import PrefillRate
 from samphirehall.gateway.repeat_budget import RepeatBudget
 from samphirehall.gateway.routes import RouteTable, choose_service, request_rank
 from samphirehall.gateway.types import Customer, PromptPart, RequestKind, Route, ServiceShare, Stage
-from tests.gateway.helpers import ENGINE, MODEL, ROUTES, configuration, engine, prompt, request
+from tests.gateway.helpers import (
+    ENGINE,
+    MODEL,
+    ROUTES,
+    RecordingCaller,
+    configuration,
+    context,
+    engine,
+    prompt,
+    request,
+)
 
 
 def view(name, stage=Stage.DECODE, *, requests=0, ahead=0, cached=0, zone="a", rate=40_000.0):
@@ -317,3 +330,24 @@
         ]
         again = desired_stage_change(moved, demand)
         assert again is None or again[1] is change[1]
+
+
+class TestBackoff:
+    def test_any_number_of_failures_keeps_the_longest_backoff(self):
+        state = EndpointState(engine("e"), None)
+        for _ in range(2000):
+            state.record_failure(now=10.0)
+        assert state.backoff_until == 10.0 + MAX_BACKOFF_SECONDS
+
+
+class TestClientTimeout:
+    pytestmark = pytest.mark.anyio
+
+    async def test_request_without_time_left_is_refused_as_not_run(self):
+        shared, _ = context()
+        gateway = Gateway(shared)
+        gateway.apply_configuration(configuration(), source="test")
+        late = replace(request(), timeout=0.0)
+        with pytest.raises(SamphireError) as raised:
+            await gateway.serve(late, RecordingCaller())
+        assert raised.value.result is DEADLINE_NOT_RUN
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -305,6 +305,17 @@
             "model", now=now + STAGE_CHANGE_DELAY_SECONDS
         )
 
+    async def test_holder_that_returns_waits_for_the_delay_again(self):
+        members = [engine(f"{zone}{n}", zone=zone) for zone in "abc" for n in range(3)]
+        shared, calls, scaling = scaling_with(*members)
+        now = shared.clock()
+        shared.prefill_demand("model").record(300_000, now=now)
+        await scaling.step(configuration(), now=now)
+        scaling.reset()
+        shared.prefill_demand("model").record(300_000, now=now)
+        await scaling.step(configuration(), now=now + STAGE_CHANGE_DELAY_SECONDS)
+        assert calls.stages == []
+
     @pytest.mark.parametrize(
         "error", [LeaseLostError("duties", "lost"), PlatformUnavailableError("down")]
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -90,6 +90,12 @@
         keys = {problem.key for problem in caught.value.problems}
         assert {"node", "platform.address", "bounds.grace_s"} <= keys
 
+    @pytest.mark.parametrize("number", ["nan", "inf", "-1"])
+    def test_numbers_must_be_finite_and_not_negative(self, number):
+        with pytest.raises(SettingsError) as caught:
+            parse_settings(settings_text(**{"bounds.lease_ms": number}), file="f")
+        assert [problem.key for problem in caught.value.problems] == ["bounds.lease_ms"]
+
 
 class TestConfiguration:
     def test_names_and_units_are_converted(self):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -47,6 +47,29 @@
                 await store.read(["k"])
             await store.aclose()
 
+    @pytest.mark.parametrize("status", [410, 412])
+    async def test_status_of_another_call_is_no_answer(self, status):
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            standin.faults.status = status
+            with pytest.raises(PlatformUnavailableError):
+                await store.read(["k"])
+            if status == 410:
+                with pytest.raises(PlatformUnavailableError):
+                    await store.transact([], [Write("k", 1)])
+            await store.aclose()
+
+    async def test_page_without_a_readable_row_is_no_end_of_the_table(self, monkeypatch):
+        monkeypatch.setattr("samphirehall.platform.store.MAX_PAGE_ROWS", 2)
+        async with platform_standin() as (standin, _):
+            store = Store(standin.address)
+            for number in range(4):
+                standin.put("samphirehall", f"a/{number}", number)
+            monkeypatch.setattr("samphirehall.platform.store._decode_rows", lambda answer: [])
+            with pytest.raises(PlatformUnavailableError):
+                await store.scan("a/")
+            await store.aclose()
+
     async def test_calls_are_observed(self):
         seen = []
         async with platform_standin() as (standin, _):
