--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -1,35 +1,25 @@
-"""Count the requests of customers by time window, and report each window once.
+"""Count the requests of customers by time window, and save the counts.
 
 Each host sends its counts to the hub of its zone, which saves those of all its
-members in one call; a host without a hub saves its own. The holder of the duty
-adds up the saved counts, stores the sum conditionally on its absence, and reports
-only the stored sum, so that a later holder can only report the same sum again.
+members in one call; a host without a hub saves its own. `usage_reports` adds them up.
 """
 
 import logging
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import anyio
-
-from samphirehall.authority.lease import LeaseLostError
 from samphirehall.backing.table import ABSENT, Check, Table, Write
-from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
 SAVE_INTERVAL_SECONDS = 1.0  # bounds the counts a killed host loses; costs one small write
 MAX_ROWS_PER_CALL = 40  # a call may hold 100 entries, and a written row takes two
 WINDOW_CLOSE_DELAY_SECONDS = 0.3  # for requests that begin at the end, and clock differences
-# Fraction of the time until a report is due for which the counts of a host are awaited. The
-# remainder is enough for another host to take over the duty if its holder is cut off.
-MAX_WAIT_FRACTION = 0.5
 MAX_PUBLISHED_WINDOWS = 3  # older windows have been reported
 RETAINED_WINDOWS = 24  # reports are due within a few windows
 WINDOW_KEY_DIGITS = 12  # zero-padded, so that keys sort as numbers
 COUNTS_PREFIX = "usage/counts/"
-SUMS_PREFIX = "usage/sums/"
 
 _log = logging.getLogger(__name__)
 
@@ -39,11 +29,6 @@
     return f"{COUNTS_PREFIX}{window:0{WINDOW_KEY_DIGITS}d}/"
 
 
-def sum_key(window: int) -> str:
-    """Return the key of the stored sum of a window."""
-    return f"{SUMS_PREFIX}{window:0{WINDOW_KEY_DIGITS}d}"
-
-
 @dataclass(slots=True, frozen=True)
 class HostCounts:
     """Counts of one process in one window.
@@ -260,151 +245,3 @@
             window: HostCounts(window < self._first_open_window, dict(self._counts.get(window, {})))
             for window in sorted(windows)
         }
-
-
-@dataclass(slots=True)
-class UsageReports:
-    """Reports windows for the holder of the duty, in order.
-
-    Parameters
-    ----------
-    table : Table
-        Store of counts and sums.
-    send : callable
-        Reports the sum of a window to the platform.
-    live_hosts : callable
-        Returns the hosts whose counts are awaited.
-    peer_counts : callable
-        Returns the counts of a window received from peers, by process.
-    window_seconds, due_seconds : float
-        Length of a window, and how long after its end its report is due.
-    others_closed : callable
-        Returns whether the hosts of other zones have closed a window and saved their counts.
-    next_window : int or None
-        Next window to report; None until it has been looked up in the store.
-    """
-
-    table: Table
-    send: Callable[[int, dict[str, int]], Awaitable[None]]
-    live_hosts: Callable[[], Iterable[str]]
-    peer_counts: Callable[[int], Mapping[str, HostCounts]]
-    window_seconds: float
-    due_seconds: float
-    others_closed: Callable[[int], bool] = lambda window: True
-    next_window: int | None = None
-
-    async def report_due(self, agreed_now: float) -> None:
-        """Report each window whose sum is final; stop at the first that must wait.
-
-        Raises
-        ------
-        PlatformUnavailableError
-            The store or the platform did not respond.
-        """
-        last = int((agreed_now - WINDOW_CLOSE_DELAY_SECONDS) / self.window_seconds) - 1
-        if self.next_window is None:
-            self.next_window = await self._first_unreported(last)
-        while self.next_window <= last:
-            window = self.next_window
-            counts = await self._settle(window, agreed_now)
-            if counts is None:
-                return
-            await self.send(window, counts)
-            self.next_window = window + 1
-            log_decision(_log, "usage-reported", "window has settled", window=window, counts=counts)
-
-    async def _first_unreported(self, last: int) -> int:
-        """Return the window to report first.
-
-        This is the last window with a stored sum, since its report may have been lost.
-        """
-        sums = await self.table.scan(SUMS_PREFIX)
-        if sums:
-            return max(int(sums[-1].key.removeprefix(SUMS_PREFIX)), last - RETAINED_WINDOWS)
-        counts = await self.table.scan(COUNTS_PREFIX)
-        if counts:
-            return int(counts[0].key.removeprefix(COUNTS_PREFIX).split("/")[0])
-        return last
-
-    async def _settle(self, window: int, agreed_now: float) -> dict[str, int] | None:
-        """Store the sum of a window if there is none; return the stored sum, or None to wait."""
-        if not self.others_closed(window) and not self._is_overdue(window, agreed_now):
-            return None
-        key = sum_key(window)
-        stored = (await self.table.read([key])).get(key)
-        if stored is not None:
-            return dict(stored.value)
-        counts_by_process = await self._counts_by_process(window)
-        if self._must_wait(window, counts_by_process, agreed_now):
-            return None
-        total: Counter[str] = Counter()
-        for counts in counts_by_process.values():
-            total.update(counts.counts)
-        expired_key = sum_key(window - RETAINED_WINDOWS)
-        writes = [Write(key, dict(total)), Write(expired_key, None)]
-        result = await self.table.transact([Check(key, ABSENT)], writes)
-        if not result.committed:
-            return dict(result.conflicts[0].value)
-        await self._delete_counts(window - RETAINED_WINDOWS)
-        return dict(total)
-
-    async def _counts_by_process(self, window: int) -> dict[str, HostCounts]:
-        """Return the counts of a window by process, merged from the store and from peers."""
-        prefix = counts_prefix(window)
-        counts_by_process = {
-            row.key.removeprefix(prefix): HostCounts(row.value["closed"], row.value["counts"])
-            for row in await self.table.scan(prefix)
-        }
-        for process, published in self.peer_counts(window).items():
-            stored = counts_by_process.get(process)
-            counts_by_process[process] = stored.merged(published) if stored else published
-        return counts_by_process
-
-    def _must_wait(
-        self, window: int, counts_by_process: Mapping[str, HostCounts], agreed_now: float
-    ) -> bool:
-        """Return whether to wait longer for a live host that has not closed the window."""
-        if self._is_overdue(window, agreed_now):
-            return False
-        closed = {
-            process.split("/")[0] for process, host in counts_by_process.items() if host.closed
-        }
-        return not closed.issuperset(self.live_hosts())
-
-    def _is_overdue(self, window: int, agreed_now: float) -> bool:
-        end = (window + 1) * self.window_seconds
-        return agreed_now >= end + MAX_WAIT_FRACTION * self.due_seconds
-
-    async def _delete_counts(self, window: int) -> None:
-        rows = await self.table.scan(counts_prefix(window))
-        for start in range(0, len(rows), MAX_ROWS_PER_CALL):
-            expired = rows[start : start + MAX_ROWS_PER_CALL]
-            await self.table.transact([], [Write(row.key, None) for row in expired])
-
-
-async def report_periodically(
-    reports: UsageReports,
-    *,
-    may_act: Callable[[float], bool],
-    agreed_now: Callable[[], float],
-) -> None:
-    """Report windows periodically while this host holds the duty, until cancelled.
-
-    Parameters
-    ----------
-    reports : UsageReports
-        Windows to report.
-    may_act : callable
-        Returns whether this host holds the duty at a time of the boot clock.
-    agreed_now : callable
-        Agreed seconds since 1970.
-    """
-    while True:
-        await anyio.sleep(SAVE_INTERVAL_SECONDS)
-        if not may_act(boot_seconds()):
-            reports.next_window = None
-            continue
-        try:
-            await reports.report_due(agreed_now())
-        except (PlatformUnavailableError, LeaseLostError) as error:
-            _log.warning("usage-unreported", extra={"reason": str(error)})
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -12,7 +12,6 @@
 import anyio
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
-from samphirehall.core.log import log_decision
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext
@@ -23,14 +22,7 @@
 from samphirehall.gateway.rows import Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
-from samphirehall.gateway.zone_hub import (
-    STORE_TIMEOUT_SECONDS,
-    HubElection,
-    hub_should_read,
-    may_hold_duty,
-    member_should_read,
-    update_interval,
-)
+from samphirehall.gateway.zone_hub import update_interval
 from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
 from samphirehall.gateway.zone_messages import (
     EncodedChanges,
@@ -42,7 +34,8 @@
     decode_datagram,
     encode_message,
 )
-from samphirehall.gateway.zone_updates import MAX_AGE_SECONDS, ZoneUpdates, decode_changes
+from samphirehall.gateway.zone_roles import ZoneRoles, zone_source
+from samphirehall.gateway.zone_updates import ZoneUpdates, decode_changes
 from samphirehall.gateway.zone_view import StoreContact, ZoneView
 
 ROLE_INTERVAL_SECONDS = 0.1  # a sixth of the time after which a hub counts as silent
@@ -104,7 +97,6 @@
         self._directory = directory
         self._address = address
         self._endpoints = endpoints
-        self._reading = reading
         self._catch_up = catch_up
         self._agreed_time = agreed_time
         self._configuration_version = configuration_version
@@ -121,9 +113,9 @@
             usage,
             peer_usage,
         )
-        self._election = HubElection(context.host, context.zone, now=boot_seconds())
-        self._followed_since = boot_seconds()
-        self._acts_as_hub = Switch()
+        self._roles = ZoneRoles(
+            context, directory, endpoints, reading, self._view, now=boot_seconds()
+        )
         self._zone_processes: set[str] = set()
         self._usage_is_stored = True
         self._changed = anyio.Event()
@@ -134,19 +126,16 @@
     @property
     def is_hub(self) -> bool:
         """Whether this host is the hub of its zone."""
-        return self._election.is_hub
+        return self._roles.is_hub
 
     @property
     def hub(self) -> str | None:
         """Name of the hub that this host follows."""
-        return self._election.hub
+        return self._roles.hub
 
     def may_hold_duty(self) -> bool:
         """Return whether this host is a candidate for the duties."""
-        zones = self._view.other_zones(now=boot_seconds())
-        return self.is_hub and may_hold_duty(
-            [summary.hub for summary in zones], host=self._context.host
-        )
+        return self._roles.may_hold_duty(now=boot_seconds())
 
     @property
     def view(self) -> ZoneView:
@@ -207,7 +196,7 @@
     async def _refresh_directory(self) -> None:
         """As the hub, read the entries of hosts and hubs periodically."""
         while True:
-            await self._acts_as_hub.wait()
+            await self._roles.acts_as_hub.wait()
             done = await self._directory.refresh_as_hub()
             await anyio.sleep(DIRECTORY_REFRESH_SECONDS if done else DIRECTORY_RETRY_SECONDS)
 
@@ -221,58 +210,23 @@
             # All listed hosts are told, so that the hub among them answers at once.
             greeting = self._updates.member_update(now=boot_seconds())
             _send_to_all(udp, list(self._directory.hosts.values()), greeting)
-            self._election.start(now=boot_seconds())
+            self._roles.start(now=boot_seconds())
         while True:
             now = boot_seconds()
             self._choose_hub(now)
-            self._choose_reader(now)
+            self._roles.choose_reader(now=now)
             for name, silent in self._view.members.remove_silent(now=now):
                 _log.warning("peer-lost", extra={"peer": name, "silent": round(silent, 1)})
             await anyio.sleep(ROLE_INTERVAL_SECONDS)
 
     def _choose_hub(self, now: float) -> None:
-        before = self.hub
-        decision = self._election.decide(self._directory.hosts, now=now)
-        if decision.hub == before:
+        if not self._roles.choose_hub(now=now):
             return
-        log_decision(_log, "hub", decision.reason, hub=decision.hub, before=before)
-        # The load of the zone is counted once: by host at the hub, as a sum at its members.
-        members = self._view.members
-        self._context.loads.forget([_zone_source(self._context.zone), *members.live(now=now)])
-        members.clear()
         self._updates.forget_sent()
-        self._followed_since = now
         if self.is_hub:
             self._agreed_time.stop_following()
-        self._acts_as_hub.set(self.is_hub)
         self._record_change()
 
-    def _choose_reader(self, now: float) -> None:
-        context, contact = self._context, self._view.contact
-        own = StoreContact(self._endpoints.last_response_at, context.host)
-        is_fresh = now - own.at < STORE_TIMEOUT_SECONDS
-        if self.is_hub and self._reading.on and (is_fresh or own.at >= contact.at):
-            contact = self._view.contact = own
-        reads = False
-        if self.is_hub:
-            readers = self._view.other_readers(max_age=STORE_TIMEOUT_SECONDS, now=now)
-            reads = hub_should_read(
-                readers, host=context.host, reads=self._reading.on, own_store_age=now - own.at
-            )
-        elif self.hub is not None:
-            reads = member_should_read(
-                self._view.listed_members,
-                host=context.host,
-                zone=context.zone,
-                reader=contact.reader,
-                store_age=now - max(contact.at, self._followed_since),
-            )
-        if reads != self._reading.on:
-            reason = "no other host is heard that reads" if reads else "another host reads"
-            age = round(min(now - contact.at, MAX_AGE_SECONDS), 2)
-            log_decision(_log, "reader", reason, reads=reads, hub=self.hub, store_age=age)
-        self._reading.set(reads)
-
     # Sending
 
     def _record_change(self) -> None:
@@ -302,7 +256,7 @@
         """As the hub, send the state of all zones to the members when it changes."""
         listed_at = others_at = directory_at = float("-inf")
         while True:
-            await self._acts_as_hub.wait()
+            await self._roles.acts_as_hub.wait()
             with anyio.move_on_after(HUB_HEARTBEAT_SECONDS):
                 await self._zone_changed.wait()
             self._zone_changed = anyio.Event()
@@ -333,7 +287,7 @@
     async def _send_cross_zone_updates(self, udp: DatagramSocket) -> None:
         """As the hub, send the state of the zone to the other hubs."""
         while True:
-            await self._acts_as_hub.wait()
+            await self._roles.acts_as_hub.wait()
             with anyio.move_on_after(HUB_HEARTBEAT_SECONDS):
                 await self._cross_zone_changed.wait()
             self._cross_zone_changed = anyio.Event()
@@ -405,7 +359,7 @@
     ) -> None:
         summary, view = update.summary, self._view
         self._directory.add_host(summary.hub, summary.address)
-        self._election.record_hub(summary.hub, now=now)
+        self._roles.record_hub(summary.hub, now=now)
         if self.hub is None:
             self._choose_hub(now)
         if self.hub != summary.hub:
@@ -456,14 +410,14 @@
             for service, rate in summary.demand.items()
         }
         others = subtract_loads(decode_loads(summary.loads), sent)
-        self._context.loads.receive(_zone_source(summary.zone), others, demand, now=now)
+        self._context.loads.receive(zone_source(summary.zone), others, demand, now=now)
 
     def _record_zone(self, summary: ZoneSummary, now: float) -> None:
         """Record the state of another zone."""
         self._view.record_zone(summary, now=now)
         self._directory.add_hub(summary.zone, summary.hub, summary.address)
         loads = decode_loads(summary.loads)
-        source = _zone_source(summary.zone)
+        source = zone_source(summary.zone)
         self._context.loads.receive(source, loads, summary.demand, now=now)
 
     def _take_endpoints(
@@ -501,11 +455,6 @@
             self._context.crashes.record(Crash(fingerprint, endpoint), now=now)
 
 
-def _zone_source(zone: str) -> str:
-    """Return the name under which the load of a zone is received; no host has such a name."""
-    return f"zone:{zone}"
-
-
 def _interval(receivers: int) -> float:
     return update_interval(
         receivers,
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -25,13 +25,12 @@
 from samphirehall.gateway.rows import RowChange, Switch, TableFollower
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
 from samphirehall.gateway.types import ListedEndpoint, Stage
+from samphirehall.gateway.usage_reports import UsageReports, report_periodically
 from samphirehall.gateway.usage_windows import (
     SAVE_INTERVAL_SECONDS,
     HostCounts,
     PeerUsage,
     UsageCounter,
-    UsageReports,
-    report_periodically,
 )
 from samphirehall.gateway.zone_exchange import ZoneExchange
 from samphirehall.platform import documents, store, wire
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -16,14 +16,12 @@
 )
 from samphirehall.gateway.scaling import scale_forever as keep_scaling
 from samphirehall.gateway.types import Stage
+from samphirehall.gateway.usage_reports import UsageReports, report_periodically, sum_key
 from samphirehall.gateway.usage_windows import (
     PeerUsage,
     UsageCounter,
-    UsageReports,
     counts_prefix,
-    report_periodically,
     split_counts,
-    sum_key,
 )
 from tests.gateway.helpers import MODEL, configuration, context, engine
 from tests.support.table import FaultyTable
