Count the listed hosts of the zone before any host is heard

Cause: a host that starts shares the repeat budget by the hosts it has counted, which was one until its hub's first update; before the exchange through hubs it counted all listed hosts.

Change: the listed hosts of its zone are the least. Not measured; a test lists three others.

--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -142,6 +142,14 @@
         """What this host knows of the zones."""
         return self._view
 
+    @property
+    def most_hosts(self) -> int:
+        """Largest number of hosts known, which is never below the live ones.
+
+        A host that has just started knows the listed hosts of its zone before it hears any.
+        """
+        return max(self._view.most_hosts, len(self._directory.hosts) + 1)
+
     def store_age(self, *, now: float) -> float:
         """Return the seconds since the store last confirmed the endpoint list to any host heard."""
         return now - max(self._view.contact.at, self._endpoints.last_response_at)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -95,7 +95,7 @@
                 settings.retry_budget_slack,
                 settings.retry_budget_window,
             ),
-            live_hosts=lambda: self.exchange.view.most_hosts,
+            live_hosts=lambda: self.exchange.most_hosts,
             record_start=self.usage.record,
             clock=boot_seconds,
         )
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -193,7 +193,7 @@
             await anyio.sleep(1.0)
             assert {name for _, name in endpoints.calls} == {hub.context.host}
             assert all(len(host.exchange.live_hosts(now=boot_seconds())) == 6 for host in hosts)
-            assert all(host.exchange.view.most_hosts == 6 for host in hosts)
+            assert all(host.exchange.most_hosts == 6 for host in hosts)
             group.cancel_scope.cancel()
 
     async def test_one_hub_reads_the_store_for_all_zones(self):
@@ -279,6 +279,15 @@
             assert not any(name == "late" for _, name in endpoints.calls)
             group.cancel_scope.cancel()
 
+    async def test_host_that_starts_shares_the_repeat_budget_with_all_listed_hosts(self):
+        table, endpoints = FaultyTable(), EndpointTable()
+        for name in "bcd":
+            await HostDirectory(table, name, "a", free_address()).load()
+        host = Host("a", table, endpoints)
+        assert host.exchange.most_hosts == 1
+        await host.directory.load()
+        assert host.exchange.hub is None and host.exchange.most_hosts == 4
+
     async def test_host_that_hears_nobody_reads_for_itself(self):
         table = FaultyTable()
         table.faults.outage = True
