Use an endpoint again whose entry expired while the store was unavailable

Cause: an entry that vanished was remembered like an announced leaving, so the incarnation never became ready again. When a store outage outlasts three heartbeats all entries expire; they are back within milliseconds of its return, but every host took them for leaving until the processes were restarted.

Ruled out: the exchange through hubs, as the code is older; an older row, which the versions of rows keep from replacing a newer one.

Change: only an announced leaving is remembered. The first of two tests fails without it.

--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -144,11 +144,13 @@
             self._log_change("endpoint-suspended", state.listed)
 
     def remove(self, endpoint_id: str) -> None:
-        """Remove an endpoint that is no longer listed."""
+        """Remove an endpoint that is no longer listed.
+
+        It may be listed again: entries also expire while the store is unavailable.
+        """
         state = self._states.pop(endpoint_id, None)
         if state is None:
             return
-        self._left_identities.add(state.listed.identity)
         self._retire(state)
         self._log_change("endpoint-gone", state.listed)
 
@@ -159,7 +161,7 @@
             self.lost.append(state.listed.endpoint_id)
 
     def has_left(self, identity: tuple[str, int, str]) -> bool:
-        """Return whether an incarnation announced that it leaves, or is no longer listed."""
+        """Return whether an incarnation announced that it leaves."""
         return identity in self._left_identities
 
     def candidates(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -19,7 +19,7 @@
     desired_stage_change,
 )
 from samphirehall.gateway.events import EventSplitter
-from samphirehall.gateway.fleet import MAX_BACKOFF_SECONDS, EndpointState
+from samphirehall.gateway.fleet import MAX_BACKOFF_SECONDS, EndpointState, Fleet
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.generation_plan import EngineView, plan_generation
 from samphirehall.gateway.prefill_rate import PrefillRate
@@ -351,3 +351,21 @@
         with pytest.raises(SamphireError) as raised:
             await gateway.serve(late, RecordingCaller())
         assert raised.value.result is DEADLINE_NOT_RUN
+
+
+class TestFleet:
+    def test_endpoint_whose_entry_expired_is_used_again_once_it_is_listed(self):
+        fleet = Fleet()
+        fleet.update(engine("e"), MODEL)
+        fleet.remove("e")
+        assert fleet.candidates("model", now=0.0) == []
+        fleet.update(engine("e"), MODEL)
+        assert [state.listed.endpoint_id for state in fleet.candidates("model", now=0.0)] == ["e"]
+
+    def test_endpoint_that_announced_its_leaving_is_not_used_again(self):
+        fleet = Fleet()
+        fleet.update(engine("e"), MODEL)
+        fleet.update(replace(engine("e"), ready=False), MODEL)
+        fleet.remove("e")
+        fleet.update(engine("e"), MODEL)
+        assert fleet.candidates("model", now=0.0) == []
