Log suspected and confirmed crashes, with the parts of the prompts

The logs could not tell the hypotheses of the incident apart: which requests a crash counted against, when it was confirmed, and what peers heard of it. Each host logs one line a broken send and one a crash, however often it is heard.

--- a/samphirehall/gateway/crashes.py
+++ b/samphirehall/gateway/crashes.py
@@ -4,11 +4,13 @@
 and would take down an endpoint each time.
 """
 
+import logging
 from collections import deque
 from dataclasses import dataclass
 
 import xxhash
 
+from samphirehall.core.log import log_decision
 from samphirehall.gateway.types import Request, Route
 
 MIN_CRASHES_FOR_QUARANTINE = 3  # fewer also occur for requests that did not cause the crash
@@ -16,6 +18,8 @@
 CONFIRMATION_TIMEOUT_SECONDS = 8.0  # a crashed endpoint is delisted or restarted within this time
 MAX_REQUESTS = 10_000  # bounds memory; the oldest are evicted first
 
+_log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True, frozen=True)
 class Crash:
@@ -64,15 +68,25 @@
         """Confirm the recent crashes of an endpoint that is gone."""
         for recorded_at, crash in self._unconfirmed.pop(endpoint_id, ()):
             if now - recorded_at < CONFIRMATION_TIMEOUT_SECONDS:
-                self.record(crash, now=now)
+                self.record(crash, source="seen here", now=now)
                 self.unpublished.append(crash)
 
-    def record(self, crash: Crash, *, now: float) -> None:
-        """Record a confirmed crash."""
+    def record(self, crash: Crash, *, source: str, now: float) -> None:
+        """Record a confirmed crash that this host or a peer has seen."""
         self._prune(now)
         _, endpoints = self._crashed_endpoints.pop(crash.fingerprint, (now, set()))
+        is_new = crash.endpoint not in endpoints
         endpoints.add(crash.endpoint)
         self._crashed_endpoints[crash.fingerprint] = now, endpoints
+        if is_new:
+            log_decision(
+                _log,
+                "crash",
+                source,
+                fingerprint=crash.fingerprint,
+                endpoint=crash.endpoint,
+                crashed=len(endpoints),
+            )
 
     def clear(self, request_fingerprint: int) -> None:
         """Remove the crashes of a request that has been answered."""
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -1,8 +1,10 @@
 """Send a client request to one endpoint and classify failures."""
 
 import contextlib
+import logging
 from collections.abc import AsyncIterator
 
+from samphirehall.core.log import log_decision
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError, Response
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.crashes import Crash
@@ -12,6 +14,8 @@
 
 SEND_ERRORS = (NotSentError, IncompleteResponseError, ValueError, TimeoutError)
 
+_log = logging.getLogger(__name__)
+
 
 @contextlib.asynccontextmanager
 async def send_request(
@@ -66,6 +70,16 @@
             request_state.fingerprint, f"{endpoint_id}/{endpoint.listed.started_at_milliseconds}"
         )
         context.crashes.record_unconfirmed(endpoint_id, crash, now=now)
+        prompt = request_state.request.prompt
+        log_decision(
+            _log,
+            "crash-suspected",
+            "the connection broke before the whole answer",
+            request=request_state.request.request_id,
+            fingerprint=crash.fingerprint,
+            endpoint=crash.endpoint,
+            parts=[part.part_id for part in prompt.parts] if prompt else [],
+        )
     elif outcome is SendOutcome.NOT_SENT:
         context.crashes.confirm(endpoint_id, now=now)
     elif outcome is SendOutcome.ANSWERED:
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -460,7 +460,8 @@
             if state is not None and not state.is_changing(now=now):
                 state.changing_since = now
         for fingerprint, endpoint in news.crashes:
-            self._context.crashes.record(Crash(fingerprint, endpoint), now=now)
+            crash = Crash(fingerprint, endpoint)
+            self._context.crashes.record(crash, source="seen by a peer", now=now)
 
 
 def _interval(receivers: int) -> float:
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -430,6 +430,17 @@
     def test_request_that_crashed_several_endpoints_is_counted(self):
         assert self.tracker("x", "y", "z").crash_count(1, now=2.0) == MIN_CRASHES_FOR_QUARANTINE
 
+    def test_each_crash_is_logged_once_however_often_it_is_heard(self, caplog):
+        caplog.set_level(logging.INFO)
+        tracker = self.tracker("x")
+        for _ in range(3):
+            tracker.record(Crash(1, "y"), source="seen by a peer", now=2.0)
+        crashes = [record for record in caplog.records if record.message == "crash"]
+        assert [(line.endpoint, line.reason, line.crashed) for line in crashes] == [
+            ("x", "seen here", 1),
+            ("y", "seen by a peer", 2),
+        ]
+
     def test_lost_responses_of_live_endpoints_are_no_crashes(self):
         assert self.tracker("x", "y", "z", confirmed=False).crash_count(1, now=2.0) == 0
 
