Refuse prompts with a part that crashed several engines

Cause: crashes were counted by a fingerprint of the whole request. Requests that share only the deadly part have a fingerprint each, so that none reached the three crashes of a quarantine. Evidence: 222 broken sends of 171 fingerprints, 130 of them in one crash only, and two parts present in all 22 crashes.

Change: crashes are evidence about the shared parts of all prompts that ran on the engine, collected from all hosts. A part is refused once it was present in three crashes, no answer with it was completed since, and no part of another prompt explains the same crashes. Parts that always come together are refused together only, so that sound prompts with one of them run on and clear it. Many engines lost at one moment count as two crashes. A review after 30 s and later ends a false quarantine. Hosts that start learn the quarantine from their hub.

--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -96,6 +96,14 @@
 NO_CONFIGURATION = _define(
     2013, "no-configuration", 503, _NOT_RUN, 75, "This host has no configuration yet."
 )
+PART_QUARANTINED = _define(
+    2014,
+    "part-quarantined",
+    503,
+    _NOT_RUN,
+    75,
+    "A part of the prompt has crashed engines and is refused for now.",
+)
 KEY_REUSED = _define(
     2015,
     "idempotency-key-reused",
--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -44,6 +44,8 @@
         Called with a customer's name when one of its requests begins to run.
     clock : callable
         Boot clock in seconds.
+    owns : callable
+        Returns whether this host, of all live ones, is in charge of a subject.
     fleet, loads, crashes : Fleet, LoadTracker, CrashTracker
         Endpoints, their loads and their crashes.
     prefill_rates : dict
@@ -66,6 +68,7 @@
     live_hosts: Callable[[], int]
     record_start: Callable[[str], None]
     clock: Callable[[], float]
+    owns: Callable[[str], bool] = lambda subject: True
     fleet: Fleet = field(default_factory=Fleet)
     loads: LoadTracker = field(default_factory=LoadTracker)
     crashes: CrashTracker = field(default_factory=CrashTracker)
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -4,10 +4,12 @@
 import logging
 from collections.abc import AsyncIterator
 
+from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
+from samphirehall.core.results import OUTCOME_UNKNOWN, PART_QUARANTINED, QUARANTINED
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError, Response
 from samphirehall.gateway.context import GatewayContext
-from samphirehall.gateway.crashes import Crash
+from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, Crash
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.request_state import RequestState, SendOutcome
 from samphirehall.gateway.wire_codec import Dispatch
@@ -52,6 +54,40 @@
     return SendOutcome.BROKEN
 
 
+def check_quarantine(context: GatewayContext, request_state: RequestState) -> None:
+    """Refuse a request that crashed endpoints, or whose prompt holds a part that did.
+
+    Raises
+    ------
+    SamphireError
+        The request is in quarantine.
+    """
+    now = context.clock()
+    crashed = context.crashes.crash_count(request_state.fingerprint, now=now)
+    if crashed >= MIN_CRASHES_FOR_QUARANTINE:
+        detail = f"{crashed} endpoints crashed while running this request"
+        raise _quarantine_error(request_state, SamphireError(QUARANTINED, detail))
+    parts = context.crashes.parts
+    group = parts.blocked(request_state.shared_part_ids, now=now)
+    if group is None or (request_state.on_trial and not request_state.may_have_run):
+        return
+    names = ", ".join(sorted(group))
+    if context.owns(names) and parts.take_trial(group, now=now):
+        request_state.on_trial = True
+        return
+    detail = f"engines crashed under each prompt with {names}"
+    retry_after = parts.retry_after(group, now=now)
+    error = SamphireError(PART_QUARANTINED, detail, retry_after=retry_after)
+    raise _quarantine_error(request_state, error)
+
+
+def _quarantine_error(request_state: RequestState, refusal: SamphireError) -> SamphireError:
+    """Return the refusal, or an error that does not claim that the request never ran."""
+    if request_state.may_have_run:
+        return SamphireError(OUTCOME_UNKNOWN, refusal.detail)
+    return refusal
+
+
 def update_crash_tracker(
     context: GatewayContext,
     request_state: RequestState,
@@ -66,11 +102,9 @@
     now = context.clock()
     endpoint_id = endpoint.listed.endpoint_id
     if outcome is SendOutcome.BROKEN:
-        crash = Crash(
-            request_state.fingerprint, f"{endpoint_id}/{endpoint.listed.started_at_milliseconds}"
-        )
+        incarnation = f"{endpoint_id}/{endpoint.listed.started_at_milliseconds}"
+        crash = Crash(request_state.fingerprint, incarnation, request_state.shared_part_ids)
         context.crashes.record_unconfirmed(endpoint_id, crash, now=now)
-        prompt = request_state.request.prompt
         log_decision(
             _log,
             "crash-suspected",
@@ -78,9 +112,9 @@
             request=request_state.request.request_id,
             fingerprint=crash.fingerprint,
             endpoint=crash.endpoint,
-            parts=[part.part_id for part in prompt.parts] if prompt else [],
+            parts=crash.parts,
         )
     elif outcome is SendOutcome.NOT_SENT:
         context.crashes.confirm(endpoint_id, now=now)
     elif outcome is SendOutcome.ANSWERED:
-        context.crashes.clear(request_state.fingerprint)
+        context.crashes.clear(request_state.fingerprint, request_state.shared_part_ids, now=now)
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -12,11 +12,11 @@
     DEADLINE_UNKNOWN,
     NO_CONFIGURATION,
     NO_ROUTE,
-    QUARANTINED,
     Result,
 )
 from samphirehall.gateway.context import GatewayContext
-from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, fingerprint
+from samphirehall.gateway.crashes import fingerprint
+from samphirehall.gateway.exchange import check_quarantine
 from samphirehall.gateway.generation import run_generation
 from samphirehall.gateway.plain import run_plain
 from samphirehall.gateway.request_state import Caller, RequestState, log_refusal
@@ -93,7 +93,7 @@
         now = self.context.clock()
         try:
             request_state = self._accept(request)
-            self._refuse_quarantined(request_state)
+            check_quarantine(self.context, request_state)
         except SamphireError as error:
             seconds = now - request.received_at
             log_refusal(request.request_id, error, version=self.version, seconds=seconds)
@@ -142,15 +142,6 @@
             fingerprint(request, route),
         )
 
-    def _refuse_quarantined(self, request_state: RequestState) -> None:
-        crashed_endpoints = self.context.crashes.crash_count(
-            request_state.fingerprint, now=self.context.clock()
-        )
-        if crashed_endpoints >= MIN_CRASHES_FOR_QUARANTINE:
-            raise SamphireError(
-                QUARANTINED, f"{crashed_endpoints} endpoints crashed while running this request"
-            )
-
     async def _run(self, request_state: RequestState, caller: Caller) -> Result:
         engines = (
             request_state.service.engine is not None and request_state.request.prompt is not None
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -13,6 +13,7 @@
 from samphirehall.gateway.engine_candidates import decode_candidates, prefill_candidates
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
+    check_quarantine,
     outcome_from_error,
     send_request,
     update_crash_tracker,
@@ -54,6 +55,7 @@
     assert prompt is not None
     delivery = Delivery(caller, request_state.request.resume_after)
     while (plan := _next_plan(context, request_state, prompt)) is not None:
+        _check_quarantine_again(context, request_state, delivery)
         if not request_state.sends:
             context.prefill_demand(request_state.service.name).record(
                 plan.uncached_tokens, now=context.clock()
@@ -75,6 +77,24 @@
     raise no_answer_error(request_state)
 
 
+def _check_quarantine_again(
+    context: GatewayContext, request_state: RequestState, delivery: Delivery
+) -> None:
+    """Refuse a request whose prompt was put into quarantine while it was open.
+
+    Raises
+    ------
+    SamphireError
+        The request is in quarantine.
+    """
+    try:
+        check_quarantine(context, request_state)
+    except SamphireError as error:
+        if delivery.caller.started:
+            raise SamphireError(STREAM_CUT, error.detail) from error
+        raise
+
+
 def _may_retry(request_state: RequestState, delivery: Delivery) -> bool:
     if not request_state.may_have_run:
         return True
@@ -206,6 +226,7 @@
     if kv_handle is None:
         return False
     try:
+        _check_quarantine_again(context, request_state, delivery)
         return await _decode(context, request_state, plan, delivery, kv_handle)
     finally:
         if delivery.first_event_at is None:
--- a/samphirehall/gateway/news.py
+++ b/samphirehall/gateway/news.py
@@ -23,21 +23,28 @@
         self._prompts: deque[CachedPrompt] = deque(maxlen=MAX_PENDING_PROMPTS)
         self._changing: dict[str, int] = {}
         self._crashes: dict[tuple[int, str], int] = {}
-
-    def __bool__(self) -> bool:
-        return bool(self._prompts or self._changing or self._crashes)
+        self._part_crashes: dict[tuple[str, float, tuple[str, ...]], int] = {}
+        self._cleared_parts: dict[str, int] = {}
 
     def add(self, news: News) -> None:
         """Add news."""
         self._prompts.extend(news.cached_prompts)
         self._changing.update(dict.fromkeys(news.changing_engines, FACT_SENDS))
         self._crashes.update(dict.fromkeys(news.crashes, FACT_SENDS))
+        self._part_crashes.update(dict.fromkeys(news.part_crashes, FACT_SENDS))
+        self._cleared_parts.update(dict.fromkeys(news.cleared_parts, FACT_SENDS))
 
     def take(self) -> News:
         """Return what the next datagram carries."""
         count = min(len(self._prompts), MAX_PROMPTS_PER_DATAGRAM)
         prompts = [self._prompts.popleft() for _ in range(count)]
-        return News(prompts, _take_facts(self._changing), _take_facts(self._crashes))
+        return News(
+            prompts,
+            _take_facts(self._changing),
+            _take_facts(self._crashes),
+            _take_facts(self._part_crashes),
+            _take_facts(self._cleared_parts),
+        )
 
 
 def _take_facts(sends_left: dict[Fact, int]) -> list[Fact]:
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -80,6 +80,8 @@
         Sends that may have reached an endpoint, without the first successful separate prefill.
     prefill_done : bool
         Whether a prefill engine has already read the prompt for a decode engine.
+    on_trial : bool
+        Whether the request runs although a part of its prompt is in quarantine.
     extra_log_fields : dict
         Further fields of the log line.
     """
@@ -98,6 +100,7 @@
     sends: list[tuple[str, str, str]] = field(default_factory=list)
     delivered_sends: int = 0
     prefill_done: bool = False
+    on_trial: bool = False
     extra_log_fields: dict[str, Any] = field(default_factory=dict)
 
     @property
@@ -105,6 +108,12 @@
         """Customer name for endpoints, metrics and reports; None without a customer."""
         return self.customer.name if self.customer else None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Identifiers of the parts of the prompt that other requests may share."""
+        prompt = self.request.prompt
+        return prompt.shared_part_ids if prompt else ()
+
     def elapsed(self, *, now: float) -> float:
         """Return the seconds since the whole request was received."""
         return now - self.request.received_at
--- a/samphirehall/gateway/types.py
+++ b/samphirehall/gateway/types.py
@@ -69,6 +69,11 @@
         """Tokens of the parts that other requests may share."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Identifiers of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
 
 @dataclass(slots=True)
 class Request:
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -12,10 +12,11 @@
 import anyio
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.rendezvous import is_chosen
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext
-from samphirehall.gateway.crashes import Crash
+from samphirehall.gateway.crashes import Crash, PartCrash
 from samphirehall.gateway.datagrams import DatagramSocket
 from samphirehall.gateway.host_directory import Address, HostDirectory, parse_address
 from samphirehall.gateway.load import decode_loads, subtract_loads
@@ -158,6 +159,14 @@
         """Return the names of the live hosts of this zone, including this one."""
         return self._view.live_hosts(is_hub=self.is_hub, now=now)
 
+    def owns(self, subject: str, *, now: float) -> bool:
+        """Return whether this host, of all that are heard, is in charge of a subject."""
+        zone = self._context.zone
+        zones = [zone, *(summary.zone for summary in self._view.other_zones(now=now))]
+        return is_chosen(zone, zones, subject) and is_chosen(
+            self._context.host, self.live_hosts(now=now), subject
+        )
+
     def usage_to_store(self) -> dict[tuple[int, str], HostCounts] | None:
         """Return the usage counts that this host stores for others; None if its hub stores all."""
         if self.is_hub:
@@ -357,6 +366,8 @@
             return
         if update.configuration_version > self._configuration_version():
             self._catch_up.request(address)
+        for parts, age in update.blocked_parts:
+            self._context.crashes.parts.receive_block(parts, age, now=now)
         if update.summary.zone == self._context.zone:
             self._apply_own_hub(update, acknowledged, address, now)
         else:
@@ -462,6 +473,9 @@
         for fingerprint, endpoint in news.crashes:
             crash = Crash(fingerprint, endpoint)
             self._context.crashes.record(crash, source="seen by a peer", now=now)
+        for part_crash in news.part_crashes:
+            self._context.crashes.record_parts(PartCrash(*part_crash), now=now)
+        self._context.crashes.record_cleared_parts(news.cleared_parts, now=now)
 
 
 def _interval(receivers: int) -> float:
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -27,11 +27,18 @@
         Engines that were ordered to change their stage.
     crashes : list
         Fingerprints of requests and the endpoints that they crashed.
+    part_crashes : list
+        Endpoints that crashed, the seconds since then, and the shared parts of a prompt that
+        ran there.
+    cleared_parts : list of str
+        Suspect parts of prompts with a complete answer.
     """
 
     cached_prompts: list[tuple[str, list[tuple[str, _Unsigned]]]] = []
     changing_engines: list[str] = []
     crashes: list[tuple[int, str]] = []
+    part_crashes: list[tuple[str, float, tuple[str, ...]]] = []
+    cleared_parts: list[str] = []
 
 
 class EncodedChange(msgspec.Struct, array_like=True):
@@ -145,6 +152,8 @@
         Names and addresses of the live hosts of the zone, for members; empty in most updates.
     usage : dict
         Usage by process and window that could not be stored, for other hubs; see `MemberUpdate`.
+    blocked_parts : list
+        Parts of prompts in quarantine, and the seconds since their last crash.
     """
 
     summary: ZoneSummary
@@ -158,6 +167,7 @@
     others: list[ZoneSummary] = []
     members: list[tuple[str, str]] = []
     usage: dict[str, dict[int, EncodedCounts]] = {}
+    blocked_parts: list[tuple[list[str], float]] = []
 
 
 Message = MemberUpdate | HubUpdate
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -1,7 +1,8 @@
 """Contents of the datagrams that a host sends to its hub, and a hub to others."""
 
-from collections import OrderedDict
-from collections.abc import Callable, Mapping, Sequence
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import TypeVar
 
 from samphirehall.core.clock import wall_seconds
 from samphirehall.gateway.agreed_time import AgreedTime
@@ -30,10 +31,14 @@
 USAGE_INTERVAL_SECONDS = 0.5  # bounds the loss if a host ends without the store
 MAX_CUSTOMERS_PER_DATAGRAM = 60  # a datagram must fit one packet
 MAX_UNSTORED_PROCESSES = 10  # per datagram to another hub
+MAX_BLOCKED_GROUPS = 8  # per datagram, which must fit one packet
 MAX_UNACKNOWLEDGED = 64  # updates of this host whose loads are remembered
 MAX_AGE_SECONDS = 1e9  # stands for an infinite age in a message
 
 
+Entry = TypeVar("Entry")
+
+
 class ZoneUpdates:
     """Makes the updates of one host.
 
@@ -120,19 +125,22 @@
 
     def queue_own_news(self, *, is_hub: bool) -> None:
         """Queue what has happened on this host since the last call."""
-        context = self._context
+        context, crashes = self._context, self._context.crashes
         prompts, context.pending_cache_updates[:] = list(context.pending_cache_updates), []
         changing = list(context.unpublished_stage_changes)
         context.unpublished_stage_changes.clear()
-        crashes = list(context.crashes.unpublished)
-        context.crashes.unpublished.clear()
         news = News(
             [
                 (engine, [(part.part_id, part.tokens) for part in parts])
                 for engine, parts in prompts
             ],
             changing,
-            [(crash.fingerprint, crash.endpoint) for crash in crashes],
+            [(crash.fingerprint, crash.endpoint) for crash in _drain(crashes.unpublished)],
+            [
+                (crash.endpoint, crash.age, crash.parts)
+                for crash in _drain(crashes.unpublished_parts)
+            ],
+            list(_drain(crashes.unpublished_cleared)),
         )
         if is_hub:
             self.pass_on(news)
@@ -184,6 +192,9 @@
             self._endpoints.reading or contact.reader in self._view.members.live(now=now),
             encode_changes(self._endpoints.replica.recent_changes(now=now)),
             news,
+            blocked_parts=[
+                (list(parts), age) for parts, age in self._context.crashes.parts.blocks(now=now)
+            ][:MAX_BLOCKED_GROUPS],
         )
 
     def unstored_usage(self) -> dict[str, dict[int, EncodedCounts]]:
@@ -244,3 +255,9 @@
 def _rotated(names: Sequence[str], offset: int) -> list[str]:
     start = offset % max(1, len(names))
     return [*names[start:], *names[:start]]
+
+
+def _drain(queue: deque[Entry]) -> Iterator[Entry]:
+    """Remove and yield the entries of a queue."""
+    while queue:
+        yield queue.popleft()
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -98,6 +98,7 @@
             live_hosts=lambda: self.exchange.most_hosts,
             record_start=self.usage.record,
             clock=boot_seconds,
+            owns=lambda subject: self.exchange.owns(subject, now=boot_seconds()),
         )
         self.gateway = Gateway(self.context, self.metrics.observe_request)
         self._listed: dict[str, ListedEndpoint | None] = {}
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -451,7 +451,7 @@
 
     def test_response_clears_a_request(self):
         tracker = self.tracker("x", "y", "z")
-        tracker.clear(1)
+        tracker.clear(1, now=2.0)
         assert tracker.crash_count(1, now=2.0) == 0
 
     def test_same_request_has_the_same_fingerprint_whatever_its_id(self):
