Confirm a crash by a connection attempt right after the broken send

Callers saw: engines kept crashing for up to four seconds after the third crash under one part, as long as a host did not know that the earlier ones were crashes.

Cause: a broken send counts as a crash only once a later connection is refused or the entry leaves the list. An engine that no request chose again was confirmed by the list, 0.9 to 4.1 s after its end.

Change: the host that saw the send break tries to connect for at most 0.1 s and closes the connection again. A refusal confirms the crash; an engine that accepts only lost a connection.

tests/gateway/test_deadly_parts.py::TestConfirmation failed before.

--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -21,6 +21,7 @@
 from samphirehall.gateway.types import Headers
 
 CONNECT_TIMEOUT_SECONDS = 0.5  # over two round trips between zones; a cut-off peer never answers
+REFUSAL_TIMEOUT_SECONDS = 0.1  # a refusal takes one round trip; delays the next attempt
 CLOSE_TIMEOUT_SECONDS = 0.1  # some transports do not close at once
 RECEIVE_BUFFER_BYTES = 65_536  # a full receive window
 MAX_RESPONSE_HEAD_BYTES = 65_536  # the same as for requests
@@ -279,6 +280,20 @@
         finally:
             await self._release(connection)
 
+    async def refuses_connections(self) -> bool:
+        """Return whether the endpoint refuses a new connection, as a process that ended does.
+
+        An endpoint that cannot be reached in time does not refuse.
+        """
+        try:
+            stream = await self._connect(REFUSAL_TIMEOUT_SECONDS)
+        except httpcore.ConnectTimeout:
+            return False
+        except httpcore.ConnectError:
+            return True
+        await _Connection(stream).aclose()
+        return False
+
     async def aclose(self) -> None:
         """Close idle connections now, and each busy one when its request ends."""
         self._closed = True
@@ -298,16 +313,16 @@
                 return connection
             await connection.aclose()
         try:
-            stream = await self._backend.connect_tcp(
-                self._host,
-                self._port,
-                timeout=CONNECT_TIMEOUT_SECONDS,
-                socket_options=SOCKET_OPTIONS,
-            )
+            stream = await self._connect(CONNECT_TIMEOUT_SECONDS)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise NotSentError(str(error)) from error
         return _Connection(stream)
 
+    async def _connect(self, timeout: float) -> TcpStream:
+        return await self._backend.connect_tcp(
+            self._host, self._port, timeout=timeout, socket_options=SOCKET_OPTIONS
+        )
+
     async def _release(self, connection: _Connection) -> None:
         if connection.reusable and not self._closed:
             self._idle.append((boot_seconds(), connection))
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -88,7 +88,7 @@
     return refusal
 
 
-def update_crash_tracker(
+async def update_crash_tracker(
     context: GatewayContext,
     request_state: RequestState,
     endpoint: EndpointState,
@@ -96,8 +96,8 @@
 ) -> None:
     """Update the crash records of the endpoint and the request with the outcome of a send.
 
-    A broken response makes the endpoint a suspect, a refused connection confirms the
-    suspicion, and a whole response clears the request.
+    A broken response makes the endpoint a suspect. If it refuses a new connection, now or for
+    a later request, the suspicion is confirmed. A whole response clears the request.
     """
     now = context.clock()
     endpoint_id = endpoint.listed.endpoint_id
@@ -114,6 +114,8 @@
             endpoint=crash.endpoint,
             parts=crash.parts,
         )
+        if await endpoint.connections.refuses_connections():
+            context.crashes.confirm(endpoint_id, now=context.clock())
     elif outcome is SendOutcome.NOT_SENT:
         context.crashes.confirm(endpoint_id, now=now)
     elif outcome is SendOutcome.ANSWERED:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -288,7 +288,6 @@
     finally:
         request_state.record_send(plan.decode.endpoint_id, "generate", outcome)
         request_state.extra_log_fields["longest_pause"] = round(delivery.longest_gap, 4)
-    update_crash_tracker(context, request_state, decode_engine, outcome)
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
         request_state.runs += 1
         request_state.may_have_run = True
@@ -298,6 +297,7 @@
         decode_engine.record_failure(
             now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT
         )
+    await update_crash_tracker(context, request_state, decode_engine, outcome)
     return outcome is SendOutcome.ANSWERED
 
 
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -139,7 +139,6 @@
             outcome, answer = await _exchange(context, request_state, endpoint)
     finally:
         request_state.record_send(endpoint_id, "run", outcome)
-    update_crash_tracker(context, request_state, endpoint, outcome)
     if outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN, SendOutcome.SILENT):
         endpoint.record_failure(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
     elif answer is not None and answer.status >= MIN_SERVER_ERROR_STATUS:
@@ -152,6 +151,7 @@
     if outcome is SendOutcome.BROKEN and request_state.customer_name is not None:
         # Most requests whose answer was lost did run, so they count as usage.
         context.record_start(request_state.customer_name)
+    await update_crash_tracker(context, request_state, endpoint, outcome)
     return answer
 
 
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -155,6 +155,7 @@
         self.received = []
         self.connections = 0
         self.aborted_requests = 0
+        self.refuse = lambda: None
 
 
 @contextlib.asynccontextmanager
@@ -198,6 +199,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     endpoint.address = f"{host}:{port}"
+    endpoint.refuse = server.close
     try:
         yield endpoint
     finally:
--- a/tests/gateway/test_deadly_parts.py
+++ b/tests/gateway/test_deadly_parts.py
@@ -90,6 +90,38 @@
         assert codes[-1] == PART_QUARANTINED.code
 
 
+class TestConfirmation:
+    async def served_once(self, *, ends):
+        """Return the context after a stream broke, of an engine that then ends or lives on."""
+        shared, _ = context()
+        gateway = Gateway(shared)
+        gateway.apply_configuration(configuration(), source="test")
+        stopped = []
+
+        async def script(received, writer):
+            writer.write(stream_head(received))
+            await writer.drain()
+            if ends:
+                stopped[0]()
+            reset_on_close(writer)
+
+        async with scripted_endpoint(script) as endpoint:
+            stopped.append(endpoint.refuse)
+            shared.fleet.update(engine("e1", address=endpoint.address), MODEL)
+            with pytest.raises(SamphireError):
+                asked = request("/once/x", prompt=prompt_with("deadly", 1), body=b"1")
+                await gateway.serve(asked, RecordingCaller())
+        return shared
+
+    async def test_crash_of_an_engine_that_nobody_calls_again_is_confirmed_at_once(self):
+        shared = await self.served_once(ends=True)
+        assert [crash.parts for crash in shared.crashes.unpublished_parts] == [("common", "deadly")]
+
+    async def test_engine_that_only_lost_a_connection_did_not_crash(self):
+        shared = await self.served_once(ends=False)
+        assert not shared.crashes.unpublished
+
+
 class TestHosts:
     async def crash(self, host, endpoint, parts):
         now = boot_seconds()
