Treat a stream that ends inside an event as broken off

Callers saw: an engine's stream that has neither a length nor chunks and ends with its connection in the middle of an event arrived as if it were complete, with the rest of the event at its end.

Cause: what was left after the last whole event was passed on, and the body ended as that of a complete answer. Only a framing that says where the body ends tells a cut from an end, and these answers have none.

Change: the rest is dropped and the stream counts as broken, so that it goes on at another engine where the route allows it, and ends incomplete for the caller where not. forwarding/ needs no change: it asks for an end marker.

--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from samphirehall.gateway.connections import Response
+from samphirehall.gateway.connections import IncompleteResponseError, Response
 from samphirehall.gateway.events import Event, EventSplitter
 from samphirehall.gateway.plain import (
     MAX_ANSWER_BYTES,
@@ -77,6 +77,11 @@
         Scope of the send; its deadline is moved with each event.
     on_event : callable
         Called when an event arrives, before it is forwarded.
+
+    Raises
+    ------
+    IncompleteResponseError
+        The stream broke off, or ended inside an event.
     """
     delivery.splitter = EventSplitter()
     if not delivery.caller.started:
@@ -86,7 +91,7 @@
         set_inactivity_deadline(scope, request_state, _inter_event_gap_limit(request_state))
         await _forward_event(delivery, event)
     if delivery.splitter.remainder:
-        await delivery.caller.write(delivery.splitter.remainder)
+        raise IncompleteResponseError("the stream ended inside an event")
     await delivery.caller.finish()
 
 
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -33,11 +33,11 @@
     listed,
     prompt,
     request,
-    reset_on_close,
     response_bytes,
     scripted_endpoint,
 )
 from tests.gateway.test_generation import generate
+from tests.support.resets import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -79,6 +79,23 @@
     writer.write(refusal(404))
 
 
+def until_closed(after, tail=b""):
+    """Return a script whose stream has neither a length nor chunks."""
+
+    async def script(exchange, writer):
+        if exchange.method != "POST":
+            await refuse_unknown_stream(exchange, writer)
+            return
+        start = start_index(exchange)
+        writer.write(HEAD.replace(b"Transfer-Encoding: chunked", b"Connection: close"))
+        events = [event(exchange.request_id, start + index) for index in range(after)]
+        writer.write(b"".join(events) + (tail or last_event(exchange.request_id, start + after)))
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
 def refuse_with(status):
     async def script(exchange, writer):
         writer.write(refusal(status))
@@ -122,6 +139,8 @@
 COMPLETE_TEXT = " w0 w1 w2 w3"
 FOREIGN_EVENT = event("req-other", 2, " foreign")
 FAULTS = {
+    "no-length": until_closed(TOKENS),
+    "no-length-and-half-an-event": until_closed(2, b"id: req"),
     "reset": abort_connection,
     "closed-before-events": broken_stream(),
     "closed-halfway": broken_stream(after=2),
--- a/tests/forwarding/test_service_once.py
+++ b/tests/forwarding/test_service_once.py
@@ -8,6 +8,7 @@
 from samphirehall.core.types import EndpointProtocol
 from tests.support.endpoint import ScriptedEndpoint, refusal
 from tests.support.entry import ask, entry_context, running_app
+from tests.support.resets import reset_on_close
 from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
@@ -37,6 +38,36 @@
     return endpoint, entry_context([endpoint], protocol=EndpointProtocol.SERVICE, table=table)
 
 
+def until_closed(*, whole):
+    """Return a script whose answer has no length; it is reset at its end unless it is whole."""
+
+    async def script(exchange, writer):
+        writer.write(ANSWER.replace(b"Content-Length: 8", b"Connection: close") + b'{"ok":1}')
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if whole:
+            writer.close()
+        else:
+            reset_on_close(writer)
+
+    return script
+
+
+class TestAnswersThatEndWithTheirConnection:
+    async def test_whole_answer_is_forwarded_and_stored(self):
+        endpoint, context = booking_endpoint(until_closed(whole=True))
+        async with endpoint.serving(), running_app(context) as app:
+            replies = [await book(app) for _ in range(2)]
+        assert [reply.result for reply in replies] == [1000, 1001]
+        assert {reply.body for reply in replies} == {b'{"ok":1}'}
+
+    async def test_answer_that_is_reset_leaves_the_outcome_unknown(self):
+        endpoint, context = booking_endpoint(until_closed(whole=False))
+        async with endpoint.serving(), running_app(context) as app:
+            reply = await book(app)
+        assert reply.result == 3000
+
+
 class TestBooking:
     async def test_a_repeated_booking_gets_the_stored_answer(self):
         endpoint, context = booking_endpoint(answer)
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 
 import h11
 
@@ -26,7 +25,6 @@
     Stage,
 )
 from samphirehall.platform import wire
-from tests.support.resets import LINGER_RESET_ON_CLOSE
 
 ENGINE = EngineLimits(64, 400_000, 163_840.0, 1.7e12, 5.0)
 SCALING = ScalingLimits(1, 3, 4.0, 0.18, {"a": 1.0, "b": 0.8, "c": 1.2})
@@ -140,13 +138,6 @@
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
 
-def reset_on_close(writer):
-    """Close a connection with a TCP reset."""
-    option = (socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET_ON_CLOSE)
-    writer.get_extra_info("socket").setsockopt(*option)
-    writer.transport.abort()
-
-
 class ScriptedEndpoint:
     """Address and received requests of a scripted endpoint."""
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -11,9 +11,9 @@
     NotSentError,
 )
 from samphirehall.platform.wire import matches_request
-from tests.gateway.helpers import reset_on_close, response_bytes, scripted_endpoint
+from tests.gateway.helpers import response_bytes, scripted_endpoint
 from tests.support.ports import free_address
-from tests.support.resets import count_received_bytes, non_accepting_listener
+from tests.support.resets import count_received_bytes, non_accepting_listener, reset_on_close
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/gateway/test_deadly_parts.py
+++ b/tests/gateway/test_deadly_parts.py
@@ -19,11 +19,11 @@
     context,
     engine,
     request,
-    reset_on_close,
     scripted_endpoint,
 )
 from tests.gateway.test_generation import generate, stream_head
 from tests.gateway.test_zone_exchange import hub_and_members, start, until
+from tests.support.resets import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -19,10 +19,10 @@
     engine,
     prompt,
     request,
-    reset_on_close,
     response_bytes,
     scripted_endpoint,
 )
+from tests.support.resets import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
@@ -177,6 +177,67 @@
             assert sum(len(item.received) for item in (one, two, three)) == 2
 
 
+def until_closed(count, tail=b""):
+    """Return a script whose stream has neither a length nor chunks."""
+
+    async def script(received, writer):
+        lines = ["HTTP/1.1 200 OK", "X-Response-Stamp: s", "Connection: close"]
+        lines.append(f"X-Request-Id: {received['x-request-id']}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        writer.write(b"".join(remaining_events(received)[:count]) + tail)
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+class TestStreamsThatEndWithTheirConnection:
+    async def test_whole_stream_arrives(self):
+        async with scripted_endpoint(until_closed(5)) as decode:
+            gateway, _ = gateway_with(d1=decode)
+            caller = await serve(gateway)
+            assert caller.body == WHOLE and caller.complete
+            assert not gateway.context.fleet.endpoint("d1").connections._idle
+
+    @pytest.mark.parametrize("count", [0, 2])
+    async def test_stream_that_ends_inside_an_event_continues_on_another_engine(self, count):
+        async with (
+            scripted_endpoint(until_closed(count, b"id: 3\nda")) as broken,
+            scripted_endpoint(generate) as sound,
+        ):
+            gateway, _ = gateway_with(d1=broken, d2=sound)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+        assert int(sound.received[0].get("last-event-id", 0)) == count
+
+    async def test_stream_that_ends_inside_an_event_and_may_run_once_is_incomplete(self):
+        async with scripted_endpoint(until_closed(2, b"id: 3\nda")) as broken:
+            gateway, _ = gateway_with(d1=broken)
+            caller = RecordingCaller()
+            with pytest.raises(SamphireError) as caught:
+                await gateway.serve(request("/once/x", prompt=prompt()), caller)
+        assert caught.value.result is STREAM_CUT
+        assert not caller.complete and caller.body == b"".join(EVENTS[:2])
+
+    async def test_stream_that_is_reset_between_events_continues_on_another_engine(self):
+        async def reset(received, writer):
+            writer.write(stream_head(received).replace(b"Transfer-Encoding: chunked\r\n", b""))
+            writer.write(b"".join(EVENTS[:2]))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            reset_on_close(writer)
+
+        async with (
+            scripted_endpoint(reset) as broken,
+            scripted_endpoint(generate) as sound,
+        ):
+            gateway, _ = gateway_with(d1=broken, d2=sound)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+
+
 class TestUnreachableEngines:
     """A send without a connection repeats nothing and is not charged to the repeat budget."""
 
--- a/tests/gateway/test_plain.py
+++ b/tests/gateway/test_plain.py
@@ -16,11 +16,11 @@
     context,
     listed,
     request,
-    reset_on_close,
     response_bytes,
     scripted_endpoint,
 )
 from tests.support.ports import free_address
+from tests.support.resets import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
@@ -55,6 +55,40 @@
     writer.close()
 
 
+def until_closed(*, whole):
+    """Return a script whose answer has no length; it is reset at its end unless it is whole."""
+
+    async def script(received, writer):
+        lines = ["HTTP/1.1 200 OK", "X-Response-Stamp: s", "Connection: close"]
+        lines.append(f"X-Request-Id: {received['x-request-id']}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\nbody")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        (writer.close if whole else lambda: reset_on_close(writer))()
+
+    return script
+
+
+class TestAnswersThatEndWithTheirConnection:
+    async def test_whole_answer_is_forwarded(self):
+        async with scripted_endpoint(until_closed(whole=True)) as endpoint:
+            gateway, _ = gateway_with(endpoint.address)
+            caller = RecordingCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body, caller.complete) == (200, b"body", True)
+
+    async def test_answer_that_is_reset_is_fetched_from_another_endpoint(self):
+        async with (
+            scripted_endpoint(until_closed(whole=False)) as broken,
+            scripted_endpoint(answered) as sound,
+        ):
+            gateway, _ = gateway_with(broken.address, sound.address)
+            caller = RecordingCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body) == (200, b"body")
+        assert len(sound.received) == 1
+
+
 class TestAnswers:
     async def test_answer_is_forwarded_unchanged(self):
         async with scripted_endpoint(answered) as endpoint:
--- a/tests/support/resets.py
+++ b/tests/support/resets.py
@@ -15,6 +15,13 @@
     connection.close()
 
 
+def reset_on_close(writer):
+    """Close a connection with a TCP reset."""
+    option = (socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET_ON_CLOSE)
+    writer.get_extra_info("socket").setsockopt(*option)
+    writer.transport.abort()
+
+
 @contextmanager
 def resetting_listener():
     """Accept and reset every connection; yield the address."""
