Refuse completions with a message that crashed several endpoints

Requests that are all different and share a message under which engines crash end two endpoints each, as the quarantine knows a request only by all of its messages.

The class of the cause is the same as in gateway/: a fault is counted against a key that is narrower than what carries it.

Change: all messages but the last of a request are evidence, with the same decision as in gateway/; records of crashes carry their digests, and a completed request clears them on all hosts. A request that another host put into quarantine while it ran here is no longer answered as not run.

tests/forwarding/test_quarantine.py::TestCrashingRequest:: test_new_requests_with_a_deadly_message_do_not_crash_endpoint_after_endpoint failed before.

--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -12,7 +12,13 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
-from samphirehall.core.results import ENDPOINT_CRASHED, KEY_UNKNOWN, OVERLOADED, QUARANTINED
+from samphirehall.core.results import (
+    ENDPOINT_CRASHED,
+    KEY_UNKNOWN,
+    OVERLOADED,
+    PART_QUARANTINED,
+    QUARANTINED,
+)
 from samphirehall.core.types import EndpointProtocol, EndpointState
 from samphirehall.endpoints.events import EventBatch, EventReader
 from samphirehall.forwarding.attempt import AttemptFailedError, EngineAttempt, Failure
@@ -48,6 +54,7 @@
     for retries in range(MAX_TOTAL_ATTEMPTS):
         if retries:
             await _wait_before_retry(context, run, retries)
+            _refuse_quarantined(context, run)
         decision, request = await _choose_with_timeout(context, run, failed)
         try:
             await _run_attempt(context, run, reader, decision, request, sink)
@@ -62,7 +69,15 @@
 
 def _refuse_quarantined(context: EntryContext, run: CompletionRun) -> None:
     if _suspicion(context, run) is Suspicion.QUARANTINED:
-        raise SamphireError(QUARANTINED, "endpoints crashed while they ran this request")
+        detail = "endpoints crashed while they ran this request"
+        if run.may_have_run:
+            raise run.build_error(detail)
+        raise SamphireError(QUARANTINED, detail)
+    now = boot_seconds()
+    group = context.quarantine.blocked_parts(run.shared_parts, now=now)
+    if group is not None and not context.quarantine.take_trial(group, now=now):
+        detail = "endpoints crashed under each request with one of its messages"
+        raise run.build_error(detail, not_run=PART_QUARANTINED)
 
 
 def _suspicion(context: EntryContext, run: CompletionRun) -> Suspicion:
@@ -212,6 +227,7 @@
     try:
         await attempt.run()
         context.fleet.record_success(endpoint.endpoint_id)
+        context.quarantine.record_completed_parts(run.shared_parts, now=boot_seconds())
         if suspect:
             context.quarantine.record_completion(run.fingerprint, now=boot_seconds())
     except AttemptFailedError as error:
@@ -288,13 +304,16 @@
     if error.failure is not Failure.CRASHED or _is_leaving(context, view):
         return
     endpoint_id = view.info.endpoint_id
-    suspicion = context.quarantine.record_crash(run.fingerprint, endpoint_id, now=boot_seconds())
+    suspicion = context.quarantine.record_crash(
+        run.fingerprint, endpoint_id, parts=run.shared_parts, now=boot_seconds()
+    )
     log_decision(
         _log,
         "suspect",
         str(error),
         request=run.request_id,
         fingerprint=run.fingerprint,
+        parts=run.shared_parts,
         endpoint=endpoint_id,
         suspicion=suspicion.name.lower(),
     )
--- a/samphirehall/forwarding/completion_run.py
+++ b/samphirehall/forwarding/completion_run.py
@@ -64,6 +64,7 @@
     stream_started: bool = False
     _block_hashes: list[int] | None = None
     _fingerprint: str = ""
+    _shared_parts: list[str] | None = None
     _prompt_tokens: int = -1
 
     @property
@@ -74,6 +75,17 @@
             self._fingerprint = fingerprint(msgspec.json.encode(content))
         return self._fingerprint
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Digests of all messages but the last, which other requests may share."""
+        if self._shared_parts is None:
+            target = self.caller.route.target
+            self._shared_parts = [
+                fingerprint(msgspec.json.encode((target, message)))
+                for message in self.completion.messages[:-1]
+            ]
+        return self._shared_parts
+
     @property
     def prompt_tokens(self) -> int:
         """Number of prompt tokens, estimated from the number of characters."""
--- a/samphirehall/forwarding/quarantine.py
+++ b/samphirehall/forwarding/quarantine.py
@@ -4,22 +4,29 @@
 suspect is retried only on an endpoint where no other suspect runs. If that
 endpoint crashes too, the request is quarantined and refused; if the request
 completes, it is cleared. Hosts share their records as facts.
+
+Requests that are all different may share messages that crash endpoints. All messages but
+the last one of a request are parts that others may share; see `PartQuarantine`.
 """
 
 import enum
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
 import msgspec
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.rendezvous import is_chosen
 from samphirehall.node.facts import Fact, FactKind, FactStore
+from samphirehall.routing.part_quarantine import CRASH_LIFETIME_SECONDS, Group, PartQuarantine
 
 RECORD_LIFETIME_SECONDS = 600.0
 INCIDENT_WINDOW_SECONDS = 3.0
 MIN_QUARANTINE_CRASHES = 2
 MAX_RECORDS = 10_000
 MAX_CRASHES = 8
+MAX_PARTS = 16  # messages of one request that are recorded with a crash
 
 
 class Suspicion(enum.Enum):
@@ -44,11 +51,17 @@
         completed afterwards.
     trial : str
         Endpoint on which the request runs without other suspects now; empty if none.
+    parts : list of str
+        Digests of the messages that other requests may share.
+    is_cleared_part : bool
+        Whether the record is of a shared message instead: a request with it has completed.
     """
 
     deaths: list[str] = field(default_factory=list)
     cleared: int = 0
     trial: str = ""
+    parts: list[str] = field(default_factory=list)
+    is_cleared_part: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +95,7 @@
         self._records: dict[str, dict[str, _ReceivedRecord]] = {}
         self._local_trials: dict[str, Counter[str]] = {}
         self._incidents: dict[str, _Incident] = {}
+        self._parts = PartQuarantine()
         fact_store.subscribe(self._apply_fact)
 
     @property
@@ -104,6 +118,28 @@
             return Suspicion.QUARANTINED
         return Suspicion.SUSPECT if crashes > 0 else Suspicion.NONE
 
+    def blocked_parts(self, parts: Sequence[str], *, now: float) -> Group | None:
+        """Return the messages for which a request is refused, or None if it may run.
+
+        Parameters
+        ----------
+        parts : sequence of str
+            Digests of the messages of the request that others may share.
+        now : float
+            Boot clock in seconds.
+        """
+        return self._parts.blocked(parts, now=now)
+
+    def take_trial(self, parts: Group, *, now: float) -> bool:
+        """Return whether one request may run in spite of its messages, to review their quarantine.
+
+        Of all live hosts, one takes the trials of a group.
+        """
+        hosts = {fact.key for fact in self._fact_store.current(FactKind.HOST, now=now)}
+        host = self._fact_store.owner
+        is_owner = is_chosen(host, {*hosts, host}, ",".join(sorted(parts)))
+        return is_owner and self._parts.take_trial(parts, now=now)
+
     def endpoints_with_other_suspects(self, fingerprint: str, *, now: float) -> set[str]:
         """Return the endpoints on which suspects other than this request run."""
         endpoints = {
@@ -137,7 +173,9 @@
             del self._local_trials[endpoint_id]
         self._publish(fingerprint, replace(self._local_record(fingerprint), trial=""), now=now)
 
-    def record_crash(self, fingerprint: str, endpoint_id: str, *, now: float) -> Suspicion:
+    def record_crash(
+        self, fingerprint: str, endpoint_id: str, *, parts: Sequence[str] = (), now: float
+    ) -> Suspicion:
         """Record that an endpoint crashed while it ran a request; return the new suspicion.
 
         The crash counts against a request that is already suspect only if no
@@ -149,6 +187,8 @@
             Fingerprint of the request.
         endpoint_id : str
             Endpoint that crashed.
+        parts : sequence of str
+            Digests of the messages of the request that others may share.
         now : float
             Boot clock in seconds.
         """
@@ -157,10 +197,19 @@
         conclusive = incident.suspects <= {fingerprint}
         record = self._local_record(fingerprint)
         if (previous is Suspicion.NONE or conclusive) and len(record.deaths) < MAX_CRASHES:
-            record = replace(record, deaths=[*record.deaths, endpoint_id])
+            deaths = [*record.deaths, endpoint_id]
+            record = replace(record, deaths=deaths, parts=list(parts[:MAX_PARTS]))
         self._publish(fingerprint, record, now=now)
         return self.suspicion(fingerprint, now=now)
 
+    def record_completed_parts(self, parts: Sequence[str], *, now: float) -> None:
+        """Clear the shared messages of a request that an endpoint completed."""
+        for part in self._parts.record_completion(parts, now=now):
+            value = msgspec.to_builtins(SuspectRecord(is_cleared_part=True))
+            self._fact_store.publish(
+                FactKind.SUSPECT_REQUEST, part, value, lifetime=CRASH_LIFETIME_SECONDS, now=now
+            )
+
     def record_completion(self, fingerprint: str, *, now: float) -> None:
         """Clear a suspect after an endpoint completed it."""
         crashes = self._count_crashes(fingerprint, now)
@@ -233,6 +282,14 @@
             record = msgspec.convert(fact.value, SuspectRecord)
         except msgspec.ValidationError:
             return
+        now = boot_seconds()
+        if record.is_cleared_part:
+            self._parts.record_completion([fact.key], now=now)
+            return
+        previous = self._records.get(fact.key, {}).get(fact.owner)
+        known_deaths = previous.record.deaths if previous else []
+        for endpoint_id in record.deaths[len(known_deaths) :]:
+            self._parts.record_crash(endpoint_id, record.parts, at=now, now=now)
         if fact.key in self._records or len(self._records) < MAX_RECORDS:
             owners = self._records.setdefault(fact.key, {})
-            owners[fact.owner] = _ReceivedRecord(record, boot_seconds() + fact.lifetime)
+            owners[fact.owner] = _ReceivedRecord(record, now + fact.lifetime)
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -10,7 +10,8 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.forwarding.quarantine import INCIDENT_WINDOW_SECONDS, Quarantine, Suspicion
-from samphirehall.node.facts import FactStore
+from samphirehall.node.facts import FactKind, FactStore
+from samphirehall.routing.part_quarantine import TRIAL_INTERVAL_SECONDS
 from tests.forwarding.test_completion import COMPLETE_TEXT, send_remaining_events, streamed_tokens
 from tests.support.endpoint import HEAD, ScriptedEndpoint, chunk, event, stream_chunks
 from tests.support.entry import complete, entry_context, running_app
@@ -60,6 +61,46 @@
         second.record_completion("f", now=now)
         assert first.suspicion("f", now=now) is Suspicion.NONE
 
+    def test_messages_that_crashed_several_endpoints_are_blocked_on_every_host(self, monkeypatch):
+        first, second, third = connected_quarantines(3)
+        now = boot_seconds()
+        for number, quarantine in enumerate((first, second, first)):
+            now += 1.0
+            monkeypatch.setattr(
+                "samphirehall.forwarding.quarantine.boot_seconds", lambda now=now: now
+            )
+            parts = ("common", "deadly")
+            quarantine.record_crash(f"f{number}", f"e{number}", parts=parts, now=now)
+        later = now + 1.0
+        third.record_completed_parts(["common"], now=later)
+        assert first.blocked_parts(["other", "deadly"], now=later) == {"deadly"}
+        assert first.blocked_parts(["common", "sound"], now=later) is None
+
+    def test_one_host_of_all_reviews_the_quarantine_of_a_message(self, monkeypatch):
+        quarantines = connected_quarantines(3)
+        now = boot_seconds()
+        for quarantine in quarantines:
+            quarantine._fact_store.publish(
+                FactKind.HOST, quarantine._fact_store.owner, None, lifetime=100.0, now=now
+            )
+            for number in range(3):
+                quarantine._parts.record_crash(f"e{number}", ["deadly"], at=now + number, now=now)
+        groups = [quarantine.blocked_parts(["deadly"], now=now + 3.0) for quarantine in quarantines]
+        later = now + 3.0 + TRIAL_INTERVAL_SECONDS
+        trials = [
+            quarantine.take_trial(group, now=later)
+            for quarantine, group in zip(quarantines, groups, strict=True)
+        ]
+        assert sorted(trials) == [False, False, True]
+
+    def test_cleared_message_is_not_suspected_again_by_a_later_record_of_its_request(self):
+        first, second = connected_quarantines(2)
+        now = boot_seconds()
+        first.record_crash("f", "e1", parts=("sound",), now=now)
+        second.record_completed_parts(["sound"], now=boot_seconds())
+        first.begin_trial("f", "e2", now=now)
+        assert not first._parts._crashes["e1"].parts and not second._parts._crashes["e1"].parts
+
     @given(crashes=st.lists(st.sets(st.sampled_from("abcd"), min_size=2), min_size=1, max_size=8))
     def test_suspects_that_share_a_crashed_endpoint_are_never_quarantined(self, crashes):
         (quarantine,) = connected_quarantines(1)
@@ -116,6 +157,18 @@
         assert (first.result, first.run) == (4003, "ran")
         assert {(reply.result, reply.run) for reply in again} == {(2010, "not-run")}
 
+    async def test_new_requests_with_a_deadly_message_do_not_crash_endpoint_after_endpoint(self):
+        async with self.fleet(9) as (app, endpoints, _):
+            replies = []
+            for number in range(8):
+                system = ("common", "POISON")
+                replies.append(await complete(app, f"question {number}", system=system))
+                sound = await complete(app, f"question {number}", system=("common",))
+                assert streamed_tokens(sound) == COMPLETE_TEXT
+                await anyio.sleep(0.3)
+            assert sum(not endpoint.server.is_serving() for endpoint in endpoints) <= 5
+        assert [(reply.result, reply.run) for reply in replies[-3:]] == [(2014, "not-run")] * 3
+
     async def test_requests_beside_a_crashing_one_get_complete_answers(self):
         async with self.fleet(5) as (app, _, _):
             replies = []
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -137,10 +137,19 @@
 
 
 async def complete(
-    app: EntryApp, prompt="hello", *, stream=True, tokens=4, headers=(), send=None, state=None
+    app: EntryApp,
+    prompt="hello",
+    *,
+    system=(),
+    stream=True,
+    tokens=4,
+    headers=(),
+    send=None,
+    state=None,
 ) -> Reply:
-    """Request a chat completion and return the response."""
-    messages = [{"role": "user", "content": prompt}]
+    """Request a chat completion, after messages of the system, and return the response."""
+    messages = [{"role": "system", "content": content} for content in system]
+    messages.append({"role": "user", "content": prompt})
     body = {"model": "answer", "messages": messages, "stream": stream, "max_tokens": tokens}
     content = msgspec.json.encode(body)
     return await ask(app, "/v1/chat/completions", content, headers=headers, send=send, state=state)
