Keep parts of prompts in quarantine across the end of all hosts

Cause: the quarantine lived in the memory of the hosts and in their datagrams. A host that started learned it from its hub, but no host was left to tell.

Change: the hub of each zone writes the groups in quarantine to the store, removes what has ended, and reads the rows when it becomes the hub; three calls for each new group at three zones.

--- /dev/null
+++ b/samphirehall/gateway/quarantine_store.py
@@ -0,0 +1,108 @@
+"""Rows of the store for parts of prompts in quarantine, which outlast the end of all hosts.
+
+The hub of each zone writes and reads them; it sends the quarantine on to its members.
+"""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+import xxhash
+
+from samphirehall.backing.table import Row, Table, Write
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
+from samphirehall.routing.part_quarantine import Group, PartQuarantine
+
+PREFIX = "quarantine/"
+CHECK_INTERVAL_SECONDS = 0.5  # a started hub reads the rows before the first crashes
+MAX_ROWS = 256
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineStore:
+    """Keeps the rows of this host's quarantine while it is the hub.
+
+    Parameters
+    ----------
+    table : Table
+        Table of the store.
+    quarantine : PartQuarantine
+        Quarantine of this host.
+    is_hub : callable
+        Returns whether this host is the hub of its zone.
+    clock, agreed_time : callable
+        Boot clock in seconds, and the seconds since 1970 that all hosts agree on.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        quarantine: PartQuarantine,
+        is_hub: Callable[[], bool],
+        *,
+        clock: Callable[[], float],
+        agreed_time: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._quarantine = quarantine
+        self._is_hub = is_hub
+        self._clock = clock
+        self._agreed_time = agreed_time
+        self._stored: dict[Group, str] | None = None
+
+    async def run(self) -> None:
+        """Read the rows when this host becomes the hub, then write changes, until cancelled."""
+        while True:
+            await self.step()
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+
+    async def step(self) -> None:
+        """Read or write the rows once, if this host is the hub."""
+        if not self._is_hub():
+            self._stored = None
+            return
+        try:
+            if self._stored is None:
+                self._stored = self._take_over(await self._table.scan(PREFIX, limit=MAX_ROWS))
+            await self._write_changes(self._stored)
+        except PlatformUnavailableError as error:
+            _log.warning("quarantine-unsaved", extra={"reason": str(error)})
+
+    def _take_over(self, rows: list[Row]) -> dict[Group, str]:
+        """Record the groups in the rows; return the key of each row by its group."""
+        stored = {}
+        for row in rows:
+            try:
+                parts, crashed_at = list(row.value["parts"]), float(row.value["last_crash"])
+            except (KeyError, TypeError, ValueError) as error:
+                _log.warning("quarantine-unreadable", extra={"key": row.key, "reason": repr(error)})
+                continue
+            stored[frozenset(parts)] = row.key
+            age = max(0.0, self._agreed_time() - crashed_at)
+            self._quarantine.receive_block(parts, age, now=self._clock())
+        if stored:
+            log_decision(_log, "quarantine-read", "this host is the hub", groups=len(stored))
+        return stored
+
+    async def _write_changes(self, stored: dict[Group, str]) -> None:
+        ages = {frozenset(parts): age for parts, age in self._quarantine.blocks(now=self._clock())}
+        added = {group: _key(group) for group in ages if group not in stored}
+        ended = {group: key for group, key in stored.items() if group not in ages}
+        if not added and not ended:
+            return
+        agreed_time = self._agreed_time()
+        writes = [
+            Write(key, {"parts": sorted(group), "last_crash": agreed_time - ages[group]})
+            for group, key in added.items()
+        ]
+        writes += [Write(key, None) for key in ended.values()]
+        await self._table.transact([], writes)
+        stored.update(added)
+        for group in ended:
+            del stored[group]
+
+
+def _key(group: Group) -> str:
+    return PREFIX + xxhash.xxh3_128_hexdigest("/".join(sorted(group)).encode())
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -21,6 +21,7 @@
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.ingress import IngressState, ingress_app, ingress_protocol
 from samphirehall.gateway.metrics import GatewayMetrics
+from samphirehall.gateway.quarantine_store import QuarantineStore
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, Switch, TableFollower
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
@@ -143,6 +144,13 @@
             settings.usage_report_timeout,
             lambda window: self.exchange.view.others_closed(window, now=boot_seconds()),
         )
+        self.quarantine_store = QuarantineStore(
+            self.store,
+            self.context.crashes.parts,
+            lambda: self.exchange.is_hub,
+            clock=boot_seconds,
+            agreed_time=self.agreed_now,
+        )
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
         self.ingress = IngressState(lambda: self.gateway.limits)
@@ -317,6 +325,7 @@
         group.start_soon(node.catch_up.run)
         group.start_soon(node.duty.run)
         group.start_soon(node.save_usage_periodically)
+        group.start_soon(node.quarantine_store.run)
         group.start_soon(_follow_settings, node)
         _start_duties(group, node)
         await _listen(stack, node)
