Decode and log the limits that endpoints state

The logs could not tell whether hosts know the limit of an endpoint, whether one host alone exceeds it, and which sends do. The adapter decodes the header; each host logs a line when the limit of an endpoint changes. Nothing decides by it yet.

--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -42,6 +42,7 @@
         matches=lambda found: wire_codec.matches_request(request.request_id, found),
         must_not_repeat=not (request_state.route.repeatable or dispatch.prefill_only),
     ) as response:
+        endpoint.record_limit(wire_codec.endpoint_limit(response.headers))
         yield response
 
 
--- a/samphirehall/gateway/wire_codec.py
+++ b/samphirehall/gateway/wire_codec.py
@@ -74,6 +74,9 @@
         Returns the identifier of the KV handle in the response body of a prefill.
     kv_release_call : callable
         Returns method and target of the call that releases a KV handle.
+    endpoint_limit : callable
+        Returns the requests per second that an endpoint takes from all hosts together, as
+        response headers state them; None without a limit.
     """
 
     request_headers: Callable[[Request, Dispatch], Headers]
@@ -82,3 +85,4 @@
     is_signed: Callable[[Headers], bool]
     decode_kv_handle: Callable[[bytes], str]
     kv_release_call: Callable[[str], tuple[str, bytes]]
+    endpoint_limit: Callable[[Headers], float | None]
--- a/samphirehall/platform/wire.py
+++ b/samphirehall/platform/wire.py
@@ -1,5 +1,7 @@
 """Headers of the platform's protocol: decoding client requests, encoding sends to endpoints."""
 
+import logging
+
 import msgspec
 
 from samphirehall.core.errors import SamphireError
@@ -22,6 +24,7 @@
 STAGE_HEADER = b"x-stage"
 KV_SOURCE_HEADER = b"x-kv-source"
 PREFIX_SOURCE_HEADER = b"kv-fetch"
+LIMIT_HEADER = b"server-limit"
 
 SECONDS_PER_MILLISECOND = 1e-3
 MIN_DEADLINE_MILLISECONDS = 1
@@ -59,6 +62,8 @@
     kv_handle: str
 
 
+_log = logging.getLogger(__name__)
+
 _prefill_answer_decoder = msgspec.json.Decoder(_PrefillAnswer)
 
 
@@ -204,6 +209,30 @@
     return "DELETE", f"/kv-handle/{handle}".encode()
 
 
+def endpoint_limit(headers: Headers) -> float | None:
+    """Return the requests per second that an endpoint takes from all hosts; None without a limit.
+
+    A limit that is no number of at least 0 is left out and logged.
+    """
+    value = next((value for name, value in headers if name == LIMIT_HEADER), None)
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        limit = -1.0
+    if not 0 <= limit < float("inf"):
+        _log.warning("endpoint-limit-unreadable", extra={"value": value.decode("latin-1")})
+        return None
+    return limit
+
+
 WIRE_CODEC = WireCodec(
-    request_headers, matches_request, reports_not_run, is_signed, decode_kv_handle, kv_release_call
+    request_headers,
+    matches_request,
+    reports_not_run,
+    is_signed,
+    decode_kv_handle,
+    kv_release_call,
+    endpoint_limit,
 )
