Keep requests that crashed endpoints in quarantine when hosts start anew

A host that starts later, or all after a common end, would let a request that crashed three endpoints crash up to three more for each host.

Change: such a request is one more entry of the quarantine that hubs repeat to their members and keep in the store. It has no trials, and an answer that is completed ends it.

tests/gateway/test_deadly_parts.py::TestHosts:: test_host_that_starts_later_refuses_a_request_that_crashed_endpoints_before failed before.

--- a/samphirehall/gateway/crashes.py
+++ b/samphirehall/gateway/crashes.py
@@ -71,13 +71,20 @@
     return digest.intdigest()
 
 
+def request_part(request_fingerprint: int) -> str:
+    """Return the name under which a whole request is kept among the parts in quarantine."""
+    return f"request:{request_fingerprint:016x}"
+
+
 class CrashTracker:
     """Tracks crashes observed by this host and its peers.
 
     A broken connection alone is not a crash, as an answer may be lost while the endpoint
     is alive. It is confirmed as a crash once the endpoint turns out to be gone.
-    `unpublished` holds confirmed crashes that have yet to be sent to peers, and
-    `unpublished_parts` and `unpublished_cleared` what they say about parts of prompts.
+    Requests that crashed several endpoints are kept among the parts in quarantine, which
+    started hosts learn from others. `unpublished` holds confirmed crashes that have yet to be
+    sent to peers, `unpublished_parts` and `unpublished_cleared` what they say about parts of
+    prompts.
     """
 
     def __init__(self) -> None:
@@ -121,6 +128,8 @@
         is_new = crash.endpoint not in endpoints
         endpoints.add(crash.endpoint)
         self._crashed_endpoints[crash.fingerprint] = now, endpoints
+        if self.crash_count(crash.fingerprint, now=now) >= MIN_CRASHES_FOR_QUARANTINE:
+            self.parts.block(frozenset((request_part(crash.fingerprint),)), now=now)
         if is_new:
             log_decision(
                 _log,
@@ -134,7 +143,9 @@
     def clear(self, request_fingerprint: int, parts: Sequence[str] = (), *, now: float) -> None:
         """Remove the crashes of a request that has been answered, and of its shared parts."""
         self._crashed_endpoints.pop(request_fingerprint, None)
-        self.unpublished_cleared.extend(self.parts.record_completion(parts, now=now))
+        request = request_part(request_fingerprint)
+        proven = (*parts, request) if self.parts.blocked((request,), now=now) else parts
+        self.unpublished_cleared.extend(self.parts.record_completion(proven, now=now))
 
     def crash_count(self, request_fingerprint: int, *, now: float) -> int:
         """Return the number of endpoints that a request has recently crashed."""
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -9,7 +9,7 @@
 from samphirehall.core.results import OUTCOME_UNKNOWN, OVERLOADED, PART_QUARANTINED, QUARANTINED
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError, Response
 from samphirehall.gateway.context import GatewayContext
-from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, Crash
+from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, Crash, request_part
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.request_state import RequestState, SendOutcome
 from samphirehall.gateway.wire_codec import Dispatch
@@ -85,11 +85,10 @@
         The request is in quarantine.
     """
     now = context.clock()
-    crashed = context.crashes.crash_count(request_state.fingerprint, now=now)
-    if crashed >= MIN_CRASHES_FOR_QUARANTINE:
-        detail = f"{crashed} endpoints crashed while running this request"
-        raise _quarantine_error(request_state, SamphireError(QUARANTINED, detail))
     parts = context.crashes.parts
+    if parts.blocked((request_part(request_state.fingerprint),), now=now):
+        detail = f"{MIN_CRASHES_FOR_QUARANTINE} endpoints crashed while running this request"
+        raise _quarantine_error(request_state, SamphireError(QUARANTINED, detail))
     group = parts.blocked(request_state.shared_part_ids, now=now)
     if group is None or (request_state.on_trial and not request_state.may_have_run):
         return
--- a/samphirehall/routing/part_quarantine.py
+++ b/samphirehall/routing/part_quarantine.py
@@ -101,6 +101,11 @@
             self._proven.popitem(last=False)
         return cleared
 
+    def block(self, group: Group, *, now: float) -> None:
+        """Put parts into quarantine for evidence that was weighed elsewhere."""
+        if group not in self._blocks:
+            self._block(group, now, "reported", [])
+
     def blocked(self, parts: Collection[str], *, now: float) -> Group | None:
         """Return the parts for which a prompt is refused, or None if it may run.
 
--- a/tests/gateway/test_deadly_parts.py
+++ b/tests/gateway/test_deadly_parts.py
@@ -7,13 +7,17 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import PART_QUARANTINED
-from samphirehall.gateway.crashes import Crash
+from samphirehall.core.results import PART_QUARANTINED, QUARANTINED
+from samphirehall.gateway.crashes import Crash, CrashTracker
+from samphirehall.gateway.exchange import check_quarantine
 from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.request_state import RequestState
 from samphirehall.gateway.types import Prompt, PromptPart
 from samphirehall.routing.part_quarantine import MIN_SCORE, SETTLING_SECONDS
 from tests.gateway.helpers import (
+    DESK,
     MODEL,
+    ROUTES,
     RecordingCaller,
     configuration,
     context,
@@ -146,6 +150,23 @@
             await until(lambda: all(self.is_blocked(host, "other", "deadly") for host in hosts))
             group.cancel_scope.cancel()
 
+    async def test_host_that_starts_later_refuses_a_request_that_crashed_endpoints_before(self):
+        async with anyio.create_task_group() as group:
+            hosts, _ = await start(group, "abc")
+            hub, members = hub_and_members(hosts)
+            for number in range(MIN_SCORE):
+                await self.crash(hub, f"e{number}", ())
+            started = members[0].context
+            started.crashes = CrashTracker()
+            await anyio.sleep(0.5)
+            started_request = RequestState(
+                request("/book/x"), ROUTES[1], DESK, None, 0, boot_seconds() + 1.0, 1, fingerprint=1
+            )
+            with pytest.raises(SamphireError) as caught:
+                check_quarantine(started, started_request)
+            assert caught.value.result is QUARANTINED
+            group.cancel_scope.cancel()
+
     async def test_host_that_starts_later_learns_the_blocked_parts(self):
         async with anyio.create_task_group() as group:
             hosts, _ = await start(group, "abc")
