Check after the prefill that the decode engine still accepts requests

Callers saw nothing.

Cause: engines for reading and generating are chosen together. On a busy engine the read takes two seconds; the engine for generating, chosen before that, was called without another look.

Change: after the read, an engine that leaves, is gone or changes its stage is replaced by the one with the fewest requests; the prompt that was read is used. Without one, the request is planned anew.

tests/gateway/test_generation.py::TestStream:: test_decode_engine_that_leaves_during_the_prefill_gets_no_request failed before.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import replace
 
 import anyio
 
@@ -242,12 +243,48 @@
         return False
     try:
         _check_quarantine_again(context, request_state, delivery)
-        return await _decode(context, request_state, plan, delivery, kv_handle)
+        current_plan = _with_ready_decode_engine(context, request_state, plan)
+        if current_plan is None:
+            return False
+        return await _decode(context, request_state, current_plan, delivery, kv_handle)
     finally:
         if delivery.first_event_at is None:
             await _release_kv_handle(context, plan.dedicated_prefill.endpoint_id, kv_handle)
 
 
+def _with_ready_decode_engine(
+    context: GatewayContext, request_state: RequestState, plan: GenerationPlan
+) -> GenerationPlan | None:
+    """Return the plan with another decode engine if its own one accepts no new requests any more.
+
+    The prefill may have taken seconds. None is returned without such an engine.
+    """
+    now = context.clock()
+    planned = context.fleet.endpoint(plan.decode.endpoint_id)
+    if planned is not None and planned.listed.ready and not planned.is_changing(now=now):
+        return plan
+    candidates = context.fleet.candidates(
+        request_state.service.name,
+        now=now,
+        excluded=request_state.tried_endpoints,
+        stage=Stage.DECODE,
+    )
+    prompt = request_state.request.prompt
+    assert prompt is not None
+    views = [
+        _engine_view(context, request_state, engine, prompt)
+        for engine in within_limits(context, candidates)
+    ]
+    if not views:
+        return None
+    chosen = min(views, key=lambda view: (view.requests, view.zone != context.zone))
+    request_state.extra_log_fields["generates_instead"] = chosen.endpoint_id
+    engine = context.fleet.endpoint(chosen.endpoint_id)
+    if engine is not None:
+        context.limits.take(engine.listed, now=now)
+    return replace(plan, decode=chosen)
+
+
 async def _prefill(
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> KvHandle | None:
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -1,6 +1,7 @@
 """Streams on engines: separate prefill, failures, resumption and client disconnects."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 import anyio
@@ -111,6 +112,28 @@
         assert decode.received[0]["x-kv-source"] == f"{prefill.address}/c0ffee"
         assert "x-stage" not in decode.received[0]
 
+    async def test_decode_engine_that_leaves_during_the_prefill_gets_no_request(self):
+        gateways = []
+
+        async def read_while_the_engine_leaves(received, writer):
+            fleet = gateways[0].context.fleet
+            leaving = fleet.endpoint("d1").listed
+            fleet.update(replace(leaving, ready=False), MODEL)
+            await read_prompt(received, writer)
+
+        async with (
+            scripted_endpoint(read_while_the_engine_leaves) as prefill,
+            scripted_endpoint(generate) as leaving,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = gateway_with(p1=prefill, d1=leaving, d2=other)
+            gateways.append(gateway)
+            gateway.context.loads._local["d1"].requests = 1
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway, of=prompt(20_000))
+        assert caller.body == WHOLE and caller.complete
+        assert not leaving.received and other.received[0]["x-kv-source"].endswith("/c0ffee")
+
     async def test_decode_engine_prefills_after_a_failed_separate_prefill(self):
         async with scripted_endpoint(refuse) as prefill, scripted_endpoint(generate) as decode:
             gateway, _ = gateway_with(p1=prefill, d1=decode)
