Log the era of the store and each reading of a whole table

The logs could not tell whether rows of a restored store were ignored, or whether the store had none. The adapter decodes Store-Era; hosts log store-restored when it rises, and table-read with the number of ignored rows.

--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -135,8 +135,15 @@
         self.has_snapshot = False
         self.position = 0
 
-    def apply_snapshot(self, snapshot: Rows, *, now: float) -> None:
-        """Apply all rows of a table; rows missing from the snapshot are deleted."""
+    def apply_snapshot(self, snapshot: Rows, *, now: float) -> int:
+        """Apply all rows of a table; rows missing from the snapshot are deleted.
+
+        Returns
+        -------
+        int
+            Number of rows ignored because a newer state of them is known.
+        """
+        ignored = sum(self._row_versions.get(row.key, 0) > row.version for row in snapshot.rows)
         present = {row.key for row in snapshot.rows}
         for key in self._present.keys() - present:
             self._apply(RowChange(key, snapshot.version, None), now)
@@ -147,6 +154,7 @@
         # A snapshot does not tell which rows were deleted since the previous position.
         self._journal.clear()
         self._journal_start = self.position
+        return ignored
 
     def apply_changes(self, rows: Rows, *, now: float) -> None:
         """Apply the changes that the store returned after the current position."""
@@ -312,7 +320,18 @@
     async def _read(self) -> None:
         if not self.replica.has_snapshot or self._history_gone:
             snapshot = await self._source.snapshot(self._table)
-            self.replica.apply_snapshot(snapshot, now=boot_seconds())
+            before = self.replica.position
+            ignored = self.replica.apply_snapshot(snapshot, now=boot_seconds())
+            log_decision(
+                _log,
+                "table-read",
+                "history is gone" if self._history_gone else "first read",
+                table=self._table,
+                rows=len(snapshot.rows),
+                ignored=ignored,
+                version=snapshot.version,
+                before=before,
+            )
             self._history_gone = False
             self.snapshot_received.set()
             return
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import logging
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -12,8 +12,14 @@
 
 from samphirehall.backing.table import Check, Row, TransactionResult, Write
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.connections import (
+    TRANSPORT_ERRORS,
+    ConnectionPool,
+    header,
+    read_body,
+)
 from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
 from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
 
 CALL_TIMEOUT_SECONDS = 1.0  # answers take a few milliseconds, slow ones 0.25 s
@@ -24,6 +30,7 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 ENDPOINT_TABLE = "servers"
+ERA_HEADER = b"store-era"  # rises each time the store comes back from an older copy
 
 _log = logging.getLogger(__name__)
 
@@ -68,6 +75,12 @@
     def __init__(self, address: str, observe: ObserveCall = _ignore_call) -> None:
         self._pool = ConnectionPool(address, connect_timeout=CALL_TIMEOUT_SECONDS)
         self._observe = observe
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Highest era in an answer of the store; 0 before the first, or if it states none."""
+        return self._era or 0
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -182,6 +195,7 @@
                 async with self._pool.request(
                     method, path, headers=headers, content=body, read_timeout=timeout
                 ) as response:
+                    self._record_era(response.headers)
                     content = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                     status = response.status
         except (*TRANSPORT_ERRORS, TimeoutError, ValueError) as error:
@@ -194,6 +208,27 @@
             raise PlatformUnavailableError(f"{method} {path[:20]}: {error}") from error
         return status, answer
 
+    def _record_era(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Record the era of an answer and log a new one."""
+        era = _decode_era(headers)
+        if era is None or era <= self.era:
+            return
+        if self._era is not None:
+            reason = "the store came back from an older copy"
+            log_decision(_log, "store-restored", reason, era=era, before=self._era)
+        self._era = era
+
+
+def _decode_era(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the era that an answer states, or None; log one that is no number."""
+    value = header(headers, ERA_HEADER)
+    if value is None:
+        return None
+    if not value.isdecimal():
+        _log.warning("store-era-unreadable", extra={"value": value})
+        return None
+    return int(value)
+
 
 def _row_name(key: str) -> dict[str, str]:
     return {"table": PRODUCT_TABLE, "part": "", "key": key}
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -198,6 +198,7 @@
             lambda: self.context.crashes.parts.blocked_count,
         )
         gauge("log_lines_dropped", "Log lines left out since the start.", dropped_line_count)
+        gauge("store_era", "Times that the store came back from a copy.", lambda: self.store.era)
         gauge(
             "store_available",
             "Whether the store answered the last calls of this host for both tables.",
