Order rows of the store by its era before its version

Cause: replicas order rows and positions by the version of the store. A store that is restored from a copy gives its versions out again, so rows written since were ignored as older, and a feed continued from the old position skipped what was written below it. Hosts passed such positions on to each other.

Versions are now (era, number).

--- a/samphirehall/gateway/catch_up.py
+++ b/samphirehall/gateway/catch_up.py
@@ -17,7 +17,7 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import FrameError
 from samphirehall.core.frames import FrameStream
-from samphirehall.gateway.rows import RowChange, Rows, TableReplica
+from samphirehall.gateway.rows import NO_VERSION, RowChange, Rows, StoreVersion, TableReplica
 
 CALL_TIMEOUT_SECONDS = 0.5  # a response within a region takes milliseconds
 RETRY_INTERVAL_SECONDS = 0.1  # at most ten calls a second of one host
@@ -43,7 +43,7 @@
     """Request for all that is newer than a configuration version and a position."""
 
     configuration_version: int
-    position: int
+    position: StoreVersion
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,7 +51,7 @@
     """Row of the endpoint list, with the version of its latest change."""
 
     key: str
-    version: int
+    version: StoreVersion
     value: bytes
 
 
@@ -63,14 +63,14 @@
     ----------
     configuration : bytes
         Compressed configuration document; empty if there is no newer one.
-    position : int
-        Position of the endpoint list that follows; 0 if it is not newer.
+    position : StoreVersion
+        Position of the endpoint list that follows; `NO_VERSION` if it is not newer.
     rows : tuple of ListedRow
         The whole endpoint list.
     """
 
     configuration: bytes
-    position: int
+    position: StoreVersion
     rows: tuple[ListedRow, ...]
 
 
@@ -146,7 +146,7 @@
         is_newer = self._configuration_version() > request.configuration_version
         document = self._document if is_newer else b""
         if not self._endpoints.has_snapshot or self._endpoints.position <= request.position:
-            return CatchUpAnswer(document, 0, ())
+            return CatchUpAnswer(document, NO_VERSION, ())
         snapshot = self._endpoints.snapshot()
         rows = tuple(
             ListedRow(row.key, row.version, row.value)
@@ -165,12 +165,12 @@
             return
         if document:
             self._apply_configuration(document, source)
-        if answer.position:
+        if answer.position > NO_VERSION:
             rows = [RowChange(row.key, row.version, row.value) for row in answer.rows]
             self._endpoints.apply_snapshot(Rows(rows, answer.position), now=boot_seconds())
 
     async def _call(self, address: tuple[str, int]) -> CatchUpAnswer:
-        position = self._endpoints.position if self._endpoints.has_snapshot else 0
+        position = self._endpoints.position if self._endpoints.has_snapshot else NO_VERSION
         with anyio.fail_after(CALL_TIMEOUT_SECONDS):
             async with await anyio.connect_tcp(*address) as stream:
                 frames = FrameStream(stream, _MESSAGES)
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from samphirehall.gateway.endpoint_limits import LimitReport
+from samphirehall.gateway.rows import StoreVersion
 
 _ACKNOWLEDGED = struct.Struct(">I")
 _Unsigned = Annotated[int, msgspec.Meta(ge=0)]
@@ -47,15 +48,15 @@
     """Changed row of the endpoint list; `value` is None for a deleted row."""
 
     key: str
-    version: _Unsigned
+    version: StoreVersion
     value: bytes | None
 
 
 class EncodedChanges(msgspec.Struct, array_like=True):
     """Relevant changes of the endpoint list above one version and up to another."""
 
-    after: _Unsigned
-    position: _Unsigned
+    after: StoreVersion
+    position: StoreVersion
     changes: list[EncodedChange] = []
 
 
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -20,7 +20,7 @@
 )
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
-from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows
+from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows, StoreVersion
 
 CALL_TIMEOUT_SECONDS = 1.0  # answers take a few milliseconds, slow ones 0.25 s
 FEED_TIMEOUT_MARGIN_SECONDS = 0.5  # added to the requested wait of a feed call
@@ -52,6 +52,7 @@
     rows: list[msgspec.Raw] = []
     ver: int = 0
     has_more: bool = False
+    era: int = 0  # of the header, not of the body
 
 
 _rows_decoder = msgspec.json.Decoder(_RowsAnswer)
@@ -122,9 +123,9 @@
         """Return all rows of a table; see `RowSource.snapshot`."""
         return await self._range(table, "", None)
 
-    async def changes(self, table: str, *, after: int, wait: float) -> Rows:
+    async def changes(self, table: str, *, after: StoreVersion, wait: float) -> Rows:
         """Return the rows changed after a version; see `RowSource.changes`."""
-        query = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
+        query = {"table": table, "after": after.number, "wait_ms": int(wait * 1000)}
         status, answer = await self._call(
             "changes",
             "GET",
@@ -134,16 +135,21 @@
         )
         if status == 410:
             raise HistoryGoneError
-        return Rows(_decode_rows(answer), answer.ver)
+        return Rows(_decode_rows(answer), StoreVersion(answer.era, answer.ver))
 
     async def _range(self, table: str, start: str, end: str | None) -> Rows:
         """Read all pages of a key range.
 
         The version is that of the first page: changes made while later pages are
         read are then delivered by the feed again and none is missed.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The store did not respond, or was restored while its rows were read.
         """
         rows: list[RowChange] = []
-        version = None
+        version: StoreVersion | None = None
         while True:
             query: dict[str, Any] = {
                 "table": table,
@@ -156,7 +162,9 @@
             _, answer = await self._call("range", "GET", f"/rows-get?{urlencode(query)}")
             page = _decode_rows(answer)
             rows.extend(page)
-            version = answer.ver if version is None else version
+            version = version or StoreVersion(answer.era, answer.ver)
+            if answer.era != version.era:
+                raise PlatformUnavailableError("the store was restored while it was read")
             if not answer.has_more:
                 return Rows(rows, version)
             if not page:
@@ -195,7 +203,7 @@
                 async with self._pool.request(
                     method, path, headers=headers, content=body, read_timeout=timeout
                 ) as response:
-                    self._record_era(response.headers)
+                    era = self._record_era(response.headers)
                     content = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                     status = response.status
         except (*TRANSPORT_ERRORS, TimeoutError, ValueError) as error:
@@ -206,17 +214,23 @@
             answer = _rows_decoder.decode(content) if content else _RowsAnswer()
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise PlatformUnavailableError(f"{method} {path[:20]}: {error}") from error
+        if era < self.era:
+            raise PlatformUnavailableError(f"{method} {path[:20]}: answer of an earlier era")
+        answer.era = era
         return status, answer
 
-    def _record_era(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
-        """Record the era of an answer and log a new one."""
+    def _record_era(self, headers: Iterable[tuple[bytes, bytes]]) -> int:
+        """Return the era of an answer; record and log a new one."""
         era = _decode_era(headers)
-        if era is None or era <= self.era:
-            return
+        if era is None:
+            return self.era
+        if era <= self.era:
+            return era
         if self._era is not None:
             reason = "the store came back from an older copy"
             log_decision(_log, "store-restored", reason, era=era, before=self._era)
         self._era = era
+        return era
 
 
 def _decode_era(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
@@ -248,9 +262,9 @@
         except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
             _log.warning("row-unreadable", extra={"reason": str(error)})
             continue
-        rows.append(RowChange(row.key, row.ver, value))
+        rows.append(RowChange(row.key, StoreVersion(answer.era, row.ver), value))
     return rows
 
 
 def _to_product_row(row: RowChange) -> Row:
-    return Row(row.key, row.version, msgspec.json.decode(row.value) if row.value else None)
+    return Row(row.key, row.version.number, msgspec.json.decode(row.value) if row.value else None)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -23,7 +23,7 @@
 from samphirehall.gateway.metrics import GatewayMetrics
 from samphirehall.gateway.quarantine_store import QuarantineStore
 from samphirehall.gateway.readiness import readiness_app
-from samphirehall.gateway.rows import RowChange, Switch, TableFollower
+from samphirehall.gateway.rows import RowChange, Switch, TableFollower, keep_known_rows
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
 from samphirehall.gateway.types import ListedEndpoint, Stage
 from samphirehall.gateway.usage_reports import UsageReports, report_periodically
@@ -116,6 +116,7 @@
             poll_delay=ENDPOINT_POLL_INTERVAL_SECONDS,
             feed_wait=ENDPOINT_FEED_WAIT_SECONDS,
             switch=reading,
+            restore=keep_known_rows,
         )
         address = f"{settings.ip}:{settings.min_peer_port}"
         self.catch_up = CatchUp(
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -20,7 +20,7 @@
 from samphirehall.gateway.datagrams import DatagramSocket
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.load import EndpointLoad
-from samphirehall.gateway.rows import RowChange, Rows, Switch, TableFollower
+from samphirehall.gateway.rows import RowChange, Rows, StoreVersion, Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
 from samphirehall.gateway.zone_exchange import ZoneExchange
@@ -46,19 +46,23 @@
     """The endpoint list of a store, with a count of calls and hosts that it turns away."""
 
     def __init__(self):
-        self.version, self.rows, self.history = 1, {}, []
+        self.era, self.version, self.rows, self.history = 1, 1, {}, []
         self.calls, self.refused = [], set()
         self.put("d1", state="ready")
 
     def put(self, key, **fields):
         self.version += 1
         value = json.dumps({**ENTRY, **fields}).encode() if fields else None
-        change = RowChange(key, self.version, value)
+        change = RowChange(key, StoreVersion(self.era, self.version), value)
         self.history.append(change)
         self.rows.pop(key, None)
         if value is not None:
             self.rows[key] = change
 
+    @property
+    def position(self):
+        return StoreVersion(self.era, self.version)
+
     def source(self, host):
         return _Source(self, host)
 
@@ -74,16 +78,17 @@
 
     async def snapshot(self, table):
         self._call()
-        return Rows(list(self._table.rows.values()), self._table.version)
+        return Rows(list(self._table.rows.values()), self._table.position)
 
     async def changes(self, table, *, after, wait):
         self._call()
         with anyio.move_on_after(wait):
-            while self._table.version <= after:
+            while self._table.version <= after.number:
                 await anyio.sleep(0.01)
         self._call()
-        rows = [change for change in self._table.history if change.version > after]
-        return Rows(rows, self._table.version)
+        history = self._table.history
+        rows = [change for change in history if change.version.number > after.number]
+        return Rows(rows, self._table.position)
 
 
 class Host:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -41,6 +41,7 @@
     rows: dict = field(default_factory=dict)
     history: list = field(default_factory=list)
     version: int = 0
+    era: int = 1
     calls: list = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -51,6 +52,17 @@
         self._apply((table, part, key), raw)
         self._notify()
 
+    def copy(self):
+        """Return a copy from which `restore` can bring the store back."""
+        return dict(self.rows), list(self.history), self.version
+
+    def restore(self, copy):
+        """Come back from a copy: what was written since is gone, and versions go back."""
+        rows, history, self.version = copy
+        self.rows, self.history = dict(rows), list(history)
+        self.era += 1
+        self._notify()
+
     def product_rows(self, prefix=""):
         """Return the rows of the table ``samphirehall`` by key."""
         return {
@@ -108,6 +120,8 @@
             return Response(status_code=410)
         query = request.query_params
         after, table = int(query["after"]), query["table"]
+        if after > self.version:
+            return Response(status_code=410)
         deadline = asyncio.ensure_future(asyncio.sleep(int(query["wait_ms"]) / 1000))
         while not (changes := self._changes(table, after)) and not deadline.done():
             changed = asyncio.ensure_future(self.changed.wait())
@@ -150,6 +164,7 @@
             if self.faults.status is not None:
                 return Response(status_code=self.faults.status)
             answer = await handler(request)
+            answer.headers["Store-Era"] = str(self.era)
             if self.faults.lose_answers and request.method == "POST":
                 await asyncio.sleep(UNANSWERED_SECONDS)
             return answer
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,13 @@
 from samphirehall.backing.table import ABSENT, Check, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows, TableFollower
+from samphirehall.gateway.rows import (
+    HistoryGoneError,
+    RowChange,
+    Rows,
+    StoreVersion,
+    TableFollower,
+)
 from samphirehall.platform.store import Store
 from tests.platform.standin import platform_standin
 
@@ -179,10 +185,11 @@
             group.cancel_scope.cancel()
 
     async def test_an_older_row_never_replaces_a_newer_one(self):
+        newer, older = StoreVersion(1, 7), StoreVersion(1, 5)
         answers = [
-            Rows([RowChange("config", 7, b"new")], 7),
+            Rows([RowChange("config", newer, b"new")], newer),
             HistoryGoneError(),
-            Rows([RowChange("config", 5, b"old")], 5),
+            Rows([RowChange("config", older, b"old")], older),
         ]
         changes = []
         with anyio.move_on_after(0.3):
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -12,7 +12,7 @@
 import pytest
 
 from samphirehall.core.results import SETTINGS_INVALID
-from samphirehall.gateway.rows import RowChange, Rows
+from samphirehall.gateway.rows import RowChange, Rows, StoreVersion
 from samphirehall.platform.settings import PATH_VARIABLE, load_platform_settings
 from samphirehall.programs import node
 from tests.gateway.helpers import response_bytes, scripted_endpoint
@@ -285,7 +285,8 @@
         return built_node
 
     def apply_row(self, built_node, key, version, content):
-        rows = Rows([RowChange(key, version, content)], version)
+        position = StoreVersion(0, version)
+        rows = Rows([RowChange(key, position, content)], position)
         built_node.endpoints.replica.apply_changes(rows, now=0.0)
 
     def candidates(self, built_node):
