End grants with the era of the table, and number takeovers above earlier eras

Cause: a lease row of a restored table names the holder and the fencing number before the last takeovers. Its number plus one may be out already; a row that is absent, released or of the candidate itself was taken at once although a grant that the table has lost may last for seconds.

A table states its era. A grant ends when its holder learns of a new era; fencing numbers have the era in their upper bits; the first takeover of an era waits for a whole lease and its delivery time, whatever the rows say. The stand-in of the backing service can be restored from a copy, and states its era.

--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -4,19 +4,26 @@
 holder, so that renewals do not conflict with transactions that check it; the
 renewal row changes with each renewal. A holder's grant expires before any
 candidate may take over. Clocks of different hosts are never compared.
+
+The table may be restored from an older copy, which its era tells. The rows may then
+be those before the last takeovers, so that neither the holder nor the fencing number
+in them can be relied on: a grant ends with the era that it was given in, a fencing number
+is higher than all of earlier eras, and the first takeover of an era waits as long as
+any grant of an earlier era may last.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
-from samphirehall.backing.table import ABSENT, Check, Row
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import LEASE_LOST, SETTINGS_INVALID
 
 PLATFORM_SCOPE = "platform"
 RENEWALS_PER_TTL = 3
 NO_HOLDER = ""
+FENCING_NUMBER_BITS = 32  # for the takeovers of one era; the era takes the bits above
 
 
 def engines_scope(zone: str) -> str:
@@ -119,6 +126,8 @@
         Boot clock in seconds at which the grant expires unless it is renewed.
     version : int
         Version of the lease row.
+    era : int
+        Era of the table in which the lease was taken.
     """
 
     scope: str
@@ -126,6 +135,7 @@
     fencing: int
     expires_at: float
     version: int
+    era: int = 0
 
     @property
     def lease_check(self) -> Check:
@@ -139,12 +149,15 @@
 
     Parameters
     ----------
+    era : int
+        Era of the table.
     lease_version, renewal_version : int
         Row versions as read.
     unchanged_since : float
         Boot clock in seconds after the first read that returned these versions.
     """
 
+    era: int
     lease_version: int
     renewal_version: int
     unchanged_since: float
@@ -163,24 +176,44 @@
     return sent_at + times.ttl - times.margin
 
 
+def next_fencing(lease: LeaseRow | None, *, era: int) -> int:
+    """Return the fencing number of a takeover, which is higher than all earlier ones.
+
+    Parameters
+    ----------
+    lease : LeaseRow or None
+        Latest lease row.
+    era : int
+        Era of the table.
+    """
+    previous = 0 if lease is None else lease.fencing
+    return max(previous, era << FENCING_NUMBER_BITS) + 1
+
+
+def _was_taken_in_era(lease: LeaseRow | None, era: int) -> bool:
+    return lease is not None and lease.fencing >> FENCING_NUMBER_BITS == era
+
+
 def decode_lease(row: Row | None) -> LeaseRow | None:
     """Return the decoded value of a lease row, or None if there is no row."""
     return None if row is None else msgspec.convert(row.value, LeaseRow)
 
 
 def update_observation(
-    previous: LeaseObservation | None, lease: Row | None, renewal: Row | None, *, now: float
+    previous: LeaseObservation | None,
+    lease: Row | None,
+    renewal: Row | None,
+    *,
+    era: int,
+    now: float,
 ) -> LeaseObservation:
-    """Return the observation after a read of both rows that was answered by `now`."""
+    """Return the observation after a read of both rows that was answered by `now` in an era."""
     lease_version = ABSENT if lease is None else lease.version
     renewal_version = ABSENT if renewal is None else renewal.version
-    unchanged = previous is not None and (lease_version, renewal_version) == (
-        previous.lease_version,
-        previous.renewal_version,
-    )
-    if previous is not None and unchanged:
+    current = LeaseObservation(era, lease_version, renewal_version, unchanged_since=now)
+    if previous is not None and replace(previous, unchanged_since=now) == current:
         return previous
-    return LeaseObservation(lease_version, renewal_version, unchanged_since=now)
+    return current
 
 
 def decide_takeover(
@@ -207,13 +240,15 @@
     now : float
         Boot clock in seconds.
     """
-    if lease is None:
-        return TakeoverDecision(True, "the lease row does not exist yet")
-    if lease.holder == NO_HOLDER:
-        return TakeoverDecision(True, "the lease was released by its holder")
-    if lease.holder == candidate:
-        return TakeoverDecision(True, "this process held the lease and its grant has expired")
-    wait = max(times.ttl, lease.ttl) + times.delivery_limit
+    in_first_era = observation.era == NO_ERA
+    if in_first_era or _was_taken_in_era(lease, observation.era):
+        if lease is None:
+            return TakeoverDecision(True, "the lease row does not exist yet")
+        if lease.holder == NO_HOLDER:
+            return TakeoverDecision(True, "the lease was released by its holder")
+        if lease.holder == candidate:
+            return TakeoverDecision(True, "this process held the lease and its grant has expired")
+    wait = max(times.ttl, 0.0 if lease is None else lease.ttl) + times.delivery_limit
     unchanged = now - observation.unchanged_since
     if unchanged < wait:
         return TakeoverDecision(
--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -18,6 +18,7 @@
     decode_lease,
     grant_expiry,
     lease_key,
+    next_fencing,
     renewal_key,
     update_observation,
 )
@@ -27,6 +28,7 @@
 from samphirehall.core.log import log_decision
 
 MIN_RENEWAL_INTERVAL_SECONDS = 0.5  # retry interval while renewals fail
+RESTORED = "the table was restored from an older copy"  # why a grant ended
 
 _log = logging.getLogger(__name__)
 
@@ -75,6 +77,7 @@
         self._counter = 0
         self._stopped = False
         self._previous_holder_released = False
+        self._is_first_holder = False
 
     @property
     def scope(self) -> str:
@@ -91,6 +94,11 @@
         """Whether the previous holder had released the lease before this process took it."""
         return self._previous_holder_released
 
+    @property
+    def is_first_holder(self) -> bool:
+        """Whether there was no lease row before this process took the lease."""
+        return self._is_first_holder
+
     def grant(self, *, now: float) -> LeaseGrant:
         """Return the grant of this process.
 
@@ -107,6 +115,8 @@
         grant = self._grant
         if grant is None:
             raise LeaseLostError(self._scope, "not held by this process")
+        if grant.era != self._table.era:
+            raise LeaseLostError(self._scope, RESTORED)
         if now >= grant.expires_at:
             raise LeaseLostError(
                 self._scope, f"the grant expired {now - grant.expires_at:.3f} s ago"
@@ -146,7 +156,7 @@
         """
         grant, self._grant = self._grant, None
         self._stopped = True
-        if grant is None:
+        if grant is None or grant.era != self._table.era:
             return
         await self._sleep(self._times.delivery_limit)
         released_row = LeaseRow(NO_HOLDER, grant.fencing, self._times.ttl)
@@ -170,8 +180,9 @@
 
     async def _renew(self, grant: LeaseGrant) -> None:
         sent_at = self._clock()
-        if sent_at >= grant.expires_at:
-            self._drop_grant(grant, "the grant expired before it was renewed")
+        if sent_at >= grant.expires_at or grant.era != self._table.era:
+            expired = "the grant expired before it was renewed"
+            self._drop_grant(grant, expired if sent_at >= grant.expires_at else RESTORED)
             return
         counter = self._next_counter()
         write = Write(renewal_key(self._scope), counter)
@@ -183,7 +194,9 @@
             renewed, taken_over = await self._resolve_unanswered_renewal(grant, counter)
         if self._grant is not grant:
             return
-        if taken_over:
+        if grant.era != self._table.era:
+            self._drop_grant(grant, RESTORED)
+        elif taken_over:
             self._drop_grant(grant, "another process has taken the lease over")
         elif self._clock() >= grant.expires_at:
             self._drop_grant(grant, "the grant expired while it was being renewed")
@@ -209,7 +222,9 @@
             return
         now = self._clock()
         self._lease_row = decode_lease(lease)
-        self._observation = update_observation(self._observation, lease, renewal, now=now)
+        self._observation = update_observation(
+            self._observation, lease, renewal, era=self._table.era, now=now
+        )
         decision = decide_takeover(
             self._lease_row, self._observation, self._times, candidate=self._holder, now=now
         )
@@ -217,7 +232,8 @@
             await self._take_over(self._observation, decision.reason)
 
     async def _take_over(self, observation: LeaseObservation, reason: str) -> None:
-        fencing = 1 if self._lease_row is None else self._lease_row.fencing + 1
+        fencing = next_fencing(self._lease_row, era=observation.era)
+        is_first_holder = self._lease_row is None
         previous_holder_released = (
             self._lease_row is not None and self._lease_row.holder == NO_HOLDER
         )
@@ -227,11 +243,11 @@
         version = await self._write_takeover(observation, row, counter)
         expires_at = grant_expiry(sent_at, self._times)
         fields = {"scope": self._scope, "fencing": fencing, "holder": self._holder}
-        if version is None:
+        if version is None or observation.era != self._table.era:
             log_decision(
                 _log,
                 "takeover-failed",
-                "another process was first, or the store did not answer",
+                "another process was first, the table was restored, or the store did not answer",
                 **fields,
             )
         elif self._stopped or self._clock() >= expires_at:
@@ -243,7 +259,10 @@
             )
         else:
             self._lease_row, self._previous_holder_released = row, previous_holder_released
-            self._grant = LeaseGrant(self._scope, self._holder, fencing, expires_at, version)
+            self._is_first_holder = is_first_holder
+            self._grant = LeaseGrant(
+                self._scope, self._holder, fencing, expires_at, version, observation.era
+            )
             log_decision(_log, "takeover", reason, **fields)
 
     async def _write_takeover(
--- a/samphirehall/backing/client.py
+++ b/samphirehall/backing/client.py
@@ -1,25 +1,31 @@
 """HTTP client of the backing service."""
 
+import logging
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import msgspec
 
-from samphirehall.backing.table import Check, Row, TransactionResult, Write
+from samphirehall.backing.table import NO_ERA, Check, Row, TransactionResult, Write
 from samphirehall.core.connections import (
     TRANSPORT_ERRORS,
     ConnectionPool,
     body_after_check,
+    header,
     read_body,
 )
 from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import log_decision
 from samphirehall.core.types import EndpointInfo, EndpointKind, HostInfo, UsageFigures
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_NOT_FOUND = 404
+ERA_HEADER = b"table-era"  # in lower case; rises each time the table is restored from a copy
+
+_log = logging.getLogger(__name__)
 
 T = TypeVar("T")
 
@@ -106,6 +112,12 @@
 
     def __init__(self, address: str, *, timeout: float = 2.0) -> None:
         self._pool = ConnectionPool(address, connect_timeout=timeout, read_timeout=timeout)
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Highest era in an answer; see `Table.era`."""
+        return self._era or NO_ERA
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -214,7 +226,25 @@
             body = body_after_check(content, recheck)
         try:
             async with self._pool.request(method, path, headers=headers, content=body) as response:
+                self._record_era(header(response.headers, ERA_HEADER))
                 answer = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                 return response.status, answer
         except (*TRANSPORT_ERRORS, ValueError) as error:
             raise PlatformUnavailableError(f"{method} {path}: {error!r}") from error
+
+    def _record_era(self, value: str | None) -> None:
+        """Record the era of an answer and log a new one.
+
+        Raises
+        ------
+        ValueError
+            The answer is of an earlier era, or its era is no number.
+        """
+        if value is None:
+            return
+        era = int(value)
+        if era < self.era:
+            raise ValueError(f"answer of era {era}, but the table is in era {self.era}")
+        if self._era is not None and era > self._era:
+            log_decision(_log, "table-restored", "an older copy", era=era, before=self._era)
+        self._era = era
--- a/samphirehall/backing/table.py
+++ b/samphirehall/backing/table.py
@@ -4,6 +4,10 @@
 checks versions and writes rows, all or nothing. An answer may be lost after
 the transaction has taken effect: the caller then gets
 `PlatformUnavailableError` and has to read the rows to find out.
+
+The table may be restored from an older copy: writes that it had acknowledged are
+gone, and versions are given out again. Its era rises by one each time. Nothing
+read in one era says anything about what was written in another.
 """
 
 from collections.abc import Sequence
@@ -11,6 +15,7 @@
 from typing import Any, Protocol
 
 ABSENT = 0
+NO_ERA = 0  # of a table that states no era, or was never restored
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +75,13 @@
 class Table(Protocol):
     """Transactional table; implemented by `Platform`, `Store` and the tables of tests."""
 
+    @property
+    def era(self) -> int:
+        """Highest era stated by an answer, at least that of each answer returned so far.
+
+        Answers of an earlier era are never returned: they raise `PlatformUnavailableError`.
+        """
+
     async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
         """Apply a transaction.
 
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -81,7 +81,8 @@
             if grant.fencing != self._fencing + 1 or not self._fencing:
                 self._held_since = now
             self._fencing = grant.fencing
-        settled = grant.fencing == 1 or now - self._held_since >= self._holder_gap
+        is_first = self._lease_manager.is_first_holder
+        settled = is_first or now - self._held_since >= self._holder_gap
         return grant if settled else None
 
     async def run(self) -> None:
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -9,12 +9,14 @@
 import anyio
 import msgspec
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from samphirehall.backing.client import EndpointOrder, OrderAnswer, UsageReport
-from samphirehall.backing.table import ABSENT, Check, Row, TransactionResult, Write
+from samphirehall.backing.client import ERA_HEADER, EndpointOrder, OrderAnswer, UsageReport
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row, TransactionResult, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.types import EndpointInfo, EndpointProtocol, EndpointState, HostInfo
 from samphirehall.standins.answers import json_response
@@ -76,15 +78,33 @@
     leaving_in: float | None = None
 
 
+@dataclass(slots=True)
+class TableCopy:
+    """Copy of the rows of a `MemoryTable`, and the last version of each key."""
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+
+
 class MemoryTable:
     """Holds the platform's transactional table in memory."""
 
     def __init__(self) -> None:
         self._rows: dict[str, Row] = {}
         self._versions: dict[str, int] = {}
+        self.era = NO_ERA
         self.reads = 0
         self.transactions = 0
 
+    def copy(self) -> TableCopy:
+        """Return a copy of all rows."""
+        return TableCopy(dict(self._rows), dict(self._versions))
+
+    def restore(self, copy: TableCopy) -> None:
+        """Come back from a copy; versions written since are given out again."""
+        self._rows, self._versions = dict(copy.rows), dict(copy.versions)
+        self.era += 1
+
     def transact(self, checks: list[Check], writes: list[Write]) -> TransactionResult:
         """Apply all writes, or none if a checked version differs."""
         self.transactions += 1
@@ -121,6 +141,23 @@
         return version
 
 
+class _EraMiddleware:
+    """Adds the era of the table to each answer."""
+
+    def __init__(self, app: ASGIApp, table: MemoryTable) -> None:
+        self._app = app
+        self._table = table
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_with_era(message: Message) -> None:
+            if message["type"] == "http.response.start":
+                era = (ERA_HEADER, str(self._table.era).encode())
+                message["headers"] = [*message.get("headers", ()), era]
+            await send(message)
+
+        await self._app(scope, receive, send_with_era)
+
+
 class PlatformStandin:
     """Serves the platform's interface from memory.
 
@@ -142,6 +179,7 @@
         self.usage: dict[tuple[int, str], UsageReport] = {}
         self.usage_conflicts: list[UsageReport] = []
         self.orders: dict[str, EndpointOrder] = {}
+        self._copy = TableCopy()
         self._objects: dict[str, bytes] = {}
         self._hosts = {host.host_id: host for host in topology.hosts}
         self._endpoints = {item.endpoint_id: item for item in topology.endpoints}
@@ -166,12 +204,14 @@
             Route("/endpoint-orders", self._order, methods=["POST"]),
             Route("/usage-reports", self._report, methods=["POST"]),
             Route("/admin/faults", self._set_faults, methods=["PUT"]),
+            Route("/admin/copies", self._save_copy, methods=["POST"]),
+            Route("/admin/restorations", self._restore_copy, methods=["POST"]),
             Route("/admin/hosts", self._set_hosts, methods=["PUT"]),
             Route("/admin/endpoints", self._change_endpoint, methods=["POST"]),
             Route("/admin/usage", self._list_usage, methods=["GET"]),
             Route("/admin/counts", self._counts, methods=["GET"]),
         ]
-        return Starlette(routes=routes)
+        return Starlette(routes=routes, middleware=[Middleware(_EraMiddleware, table=self.table)])
 
     async def _transact(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=_Transaction)
@@ -255,6 +295,17 @@
         _log.info("platform-faults", extra={"faults": msgspec.to_builtins(self.faults)})
         return json_response(self.faults)
 
+    async def _save_copy(self, request: Request) -> Response:
+        self._copy = self.table.copy()
+        return json_response(True)
+
+    async def _restore_copy(self, request: Request) -> Response:
+        """Lose all rows written since the last copy, as after a drill of the platform."""
+        self.table.restore(self._copy)
+        self._journal.append("restoration", self._copy)
+        _log.info("table-restored", extra={"era": self.table.era, "rows": len(self._copy.rows)})
+        return json_response({"era": self.table.era})
+
     async def _set_hosts(self, request: Request) -> Response:
         hosts = msgspec.json.decode(await request.body(), type=list[HostInfo])
         self._hosts = {host.host_id: host for host in hosts}
@@ -280,6 +331,8 @@
         match kind:
             case "rows":
                 self.table.transact([], msgspec.convert(value, list[Write]))
+            case "restoration":
+                self.table.restore(msgspec.convert(value, TableCopy))
             case "object":
                 self._objects[value[0]] = value[1]
             case "order":
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -12,6 +12,7 @@
     LeaseTimes,
     decide_takeover,
 )
+from samphirehall.backing.table import NO_ERA
 from samphirehall.core.errors import SamphireError
 from tests.authority.lease_simulation import (
     CALL_OUTCOMES,
@@ -41,7 +42,7 @@
         ],
     )
     def test_waits_only_while_another_grant_may_be_valid(self, row, now, take):
-        observation = LeaseObservation(1, 1, unchanged_since=0.0)
+        observation = LeaseObservation(NO_ERA, 1, 1, unchanged_since=0.0)
         assert decide_takeover(row, observation, TIMES, candidate="me", now=now).take_over is take
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -41,7 +41,7 @@
     rows: dict = field(default_factory=dict)
     history: list = field(default_factory=list)
     version: int = 0
-    era: int = 1
+    era: int = 0
     calls: list = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -35,6 +35,10 @@
     handlers: dict[str, Callable] = field(default_factory=dict)
     watch: Callable[[list[Check], list[Write]], None] | None = None
 
+    @property
+    def era(self) -> int:
+        return self.store.era
+
     async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
         return await Call("transact", (list(checks), list(writes)))
 
--- a/tests/support/table.py
+++ b/tests/support/table.py
@@ -57,6 +57,10 @@
     def __post_init__(self):
         self._random = random.Random(self.seed)
 
+    @property
+    def era(self) -> int:
+        return self.store.era
+
     async def transact(self, checks: Sequence[Check], writes: Sequence[Write]) -> TransactionResult:
         await self._before_operation()
         if self._fault_occurs(self.faults.late):
