Take the first lease of the whole system at once

Cause: the wait of the parent for a lease that a restored table may have lost also applied when the system starts for the first time. The platform says so (bootstrap), and then no lease can have been lost.

--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -222,6 +222,7 @@
     times: LeaseTimes,
     *,
     candidate: str,
+    first_start: bool = False,
     now: float,
 ) -> TakeoverDecision:
     """Decide whether a candidate without a grant may take the lease over.
@@ -237,10 +238,12 @@
         the row applies.
     candidate : str
         Incarnation of this process.
+    first_start : bool
+        Whether the whole system starts for the first time, so that no lease can have been lost.
     now : float
         Boot clock in seconds.
     """
-    in_first_era = observation.era == NO_ERA
+    in_first_era = observation.era == NO_ERA or (lease is None and first_start)
     if in_first_era or _was_taken_in_era(lease, observation.era):
         if lease is None:
             return TakeoverDecision(True, "the lease row does not exist yet")
--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -53,6 +53,8 @@
         Boot clock in seconds.
     sleep : callable
         Waits for a number of seconds.
+    first_start : bool
+        See `decide_takeover`.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         times: LeaseTimes,
         clock: Callable[[], float] = boot_seconds,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+        first_start: bool = False,
     ) -> None:
         self._table = table
         self._scope = scope
@@ -71,6 +74,7 @@
         self._times = times
         self._clock = clock
         self._sleep = sleep
+        self._first_start = first_start
         self._grant: LeaseGrant | None = None
         self._observation: LeaseObservation | None = None
         self._lease_row: LeaseRow | None = None
@@ -226,7 +230,12 @@
             self._observation, lease, renewal, era=self._table.era, now=now
         )
         decision = decide_takeover(
-            self._lease_row, self._observation, self._times, candidate=self._holder, now=now
+            self._lease_row,
+            self._observation,
+            self._times,
+            candidate=self._holder,
+            first_start=self._first_start,
+            now=now,
         )
         if decision.take_over and not self._stopped:
             await self._take_over(self._observation, decision.reason)
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -39,6 +39,8 @@
         Length of the lease in seconds.
     may_compete : callable
         Returns whether this host tries to acquire the lease while it does not hold it.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     def __init__(
@@ -47,11 +49,15 @@
         holder: str,
         lease_time: float,
         may_compete: Callable[[], bool] = lambda: True,
+        *,
+        first_start: bool = False,
     ) -> None:
         self._may_compete = may_compete
         self._lease_time = lease_time
         times = LeaseTimes(lease_time, lease_time * LEASE_MARGIN_FRACTION, MAX_CALL_SECONDS)
-        self._lease_manager = LeaseManager(table, SCOPE, holder=holder, times=times)
+        self._lease_manager = LeaseManager(
+            table, SCOPE, holder=holder, times=times, first_start=first_start
+        )
         self._fencing = 0
         self._held_since = 0.0
         self._random = random.Random(holder)
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -44,6 +44,8 @@
         and length of the window in which both are counted.
     max_row_bytes : int
         Maximum size of a row's value.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     host: str
@@ -66,6 +68,7 @@
     retry_budget_slack: float
     retry_budget_window: float
     max_row_bytes: int
+    first_start: bool
 
 
 def settings_path() -> str:
@@ -119,6 +122,7 @@
         retry_budget_slack=fields.number("bounds.retry_slack"),
         retry_budget_window=fields.number("bounds.budget_window_s"),
         max_row_bytes=fields.integer("platform.row_bytes"),
+        first_start=fields.optional("bootstrap") == "true",
     )
     if fields.problems:
         raise SettingsError(fields.problems)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -81,7 +81,11 @@
         self.agreed_time = AgreedTime()
         process = f"{settings.host}/{self.incarnation}"
         self.duty = Duty(
-            self.store, process, settings.lease_time, lambda: self.exchange.may_hold_duty()
+            self.store,
+            process,
+            settings.lease_time,
+            lambda: self.exchange.may_hold_duty(),
+            first_start=settings.first_start,
         )
         self.usage = UsageCounter(
             process, settings.usage_window, self.agreed_now, lookback=settings.usage_report_timeout
--- a/tests/authority/test_restored_lease.py
+++ b/tests/authority/test_restored_lease.py
@@ -94,6 +94,20 @@
         await world.step(0)
         assert world.grant(world.managers[0]) is None
 
+    async def test_first_lease_of_the_whole_system_is_taken_at_once(self):
+        world = World()
+        world.restore()
+        first = LeaseManager(
+            world.table,
+            "s",
+            holder="a/1",
+            times=TIMES,
+            clock=lambda: world.now,
+            first_start=True,
+        )
+        await first.step()
+        assert first.grant(now=world.now)
+
     @pytest.mark.parametrize("released", [True, False], ids=["released", "absent"])
     async def test_lease_free_in_the_copy_is_not_taken_while_a_lost_grant_may_last(self, released):
         world = World()
