Save usage counts again after the store was restored

What the users saw: windows that closed in the seconds before the restoration would be reported without the counts of other zones, or not at all after a takeover.

Cause: hosts remember which rows they have saved, and only write what changed. A restored store lacks the rows of its lost seconds, and closed windows never change.

In a new era nothing counts as saved. A conflict in one call does not end the others any more, since all rows are then in conflict at once. Both tests fail before.

--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from samphirehall.backing.table import ABSENT, Check, Table, Write
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Table, Write
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
@@ -104,10 +104,12 @@
     """Saves counts by window and process in rows of the store.
 
     Each write is conditional on the version it replaces: a write whose response was lost
-    may take effect seconds later, and would otherwise restore an older state.
+    may take effect seconds later, and would otherwise restore an older state. In a new era
+    of the table, nothing counts as saved.
     """
 
     def __init__(self) -> None:
+        self._era = NO_ERA
         self._versions: dict[str, int] = {}
         self._saved: dict[tuple[int, str], HostCounts] = {}
 
@@ -116,6 +118,10 @@
 
         Counts that could not be written are written by the next call.
         """
+        if table.era != self._era:
+            self._era = table.era
+            self._versions.clear()
+            self._saved.clear()
         for old in self._saved.keys() - counts.keys():
             del self._saved[old]
             self._versions.pop(_row_key(*old), None)
@@ -124,6 +130,7 @@
             for name, host in counts.items()
         }
         changed = [name for name, host in merged.items() if self._saved.get(name) != host]
+        all_saved = True
         for start in range(0, len(changed), MAX_ROWS_PER_CALL):
             names = changed[start : start + MAX_ROWS_PER_CALL]
             try:
@@ -134,8 +141,8 @@
             if not saved:
                 reason = "the rows were written by another host, or by a write without an answer"
                 log_decision(_log, "usage-unsaved", reason, rows=len(names))
-                return False
-        return True
+                all_saved = False
+        return all_saved
 
     async def _write(self, table: Table, counts: Mapping[tuple[int, str], HostCounts]) -> bool:
         """Write rows; on a version conflict, read the rows and return False."""
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -18,6 +18,8 @@
 from samphirehall.gateway.types import Stage
 from samphirehall.gateway.usage_reports import UsageReports, report_periodically, sum_key
 from samphirehall.gateway.usage_windows import (
+    MAX_ROWS_PER_CALL,
+    HostCounts,
     PeerUsage,
     UsageCounter,
     counts_prefix,
@@ -214,6 +216,32 @@
         rows = await table.scan(counts_prefix(20))
         assert rows[0].value["counts"] == {"acme": 3}
 
+    async def test_counts_of_all_windows_are_saved_again_after_the_store_was_restored(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        copy = table.store.copy()
+        counter = await self.counted(table, clock, "a", 2)
+        clock.now = 106.0
+        counter.record("acme")
+        await counter.save(table)
+        table.store.restore(copy)
+        for _ in range(2):
+            await counter.save(table)
+        saved = {row.key: row.value["counts"] for row in await table.scan("usage/counts/")}
+        assert saved == {
+            counts_prefix(20) + "a/1": {"acme": 2},
+            counts_prefix(21) + "a/1": {"acme": 1},
+        }
+
+    async def test_rows_in_conflict_do_not_keep_other_rows_from_being_saved(self):
+        table, clock = FaultyTable(), Clock(101.0)
+        counter = await self.counted(table, clock, "a", 1)
+        received = {(20, f"m{n}/1"): HostCounts(True, {"acme": n}) for n in range(100)}
+        await table.transact(
+            [], [Write(counts_prefix(20) + "m0/1", {"closed": False, "counts": {}})]
+        )
+        assert not await counter.save(table, received)
+        assert len(await table.scan(counts_prefix(20))) > MAX_ROWS_PER_CALL
+
     async def test_counts_that_could_not_be_saved_are_saved_later(self):
         table, clock = FaultyTable(), Clock(101.0)
         table.faults.outage = True
