Do not report a usage window again whose sum the store has lost

Cause: a holder that takes the duty over looks the last sum up in the store. A restored store lacks the sums of its lost seconds and the counts from which they were added up, so a window that was reported was added up and reported again.

Hubs and members tell each other the latest settled window. The host that stored a sum stores the same one again; others leave the window out. A host that was just started and finds sums of an earlier era only leaves out all windows that have ended. Rows of sums have the era in which they were stored; rows without it are still read.

--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -2,18 +2,23 @@
 
 The holder adds up the counts that hosts have saved or sent, stores the sum
 conditionally on its absence, and reports only the stored sum, so that a later
-holder can only report the same sum again.
+holder can only report the same sum again. A restored store may lack sums that were
+reported: hubs therefore tell each other the latest window whose sum was stored, and
+only the host that stored it may store it again. A window without a sum is then left
+out, as a second report with other counts would be worse than none.
 """
 
 import logging
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
+import msgspec
 
 from samphirehall.authority.lease import LeaseLostError
-from samphirehall.backing.table import ABSENT, Check, Table, Write
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Table, Write
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
@@ -27,6 +32,7 @@
     HostCounts,
     counts_prefix,
 )
+from samphirehall.gateway.zone_members import NO_WINDOW
 
 # Fraction of the time until a report is due for which the counts of a host are awaited. The
 # remainder is enough for another host to take over the duty if its holder is cut off.
@@ -36,11 +42,53 @@
 _log = logging.getLogger(__name__)
 
 
+class _StoredSum(msgspec.Struct):
+    """Value of the row of a sum: the counts by customer, and the era in which they were stored."""
+
+    era: int
+    counts: dict[str, int]
+
+
+def _decode_sum(value: dict[str, Any]) -> _StoredSum:
+    """Decode the value of a row; rows of earlier versions have the counts only."""
+    if isinstance(value.get("counts"), dict):
+        return msgspec.convert(value, _StoredSum)
+    return _StoredSum(NO_ERA, value)
+
+
+def _sum_window(key: str) -> int:
+    return int(key.removeprefix(SUMS_PREFIX))
+
+
+def _add_counts(hosts: Iterable[HostCounts]) -> dict[str, int]:
+    total: Counter[str] = Counter()
+    for host in hosts:
+        total.update(host.counts)
+    return dict(total)
+
+
 def sum_key(window: int) -> str:
     """Return the key of the stored sum of a window."""
     return f"{SUMS_PREFIX}{window:0{WINDOW_KEY_DIGITS}d}"
 
 
+@dataclass(slots=True)
+class ReportProgress:
+    """Latest window whose sum any holder of the duty has stored, as far as this host knows.
+
+    Attributes
+    ----------
+    settled_window : int
+        That window, `NO_WINDOW` without one.
+    """
+
+    settled_window: int = NO_WINDOW
+
+    def record(self, window: int) -> None:
+        """Record that the sum of a window was stored."""
+        self.settled_window = max(self.settled_window, window)
+
+
 @dataclass(slots=True)
 class UsageReports:
     """Reports windows for the holder of the duty, in order.
@@ -61,6 +109,10 @@
         Returns whether the hosts of other zones have closed a window and saved their counts.
     next_window : int or None
         Next window to report; None until it has been looked up in the store.
+    first_start : bool
+        Whether the whole system starts for the first time, so that nothing was reported before.
+    progress : ReportProgress
+        What this host and others have settled.
     """
 
     table: Table
@@ -71,6 +123,9 @@
     due_seconds: float
     others_closed: Callable[[int], bool] = lambda window: True
     next_window: int | None = None
+    first_start: bool = False
+    progress: ReportProgress = field(default_factory=ReportProgress)
+    _own_sums: dict[int, dict[str, int]] = field(default_factory=dict)
 
     async def report_due(self, agreed_now: float) -> None:
         """Report each window whose sum is final; stop at the first that must wait.
@@ -85,6 +140,11 @@
             self.next_window = await self._first_unreported(last)
         while self.next_window <= last:
             window = self.next_window
+            if await self._is_sum_lost(window):
+                reason = "the store has lost its sum, which may have been reported"
+                log_decision(_log, "usage-left-out", reason, window=window)
+                self.next_window = window + 1
+                continue
             counts = await self._settle(window, agreed_now)
             if counts is None:
                 return
@@ -95,37 +155,63 @@
     async def _first_unreported(self, last: int) -> int:
         """Return the window to report first.
 
-        This is the last window with a stored sum, since its report may have been lost.
+        This is the last window with a stored sum, since its report may have been lost. If the
+        store was restored since that sum was stored, later windows may have been reported as well;
+        a host that does not know how many leaves out all that have ended.
         """
         sums = await self.table.scan(SUMS_PREFIX)
+        newest_era = _decode_sum(sums[-1].value).era if sums else NO_ERA
+        may_be_lost = newest_era != self.table.era and (bool(sums) or not self.first_start)
+        if may_be_lost and self.progress.settled_window == NO_WINDOW:
+            self.progress.record(last)
         if sums:
-            return max(int(sums[-1].key.removeprefix(SUMS_PREFIX)), last - RETAINED_WINDOWS)
+            return max(_sum_window(sums[-1].key), last - RETAINED_WINDOWS)
         counts = await self.table.scan(COUNTS_PREFIX)
         if counts:
             return int(counts[0].key.removeprefix(COUNTS_PREFIX).split("/")[0])
         return last
 
+    async def _is_sum_lost(self, window: int) -> bool:
+        """Return whether a sum was stored that neither this host nor the store knows any more."""
+        if window > self.progress.settled_window or window in self._own_sums:
+            return False
+        return await self._stored_sum(window) is None
+
+    async def _stored_sum(self, window: int) -> dict[str, int] | None:
+        key = sum_key(window)
+        row = (await self.table.read([key])).get(key)
+        return None if row is None else _decode_sum(row.value).counts
+
     async def _settle(self, window: int, agreed_now: float) -> dict[str, int] | None:
         """Store the sum of a window if there is none; return the stored sum, or None to wait."""
         if not self.others_closed(window) and not self._is_overdue(window, agreed_now):
             return None
-        key = sum_key(window)
-        stored = (await self.table.read([key])).get(key)
+        stored = await self._stored_sum(window)
         if stored is not None:
-            return dict(stored.value)
-        counts_by_process = await self._counts_by_process(window)
-        if self._must_wait(window, counts_by_process, agreed_now):
-            return None
-        total: Counter[str] = Counter()
-        for counts in counts_by_process.values():
-            total.update(counts.counts)
-        expired_key = sum_key(window - RETAINED_WINDOWS)
-        writes = [Write(key, dict(total)), Write(expired_key, None)]
-        result = await self.table.transact([Check(key, ABSENT)], writes)
+            self._record_sum(window, stored)
+            return stored
+        total = self._own_sums.get(window)
+        if total is None:
+            counts_by_process = await self._counts_by_process(window)
+            if self._must_wait(window, counts_by_process, agreed_now):
+                return None
+            total = _add_counts(counts_by_process.values())
+        value = msgspec.to_builtins(_StoredSum(self.table.era, total))
+        writes = [Write(sum_key(window), value), Write(sum_key(window - RETAINED_WINDOWS), None)]
+        result = await self.table.transact([Check(sum_key(window), ABSENT)], writes)
         if not result.committed:
-            return dict(result.conflicts[0].value)
-        await self._delete_counts(window - RETAINED_WINDOWS)
-        return dict(total)
+            total = _decode_sum(result.conflicts[0].value).counts
+        self._record_sum(window, total)
+        if result.committed:
+            await self._delete_counts(window - RETAINED_WINDOWS)
+        return total
+
+    def _record_sum(self, window: int, counts: dict[str, int]) -> None:
+        """Remember a stored sum, to store it again if the store loses it."""
+        self.progress.record(window)
+        self._own_sums[window] = counts
+        for old in [other for other in self._own_sums if other < window - RETAINED_WINDOWS]:
+            del self._own_sums[old]
 
     async def _counts_by_process(self, window: int) -> dict[str, HostCounts]:
         """Return the counts of a window by process, merged from the store and from peers."""
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -21,6 +21,7 @@
 from samphirehall.gateway.load import decode_loads, subtract_loads
 from samphirehall.gateway.rows import Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
 from samphirehall.gateway.zone_hub import update_interval
 from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
@@ -78,6 +79,8 @@
         Usage counts of this host.
     peer_usage : PeerUsage
         Receives the usage counts of other hosts.
+    progress : ReportProgress
+        Receives the usage windows that are settled.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         configuration_version: Callable[[], int],
         usage: UsageCounter,
         peer_usage: PeerUsage,
+        progress: ReportProgress,
     ) -> None:
         self._context = context
         self._directory = directory
@@ -102,6 +106,7 @@
         self._configuration_version = configuration_version
         self._usage = usage
         self._peer_usage = peer_usage
+        self._progress = progress
         self._view = ZoneView(context.host, context.zone)
         self._updates = ZoneUpdates(
             context,
@@ -112,6 +117,7 @@
             configuration_version,
             usage,
             peer_usage,
+            progress,
         )
         self._roles = ZoneRoles(
             context, directory, endpoints, reading, self._view, now=boot_seconds()
@@ -333,6 +339,7 @@
     def _apply_member_update(self, update: MemberUpdate, address: Address, *, now: float) -> None:
         if update.zone != self._context.zone:
             return
+        self._progress.record(update.settled_window)
         self._directory.add_host(update.host, update.address)
         members = self._view.members
         if not self.is_hub or not members.record(update, address, now=now):
@@ -363,6 +370,7 @@
             return
         if update.configuration_version > self._configuration_version():
             self._catch_up.request(address)
+        self._progress.record(update.settled_window)
         for parts, age in update.blocked_parts:
             self._context.crashes.parts.receive_block(parts, age, now=now)
         self._context.limits.receive(update.limits, now=now)
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -89,6 +89,8 @@
         Changes of the endpoint list, while this host reads the store for its hub.
     limits : list
         Limits that endpoints state; see `LimitReport`.
+    settled_window : int
+        Latest usage window known to be settled; -1 if unknown. See `ReportProgress`.
     """
 
     host: str
@@ -105,6 +107,7 @@
     news: News
     changes: EncodedChanges | None = None
     limits: list[LimitReport] = []
+    settled_window: int = -1
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -162,6 +165,8 @@
         Parts of prompts in quarantine, and the seconds since their last crash.
     limits : list
         Limits that endpoints state; see `LimitReport`.
+    settled_window : int
+        See `MemberUpdate`.
     """
 
     summary: ZoneSummary
@@ -177,6 +182,7 @@
     usage: dict[str, dict[int, EncodedCounts]] = {}
     blocked_parts: list[tuple[list[str], float]] = []
     limits: list[LimitReport] = []
+    settled_window: int = -1
 
 
 Message = MemberUpdate | HubUpdate
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -10,6 +10,7 @@
 from samphirehall.gateway.endpoint_limits import LimitReport
 from samphirehall.gateway.news import NewsQueue
 from samphirehall.gateway.rows import ChangeSet, RowChange, TableFollower
+from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import (
     MAX_PUBLISHED_WINDOWS,
     HostCounts,
@@ -61,6 +62,8 @@
         Usage counts of this host.
     peer_usage : PeerUsage
         Usage counts of other hosts.
+    progress : ReportProgress
+        Usage windows that are settled.
 
     Attributes
     ----------
@@ -80,6 +83,7 @@
         configuration_version: Callable[[], int],
         usage: UsageCounter,
         peer_usage: PeerUsage,
+        progress: ReportProgress,
     ) -> None:
         self._context = context
         self._address = address
@@ -89,6 +93,7 @@
         self._configuration_version = configuration_version
         self._usage = usage
         self._peer_usage = peer_usage
+        self._progress = progress
         self._sequence = 0
         self._unacknowledged: OrderedDict[int, dict[str, list[int]]] = OrderedDict()
         self._usage_sent_at = float("-inf")
@@ -183,6 +188,7 @@
             self._outgoing.take(),
             encode_changes(self._endpoints.replica.recent_changes(now=now)) if reads else None,
             self._context.limits.reports(self._own_limits, now=now),
+            self._progress.settled_window,
         )
 
     def zone_update(self, *, now: float) -> HubUpdate:
@@ -210,6 +216,7 @@
                 (list(parts), age) for parts, age in self._context.crashes.parts.blocks(now=now)
             ][:MAX_BLOCKED_GROUPS],
             limits=limits,
+            settled_window=self._progress.settled_window,
         )
 
     def unstored_usage(self) -> dict[str, dict[int, EncodedCounts]]:
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -26,7 +26,7 @@
 from samphirehall.gateway.rows import RowChange, Switch, TableFollower, keep_known_rows
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
 from samphirehall.gateway.types import ListedEndpoint, Stage
-from samphirehall.gateway.usage_reports import UsageReports, report_periodically
+from samphirehall.gateway.usage_reports import ReportProgress, UsageReports, report_periodically
 from samphirehall.gateway.usage_windows import (
     SAVE_INTERVAL_SECONDS,
     HostCounts,
@@ -91,6 +91,7 @@
             process, settings.usage_window, self.agreed_now, lookback=settings.usage_report_timeout
         )
         self.peer_usage = PeerUsage()
+        self.report_progress = ReportProgress()
         self.context = GatewayContext(
             settings.host,
             settings.zone,
@@ -140,6 +141,7 @@
             lambda: self.gateway.version,
             self.usage,
             self.peer_usage,
+            self.report_progress,
         )
         self.reports = UsageReports(
             self.store,
@@ -149,6 +151,8 @@
             settings.usage_window,
             settings.usage_report_timeout,
             lambda window: self.exchange.view.others_closed(window, now=boot_seconds()),
+            first_start=settings.first_start,
+            progress=self.report_progress,
         )
         self.quarantine_store = QuarantineStore(
             self.store,
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -181,6 +181,53 @@
         assert (20, {"acme": 3}) in sent.windows
         assert {counts["acme"] for window, counts in sent.windows if window == 20} == {3}
 
+    async def settled_and_lost(self, *, hosts=("a",)):
+        """Report window 20 with the count 3, then lose its sum and rows of it."""
+        table, clock, sent = FaultyTable(), Clock(101.0), ReportRecorder()
+        table.store.era = 1
+        counter = await self.counted(table, clock, "a", 3)
+        copy = table.store.copy()
+        reports = reports_of(table, sent, hosts)
+        reports.next_window = 20
+        clock.now = 105.5
+        await counter.save(table)
+        await reports.report_due(clock.now)
+        assert sent.windows == [(20, {"acme": 3})]
+        table.store.restore(copy)
+        await self.counted(table, Clock(101.0), "late", 5)
+        return table, clock, sent, reports
+
+    async def test_host_that_settled_a_window_reports_the_same_sum_after_a_restoration(self):
+        table, clock, sent, reports = await self.settled_and_lost()
+        reports.next_window = 20
+        await reports.report_due(clock.now)
+        assert sent.windows == [(20, {"acme": 3})] * 2
+        assert (await table.read([sum_key(20)]))[sum_key(20)].value["counts"] == {"acme": 3}
+
+    async def test_window_settled_by_another_host_is_not_reported_with_other_counts(self):
+        table, _, sent, former = await self.settled_and_lost()
+        reports = reports_of(table, sent, ["a"])
+        reports.progress.record(former.progress.settled_window)
+        await self.counted(table, Clock(106.0), "a", 1)
+        await reports.report_due(110.5 + 10.0)
+        assert [window for window, _ in sent.windows].count(20) == 1
+        assert 21 in [window for window, _ in sent.windows]
+
+    async def test_started_host_leaves_out_windows_that_a_lost_holder_may_have_reported(self):
+        table, clock, sent, _ = await self.settled_and_lost()
+        reports = reports_of(table, sent, ["a"])
+        await reports.report_due(clock.now)
+        assert [window for window, _ in sent.windows].count(20) == 1
+        await self.counted(table, Clock(106.0), "a", 1)
+        await reports.report_due(110.5 + 10.0)
+        assert 21 in [window for window, _ in sent.windows]
+
+    async def test_sum_stored_by_an_earlier_version_is_reported(self):
+        table, sent = FaultyTable(), ReportRecorder()
+        await table.transact([], [Write(sum_key(20), {"acme": 7})])
+        await reports_of(table, sent, ["a"]).report_due(105.5)
+        assert sent.windows == [(20, {"acme": 7})]
+
     async def test_late_write_does_not_revert_a_row(self):
         table, clock = FaultyTable(), Clock(101.0)
         counter = await self.counted(table, clock, "a", 2)
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -22,6 +22,7 @@
 from samphirehall.gateway.load import EndpointLoad
 from samphirehall.gateway.rows import RowChange, Rows, StoreVersion, Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
 from samphirehall.gateway.zone_exchange import ZoneExchange
 from samphirehall.gateway.zone_members import MEMBER_TIMEOUT_SECONDS
@@ -102,6 +103,7 @@
         self.taken = []
         self.usage = UsageCounter(f"{name}/1", 5.0, lambda: 101.0)
         self.peer_usage = PeerUsage()
+        self.progress = ReportProgress()
         address = free_address()
         reading = Switch()
         self.endpoints = TableFollower(
@@ -127,6 +129,7 @@
             lambda: self.version,
             self.usage,
             self.peer_usage,
+            self.progress,
         )
         self.address = address
         self.scope = anyio.CancelScope()
