Write the quarantine again after the store was restored

What callers saw: nothing yet. If all hosts ended after a restoration, requests with a deadly part would crash engines again; a quarantine that a complete answer had ended would come back with the rows of the copy.

Cause: the hub remembers the rows that it has written, and never reads them again. In a new era it reads them, writes those that are missing and removes those of groups that it does not hold. Both tests fail before.

--- a/samphirehall/gateway/quarantine_store.py
+++ b/samphirehall/gateway/quarantine_store.py
@@ -5,11 +5,12 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
 import xxhash
 
-from samphirehall.backing.table import Row, Table, Write
+from samphirehall.backing.table import NO_ERA, Table, Write
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.routing.part_quarantine import Group, PartQuarantine
@@ -21,6 +22,15 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True, frozen=True)
+class _GroupRow:
+    """Row of one group of parts; `last_crash` is in seconds since 1970."""
+
+    key: str
+    group: Group
+    last_crash: float
+
+
 class QuarantineStore:
     """Keeps the rows of this host's quarantine while it is the hub.
 
@@ -50,6 +60,7 @@
         self._is_hub = is_hub
         self._clock = clock
         self._agreed_time = agreed_time
+        self._era = NO_ERA
         self._stored: dict[Group, str] | None = None
 
     async def run(self) -> None:
@@ -65,26 +76,36 @@
             return
         try:
             if self._stored is None:
-                self._stored = self._take_over(await self._table.scan(PREFIX, limit=MAX_ROWS))
+                self._stored = self._take_over(await self._rows())
+            elif self._table.era != self._era:
+                # What this hub knows is newer than the rows of a restored table.
+                self._stored = {row.group: row.key for row in await self._rows()}
             await self._write_changes(self._stored)
         except PlatformUnavailableError as error:
             _log.warning("quarantine-unsaved", extra={"reason": str(error)})
 
-    def _take_over(self, rows: list[Row]) -> dict[Group, str]:
-        """Record the groups in the rows; return the key of each row by its group."""
-        stored = {}
-        for row in rows:
+    async def _rows(self) -> list[_GroupRow]:
+        """Read the rows that can be decoded."""
+        found = await self._table.scan(PREFIX, limit=MAX_ROWS)
+        self._era = self._table.era
+        rows = []
+        for row in found:
             try:
-                parts, crashed_at = list(row.value["parts"]), float(row.value["last_crash"])
+                group, last_crash = frozenset(row.value["parts"]), float(row.value["last_crash"])
             except (KeyError, TypeError, ValueError) as error:
                 _log.warning("quarantine-unreadable", extra={"key": row.key, "reason": repr(error)})
                 continue
-            stored[frozenset(parts)] = row.key
-            age = max(0.0, self._agreed_time() - crashed_at)
-            self._quarantine.receive_block(parts, age, now=self._clock())
-        if stored:
-            log_decision(_log, "quarantine-read", "this host is the hub", groups=len(stored))
-        return stored
+            rows.append(_GroupRow(row.key, group, last_crash))
+        return rows
+
+    def _take_over(self, rows: list[_GroupRow]) -> dict[Group, str]:
+        """Record the groups in the rows; return the key of each row by its group."""
+        for row in rows:
+            age = max(0.0, self._agreed_time() - row.last_crash)
+            self._quarantine.receive_block(row.group, age, now=self._clock())
+        if rows:
+            log_decision(_log, "quarantine-read", "this host is the hub", groups=len(rows))
+        return {row.group: row.key for row in rows}
 
     async def _write_changes(self, stored: dict[Group, str]) -> None:
         ages = {frozenset(parts): age for parts, age in self._quarantine.blocks(now=self._clock())}
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -79,3 +79,32 @@
         table.faults = TableFaults()
         await hub.store.step()
         assert len(await table.scan(PREFIX)) == 1
+
+
+class TestRestoredStore:
+    async def test_quarantine_lost_with_the_rows_of_a_restored_store_is_written_again(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        hub = Hub(table, now=10.0)
+        hub.crash()
+        assert hub.blocked
+        await hub.store.step()
+        table.store.restore(copy)
+        await hub.store.step()
+        started = Hub(table, now=15.0)
+        await started.store.step()
+        assert started.blocked == {"deadly"}
+
+    async def test_quarantine_that_ended_before_the_restoration_does_not_come_back(self):
+        table = FaultyTable()
+        hub = Hub(table, now=10.0)
+        hub.crash()
+        assert hub.blocked
+        await hub.store.step()
+        copy = table.store.copy()
+        hub.quarantine.record_completion(["deadly"], now=hub.now)
+        await hub.store.step()
+        table.store.restore(copy)
+        await hub.store.step()
+        assert hub.blocked is None
+        assert await table.scan(PREFIX) == []
