Register live hosts that a restored store does not list

What callers saw: nothing; a host that was just started would not greet a host whose entry was lost, and learn of it only from a hub.

Cause: a host registers once, when it starts. The hub compares the entries with the hosts that it hears each time it reads them, and writes those that are missing.

--- a/samphirehall/gateway/host_directory.py
+++ b/samphirehall/gateway/host_directory.py
@@ -1,11 +1,12 @@
 """Addresses of hosts and hubs, registered in the store.
 
 A host reads the entries of its own zone once when it starts; after that hosts learn
-of each other from datagrams. Hubs read the entries periodically.
+of each other from datagrams. Hubs read the entries periodically, and write those of
+live hosts that the store lacks, since it may have been restored from an older copy.
 """
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import anyio
 
@@ -16,6 +17,7 @@
 HOST_PREFIX = "hosts/"
 HUB_PREFIX = "hubs/"
 RETRY_INTERVAL_SECONDS = 1.0
+MAX_ROWS_PER_CALL = 100  # limit of the store
 
 _log = logging.getLogger(__name__)
 
@@ -90,16 +92,42 @@
             await anyio.sleep(RETRY_INTERVAL_SECONDS)
         self._loaded.set()
 
-    async def refresh_as_hub(self) -> bool:
-        """Register this host as the hub and read all entries; return whether the store answered."""
+    async def refresh_as_hub(self, live: Mapping[str, str]) -> bool:
+        """Register this host as the hub and read all entries; return whether the store answered.
+
+        Parameters
+        ----------
+        live : mapping of str to str
+            Addresses of the live hosts of the zone by name.
+        """
         entry = Write(f"{HUB_PREFIX}{self._zone}", [self._host, self._address])
-        return await _try(lambda: self._register_and_load(entry)) and await _try(self._load_hubs)
 
-    async def _register_and_load(self, entry: Write) -> None:
+        async def refresh() -> None:
+            listed = await self._register_and_load(entry)
+            await self._register_unlisted(live, listed)
+            await self._load_hubs()
+
+        return await _try(refresh)
+
+    async def _register_and_load(self, entry: Write) -> set[str]:
+        """Write an entry and read those of the zone; return the names of the listed hosts."""
         await self._table.transact([], [entry])
         prefix = f"{HOST_PREFIX}{self._zone}/"
-        for row in await self._table.scan(prefix):
-            self.add_host(row.key.removeprefix(prefix), row.value)
+        rows = {row.key.removeprefix(prefix): row.value for row in await self._table.scan(prefix)}
+        for name, address in rows.items():
+            self.add_host(name, address)
+        return set(rows)
+
+    async def _register_unlisted(self, live: Mapping[str, str], listed: set[str]) -> None:
+        missing = {name: address for name, address in live.items() if name not in listed}
+        writes = [
+            Write(f"{HOST_PREFIX}{self._zone}/{name}", address) for name, address in missing.items()
+        ]
+        for start in range(0, len(writes), MAX_ROWS_PER_CALL):
+            await self._table.transact([], writes[start : start + MAX_ROWS_PER_CALL])
+        if missing:
+            reason = "live, but not listed by the store"
+            log_decision(_log, "hosts-registered", reason, peers=sorted(missing))
 
     async def _load_hubs(self) -> None:
         for row in await self._table.scan(HUB_PREFIX):
@@ -107,7 +135,7 @@
                 self.add_hub(row.key.removeprefix(HUB_PREFIX), str(row.value[0]), row.value[1])
 
 
-async def _try(call: Callable[[], Awaitable[None]]) -> bool:
+async def _try(call: Callable[[], Awaitable[object]]) -> bool:
     """Call the store; return whether it answered."""
     try:
         await call()
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -216,7 +216,9 @@
         """As the hub, read the entries of hosts and hubs periodically."""
         while True:
             await self._roles.acts_as_hub.wait()
-            done = await self._directory.refresh_as_hub()
+            live = dict(names_by_address(self._view.members.live(now=boot_seconds()).items()))
+            live[self._context.host] = self._address
+            done = await self._directory.refresh_as_hub(live)
             await anyio.sleep(DIRECTORY_REFRESH_SECONDS if done else DIRECTORY_RETRY_SECONDS)
 
     # Roles
