Break off a continued stream at an event without a number

What callers saw: if the endpoint that continues a stream sends the head and text of an error as the body of its answer, this text came in the middle of the stream.

Cause: events without a number were always passed on. A continued stream has numbers by definition; one without cannot follow the events before it.

Evidence: test_text_of_an_error_is_never_part_of_a_stream fails before for the kind 'head of an error inside a body' and passes for the seven others. The two other reports, a refusal that is repeated on a kept connection and a head that is broken off, do not happen in gateway/: answers are matched by the id of the request, and the parser reports an unfinished head. Their tests pass on the parent as well.

--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -81,14 +81,17 @@
     Raises
     ------
     IncompleteResponseError
-        The stream broke off, or ended inside an event.
+        The stream broke off, ended inside an event, or does not continue the former one.
     """
     delivery.splitter = EventSplitter()
-    if not delivery.caller.started:
+    continues = delivery.caller.started
+    if not continues:
         await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
         on_event()
         set_inactivity_deadline(scope, request_state, _inter_event_gap_limit(request_state))
+        if continues and event.number is None:
+            raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
     if delivery.splitter.remainder:
         raise IncompleteResponseError("the stream ended inside an event")
