Take all times of a test from one clock, and test with other boot clocks

On a machine that had been up for less than 1,000 s one test failed: its own clock began at 1000 s, and its request was stamped with the boot clock (2009 in place of 2007). Seen again in this checkout before the change, on a machine up for 10 minutes.

Read for state that begins with 0.0 as 'long ago': gateway, authority, admission, routing, placement, membership. All are times until which something holds, or are set before they are compared, except the first publication of a zone report, which a host that started within its interval after boot makes that much later.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 VENV ?= .venv
 SEED ?=
 
-.PHONY: environment demo load test lint prove prove-long
+# Packages that decide by the boot clock, and those that start processes.
+CLOCK_TESTS = admission authority configuration gateway placement programs/test_node.py routing usage
+
+.PHONY: environment demo load test test-clocks lint prove prove-long
 
 environment: $(VENV)/.ready
 
@@ -22,6 +25,10 @@
 test: environment
 	$(VENV)/bin/python -m pytest
 
+# The same verdict on a host that was just started, and on one that has run for 100 days.
+test-clocks: environment
+	$(VENV)/bin/python -m tests.support.run_with_boot_clocks 5 8640000 -- $(addprefix tests/,$(CLOCK_TESTS))
+
 lint: environment
 	$(VENV)/bin/black --check .
 	$(VENV)/bin/ruff check .
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -56,11 +56,19 @@
     return Prompt("m", tuple(parts), tokens, 20)
 
 
-def request(path="/read/x", *, request_id="r1", key="key-1", body=b"", prompt=None, method=None):
-    """Return a request that was received just now."""
+def request(
+    path="/read/x",
+    *,
+    request_id="r1",
+    key="key-1",
+    body=b"",
+    prompt=None,
+    method=None,
+    now=None,
+):
+    """Return a request that was received at `now`, by default just now on the boot clock."""
     headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
     http_method = method or ("POST" if body or prompt else "GET")
-    now = boot_seconds()
     return Request(
         request_id,
         http_method,
@@ -72,7 +80,7 @@
         prompt,
         None,
         None,
-        now,
+        boot_seconds() if now is None else now,
     )
 
 
--- a/tests/gateway/test_endpoint_limits.py
+++ b/tests/gateway/test_endpoint_limits.py
@@ -82,8 +82,7 @@
     results = []
     for number in range(int(rate * seconds)):
         clock.now += 1 / rate
-        asked = request(path, request_id=f"r{number}", prompt=of)
-        asked.received_at = clock.now
+        asked = request(path, request_id=f"r{number}", prompt=of, now=clock.now)
         try:
             await gateway.serve(asked, RecordingCaller())
             results.append(OK)
@@ -155,7 +154,7 @@
             gateway.context.fleet.update(listed("e0", desk.address), DESK)
             await load(gateway, clock, rate=20, seconds=1, path="/read/x")
             with pytest.raises(SamphireError) as caught:
-                await gateway.serve(request(), RecordingCaller())
+                await gateway.serve(request(now=clock.now), RecordingCaller())
         assert caught.value.result is OVERLOADED and caught.value.result.run == "not-run"
         assert 0 < caught.value.retry_after <= 1.0
 
