--- a/samphirehall/configuration/store.py
+++ b/samphirehall/configuration/store.py
@@ -2,10 +2,14 @@
 
 A pointer row names the manifest of the version in force; the manifest lists the
 digests of the parts. Manifests and parts are objects addressed by their digests.
+
+The table may be restored from an older copy, and then lacks versions that are in force.
+Hosts store the version that they have again. The first change after a restoration leaves
+out numbers, as its number would otherwise be that of a lost version of other content.
 """
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -13,7 +17,7 @@
 import msgspec
 
 from samphirehall.backing import Check, Table, Write
-from samphirehall.backing.table import ABSENT
+from samphirehall.backing.table import ABSENT, NO_ERA
 from samphirehall.configuration.documents import Part, decode_part, encode_part, part_digest
 from samphirehall.configuration.version import Configuration
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
@@ -25,6 +29,7 @@
 HISTORY_PREFIX = "configuration/history/"
 MAX_POINTER_ATTEMPTS = 8
 POINTER_RETRY_INTERVAL_SECONDS = 0.2
+RESTORED_VERSION_GAP = 1_000  # more changes than a table loses in a restoration
 MAX_HISTORY_VERSIONS = 10_000  # older rows are deleted when a version is accepted
 
 _log = logging.getLogger(__name__)
@@ -47,6 +52,8 @@
         accepted.
     applied_at : float
         Wall clock of the applying host, in seconds since the epoch.
+    era : int
+        Era of the table in which the number was chosen.
     """
 
     version: int
@@ -54,6 +61,7 @@
     author: str
     change: str
     applied_at: float
+    era: int = NO_ERA
 
 
 @dataclass(slots=True, frozen=True)
@@ -138,7 +146,26 @@
     current_version = current.version if current else 0
     if base_version is not None and base_version != current_version:
         raise _conflict_error(base_version, current)
+    era = platform.era
     stored = set((await read_manifest(platform, current)).parts.values()) if current else set()
+    manifest = await _put_objects(platform, parts, stored)
+    version = _next_version(current, era)
+    pointer = Pointer(version, manifest, author, new_identifier("chg"), now, era)
+    await _write_pointer(platform, pointer, row_version)
+    log_decision(_log, "configuration-applied", "accepted", version=pointer.version, author=author)
+    return pointer
+
+
+def _next_version(current: Pointer | None, era: int) -> int:
+    if current is None:
+        return 1 if era == NO_ERA else 1 + RESTORED_VERSION_GAP
+    return current.version + (1 if current.era == era else RESTORED_VERSION_GAP)
+
+
+async def _put_objects(
+    platform: ConfigurationStore, parts: Mapping[str, Part], stored: Container[str]
+) -> str:
+    """Store the parts whose digests are not in `stored`, and their manifest; return its digest."""
     encoded = {name: encode_part(part) for name, part in parts.items()}
     digests = {name: content_digest(content) for name, content in encoded.items()}
     manifest = msgspec.json.encode(Manifest(digests), order="sorted")
@@ -146,12 +173,45 @@
         if digests[name] not in stored:
             await platform.put_object(digests[name], content)
     await platform.put_object(content_digest(manifest), manifest)
-    pointer = Pointer(
-        current_version + 1, content_digest(manifest), author, new_identifier("chg"), now
-    )
-    await _write_pointer(platform, pointer, row_version)
-    log_decision(_log, "configuration-applied", "accepted", version=pointer.version, author=author)
-    return pointer
+    return content_digest(manifest)
+
+
+async def store_again(
+    platform: ConfigurationStore, configuration: Configuration, *, author: str, now: float
+) -> bool:
+    """Store a version that the table lacks since it was restored; return whether that was needed.
+
+    The pointer keeps the era of the one that it replaces, so that the next change still leaves
+    out the numbers of versions that no host has stored again.
+
+    Parameters
+    ----------
+    platform : ConfigurationStore
+        Store of the configuration.
+    configuration : Configuration
+        Newest version that this host has.
+    author : str
+        Named in the history.
+    now : float
+        Wall clock in seconds since the epoch.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        The platform did not answer.
+    """
+    current, row_version = await read_pointer(platform)
+    if current is not None and current.version >= configuration.version:
+        return False
+    manifest = await _put_objects(platform, configuration.parts, frozenset())
+    era = current.era if current else NO_ERA
+    change = new_identifier("chg")
+    pointer = Pointer(configuration.version, manifest, author, change, now, era)
+    result = await platform.transact([Check(POINTER_KEY, row_version)], _pointer_writes(pointer))
+    if result.committed:
+        reason = "the table was restored from an older copy"
+        log_decision(_log, "configuration-stored-again", reason, version=pointer.version)
+    return result.committed
 
 
 async def _write_pointer(platform: Table, pointer: Pointer, row_version: int) -> None:
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -82,7 +82,7 @@
         self._endpoint_table: dict[str, EndpointInfo] | None = None
         self._serving_by_target: dict[tuple[str, EndpointProtocol], _ServingEndpoints] = {}
         self._host_expiries: dict[str, float] = {}
-        self._hosts_counted_at = 0.0
+        self._hosts_counted_at = float("-inf")
         now = boot_seconds()
         self._refresh()
         for kind in FACT_KINDS:
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -16,6 +16,8 @@
     apply_configuration,
     fetch_configuration,
     read_history,
+    read_pointer,
+    store_again,
 )
 from samphirehall.configuration.version import EMPTY_CONFIGURATION
 from samphirehall.core.errors import PlatformUnavailableError
@@ -181,3 +183,50 @@
         assert state.configuration.version == 0, "peers without an answer may have a newer version"
         gate.record_peer_answer(all_answered=False, now=5.0)
         assert state.configuration.version == 4
+
+
+class TestRestoredTable:
+    @pytest.fixture
+    def anyio_backend(self):
+        return "asyncio"
+
+    async def restored(self):
+        """Return a store that has lost version 2, and the configurations 1 and 2."""
+        store = FaultyStore()
+        first = await fetch_configuration(store, await apply(store, 1.0), EMPTY_CONFIGURATION)
+        copy = store.store.copy()
+        second = await fetch_configuration(store, await apply(store, 2.0), first)
+        store.store.restore(copy)
+        return store, first, second
+
+    @pytest.mark.anyio
+    async def test_version_that_a_host_has_is_stored_again(self):
+        store, _, second = await self.restored()
+        assert await store_again(store, second, author="host-a", now=0.0)
+        pointer, _ = await read_pointer(store)
+        assert pointer.version == 2
+        assert (await fetch_configuration(store, pointer, EMPTY_CONFIGURATION)).parts == (
+            second.parts
+        )
+        assert not await store_again(store, second, author="host-b", now=0.0)
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("stored_again", [False, True])
+    async def test_change_after_the_restoration_has_no_number_of_a_lost_version(self, stored_again):
+        store, first, second = await self.restored()
+        if stored_again:
+            await store_again(store, first, author="host-a", now=0.0)
+        changed = await apply(store, 3.0)
+        assert changed.version > second.version
+        assert (await apply(store, 4.0)).version == changed.version + 1
+
+    @pytest.mark.anyio
+    async def test_host_with_a_lost_version_takes_the_change_after_the_restoration(self):
+        store, _, second = await self.restored()
+        state = NodeState("host-a/1", "zone-1", 1)
+        gate = ConfigurationGate(state, started_at=0.0)
+        gate.record_store_answer(now=0.0)
+        assert gate.offer(second, now=0.0)
+        changed = await fetch_configuration(store, await apply(store, 3.0), second)
+        assert gate.offer(changed, now=1.0)
+        assert state.configuration.parts == changed.parts
