List two faults of the two-process form on a restored table as known red

A booking whose claim was lost can run twice, and a usage window that was frozen can be frozen with other figures.

--- a/tests/forwarding/test_claims.py
+++ b/tests/forwarding/test_claims.py
@@ -196,3 +196,15 @@
                     claim_row.won
                 ), "the caller was told not-run, but the key cannot be claimed again"
         assert all(count == 1 for count in callers.ran.values())
+
+
+class TestRestoredTable:
+    async def test_request_whose_claim_a_restored_table_has_lost_is_not_won_again(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        async with running_store(table) as first, running_store(table) as second:
+            claim_row = await claim(first)
+            await first.record_outcome(claim_row, OUTCOME)
+            table.store.restore(copy)
+            again = await claim(second)
+        assert claim_row.won and not again.won
--- a/tests/usage/test_windows.py
+++ b/tests/usage/test_windows.py
@@ -5,13 +5,24 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from samphirehall.authority.lease import LeaseGrant, lease_key
 from samphirehall.backing.table import Write
 from samphirehall.core.types import UsageFigures
 from samphirehall.usage.counts import Cell, Counts
-from samphirehall.usage.rows import UsageRow, row_key
-from samphirehall.usage.windows import frozen_key, sum_rows
+from samphirehall.usage.flusher import NEXT_WINDOW_KEY
+from samphirehall.usage.rows import Source, UsageRow, encode_row, row_key
+from samphirehall.usage.windows import WindowCloser, frozen_key, sum_rows
 from tests.support.steps import SteppedTask
-from tests.usage.world import CALL_OUTCOMES, CUSTOMERS, START, WINDOW, UsageWorld, run_long
+from tests.support.table import FaultyTable
+from tests.usage.world import (
+    CALL_OUTCOMES,
+    CUSTOMERS,
+    GRACE,
+    START,
+    WINDOW,
+    UsageWorld,
+    run_long,
+)
 
 INDEX = st.integers(0, 1)
 CELL = Cell(int(START), "petal-coop")
@@ -147,3 +158,29 @@
 
 TestUsage = UsageMachine.TestCase
 TestUsage.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+class TestRestoredTable:
+    @pytest.mark.anyio
+    async def test_window_whose_figures_a_restored_table_has_lost_is_frozen_as_before(self):
+        window, later = int(START), START + 3 * WINDOW
+        table = FaultyTable()
+        lease = await table.transact([], [Write(lease_key("platform"), {})])
+        grant = LeaseGrant("platform", "a/1", 1, 1e9, lease.versions[lease_key("platform")])
+        row = UsageRow({"coop": Counts(1, 10, 5)})
+        await table.transact(
+            [],
+            [
+                Write(NEXT_WINDOW_KEY, window),
+                Write(row_key(window, Source("a", 1)), encode_row(row)),
+            ],
+        )
+        copy = table.store.copy()
+        late = UsageRow({"coop": Counts(2, 20, 10)})
+        await table.transact([], [Write(row_key(window, Source("b", 1)), encode_row(late))])
+        closer = WindowCloser(table, window_seconds=WINDOW)
+        await closer.step(grant, grace=GRACE, now=later)
+        frozen = table.value(frozen_key(window))
+        table.store.restore(copy)
+        await closer.step(grant, grace=GRACE, now=later)
+        assert table.value(frozen_key(window)) == frozen
