--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -243,8 +243,8 @@
     now : float
         Boot clock in seconds.
     """
-    in_first_era = observation.era == NO_ERA or (lease is None and first_start)
-    if in_first_era or _was_taken_in_era(lease, observation.era):
+    never_restored = observation.era == NO_ERA or (lease is None and first_start)
+    if never_restored or _was_taken_in_era(lease, observation.era):
         if lease is None:
             return TakeoverDecision(True, "the lease row does not exist yet")
         if lease.holder == NO_HOLDER:
