Write claims again after the table was restored (two-process form)

What callers saw: a booking sent twice with one key, around a restoration of the table, ran twice.

Cause: the claim is a row of the table, and a copy lacks those of its lost seconds.

Entries remember the claims under which requests may run for a minute, read the table once a second while they have any, and write them again in a new era, over what later attempts have written. A claim of a new era is used only 2.5 s after the entry has heard of that era; if the deadline is nearer, the request is refused as not run with the time to return. Not covered: claims of an entry that has ended, or is cut off from the table for longer than that.

--- a/samphirehall/forwarding/claims.py
+++ b/samphirehall/forwarding/claims.py
@@ -3,6 +3,10 @@
 A claim is a row keyed by customer and idempotency key, written before the
 first byte of the request is sent to an endpoint. A claimed request is
 dispatched at most once, whatever fails. See docs/design/0005-forwarding.md.
+
+A table that is restored from an older copy lacks the claims of its lost seconds. Each
+process writes its own ones again, and nothing is dispatched under a claim of the new
+era before all processes had time for it.
 """
 
 import enum
@@ -10,12 +14,13 @@
 import logging
 import random
 from dataclasses import dataclass, replace
+from typing import Any
 
 import anyio
 import msgspec
 
 from samphirehall.backing import Row, Table
-from samphirehall.backing.table import ABSENT
+from samphirehall.backing.table import ABSENT, NO_ERA
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import new_identifier
@@ -35,6 +40,10 @@
 MAX_POLL_INTERVAL_SECONDS = 0.5
 OUTCOME_WRITE_TIMEOUT_SECONDS = 0.25
 MAX_OUTCOME_BYTES = 64 * 1024
+ERA_CHECK_INTERVAL_SECONDS = 1.0  # while a process has recent claims of its own
+RESTORED_WAIT_SECONDS = 2.5  # for a check of the era and a write by each process
+OWN_CLAIM_SECONDS = 60.0  # longer than what a restored table loses
+MAX_KEPT_OUTCOME_CHARACTERS = 4096  # bounds the memory of an entry for its own claims
 CLEANUP_INTERVAL_SECONDS = 30.0
 MAX_CLEANUP_ROWS = 200
 MAX_SHARD_DIGITS = 8
@@ -111,6 +120,17 @@
     won: bool
 
 
+@dataclass(slots=True)
+class _OwnClaim:
+    """Latest value of a claim that this process wrote, to be written again.
+
+    `forget_at` is a time of the boot clock in seconds.
+    """
+
+    value: dict[str, Any]
+    forget_at: float
+
+
 class ClaimStore:
     """Reads claims from the platform's table, and writes them by group commit.
 
@@ -126,10 +146,15 @@
         self._table = table
         self._random = random_source or random.Random()
         self._group_commit = GroupCommit(table, random_source=self._random)
+        self._own_claims: dict[str, _OwnClaim] = {}
+        self._era: int | None = None
+        self._era_since = float("-inf")
 
     async def run(self) -> None:
-        """Commit queued claims and outcomes until cancelled."""
-        await self._group_commit.run()
+        """Commit queued claims and outcomes, and watch for restorations, until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._group_commit.run)
+            group.start_soon(self._watch_era)
 
     async def flush(self) -> None:
         """Wait until every outcome and refusal is stored."""
@@ -167,8 +192,14 @@
             if row.value is None or _is_refused(row):
                 outcome = await self._write_claim(row, claim, deadline)
                 row = outcome.row
-                if outcome.committed:
+                if outcome.committed and self._is_settled(now=boot_seconds()):
+                    self._keep_own(row.key, claim, now=boot_seconds())
                     return ClaimRow(row_key, row.version, claim, won=True)
+                if outcome.committed:
+                    row = await self._read_after_restoration(row, claim, deadline)
+                    if row.value == msgspec.to_builtins(claim):
+                        self._keep_own(row.key, claim, now=boot_seconds())
+                        return ClaimRow(row_key, row.version, claim, won=True)
                 continue
             current = msgspec.convert(row.value, Claim)
             if not _may_still_finish(current, fingerprint, now=wall_seconds()):
@@ -234,6 +265,66 @@
             return min(MAX_SHARD_DIGITS, digits + 1)
         return max(1, digits - 1) if len(rows) < MAX_CLEANUP_ROWS // 32 else digits
 
+    def _keep_own(self, key: str, claim: Claim, *, now: float) -> None:
+        """Remember the value of a claim under which the request may run; long answers are left."""
+        if claim.outcome is not None and len(claim.outcome.body) > MAX_KEPT_OUTCOME_CHARACTERS:
+            claim = replace(claim, outcome=None)
+        self._own_claims[key] = _OwnClaim(msgspec.to_builtins(claim), now + OWN_CLAIM_SECONDS)
+
+    async def _watch_era(self) -> None:
+        """Read the table while there are own claims, so that a restoration is noticed."""
+        while True:
+            await anyio.sleep(ERA_CHECK_INTERVAL_SECONDS)
+            now = boot_seconds()
+            for key in [key for key, own in self._own_claims.items() if own.forget_at <= now]:
+                del self._own_claims[key]
+            if self._own_claims:
+                try:
+                    await self._table.read([next(iter(self._own_claims))])
+                except PlatformUnavailableError:
+                    continue
+            self._is_settled(now=boot_seconds())
+
+    def _is_settled(self, *, now: float) -> bool:
+        """Return whether all processes had time to write their claims into the current table."""
+        era = self._table.era
+        if self._era is None:
+            # A process that was just started cannot tell how long ago the table was restored.
+            self._era, self._era_since = era, (float("-inf") if era == NO_ERA else now)
+        if era != self._era:
+            self._era, self._era_since = era, now
+            reason = "the table was restored from an older copy"
+            log_decision(_log, "claims-stored-again", reason, claims=len(self._own_claims), era=era)
+            for key, own in self._own_claims.items():
+                self._insist(key, ABSENT, own.value)
+        return now >= self._era_since + RESTORED_WAIT_SECONDS
+
+    def _insist(self, key: str, version: int, value: dict[str, Any]) -> None:
+        """Write a claim over whatever a restored table or a later attempt has in its place."""
+
+        def write_over(outcome: WriteOutcome) -> None:
+            if not outcome.committed:
+                self._insist(key, outcome.row.version, value)
+
+        self._group_commit.submit(key, version, value, on_done=write_over)
+
+    async def _read_after_restoration(self, row: Row, claim: Claim, deadline: float) -> Row:
+        """Wait for the claims of other processes, and read the row that this process wrote.
+
+        Raises
+        ------
+        SamphireError
+            The deadline is too near; the claim is given up and nothing was dispatched.
+        """
+        settled_at = self._era_since + RESTORED_WAIT_SECONDS
+        if settled_at >= deadline:
+            refused = msgspec.to_builtins(replace(claim, state=ClaimState.REFUSED))
+            self._group_commit.submit(row.key, row.version, refused)
+            detail = "the table was restored, and its claims are not complete yet"
+            raise SamphireError(STORE_UNAVAILABLE, detail, retry_after=settled_at - boot_seconds())
+        await anyio.sleep(max(0.0, settled_at - boot_seconds()))
+        return await self._read(row)
+
     async def _write_claim(self, row: Row, claim: Claim, deadline: float) -> WriteOutcome:
         write = self._group_commit.submit(row.key, row.version, msgspec.to_builtins(claim))
         try:
@@ -273,9 +364,25 @@
         *,
         size_bytes: int = DEFAULT_ROW_BYTES,
     ) -> PendingWrite:
-        value = msgspec.to_builtins(replace(claim_row.claim, state=state, outcome=outcome))
+        claim = replace(claim_row.claim, state=state, outcome=outcome)
+        value = msgspec.to_builtins(claim)
+        if state is ClaimState.REFUSED:
+            self._own_claims.pop(claim_row.key, None)
+        else:
+            self._keep_own(claim_row.key, claim, now=boot_seconds())
+
+        def write_over_own(outcome: WriteOutcome) -> None:
+            row = outcome.row
+            is_own = row.value is not None and row.value["attempt"] == claim.attempt
+            if not outcome.committed and is_own:
+                self._group_commit.submit(row.key, row.version, value, size_bytes=size_bytes)
+
         return self._group_commit.submit(
-            claim_row.key, claim_row.version, value, size_bytes=size_bytes
+            claim_row.key,
+            claim_row.version,
+            value,
+            size_bytes=size_bytes,
+            on_done=write_over_own,
         )
 
     async def _read(self, row: Row) -> Row:
--- a/tests/forwarding/test_claims.py
+++ b/tests/forwarding/test_claims.py
@@ -14,7 +14,12 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import STORE_UNAVAILABLE
 from samphirehall.forwarding import group_commit
-from samphirehall.forwarding.claims import ClaimState, ClaimStore, StoredOutcome
+from samphirehall.forwarding.claims import (
+    RESTORED_WAIT_SECONDS,
+    ClaimState,
+    ClaimStore,
+    StoredOutcome,
+)
 from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
@@ -208,3 +213,50 @@
             table.store.restore(copy)
             again = await claim(second)
         assert claim_row.won and not again.won
+        assert again.claim.outcome == OUTCOME
+
+    async def test_request_that_still_runs_at_the_restoration_is_not_won_again(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        async with running_store(table) as first, running_store(table) as second:
+            claim_row = await claim(first)
+            table.store.restore(copy)
+            async with anyio.create_task_group() as group:
+                group.start_soon(anyio.sleep, RESTORED_WAIT_SECONDS + 0.5)
+                again = await claim(second, seconds=RESTORED_WAIT_SECONDS + 1.0)
+            first.mark_ran(claim_row)
+            await first.flush()
+            replay = await claim(second)
+        assert not again.won and not replay.won
+        assert replay.claim.state is ClaimState.RAN
+
+    async def test_new_request_is_won_once_all_had_time_to_write_their_claims(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        async with running_store(table) as store:
+            await claim(store, "before")
+            table.store.restore(copy)
+            assert (await claim(store, "after")).won
+
+    async def test_request_with_a_near_deadline_is_refused_as_not_run_and_may_come_again(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        async with running_store(table) as store:
+            await claim(store, "before")
+            table.store.restore(copy)
+            with pytest.raises(SamphireError) as caught:
+                await claim(store, "after", seconds=0.5)
+            assert caught.value.result is STORE_UNAVAILABLE
+            assert 0 < caught.value.retry_after <= RESTORED_WAIT_SECONDS
+            await anyio.sleep(caught.value.retry_after)
+            assert (await claim(store, "after")).won
+
+    async def test_claim_given_up_before_the_restoration_does_not_come_back(self):
+        table = FaultyTable()
+        copy = table.store.copy()
+        async with running_store(table) as first, running_store(table) as second:
+            refused = await claim(first)
+            first.mark_refused(refused)
+            await first.flush()
+            table.store.restore(copy)
+            assert (await claim(second)).won
