Prove the promises on a table that is restored, and mend what it finds (two-process form)

The proofs have a scenario in which the platform comes back from a copy while operators race and processes die. Two causes: a change whose number was chosen before the restoration was written after it, since the version of the pointer row was given out again; and a host that stored a lost version again named itself as the author.

A change that was written in another era than it was numbered in is made again with a number of that era. A lost version is stored again with the pointer under which it was accepted, by hosts that know it.

--- a/samphirehall/configuration/store.py
+++ b/samphirehall/configuration/store.py
@@ -10,7 +10,7 @@
 
 import logging
 from collections.abc import Container, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import anyio
@@ -142,17 +142,31 @@
     PlatformUnavailableError
         The platform did not answer, and the outcome could not be read either.
     """
+    pointer = await _apply_once(platform, parts, base_version, author, now)
+    while pointer.era != platform.era:
+        # The number was chosen before a restoration, and may be that of a lost version.
+        pointer = await _apply_once(platform, parts, None, author, now)
+    log_decision(_log, "configuration-applied", "accepted", version=pointer.version, author=author)
+    return pointer
+
+
+async def _apply_once(
+    platform: ConfigurationStore,
+    parts: Mapping[str, Part],
+    base_version: int | None,
+    author: str,
+    now: float,
+) -> Pointer:
     current, row_version = await read_pointer(platform)
+    era = platform.era
     current_version = current.version if current else 0
     if base_version is not None and base_version != current_version:
         raise _conflict_error(base_version, current)
-    era = platform.era
     stored = set((await read_manifest(platform, current)).parts.values()) if current else set()
     manifest = await _put_objects(platform, parts, stored)
     version = _next_version(current, era)
     pointer = Pointer(version, manifest, author, new_identifier("chg"), now, era)
     await _write_pointer(platform, pointer, row_version)
-    log_decision(_log, "configuration-applied", "accepted", version=pointer.version, author=author)
     return pointer
 
 
@@ -177,11 +191,11 @@
 
 
 async def store_again(
-    platform: ConfigurationStore, configuration: Configuration, *, author: str, now: float
+    platform: ConfigurationStore, configuration: Configuration, pointer: Pointer
 ) -> bool:
     """Store a version that the table lacks since it was restored; return whether that was needed.
 
-    The pointer keeps the era of the one that it replaces, so that the next change still leaves
+    The pointer gets the era of the one that it replaces, so that the next change still leaves
     out the numbers of versions that no host has stored again.
 
     Parameters
@@ -190,10 +204,8 @@
         Store of the configuration.
     configuration : Configuration
         Newest version that this host has.
-    author : str
-        Named in the history.
-    now : float
-        Wall clock in seconds since the epoch.
+    pointer : Pointer
+        Pointer of that version, as it was accepted.
 
     Raises
     ------
@@ -201,13 +213,11 @@
         The platform did not answer.
     """
     current, row_version = await read_pointer(platform)
-    if current is not None and current.version >= configuration.version:
+    if current is not None and current.version >= pointer.version:
         return False
-    manifest = await _put_objects(platform, configuration.parts, frozenset())
-    era = current.era if current else NO_ERA
-    change = new_identifier("chg")
-    pointer = Pointer(configuration.version, manifest, author, change, now, era)
-    result = await platform.transact([Check(POINTER_KEY, row_version)], _pointer_writes(pointer))
+    await _put_objects(platform, configuration.parts, frozenset())
+    stored = replace(pointer, era=current.era if current else NO_ERA)
+    result = await platform.transact([Check(POINTER_KEY, row_version)], _pointer_writes(stored))
     if result.committed:
         reason = "the table was restored from an older copy"
         log_decision(_log, "configuration-stored-again", reason, version=pointer.version)
--- a/samphirehall/node/context.py
+++ b/samphirehall/node/context.py
@@ -13,6 +13,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.backing import Platform
+from samphirehall.configuration.store import Pointer
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.registry import Registry
 from samphirehall.node.gate import ConfigurationGate
@@ -30,7 +31,8 @@
 
     `poll_interval` returns the seconds between polls of the platform, or None
     while other hosts poll; `read_hosts_in_force` returns the hosts on which a
-    configuration version is in force. Services may replace both.
+    configuration version is in force. Services may replace both. `newest_pointer` is that
+    of the newest version that this host has seen in the store or has stored, if any.
 
     Parameters
     ----------
@@ -60,6 +62,7 @@
         self.metrics = metrics
         self.stack = stack
         self.gate = ConfigurationGate(state, started_at=boot_seconds())
+        self.newest_pointer: Pointer | None = None
         self.poll_interval: Callable[[float], float | None] = self._default_poll_interval
         self.read_hosts_in_force: ReadHostsInForce = self._read_local_host_in_force
         self.stopping = anyio.Event()
--- a/samphirehall/node/operator_configuration.py
+++ b/samphirehall/node/operator_configuration.py
@@ -89,6 +89,7 @@
         author=body.author,
         now=wall_seconds(),
     )
+    context.newest_pointer = pointer
     hosts = await _wait_in_force(context, pointer.version, deadline=deadline)
     return ApplyAnswer(pointer.version, hosts.in_force, hosts.unknown)
 
@@ -155,6 +156,7 @@
             )
         except ConfigurationConflictError:
             continue
+        context.newest_pointer = new_pointer
         return customer, new_pointer.version
     raise PlatformUnavailableError(
         f"{MAX_WITHDRAW_ATTEMPTS} attempts conflicted with concurrent changes"
--- a/samphirehall/node/watch.py
+++ b/samphirehall/node/watch.py
@@ -6,7 +6,7 @@
 import anyio
 
 from samphirehall.configuration.store import fetch_configuration, read_pointer, store_again
-from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.node.context import ControlContext
@@ -60,10 +60,11 @@
     version = 0 if pointer is None else pointer.version
     state.record_known_version(version)
     gate.record_store_answer(now=boot_seconds())
-    if version < gate.newest_available.version:
-        await store_again(
-            context.platform, gate.newest_available, author=state.host, now=wall_seconds()
-        )
+    known = context.newest_pointer
+    if pointer is not None and (known is None or version > known.version):
+        context.newest_pointer = pointer
+    elif known is not None and version < known.version == gate.newest_available.version:
+        await store_again(context.platform, gate.newest_available, known)
     if pointer is None or version <= gate.newest_available.version:
         if version <= state.configuration.version:
             state.verification.record_confirmation(requested_at)
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -191,42 +191,66 @@
         return "asyncio"
 
     async def restored(self):
-        """Return a store that has lost version 2, and the configurations 1 and 2."""
+        """Return a store that has lost versions 2 and 3, and what hosts know of them."""
         store = FaultyStore()
-        first = await fetch_configuration(store, await apply(store, 1.0), EMPTY_CONFIGURATION)
+        pointers = [await apply(store, 1.0)]
         copy = store.store.copy()
-        second = await fetch_configuration(store, await apply(store, 2.0), first)
+        pointers += [await apply(store, 2.0), await apply(store, 3.0)]
+        configurations = [
+            await fetch_configuration(store, pointer, EMPTY_CONFIGURATION) for pointer in pointers
+        ]
         store.store.restore(copy)
-        return store, first, second
+        return store, list(zip(configurations, pointers, strict=True))
 
     @pytest.mark.anyio
-    async def test_version_that_a_host_has_is_stored_again(self):
-        store, _, second = await self.restored()
-        assert await store_again(store, second, author="host-a", now=0.0)
+    async def test_version_that_a_host_has_is_stored_again_as_it_was_accepted(self):
+        store, versions = await self.restored()
+        configuration, accepted = versions[2]
+        assert await store_again(store, configuration, accepted)
         pointer, _ = await read_pointer(store)
-        assert pointer.version == 2
-        assert (await fetch_configuration(store, pointer, EMPTY_CONFIGURATION)).parts == (
-            second.parts
-        )
-        assert not await store_again(store, second, author="host-b", now=0.0)
+        assert (pointer.version, pointer.change) == (3, accepted.change)
+        fetched = await fetch_configuration(store, pointer, EMPTY_CONFIGURATION)
+        assert fetched.parts == configuration.parts
+        assert not await store_again(store, *versions[1])
 
     @pytest.mark.anyio
     @pytest.mark.parametrize("stored_again", [False, True])
     async def test_change_after_the_restoration_has_no_number_of_a_lost_version(self, stored_again):
-        store, first, second = await self.restored()
+        store, versions = await self.restored()
         if stored_again:
-            await store_again(store, first, author="host-a", now=0.0)
+            assert await store_again(store, *versions[1])
+        changed = await apply(store, 4.0)
+        assert changed.version > versions[2][1].version
+        assert (await apply(store, 5.0)).version == changed.version + 1
+
+    @pytest.mark.anyio
+    async def test_change_during_the_restoration_has_no_number_of_a_lost_version(self):
+        store = FaultyStore()
+        await apply(store, 1.0)
+        copy = store.store.copy()
+        put_object, is_restored = store.put_object, False
+
+        async def restore_while_objects_are_put(digest, content):
+            nonlocal is_restored
+            if not is_restored:
+                is_restored = True
+                lost.append(await apply(store, 2.0))
+                store.store.restore(copy)
+            await put_object(digest, content)
+
+        lost, store.put_object = [], restore_while_objects_are_put
         changed = await apply(store, 3.0)
-        assert changed.version > second.version
-        assert (await apply(store, 4.0)).version == changed.version + 1
+        assert changed.version > lost[0].version
+        assert (await read_pointer(store))[0] == changed
 
     @pytest.mark.anyio
     async def test_host_with_a_lost_version_takes_the_change_after_the_restoration(self):
-        store, _, second = await self.restored()
+        store, versions = await self.restored()
+        newest, _ = versions[2]
         state = NodeState("host-a/1", "zone-1", 1)
         gate = ConfigurationGate(state, started_at=0.0)
         gate.record_store_answer(now=0.0)
-        assert gate.offer(second, now=0.0)
-        changed = await fetch_configuration(store, await apply(store, 3.0), second)
+        assert gate.offer(newest, now=0.0)
+        changed = await fetch_configuration(store, await apply(store, 4.0), newest)
         assert gate.offer(changed, now=1.0)
         assert state.configuration.parts == changed.parts
--- a/tests/promises/faults.py
+++ b/tests/promises/faults.py
@@ -23,6 +23,7 @@
 
 RECOVERY_SECONDS = 4.0
 RECLAIM_NOTICE_SECONDS = 2.0
+RESTORATION_OUTAGE_SECONDS = 0.6
 WITHDRAWN_LABEL = "withdrawn"
 POISON = "POISON"
 PLANNED_ACTIONS = frozenset(("stop", "leave", "reclaim", "race", "withdraw", "load", "drain"))
@@ -137,6 +138,16 @@
     system.set_faults(outage=False)
 
 
+def restore(system: System, fault: Fault) -> None:
+    """Lose what the table was given for some seconds: the platform comes back from a copy."""
+    call(system.platform, "POST", "/admin/copies", None)
+    time.sleep(fault.seconds)
+    system.set_faults(outage=True)
+    time.sleep(RESTORATION_OUTAGE_SECONDS)
+    call(system.platform, "POST", "/admin/restorations", None)
+    system.set_faults(outage=False)
+
+
 def slow(system: System, fault: Fault) -> None:
     """Delay every call to the platform."""
     system.set_faults(delay=0.4)
@@ -233,6 +244,7 @@
     "lose-track": lose_track,
     "isolate": isolate,
     "outage": outage,
+    "restore": restore,
     "slow": slow,
     "lose-answers": lose_answers,
     "garble": garble,
--- a/tests/promises/scenarios.py
+++ b/tests/promises/scenarios.py
@@ -57,6 +57,20 @@
     ]
 
 
+def restored(choose: random.Random) -> list[Fault]:
+    """The platform comes back from a copy, while operators change things and processes die."""
+    killed, paused = choose.sample(HOSTS, 2)
+    at = choose.uniform(0.5, 2.0)
+    return [
+        Fault("restore", "platform", at, choose.uniform(1.0, 2.5)),
+        Fault("race", "", at + choose.uniform(0.2, 1.0)),
+        Fault("load", "2026-12", at + choose.uniform(0.2, 1.0)),
+        Fault("race", "", choose.uniform(5.5, 6.5)),
+        Fault("kill", f"{killed}-control", choose.uniform(2.0, 5.0), 0.5),
+        Fault("pause", f"{paused}-entry", choose.uniform(1.0, 4.0), 1.0),
+    ]
+
+
 def operators(choose: random.Random) -> list[Fault]:
     """Operators race, withdraw a key and change a version while a control process is paused."""
     paused, asked = choose.sample(HOSTS, 2)
@@ -114,6 +128,7 @@
     "crashes": crashes,
     "network": network,
     "store": store,
+    "restored": restored,
     "operators": operators,
     "orders": orders,
     "planned": planned,
