Leave out usage windows that may have been reported before a restoration (two-process form)

Cause: the frozen figures and the row of the next window go back, and the window is frozen from the counts that the copy has.

The row of the next window has the era in which it was written beside it. In another era, the windows that have ended are closed and skipped; windows that the copy has frozen are reported with the same figures.

--- a/samphirehall/usage/windows.py
+++ b/samphirehall/usage/windows.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from samphirehall.authority.lease import LeaseGrant, LeaseLostError
-from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row, Table, Write
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import UsageFigures
 from samphirehall.usage.counts import ZERO_COUNTS, Counts, billed_figures
@@ -20,6 +20,8 @@
 from samphirehall.usage.rows import ROWS_PREFIX, UsageRow, closed_key, decode_row
 
 MAX_ROWS = 100_000
+MAX_SKIPPED_WINDOWS = 40  # in one transaction
+ERA_KEY = "usage/era"  # era of the table in which the next window was last written
 
 _log = logging.getLogger(__name__)
 
@@ -85,11 +87,16 @@
         PlatformUnavailableError
             It is unknown how far this step got; the next step continues.
         """
-        next_row = (await self._table.read([NEXT_WINDOW_KEY])).get(NEXT_WINDOW_KEY)
+        rows = await self._table.read([NEXT_WINDOW_KEY, ERA_KEY])
+        next_row = rows.get(NEXT_WINDOW_KEY)
         if next_row is None:
             await self._set_first_window(grant, now=now)
             return False
         window = int(next_row.value)
+        stored_era = int(rows[ERA_KEY].value) if ERA_KEY in rows else NO_ERA
+        if stored_era != self._table.era:
+            await self._skip_windows(grant, next_row, now=now)
+            return False
         if now < window + self._window_seconds + grace:
             return False
         await self._close(grant, window)
@@ -100,8 +107,30 @@
     async def _set_first_window(self, grant: LeaseGrant, *, now: float) -> None:
         first = window_start(now, self._window_seconds)
         checks = [grant.lease_check, Check(NEXT_WINDOW_KEY, ABSENT)]
-        result = await self._table.transact(checks, [Write(NEXT_WINDOW_KEY, first)])
+        writes = [Write(NEXT_WINDOW_KEY, first), Write(ERA_KEY, self._table.era)]
+        result = await self._table.transact(checks, writes)
+        _raise_if_lost(grant, result.conflicts)
+
+    async def _skip_windows(self, grant: LeaseGrant, next_row: Row, *, now: float) -> None:
+        """Skip the windows that may have been frozen and reported before a restoration.
+
+        They are closed, so that hosts flush what they still count into the next window.
+        """
+        first = int(next_row.value)
+        current = max(first, window_start(now, self._window_seconds))
+        end = min(current, first + MAX_SKIPPED_WINDOWS * self._window_seconds)
+        skipped = range(first, end, self._window_seconds)
+        mark = {"fencing": grant.fencing, "holder": grant.holder}
+        writes = [Write(closed_key(window), mark) for window in skipped]
+        writes.append(Write(NEXT_WINDOW_KEY, end))
+        if end == current:
+            writes.append(Write(ERA_KEY, self._table.era))
+        checks = [grant.lease_check, Check(NEXT_WINDOW_KEY, next_row.version)]
+        result = await self._table.transact(checks, writes)
         _raise_if_lost(grant, result.conflicts)
+        if result.committed:
+            reason = "the table was restored; they may have been reported with other figures"
+            log_decision(_log, "usage-left-out", reason, windows=list(skipped))
 
     async def _close(self, grant: LeaseGrant, window: int) -> None:
         mark = Write(closed_key(window), {"fencing": grant.fencing, "holder": grant.holder})
