Wait for peers before an older configuration of a restored table comes into force

Cause: an answer of the store was enough, as the store had the newest version. If the version was accepted in an earlier era than that of the table, the process waits for its peers as it does without a store, and takes the store's version if none answers in time.

--- a/samphirehall/node/gate.py
+++ b/samphirehall/node/gate.py
@@ -27,6 +27,7 @@
         self._started_at = started_at
         self._candidate: Configuration | None = None
         self._store_answered = False
+        self._restored_store_answered = False
         self._peer_answered = False
         self._all_answered = False
 
@@ -51,9 +52,21 @@
         self._state.record_known_version(configuration.version)
         return self._open(now)
 
-    def record_store_answer(self, *, now: float) -> bool:
-        """Record that the store reported the newest version; return whether one came into force."""
-        self._store_answered = True
+    def record_store_answer(self, *, now: float, may_be_older: bool = False) -> bool:
+        """Record that the store reported the newest version; return whether one came into force.
+
+        Parameters
+        ----------
+        now : float
+            Boot clock in seconds.
+        may_be_older : bool
+            Whether the store was restored from a copy since the version was accepted, so that
+            other hosts may have a newer one; they are then waited for.
+        """
+        if may_be_older:
+            self._restored_store_answered = True
+        else:
+            self._store_answered = True
         return self._open(now)
 
     def record_peer_answer(self, *, all_answered: bool, now: float) -> bool:
@@ -72,13 +85,13 @@
 
     def _open(self, now: float) -> bool:
         candidate = self._candidate
+        has_waited = now - self._started_at > PEER_ANSWER_TIMEOUT_SECONDS
         if candidate is None or not may_put_in_force(
             candidate.version,
             is_open=self.is_open,
             highest_known_version=self._state.highest_known_version,
-            store_answered=self._store_answered,
-            peers_answered=self._all_answered
-            or (self._peer_answered and now - self._started_at > PEER_ANSWER_TIMEOUT_SECONDS),
+            store_answered=self._store_answered or (self._restored_store_answered and has_waited),
+            peers_answered=self._all_answered or (self._peer_answered and has_waited),
         ):
             return False
         return self._state.put_in_force(candidate)
--- a/samphirehall/node/watch.py
+++ b/samphirehall/node/watch.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from samphirehall.backing.table import NO_ERA
 from samphirehall.configuration.store import fetch_configuration, read_pointer, store_again
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
@@ -59,7 +60,8 @@
     state, gate = context.state, context.gate
     version = 0 if pointer is None else pointer.version
     state.record_known_version(version)
-    gate.record_store_answer(now=boot_seconds())
+    era = NO_ERA if pointer is None else pointer.era
+    gate.record_store_answer(now=boot_seconds(), may_be_older=era != context.platform.era)
     known = context.newest_pointer
     if pointer is not None and (known is None or version > known.version):
         context.newest_pointer = pointer
