--- a/tests/gateway/test_zone_hub.py
+++ b/tests/gateway/test_zone_hub.py
@@ -232,3 +232,44 @@
     def test_datagrams_of_a_sender_stay_below_the_rate(self, receivers):
         interval = update_interval(receivers, datagrams_per_second=600.0, shortest=0.015)
         assert interval >= 0.015 and receivers / interval <= 600.0 + 1e-6
+
+
+class StartingZone(Zone):
+    """Hosts that all start at once and get the processor only by turns, as after a loss of power.
+
+    While a host stands still it neither decides nor sends; what it is sent waits for it.
+    """
+
+    STILL_SECONDS = 0.65
+    EVERY_SECONDS = 1.6
+    STARTING_SECONDS = 12.0
+
+    def __init__(self, count, *, seed=1):
+        super().__init__(count, seed=seed)
+        self.phases = {name: self.random.uniform(0.0, self.EVERY_SECONDS) for name in self.names}
+        self.followed_at = dict.fromkeys(self.names, 0.0)
+        self.longest_silence = 0.0
+
+    def stands_still(self, name):
+        turn = (self.now + self.phases[name]) % self.EVERY_SECONDS
+        return self.now < self.STARTING_SECONDS and turn < self.STILL_SECONDS
+
+    def step(self):
+        self.down = {name for name in self.names if self.stands_still(name)}
+        super().step()
+        for name, election in self.elections.items():
+            hub = election.hub
+            if election.is_hub or (hub is not None and hub not in self.down):
+                self.followed_at[name] = self.now
+            silence = self.now - self.followed_at[name]
+            self.longest_silence = max(self.longest_silence, silence)
+
+
+class TestStart:
+    def test_started_hosts_hear_their_hub_within_the_time_to_drain(self):
+        """36 hosts; the drain time of 3 s less 1 s until the reader has heard of it."""
+        zones = [StartingZone(36, seed=seed) for seed in range(1, 6)]
+        for zone in zones:
+            zone.run(20.0)
+        assert [zone.longest_silence for zone in zones if zone.longest_silence > 2.0] == []
+        assert all(len(zone.hubs()) == 1 for zone in zones)
