--- a/samphirehall/configuration/store.py
+++ b/samphirehall/configuration/store.py
@@ -144,7 +144,7 @@
     """
     pointer = await _apply_once(platform, parts, base_version, author, now)
     while pointer.era != platform.era:
-        # The number was chosen before a restoration, and may be that of a lost version.
+        # A number of an earlier era may be that of a lost version.
         pointer = await _apply_once(platform, parts, None, author, now)
     log_decision(_log, "configuration-applied", "accepted", version=pointer.version, author=author)
     return pointer
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -254,3 +254,14 @@
         changed = await fetch_configuration(store, await apply(store, 4.0), newest)
         assert gate.offer(changed, now=1.0)
         assert state.configuration.parts == changed.parts
+
+    @pytest.mark.anyio
+    async def test_started_host_waits_for_peers_before_an_older_version_comes_into_force(self):
+        _, versions = await self.restored()
+        state = NodeState("host-a/1", "zone-1", 1)
+        gate = ConfigurationGate(state, started_at=0.0)
+        gate.record_store_answer(now=0.0, may_be_older=True)
+        assert not gate.offer(versions[0][0], now=0.0)
+        assert gate.offer(versions[2][0], now=1.0) is False
+        assert gate.record_peer_answer(all_answered=True, now=1.0)
+        assert state.configuration.version == 3
