Refuse requests that a stopping host may not finish

Cause: a stopping host took every request until a fixed time before its end, whatever deadline the request had. Routes allow up to 8 s, and 2.5 s were left.

Once the balancer sends no more, a request is taken only if its deadline is before the end of the host (takes_request, a plain function); else it is refused at once as not run. Running requests get until 0.3 s before the kill instead of 1 s, as usage is saved and duties are released meanwhile. What still runs then gets an answer that its outcome is unknown, if its answer has not begun, in place of a closed connection.

The process test failed before: the late request was taken (200 where 503 was expected). The host of the test is kept open by a request from within the grace; a host with nothing open ends after 3 s.

--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -12,8 +12,11 @@
     DEADLINE_UNKNOWN,
     NO_CONFIGURATION,
     NO_ROUTE,
+    OUTCOME_UNKNOWN,
+    SHUTTING_DOWN,
     Result,
 )
+from samphirehall.core.stopping import StopSchedule, takes_request
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.crashes import fingerprint
 from samphirehall.gateway.exchange import check_quarantine
@@ -24,6 +27,7 @@
 from samphirehall.gateway.types import CallerLimits, GatewayConfiguration, Request
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.3  # a started host loads it in about this time
+SHUTDOWN_RETRY_AFTER_SECONDS = 0.05  # another host can take the request at once
 
 _log = logging.getLogger(__name__)
 
@@ -44,12 +48,20 @@
         State shared by all requests of this host.
     observe : callable
         Called with each finished request that had a route, its result and its duration in seconds.
+
+    Attributes
+    ----------
+    stop_schedule : StopSchedule or None
+        Times of a planned stop that has begun.
     """
 
     def __init__(self, context: GatewayContext, observe: Observe = _ignore_request) -> None:
         self.context = context
         self._observe = observe
         self._routes: RouteTable | None = None
+        self.stop_schedule: StopSchedule | None = None
+        self._running: set[anyio.CancelScope] = set()
+        self._stopped = False
 
     @property
     def version(self) -> int:
@@ -82,6 +94,12 @@
         self._routes = RouteTable(configuration)
         return True
 
+    def end_running_requests(self) -> None:
+        """End all running requests at the end of a planned stop, each with an answer if it can."""
+        self._stopped = True
+        for scope in self._running:
+            scope.cancel()
+
     async def serve(self, request: Request, caller: Caller) -> None:
         """Serve one request and log its result.
 
@@ -130,6 +148,9 @@
         timeout = route.timeout
         if request.timeout is not None:
             timeout = min(request.timeout, route.timeout)
+        deadline = request.received_at + timeout
+        if not takes_request(self.stop_schedule, deadline, now=self.context.clock()):
+            raise stopping_error()
         self.context.repeat_budget(service_name).record_request(now=request.received_at)
         return RequestState(
             request,
@@ -137,7 +158,7 @@
             service,
             customer,
             request_rank(route, customer),
-            request.received_at + timeout,
+            deadline,
             self.version,
             fingerprint(request, route),
         )
@@ -150,9 +171,25 @@
         remaining = request_state.remaining_time(now=self.context.clock())
         if remaining <= 0:
             raise SamphireError(DEADLINE_NOT_RUN, "the deadline had passed on arrival")
-        try:
-            with anyio.fail_after(remaining):
+        with anyio.move_on_after(remaining) as scope:
+            self._running.add(scope)
+            try:
                 return await run(self.context, request_state, caller)
-        except TimeoutError as error:
-            result = DEADLINE_UNKNOWN if request_state.tried_endpoints else DEADLINE_NOT_RUN
-            raise SamphireError(result, "no complete response by the deadline") from error
+            finally:
+                self._running.discard(scope)
+        if self._stopped:
+            raise self._cut_by_stop_error(request_state)
+        result = DEADLINE_UNKNOWN if request_state.tried_endpoints else DEADLINE_NOT_RUN
+        raise SamphireError(result, "no complete response by the deadline")
+
+    def _cut_by_stop_error(self, request_state: RequestState) -> SamphireError:
+        if request_state.tried_endpoints:
+            return SamphireError(OUTCOME_UNKNOWN, "the host stopped while the request ran")
+        return stopping_error()
+
+
+def stopping_error() -> SamphireError:
+    """Return the refusal of a request that a stopping host does not take."""
+    return SamphireError(
+        SHUTTING_DOWN, "the host is stopping", retry_after=SHUTDOWN_RETRY_AFTER_SECONDS
+    )
--- a/samphirehall/gateway/ingress.py
+++ b/samphirehall/gateway/ingress.py
@@ -11,7 +11,7 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import INTERNAL_NOT_RUN, INTERNAL_UNKNOWN, SHUTTING_DOWN
+from samphirehall.core.results import INTERNAL_NOT_RUN, INTERNAL_UNKNOWN
 from samphirehall.forwarding.answers import (
     JSON,
     Receive,
@@ -28,11 +28,11 @@
     caller_protocol,
 )
 from samphirehall.forwarding.inbound import CallerDisconnectedError, read_request_body
+from samphirehall.gateway.gateway import stopping_error
 from samphirehall.gateway.request_state import Caller, log_refusal
 from samphirehall.gateway.types import CallerLimits, Headers, Request
 
 BODY_TIMEOUT_SECONDS = 30.0  # a slower client is taken to have stopped sending
-SHUTDOWN_RETRY_AFTER_SECONDS = 0.05  # another host can take the request at once
 CONNECTION_CLOSE_HEADER = (b"connection", b"close")
 
 _log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
     stopping : bool
         Whether each response closes its connection.
     refusing : bool
-        Whether new requests are refused because too little time is left to finish them.
+        Whether all new requests are refused because the host is about to exit.
     open_requests : int
         Requests whose response is not complete.
     connections : WeakSet
@@ -157,9 +157,7 @@
         )
         request_id = request.request_id
         if state.refusing:
-            raise SamphireError(
-                SHUTTING_DOWN, "the host is stopping", retry_after=SHUTDOWN_RETRY_AFTER_SECONDS
-            )
+            raise stopping_error()
     except SamphireError as error:
         log_refusal(request_id, error)
         raise
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -12,6 +12,7 @@
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
+from samphirehall.core.stopping import StopSchedule
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
@@ -60,8 +61,9 @@
 # With the poll interval, shorter than the time after which the store counts as lost.
 ENDPOINT_FEED_WAIT_SECONDS = 0.5
 BALANCER_GRACE_SECONDS = 3.0  # two failed probes one second apart, and one second for the answer
-STOP_MARGIN_SECONDS = 1.0  # left before the platform kills the process
-FINISH_TIMEOUT_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
+HAND_OVER_TIMEOUT_SECONDS = 1.0  # to save usage and release duties before running requests end
+EXIT_MARGIN_SECONDS = 0.3  # left for the exit before the platform kills the process
+MIN_FINISH_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 FINAL_PUBLISH_SECONDS = 0.1  # for the last datagram to be sent; the sender checks every 50 ms
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
@@ -422,25 +424,50 @@
         return 0
 
 
+def stop_schedule(stop_timeout: float, *, now: float) -> StopSchedule:
+    """Return the times of a stop that begins now.
+
+    Parameters
+    ----------
+    stop_timeout : float
+        Seconds after which the platform kills the process.
+    now : float
+        Boot clock in seconds.
+    """
+    finish_by = now + stop_timeout - EXIT_MARGIN_SECONDS
+    return StopSchedule(
+        min(now + BALANCER_GRACE_SECONDS, finish_by - MIN_FINISH_SECONDS), finish_by
+    )
+
+
 async def _drain(node: Node) -> None:
     """Report not ready, serve until the balancer stops sending, then finish running requests."""
     _log.info("drain", extra={"open": node.ingress.open_requests})
+    schedule = stop_schedule(node.settings.stop_timeout, now=boot_seconds())
+    node.gateway.stop_schedule = schedule
     node.ingress.stopping = True
-    stop_time = node.settings.stop_timeout - STOP_MARGIN_SECONDS
-    with anyio.move_on_after(stop_time):
+    with anyio.move_on_after(schedule.finish_by - boot_seconds() - HAND_OVER_TIMEOUT_SECONDS):
         await anyio.sleep(BALANCER_GRACE_SECONDS)
         node.ingress.close_idle_connections()
-        with anyio.move_on_after(
-            max(0.0, stop_time - BALANCER_GRACE_SECONDS - FINISH_TIMEOUT_SECONDS)
-        ):
-            await _wait_until_idle(node)
-        node.ingress.refusing = True
         await _wait_until_idle(node)
-    with anyio.move_on_after(STOP_MARGIN_SECONDS):
+    node.ingress.refusing = not node.ingress.open_requests
+    with anyio.move_on_after(HAND_OVER_TIMEOUT_SECONDS):
+        await _hand_over(node)
+    with anyio.move_on_after(schedule.finish_by - boot_seconds()):
+        await _wait_until_idle(node)
+    if not node.ingress.refusing:
+        node.ingress.refusing = True
+        node.gateway.end_running_requests()
         node.exchange.publish_usage()
         await anyio.sleep(FINAL_PUBLISH_SECONDS)
-        await node.save_usage()
-        await node.duty.release()
+
+
+async def _hand_over(node: Node) -> None:
+    """Save the usage counts and release the duties."""
+    node.exchange.publish_usage()
+    await anyio.sleep(FINAL_PUBLISH_SECONDS)
+    await node.save_usage()
+    await node.duty.release()
 
 
 async def _wait_until_idle(node: Node) -> None:
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -35,8 +35,11 @@
 PROMPT = [(b"X-Token-Counts", b"1460,80"), (b"X-Prompt-Prefix", b"5c:800,e4:660")]
 
 
+DELAYS = {"slow": 0.05, "long": 3.4}
+
+
 async def answer_with_customer(received, writer):
-    await anyio.sleep(0.05 if received[":target"].endswith("slow") else 0)
+    await anyio.sleep(DELAYS.get(received[":target"].rpartition("/")[2], 0))
     writer.write(response_bytes(received, received["x-tenant"].encode()))
 
 
@@ -224,6 +227,33 @@
         assert system.log_entries("stop")
 
 
+async def test_request_that_comes_late_in_a_stop_is_refused_or_finished_but_never_cut(tmp_path):
+    async with running_system(tmp_path) as system:
+        routes = [*ROUTES, {**ROUTES[1], "name": "long", "prefix": "/long/", "timeout_ms": 8000}]
+        system.store.put("op", "config", DOCUMENT | {"version": 9, "routes": routes})
+        await system.wait_until(lambda: has_status(system, "/long/x", 200), "configured")
+        system.process.send_signal(signal.SIGTERM)
+        async with anyio.create_task_group() as group:
+            await anyio.sleep(2.5)
+            group.start_soon(is_answered, system, "/long/long")
+            await anyio.sleep(1.7)
+            received = len(system.plain.received)
+            late = await system.get("/long/long", number=7)
+            assert late.status == 503 and (b"samphire-run", b"not-run") in late.headers
+            assert len(system.plain.received) == received
+            assert (await system.get("/book/slow", number=8)).status == 200
+        with anyio.fail_after(4):
+            assert await system.process.wait() == 0
+
+
+async def is_answered(system, path):
+    assert await has_status(system, path, 200)
+
+
+async def has_status(system, path, status):
+    return (await system.get(path)).status == status
+
+
 async def started(system):
     return bool(system.log_entries("start"))
 
