Refuse completions and calls that a stopping entry may not finish

A request whose body was read during the last moments was not counted as open and was taken as well.

After the grace, only requests whose deadline is before the limit are taken, checked when the body has been read. The test failed before: a stream that could outlast the entry was taken (200 where 503 was expected).

--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -16,7 +16,6 @@
     METHOD_NOT_ALLOWED,
     NO_ROUTE,
     OK,
-    SHUTTING_DOWN,
 )
 from samphirehall.forwarding.answers import (
     JSON,
@@ -87,14 +86,13 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send, request_id: str) -> None:
         path = scope["path"]
         if path in (CHAT_PATH, COMPLETIONS_PATH):
-            self._check_serving(scope, "POST")
+            self._check_method(scope, "POST")
             chat = path == CHAT_PATH
             route = await serve_completion(
                 self._context, scope, receive, send, request_id=request_id, chat=chat
             )
             self._context.metrics.requests.labels(route, OK.name).inc()
         elif path.startswith(SERVICE_PATH_PREFIX):
-            self._check_serving(scope, scope["method"])
             route = await serve_service(self._context, scope, receive, send, request_id=request_id)
             self._context.metrics.requests.labels(route, OK.name).inc()
         elif path == MODELS_PATH:
@@ -108,13 +106,11 @@
         else:
             raise SamphireError(NO_ROUTE, f"path {path!r} does not exist")
 
-    def _check_serving(self, scope: Scope, method: str) -> None:
+    def _check_method(self, scope: Scope, method: str) -> None:
         if scope["method"] != method:
             raise SamphireError(
                 METHOD_NOT_ALLOWED, f"method {scope['method']} is not allowed, use {method}"
             )
-        if self._context.refusing:
-            raise SamphireError(SHUTTING_DOWN, "this host is shutting down", retry_after=1.0)
 
     async def _list_models(self, scope: Scope, send: Send, request_id: str) -> None:
         state = self._context.state
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -78,6 +78,7 @@
         request_priority(scope, default=caller.route.priority),
         started + timeout,
     )
+    context.check_stop(run.deadline, now=boot_seconds())
     admission = AdmissionRequest(
         caller, run.priority, run.deadline, run.prompt_tokens, run.max_tokens
     )
--- a/samphirehall/forwarding/service_answer.py
+++ b/samphirehall/forwarding/service_answer.py
@@ -73,6 +73,7 @@
     started = boot_seconds()
     call = await _read_call(context, scope, receive, request_id=request_id, started=started)
     route = call.caller.route
+    context.check_stop(call.deadline, now=boot_seconds())
     admission = AdmissionRequest(
         call.caller, request_priority(scope, default=route.priority), call.deadline
     )
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -13,6 +13,7 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.log import configure_logging
 from samphirehall.core.serving import serving
+from samphirehall.core.stopping import StopSchedule
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.forwarding.admission_tasks import run_admission
 from samphirehall.forwarding.app import EntryApp
@@ -125,12 +126,15 @@
     """Report not ready, serve until the balancer stops sending, then finish running requests."""
     limits = context.settings.entry
     _log.info("shutdown-begin", extra={"open": context.admission.open_requests})
-    context.stopping = True
+    now = boot_seconds()
+    open_for = min(limits.shutdown_grace_seconds, limits.shutdown_limit_seconds)
+    context.stop_schedule = StopSchedule(now + open_for, now + limits.shutdown_limit_seconds)
     with anyio.move_on_after(limits.shutdown_limit_seconds):
         await anyio.sleep(limits.shutdown_grace_seconds)
         while context.admission.open_requests:
             await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-    context.refusing = context.admission.open_requests > 0
+    now = boot_seconds()
+    context.stop_schedule = StopSchedule(now, now + FINISH_TIMEOUT_SECONDS)
 
 
 async def _run_exit_actions(context: EntryContext) -> None:
--- a/tests/programs/test_entry_stop.py
+++ b/tests/programs/test_entry_stop.py
@@ -1,5 +1,6 @@
 """Planned stop of an entry process under load."""
 
+import contextlib
 import http.client
 import json
 import signal
@@ -16,8 +17,8 @@
 DECODE_STEP_SECONDS = 0.03
 
 
-@pytest.fixture
-def cluster(tmp_path):
+@contextlib.contextmanager
+def running_cluster(tmp_path, settings=""):
     endpoints = [
         Endpoint(
             "engine-1",
@@ -29,7 +30,7 @@
         Endpoint("desk-1", "service", "prairie-1", ["order-desk"]),
     ]
     cluster = Cluster(tmp_path, [Host("host-a", "prairie-1")], endpoints)
-    cluster.extra_settings["entry"] = f"shutdown_grace_seconds = {GRACE_SECONDS}\n"
+    cluster.extra_settings["entry"] = f"shutdown_grace_seconds = {GRACE_SECONDS}\n{settings}"
     try:
         cluster.start()
         yield cluster
@@ -37,6 +38,18 @@
         cluster.kill_all()
 
 
+@pytest.fixture
+def cluster(tmp_path):
+    with running_cluster(tmp_path) as cluster:
+        yield cluster
+
+
+@pytest.fixture
+def short_cluster(tmp_path):
+    with running_cluster(tmp_path, "shutdown_limit_seconds = 3.0\n") as cluster:
+        yield cluster
+
+
 def open_stream(entry, headers, prompt):
     """Start a streamed completion and return its connection and its response, body unread."""
     body = {
@@ -79,6 +92,26 @@
             connection.close()
         assert program.wait(10) == 0
 
+    def test_stream_that_comes_late_in_a_stop_is_refused_rather_than_cut(self, short_cluster):
+        cluster = short_cluster
+        keys = apply_configuration(cluster)
+        entry = cluster.hosts[0].entry
+        wait_ready(entry)
+        headers = {"Authorization": f"Bearer {keys['petal-coop']}"}
+        program = cluster.programs["host-a-entry"]
+        program.signal(signal.SIGTERM)
+        time.sleep(GRACE_SECONDS / 2)
+        connection, running = open_stream(entry, headers, "lot 1")
+        time.sleep(GRACE_SECONDS)
+        late = open_stream(entry, headers, "lot 2")[1]
+        assert late.status == 503 and late.headers["samphire-run"] == "not-run"
+        in_time = {**headers, "Samphire-Deadline": "0.5"}
+        assert call(entry, "GET", "/services/stock/lots/14", headers=in_time).status == 200
+        expected = [token_at("answer", "lot 1", index) for index in range(TOKENS)]
+        assert streamed_text(running) == "".join(expected)
+        connection.close()
+        assert program.wait(10) == 0
+
     def test_serves_through_the_grace_time_with_nothing_open(self, cluster):
         keys = apply_configuration(cluster)
         entry = cluster.hosts[0].entry
