Ignore further stop signals during a planned stop

Callers saw nothing yet; found while looking for other ways in which a stop ends requests. The receiver of signals was closed once the first SIGTERM had come, so that a second one took the default action and killed the process with all its open requests. The handlers now stay until the event loop closes, in all programs.

The test failed before: the running request lost its connection without an answer.

--- a/samphirehall/programs/running.py
+++ b/samphirehall/programs/running.py
@@ -1,5 +1,6 @@
 """Settings loading, signal handling and exit status shared by all daemons."""
 
+import asyncio
 import signal
 import sys
 import time
@@ -57,7 +58,9 @@
 
 
 async def wait_for_stop() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+    """Wait for SIGTERM or SIGINT; further ones are ignored until the event loop closes."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -35,7 +35,7 @@
 PROMPT = [(b"X-Token-Counts", b"1460,80"), (b"X-Prompt-Prefix", b"5c:800,e4:660")]
 
 
-DELAYS = {"slow": 0.05, "long": 3.4}
+DELAYS = {"slow": 0.05, "slower": 0.5, "long": 3.4}
 
 
 async def answer_with_customer(received, writer):
@@ -246,6 +246,19 @@
             assert await system.process.wait() == 0
 
 
+async def test_second_stop_signal_cuts_no_running_request(tmp_path):
+    async with running_system(tmp_path) as system:
+        await system.wait_until(lambda: served(system), "served")
+        async with anyio.create_task_group() as group:
+            group.start_soon(is_answered, system, "/book/slower")
+            await anyio.sleep(0.1)
+            for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+                system.process.send_signal(number)
+                await anyio.sleep(0.02)
+        with anyio.fail_after(8):
+            assert await system.process.wait() == 0
+
+
 async def is_answered(system, path):
     assert await has_status(system, path, 200)
 
