End the run of a silent endpoint only if another can take over

Callers could see: a stream cut in its middle, or 502 in place of an answer, although the endpoint was sound, had only been silent for a second or so, and would have gone on.

Cause: after a bound on silence (gap between events, first event, answer of an idempotent request) the gateway first ended the run and then looked for another endpoint. If there was none, or the budget of repeats was spent, or the prompt had been put into quarantine meanwhile, nothing was left to answer with. A change of the configuration or of the list of endpoints during the run can take the other endpoint away.

The bounds now ask before they end anything (gateway/silence.py): another endpoint must be able to take the request, and its repeat is counted in the budget at that moment. The bound is also stopped at the end of a stream; before, it could expire between the last byte of a whole answer and the return of the connection.

--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -67,6 +67,21 @@
     return SamphireError(OVERLOADED, detail, retry_after=retry_after)
 
 
+def acquire_repeats(context: GatewayContext, request_state: RequestState, sends: int) -> bool:
+    """Count repeated sends, less the reserved ones, if the budget allows them."""
+    needed = max(0, sends - request_state.reserved_repeats)
+    request_state.reserved_repeats = 0
+    return context.acquire_repeats(request_state.service.name, needed)
+
+
+def reserve_repeats(context: GatewayContext, request_state: RequestState, sends: int) -> bool:
+    """Count the repeated sends of the next attempt while the present one still runs."""
+    if not context.acquire_repeats(request_state.service.name, sends):
+        return False
+    request_state.reserved_repeats = sends
+    return True
+
+
 def outcome_from_error(error: Exception) -> SendOutcome:
     """Return the outcome of a send that raised one of `SEND_ERRORS`."""
     if isinstance(error, NotSentError):
@@ -102,6 +117,15 @@
     raise _quarantine_error(request_state, error)
 
 
+def is_in_quarantine(context: GatewayContext, request_state: RequestState) -> bool:
+    """Return whether the request or a part of its prompt is in quarantine."""
+    request_parts = (request_part(request_state.fingerprint),)
+    return any(
+        context.crashes.parts.blocked(parts, now=context.clock())
+        for parts in (request_parts, request_state.shared_part_ids)
+    )
+
+
 def _quarantine_error(request_state: RequestState, refusal: SamphireError) -> SamphireError:
     """Return the refusal, or an error that does not claim that the request never ran."""
     if request_state.may_have_run:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -14,9 +14,12 @@
 from samphirehall.gateway.engine_candidates import decode_candidates, prefill_candidates
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
+    acquire_repeats,
     check_quarantine,
+    is_in_quarantine,
     limit_error,
     outcome_from_error,
+    reserve_repeats,
     send_request,
     update_crash_tracker,
     within_limits,
@@ -28,9 +31,10 @@
     Delivery,
     handle_failure_response,
     relay_stream,
-    set_inactivity_deadline,
+    restart_silence_limit,
 )
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
+from samphirehall.gateway.silence import silence_limit
 from samphirehall.gateway.types import Prompt, PromptPart, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
@@ -68,7 +72,7 @@
         repeats = request_state.count_repeated_sends(
             separate_prefill=plan.dedicated_prefill is not None
         )
-        if not context.acquire_repeats(request_state.service.name, repeats):
+        if not acquire_repeats(context, request_state, repeats):
             request_state.extra_log_fields["stopped"] = "repeat budget spent"
             break
         _count_sends(context, plan)
@@ -115,6 +119,27 @@
     return delivery.resumable
 
 
+def _can_take_over(
+    context: GatewayContext, request_state: RequestState, delivery: Delivery
+) -> bool:
+    """Return whether another engine can go on with the stream; its repeats are reserved if so."""
+    if not delivery.resumable or is_in_quarantine(context, request_state):
+        return False
+    prompt = request_state.request.prompt
+    assert prompt is not None
+    choice = request_state.extra_log_fields.get("choice")
+    try:
+        plan = _next_plan(context, request_state, prompt)
+    except SamphireError:
+        return False
+    finally:
+        request_state.extra_log_fields["choice"] = choice
+    if plan is None:
+        return False
+    sends = 2 if plan.dedicated_prefill is not None and request_state.prefill_done else 1
+    return reserve_repeats(context, request_state, sends)
+
+
 def _next_plan(
     context: GatewayContext, request_state: RequestState, prompt: Prompt
 ) -> GenerationPlan | None:
@@ -366,13 +391,20 @@
         context, request_state, plan, decode_engine, kv_handle, delivery.last_event_number
     )
     started = context.clock()
-    with contextlib.ExitStack() as pending_prefill, anyio.fail_after(None) as scope:
+
+    def may_end() -> bool:
+        return _can_take_over(context, request_state, delivery)
+
+    with (
+        contextlib.ExitStack() as pending_prefill,
+        silence_limit(request_state.request.request_id, plan.decode.endpoint_id, may_end) as limit,
+    ):
         if kv_handle is None:
             pending_prefill.enter_context(_count_pending_prefill(context, request_state, plan))
         else:
             context.record_cached_prompt(plan.decode.endpoint_id, _prompt_parts(request_state))
-        set_inactivity_deadline(
-            scope,
+        restart_silence_limit(
+            limit,
             request_state,
             plan.time_to_first_event * FIRST_EVENT_TIMEOUT_FACTOR
             + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
@@ -389,7 +421,7 @@
                 return await handle_failure_response(
                     context.wire_codec, request_state, delivery, response
                 )
-            await relay_stream(request_state, delivery, response, scope, on_event)
+            await relay_stream(request_state, delivery, response, limit, on_event)
     return SendOutcome.ANSWERED
 
 
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -3,22 +3,23 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import anyio
-
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import NO_ENDPOINT, OK, OUTCOME_UNKNOWN, Result
 from samphirehall.gateway.connections import Response
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
+    acquire_repeats,
     limit_error,
     outcome_from_error,
+    reserve_repeats,
     send_request,
     update_crash_tracker,
     within_limits,
 )
 from samphirehall.gateway.fleet import EndpointState, choose_plain_endpoint
 from samphirehall.gateway.request_state import Caller, RequestState, SendOutcome
+from samphirehall.gateway.silence import silence_limit
 from samphirehall.gateway.types import Headers
 from samphirehall.gateway.wire_codec import Dispatch
 
@@ -113,9 +114,7 @@
     )
     if chosen is None:
         return None
-    if not context.acquire_repeats(
-        request_state.service.name, request_state.count_repeated_sends()
-    ):
+    if not acquire_repeats(context, request_state, request_state.count_repeated_sends()):
         request_state.extra_log_fields["stopped"] = "repeat budget spent"
         return None
     context.limits.take(chosen.listed, now=now)
@@ -167,24 +166,40 @@
 ) -> tuple[SendOutcome, BufferedAnswer | None]:
     remaining = request_state.remaining_time(now=context.clock())
     dispatch = Dispatch(endpoint.listed, request_state.customer_name, None, remaining)
+    timeout = _answer_timeout(request_state)
+
+    def may_end() -> bool:
+        return _can_take_over(context, request_state)
+
     try:
-        with anyio.fail_after(_answer_timeout(request_state, remaining)):
+        with silence_limit(
+            request_state.request.request_id, endpoint.listed.endpoint_id, may_end
+        ) as limit:
+            if timeout is not None:
+                limit.restart(timeout)
             async with send_request(context, request_state, endpoint, dispatch) as answer:
                 return await _read(context, request_state, answer)
     except SEND_ERRORS as error:
         return outcome_from_error(error), None
 
 
-def _answer_timeout(request_state: RequestState, remaining: float) -> float | None:
+def _can_take_over(context: GatewayContext, request_state: RequestState) -> bool:
+    """Return whether another endpoint can take the request; its repeat is reserved if so."""
+    candidates = context.fleet.candidates(
+        request_state.service.name, now=context.clock(), excluded=request_state.tried_endpoints
+    )
+    return bool(within_limits(context, candidates)) and reserve_repeats(context, request_state, 1)
+
+
+def _answer_timeout(request_state: RequestState) -> float | None:
     """Return the timeout of one attempt in seconds, or None if no other attempt may follow."""
     if (
         not request_state.route.repeatable
         or request_state.runs + 1 >= request_state.route.max_attempts
     ):
         return None
-    return min(
-        remaining,
-        max(MIN_ANSWER_TIMEOUT_SECONDS, ANSWER_TIMEOUT_FACTOR * request_state.route.latency_target),
+    return max(
+        MIN_ANSWER_TIMEOUT_SECONDS, ANSWER_TIMEOUT_FACTOR * request_state.route.latency_target
     )
 
 
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -3,8 +3,6 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
-import anyio
-
 from samphirehall.gateway.connections import IncompleteResponseError, Response
 from samphirehall.gateway.events import Event, EventSplitter
 from samphirehall.gateway.plain import (
@@ -14,6 +12,7 @@
     end_to_end_headers,
 )
 from samphirehall.gateway.request_state import Caller, RequestState, SendOutcome
+from samphirehall.gateway.silence import SilenceLimit
 from samphirehall.gateway.types import Headers
 from samphirehall.gateway.wire_codec import WireCodec
 
@@ -60,7 +59,7 @@
     request_state: RequestState,
     delivery: Delivery,
     response: Response,
-    scope: anyio.CancelScope,
+    limit: SilenceLimit,
     on_event: Callable[[], None],
 ) -> None:
     """Relay the events that the caller lacks, then complete its response.
@@ -73,8 +72,8 @@
         Progress of the stream.
     response : Response
         Response of the engine.
-    scope : CancelScope
-        Scope of the send; its deadline is moved with each event.
+    limit : SilenceLimit
+        Limit of the send; it is restarted with each event.
     on_event : callable
         Called when an event arrives, before it is forwarded.
 
@@ -89,10 +88,11 @@
         await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
         on_event()
-        set_inactivity_deadline(scope, request_state, _inter_event_gap_limit(request_state))
+        restart_silence_limit(limit, request_state, _inter_event_gap_limit(request_state))
         if continues and event.number is None:
             raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
+    limit.stop()
     if delivery.splitter.remainder:
         raise IncompleteResponseError("the stream ended inside an event")
     await delivery.caller.finish()
@@ -122,12 +122,10 @@
     return SendOutcome.ANSWERED
 
 
-def set_inactivity_deadline(
-    scope: anyio.CancelScope, request_state: RequestState, seconds: float
-) -> None:
-    """Set the scope's deadline `seconds` from now if another engine may continue the request."""
+def restart_silence_limit(limit: SilenceLimit, request_state: RequestState, seconds: float) -> None:
+    """Restart the limit if another engine may continue the request."""
     if request_state.route.resumable and request_state.runs + 1 < request_state.route.max_attempts:
-        scope.deadline = anyio.current_time() + seconds
+        limit.restart(seconds)
 
 
 async def _received_events(response: Response, delivery: Delivery) -> AsyncIterator[Event]:
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -78,6 +78,8 @@
         Endpoint, purpose and outcome of each send.
     delivered_sends : int
         Sends that may have reached an endpoint, without the first successful separate prefill.
+    reserved_repeats : int
+        Repeated sends of the next attempt that the budget has already counted.
     prefill_done : bool
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
@@ -99,6 +101,7 @@
     tried_endpoints: set[str] = field(default_factory=set)
     sends: list[tuple[str, str, str]] = field(default_factory=list)
     delivered_sends: int = 0
+    reserved_repeats: int = 0
     prefill_done: bool = False
     on_trial: bool = False
     extra_log_fields: dict[str, Any] = field(default_factory=dict)
--- /dev/null
+++ b/tests/gateway/test_silent_endpoints.py
@@ -0,0 +1,139 @@
+"""Endpoints that fall silent and go on: a run is ended only if another endpoint can take over."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from samphirehall.gateway.context import RepeatLimits
+from samphirehall.gateway.silence import silence_limit
+from tests.gateway import test_generation, test_plain
+from tests.gateway.helpers import MODEL, RecordingCaller, engine, request, scripted_endpoint
+from tests.gateway.test_generation import (
+    WHOLE,
+    chunk,
+    generate,
+    remaining_events,
+    serve,
+    stream_head,
+)
+
+pytestmark = pytest.mark.anyio
+
+NO_REPEATS = RepeatLimits(0.0, 0.0, 10.0)
+GAP_SECONDS = 1.6  # the limit of the route is 1.2 s
+
+
+def pausing_after(count):
+    """Return a script that is silent for a while before the event after the first `count`."""
+
+    async def script(received, writer):
+        events = remaining_events(received)
+        writer.write(stream_head(received) + b"".join(chunk(event) for event in events[:count]))
+        await asyncio.sleep(GAP_SECONDS)
+        writer.write(b"".join(chunk(event) for event in events[count:]) + b"0\r\n\r\n")
+
+    return script
+
+
+class TestStreams:
+    async def test_stream_of_a_silent_engine_is_not_cut_without_repeat_budget(self):
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.set_repeat_limits(NO_REPEATS)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+        assert not other.received and not silent.aborted_requests
+
+    async def test_stream_of_a_silent_engine_is_not_cut_without_another_engine(self):
+        async with scripted_endpoint(pausing_after(2)) as silent:
+            gateway, _ = test_generation.gateway_with(d1=silent)
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+
+    async def test_stream_of_a_silent_engine_is_not_ended_for_a_prompt_in_quarantine(self):
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(0.2)
+                now = gateway.context.clock()
+                gateway.context.crashes.parts.block(frozenset(("common",)), now=now)
+        assert caller.body == WHOLE and caller.complete
+
+    async def test_stream_goes_on_elsewhere_as_soon_as_another_engine_is_listed(self):
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent)
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(GAP_SECONDS - 0.3)
+                gateway.context.fleet.update(engine("d2", address=other.address), MODEL)
+        assert caller.body == WHOLE and caller.complete
+        assert other.received[0]["last-event-id"] == "2" and silent.aborted_requests == 1
+
+    async def test_takeover_is_charged_once_to_the_repeat_budget(self):
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.set_repeat_limits(RepeatLimits(0.0, 1.5, 10.0))
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+        assert other.received[0]["last-event-id"] == "2"
+
+
+def stream_request():
+    return request("/chat/x", prompt=test_generation.prompt(shared=500))
+
+
+class TestPlainRequests:
+    async def test_answer_of_a_silent_endpoint_is_not_lost_without_repeat_budget(self):
+        async def slow(received, writer):
+            await asyncio.sleep(0.4)
+            await test_plain.answered(received, writer)
+
+        async with scripted_endpoint(slow) as one, scripted_endpoint(slow) as two:
+            gateway, _ = test_plain.gateway_with(one.address, two.address)
+            gateway.context.set_repeat_limits(NO_REPEATS)
+            caller = RecordingCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body) == (200, b"body")
+        assert len(one.received) + len(two.received) == 1
+
+
+class TestSilenceLimit:
+    async def test_send_ends_only_once_it_may(self):
+        allowed = [False, False, True]
+        with (
+            pytest.raises(TimeoutError, match="silent"),
+            silence_limit("r1", "e1", lambda: allowed.pop(0)) as limit,
+        ):
+            limit.restart(0.01)
+            await anyio.sleep(5)
+        assert limit.expired and not allowed
+
+    async def test_event_restarts_the_limit_and_the_end_stops_it(self):
+        with contextlib.ExitStack() as stack:
+            limit = stack.enter_context(silence_limit("r1", "e1", lambda: True))
+            for _ in range(3):
+                limit.restart(0.1)
+                await anyio.sleep(0.05)
+            limit.stop()
+            await anyio.sleep(0.15)
+        assert not limit.expired
