Reject entries and configurations that are valid JSON but cannot be used

An entry of the endpoint list that another writer left ended the process that read the list if it was nested deeply, as RecursionError is no decoding error. Others were taken as usable endpoints: port 0, 99999 or of 5,000 digits, a host that is no IP number, slots 0, 2^70 or 10^400, a start of 10^40 ms, a zone of a million letters, an id that no header can carry. An address of 5,000 digits raised ValueError when its connections were made, and numbers over 64 bits cannot be packed in messages between hosts. The same held for the version of a configuration document, and for a document nested deeply.

All decoding of documents now goes through core/decoding.py, which has one error for bytes that cannot be used, and types with bounds. Such an entry names no endpoint and the follower goes on with the others; it is logged once a minute at most, cut to 200 characters. A configuration with a number out of range is refused as one, as one with a wrong type was before; routes of an unknown kind are left out as before.

--- a/samphirehall/core/log.py
+++ b/samphirehall/core/log.py
@@ -3,13 +3,20 @@
 import logging
 import os
 import sys
+from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import shorten
+
 MAX_ORDINARY_LINES_PER_SECOND = 200  # allows several lines per request on a busy small host
 MAX_WARNING_LINES_PER_SECOND = 200  # warnings and errors
 MAX_UNWRITTEN_BYTES = 262_144  # about one second of lines, for a slow reader
+REJECTION_INTERVAL_SECONDS = 60.0  # between two lines on rejected input of one source
+MAX_REJECTION_SOURCES = 256  # with a line in one interval; all others are only counted
 LEVELS = ("debug", "info", "warning", "error")
 _STANDARD_FIELDS = frozenset(
     (*logging.makeLogRecord({}).__dict__, "message", "asctime", "taskName")
@@ -120,6 +127,55 @@
             self._unwritten = b""
 
 
+class RejectionLog:
+    """Logs rejected input, at most once an interval for each source.
+
+    A source whose input is rejected again is only counted until the interval has passed.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Logger of the module that rejects.
+    event : str
+        Message of the lines.
+    clock : callable
+        Boot clock in seconds.
+    """
+
+    def __init__(
+        self, logger: logging.Logger, event: str, clock: Callable[[], float] = boot_seconds
+    ) -> None:
+        self._logger = logger
+        self._event = event
+        self._clock = clock
+        self._logged_at: OrderedDict[str, float] = OrderedDict()
+        self._omitted = 0
+
+    def record(self, source: str, reason: object) -> None:
+        """Log a rejection, or count it.
+
+        Parameters
+        ----------
+        source : str
+            What the input is from, such as the key of a row.
+        reason : object
+            Why it is rejected.
+        """
+        name, now = shorten(source), self._clock()
+        while self._logged_at:
+            oldest = next(iter(self._logged_at))
+            if now - self._logged_at[oldest] < REJECTION_INTERVAL_SECONDS:
+                break
+            del self._logged_at[oldest]
+        if name in self._logged_at or len(self._logged_at) >= MAX_REJECTION_SOURCES:
+            self._omitted += 1
+            return
+        self._logged_at[name] = now
+        extra = {"source": name, "reason": shorten(reason), "omitted": self._omitted}
+        self._logger.warning(self._event, extra=extra)
+        self._omitted = 0
+
+
 def configure_logging(level: str, *, host: str, program: str, to_stdout: bool = False) -> None:
     """Configure the root logger to write JSON lines to standard error or standard output.
 
--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -1,10 +1,19 @@
 """Decoding of the operator's configuration document and of rows of the endpoint list."""
 
 import logging
-from typing import Any
+from typing import Annotated
 
 import msgspec
 
+from samphirehall.core.decoding import (
+    DecodingError,
+    Name,
+    Unsigned,
+    convert,
+    decode,
+    parse_address,
+)
+from samphirehall.core.log import RejectionLog
 from samphirehall.gateway.types import (
     CallerLimits,
     Customer,
@@ -22,6 +31,10 @@
 SECONDS_PER_MILLISECOND = 1e-3
 BITS_PER_MEGABIT = 1e6
 DEFAULT_ROUTE_TIMEOUT_SECONDS = 3600.0  # for a route without a timeout
+MAX_ENDPOINT_SLOTS = 1_000_000  # concurrent requests of one endpoint
+MAX_ADDRESS_CHARACTERS = 64  # an IPv6 address in brackets and a port take 47
+MAX_UNIX_MILLISECONDS = 253_402_300_799_999  # the end of the year 9999
+MAX_AMOUNT = 1e15  # of any quantity in a configuration, in the unit of its field
 
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -31,11 +44,14 @@
 _READY_BY_STATE = {"ready": True, "draining": False}
 
 _log = logging.getLogger(__name__)
+_endpoint_rejections = RejectionLog(_log, "endpoint-unreadable")
+
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(msgspec.Struct):
@@ -45,54 +61,54 @@
     kind: str
     service: str = ""
     split: list[_Split] = []
-    timeout_ms: float = DEFAULT_ROUTE_TIMEOUT_SECONDS / SECONDS_PER_MILLISECOND
-    latency_goal_ms: float | None = None
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: _Amount = DEFAULT_ROUTE_TIMEOUT_SECONDS / SECONDS_PER_MILLISECOND
+    latency_goal_ms: _Amount | None = None
+    priority: Unsigned = 0
+    max_attempts: Unsigned = 1
     public: bool = False
     resumable: bool = False
-    target_gap_ms: float | None = None
+    target_gap_ms: _Amount | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kv_tokens: int
-    kv_token_bytes: float
-    link_mbps: float
-    handle_ttl_s: float = 5.0
+    slots: Unsigned
+    kv_tokens: Unsigned
+    kv_token_bytes: _Amount
+    link_mbps: _Amount
+    handle_ttl_s: _Amount = 5.0
 
 
 class _Scaling(msgspec.Struct):
-    min: int
-    max: int
-    boot_s: float = 0.0
-    spot_price: float | None = None
-    zone_prices: dict[str, float] = {}
+    min: Unsigned
+    max: Unsigned
+    boot_s: _Amount = 0.0
+    spot_price: _Amount | None = None
+    zone_prices: dict[str, _Amount] = {}
 
 
 class _Service(msgspec.Struct):
     name: str
     health_path: str = "/health"
-    max_conns: int = 0
+    max_conns: Unsigned = 0
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 65_536
-    max_body_bytes: int = 16 * 1024 * 1024
-    header_timeout_ms: float = 10_000.0
-    idle_timeout_ms: float = 75_000.0
+    max_header_bytes: Unsigned = 65_536
+    max_body_bytes: Unsigned = 16 * 1024 * 1024
+    header_timeout_ms: _Amount = 10_000.0
+    idle_timeout_ms: _Amount = 75_000.0
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: Name
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Unsigned | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Unsigned
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -100,14 +116,14 @@
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: Name
+    address: Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
+    zone: Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_ENDPOINT_SLOTS)]
     state: str
     stage: str | None = None
     spot: bool = False
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MILLISECONDS)] = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -120,11 +136,11 @@
     Raises
     ------
     ValueError
-        The document is not valid JSON or has a missing or wrong field.
+        The document is not valid JSON, or has a missing or wrong field or a number out of range.
     """
     try:
-        document = _configuration_decoder.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        document = decode(content, _configuration_decoder)
+    except DecodingError as error:
         raise ValueError(f"configuration: {error}") from error
     return GatewayConfiguration(
         document.version,
@@ -198,25 +214,31 @@
 def decode_endpoint(endpoint_id: str, content: bytes) -> ListedEndpoint | None:
     """Decode a row of the endpoint list; log a warning and return None if it is invalid."""
     try:
-        entry = _entry_decoder.decode(content)
-        stage = None if entry.stage is None else Stage(entry.stage)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-        _log.warning("endpoint-unreadable", extra={"endpoint": endpoint_id, "reason": str(error)})
-        return None
-    ready: Any = _READY_BY_STATE.get(entry.state)
-    host, _, port = entry.address.rpartition(":")
-    if ready is None or not host or not port.isdigit():
-        extra = {"endpoint": endpoint_id, "reason": f"state {entry.state!r}, {entry.address!r}"}
-        _log.warning("endpoint-unreadable", extra=extra)
+        entry = decode(content, _entry_decoder)
+        return _convert_entry(convert(endpoint_id, Name), entry)
+    except ValueError as error:
+        _endpoint_rejections.record(endpoint_id, error)
         return None
+
+
+def _convert_entry(endpoint_id: str, entry: _Entry) -> ListedEndpoint:
+    """Convert an entry.
+
+    Raises
+    ------
+    ValueError
+        Its state or stage is unknown, or its address is no IP number and port.
+    """
+    if entry.state not in _READY_BY_STATE or parse_address(entry.address) is None:
+        raise ValueError(f"state {entry.state!r}, {entry.address!r}")
     return ListedEndpoint(
         endpoint_id,
         entry.service,
         entry.address,
         entry.zone,
         entry.slots,
-        ready,
-        stage,
+        _READY_BY_STATE[entry.state],
+        None if entry.stage is None else Stage(entry.stage),
         entry.spot,
         entry.born,
     )
