Read past odd rows of the store and reject odd answers

A row of the product's own table whose value was no JSON, or nested deeply, raised out of read, scan and transact: msgspec.DecodeError and RecursionError are not among the errors that callers expect of the store, so the lease of the duties, usage reports and the quarantine ended with the process. A row value with a letter that is not ASCII raised ValueError, which is no binascii.Error; a deep answer raised RecursionError. Versions that are negative or over 64 bits were taken; they cannot be packed in messages between hosts. An era of 40 digits was taken as a restoration, after which every other answer counts as one of an earlier era; fencing numbers hold an era of up to 31 bits.

An odd row is left out, or read with its version and no value if it is an own row, so that it can be overwritten; an odd answer counts as none, and an odd era is logged and ignored. Lines on one row are at most one a minute.

--- a/samphirehall/backing/table.py
+++ b/samphirehall/backing/table.py
@@ -29,7 +29,7 @@
     version : int
         Number of writes since the row was created.
     value : object
-        JSON value.
+        JSON value; None if the row holds none, which only another writer can leave.
     """
 
     key: str
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store: rows, transactions and the change feed."""
 
 import base64
-import binascii
 import logging
 from collections.abc import Callable, Container, Iterable, Sequence
 from typing import Any
@@ -18,8 +17,9 @@
     header,
     read_body,
 )
+from samphirehall.core.decoding import DecodingError, Unsigned, decode, parse_unsigned
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.core.log import log_decision
+from samphirehall.core.log import RejectionLog, log_decision
 from samphirehall.gateway.rows import HistoryGoneError, RowChange, Rows, StoreVersion
 
 CALL_TIMEOUT_SECONDS = 1.0  # answers take a few milliseconds, slow ones 0.25 s
@@ -31,8 +31,11 @@
 CONFIGURATION_KEY = "config"
 ENDPOINT_TABLE = "servers"
 ERA_HEADER = b"store-era"  # rises each time the store comes back from an older copy
+MAX_ERA = 2**31 - 1  # fencing numbers of 63 bits hold the era above 32 bits
 
 _log = logging.getLogger(__name__)
+_row_rejections = RejectionLog(_log, "row-unreadable")
+_era_rejections = RejectionLog(_log, "store-era-unreadable")
 
 ObserveCall = Callable[[str, float, bool], None]
 
@@ -43,20 +46,21 @@
 
 class _StoredRow(msgspec.Struct):
     key: str
-    ver: int = 0
+    ver: Unsigned = 0
     value: str = ""
     tombstone: bool = False
 
 
 class _RowsAnswer(msgspec.Struct):
     rows: list[msgspec.Raw] = []
-    ver: int = 0
+    ver: Unsigned = 0
     has_more: bool = False
-    era: int = 0  # of the header, not of the body
+    era: Unsigned = 0  # of the header, not of the body
 
 
 _rows_decoder = msgspec.json.Decoder(_RowsAnswer)
 _row_decoder = msgspec.json.Decoder(_StoredRow)
+_value_decoder = msgspec.json.Decoder()
 
 
 class Store:
@@ -211,8 +215,8 @@
         if status not in accepted:
             raise PlatformUnavailableError(f"{method} {path[:20]}: status {status}")
         try:
-            answer = _rows_decoder.decode(content) if content else _RowsAnswer()
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            answer = decode(content, _rows_decoder) if content else _RowsAnswer()
+        except DecodingError as error:
             raise PlatformUnavailableError(f"{method} {path[:20]}: {error}") from error
         if era < self.era:
             raise PlatformUnavailableError(f"{method} {path[:20]}: answer of an earlier era")
@@ -238,10 +242,10 @@
     value = header(headers, ERA_HEADER)
     if value is None:
         return None
-    if not value.isdecimal():
-        _log.warning("store-era-unreadable", extra={"value": value})
-        return None
-    return int(value)
+    era = parse_unsigned(value, maximum=MAX_ERA)
+    if era is None:
+        _era_rejections.record("store", f"{value[:40]!r} is no number up to {MAX_ERA}")
+    return era
 
 
 def _row_name(key: str) -> dict[str, str]:
@@ -257,14 +261,21 @@
     rows = []
     for raw in answer.rows:
         try:
-            row = _row_decoder.decode(raw)
+            row = decode(raw, _row_decoder)
             value = None if row.tombstone else base64.b64decode(row.value, validate=True)
-        except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
-            _log.warning("row-unreadable", extra={"reason": str(error)})
+        except ValueError as error:
+            _row_rejections.record("answer", error)
             continue
         rows.append(RowChange(row.key, StoreVersion(answer.era, row.ver), value))
     return rows
 
 
 def _to_product_row(row: RowChange) -> Row:
-    return Row(row.key, row.version.number, msgspec.json.decode(row.value) if row.value else None)
+    """Decode the value of a row of `PRODUCT_TABLE`; one that is no JSON value becomes None."""
+    value = None
+    if row.value:
+        try:
+            value = decode(row.value, _value_decoder)
+        except DecodingError as error:
+            _row_rejections.record(row.key, error)
+    return Row(row.key, row.version.number, value)
