Wait for a lease whose row cannot be read instead of ending the process

A lease row that another writer had left as anything else raised msgspec.ValidationError out of LeaseManager.run, which ended the host; one with a fencing number of 2^63 or a ttl of 1e300 was taken, after which no number could follow it, or no candidate ever took the lease over.

Such a row now counts as that of an unknown holder: candidates wait as for any other holder. The fencing number goes on from the row's version, which counts the writes of the era and so is at least that of all takeovers in it. A number above those of the table's era is rejected for the same reason.

--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -12,18 +12,28 @@
 any grant of an earlier era may last.
 """
 
+import logging
 from dataclasses import dataclass, replace
+from typing import Annotated
 
 import msgspec
 
 from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row
+from samphirehall.core.decoding import DecodingError, Unsigned, convert
 from samphirehall.core.errors import SamphireError
+from samphirehall.core.log import RejectionLog
 from samphirehall.core.results import LEASE_LOST, SETTINGS_INVALID
 
 PLATFORM_SCOPE = "platform"
 RENEWALS_PER_TTL = 3
 NO_HOLDER = ""
+UNKNOWN_HOLDER = "?"  # of a row that cannot be read; no process has this name
 FENCING_NUMBER_BITS = 32  # for the takeovers of one era; the era takes the bits above
+MAX_TAKEOVERS = (1 << FENCING_NUMBER_BITS) - 2  # of one era, so that one more fits its bits
+MAX_TTL_SECONDS = 86_400.0  # of a row; a candidate waits for it
+
+_log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "lease-unreadable")
 
 
 def engines_scope(zone: str) -> str:
@@ -106,8 +116,8 @@
     """
 
     holder: str
-    fencing: int
-    ttl: float
+    fencing: Unsigned
+    ttl: Annotated[float, msgspec.Meta(ge=0, le=MAX_TTL_SECONDS)]
 
 
 @dataclass(slots=True, frozen=True)
@@ -194,9 +204,34 @@
     return lease is not None and lease.fencing >> FENCING_NUMBER_BITS == era
 
 
-def decode_lease(row: Row | None) -> LeaseRow | None:
-    """Return the decoded value of a lease row, or None if there is no row."""
-    return None if row is None else msgspec.convert(row.value, LeaseRow)
+def decode_lease(row: Row | None, *, era: int) -> LeaseRow | None:
+    """Return the decoded value of a lease row, or None if there is no row.
+
+    A row that cannot be read is that of an unknown holder. Its version counts the writes of the
+    era, so that no fencing number of the era is above it.
+
+    Parameters
+    ----------
+    row : Row or None
+        The row as read.
+    era : int
+        Era of the table.
+    """
+    if row is None:
+        return None
+    try:
+        lease = convert(row.value, LeaseRow)
+        if lease.fencing > _max_fencing(era):
+            raise DecodingError(f"fencing number {lease.fencing} of a later era than {era}")
+    except DecodingError as error:
+        _rejections.record(row.key, error)
+        fencing = (era << FENCING_NUMBER_BITS) + min(row.version, MAX_TAKEOVERS)
+        return LeaseRow(UNKNOWN_HOLDER, fencing, 0.0)
+    return lease
+
+
+def _max_fencing(era: int) -> int:
+    return (era << FENCING_NUMBER_BITS) + MAX_TAKEOVERS
 
 
 def update_observation(
--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -225,7 +225,7 @@
         except PlatformUnavailableError:
             return
         now = self._clock()
-        self._lease_row = decode_lease(lease)
+        self._lease_row = decode_lease(lease, era=self._table.era)
         self._observation = update_observation(
             self._observation, lease, renewal, era=self._table.era, now=now
         )
@@ -299,7 +299,8 @@
             return None
         if lease is None or renewal is None:
             return None
-        written_by_this_process = decode_lease(lease) == row and renewal.value == counter
+        found = decode_lease(lease, era=self._table.era)
+        written_by_this_process = found == row and renewal.value == counter
         return lease.version if written_by_this_process else None
 
     async def _read_rows(self) -> tuple[Row | None, Row | None]:
