Report usage beside rows of counts and sums that cannot be read

A row of usage counts or of a sum without the expected fields raised KeyError, TypeError or msgspec.ValidationError out of the loop that reports usage, and a key without a number ValueError: the process ended, and the next holder of the duty after it. A sum under a key of the far future was taken as the window to report first, so that nothing was reported any more, and counts under window 0 began a report of every window since 1970.

Counts that cannot be read are left out, and overwritten by their own process. A window whose sum cannot be read is left out like one whose sum was lost, as its report may have been sent, unless this host stored that sum. Only windows of the last 1000 count when the first window to report is looked for.

--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -8,18 +8,19 @@
 out, as a second report with other counts would be worse than none.
 """
 
+import contextlib
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
 
 import anyio
 import msgspec
 
 from samphirehall.authority.lease import LeaseLostError
-from samphirehall.backing.table import ABSENT, NO_ERA, Check, Table, Write
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row, Table, Write
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import DecodingError, Unsigned, convert
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.usage_windows import (
@@ -31,12 +32,15 @@
     WINDOW_KEY_DIGITS,
     HostCounts,
     counts_prefix,
+    decode_counts,
+    key_window,
 )
 from samphirehall.gateway.zone_members import NO_WINDOW
 
 # Fraction of the time until a report is due for which the counts of a host are awaited. The
 # remainder is enough for another host to take over the duty if its holder is cut off.
 MAX_WAIT_FRACTION = 0.5
+MAX_UNREPORTED_WINDOWS = 1000  # an older window in a key is another writer's
 SUMS_PREFIX = "usage/sums/"
 
 _log = logging.getLogger(__name__)
@@ -45,19 +49,33 @@
 class _StoredSum(msgspec.Struct):
     """Value of the row of a sum: the counts by customer, and the era in which they were stored."""
 
-    era: int
-    counts: dict[str, int]
+    era: Unsigned
+    counts: dict[str, Unsigned]
 
 
-def _decode_sum(value: dict[str, Any]) -> _StoredSum:
-    """Decode the value of a row; rows of earlier versions have the counts only."""
-    if isinstance(value.get("counts"), dict):
-        return msgspec.convert(value, _StoredSum)
-    return _StoredSum(NO_ERA, value)
+def _decode_sum(row: Row) -> _StoredSum:
+    """Decode a row; those of earlier versions have the counts only.
+
+    Raises
+    ------
+    DecodingError
+        The row holds no sum.
+    """
+    if isinstance(row.value, dict) and isinstance(row.value.get("counts"), dict):
+        return convert(row.value, _StoredSum)
+    return _StoredSum(NO_ERA, convert(row.value, dict[str, Unsigned]))
 
 
-def _sum_window(key: str) -> int:
-    return int(key.removeprefix(SUMS_PREFIX))
+def _newest_sum(rows: Iterable[Row], windows: Container[int]) -> tuple[int, _StoredSum] | None:
+    """Return the last of some windows that has a sum, and the sum."""
+    newest = None
+    for row in rows:
+        window = key_window(row.key, SUMS_PREFIX)
+        if window is None or window not in windows:
+            continue
+        with contextlib.suppress(DecodingError):  # logged when its window is due
+            newest = window, _decode_sum(row)
+    return newest
 
 
 def _add_counts(hosts: Iterable[HostCounts]) -> dict[str, int]:
@@ -140,18 +158,25 @@
             self.next_window = await self._first_unreported(last)
         while self.next_window <= last:
             window = self.next_window
-            if await self._is_sum_lost(window):
-                reason = "the store has lost its sum, which may have been reported"
-                log_decision(_log, "usage-left-out", reason, window=window)
-                self.next_window = window + 1
+            try:
+                if await self._is_sum_lost(window):
+                    reason = "the store has lost its sum, which may have been reported"
+                    self._leave_out(window, reason)
+                    continue
+                counts = await self._settle(window, agreed_now)
+            except DecodingError as error:
+                self._leave_out(window, f"its sum, which may have been reported: {error}")
                 continue
-            counts = await self._settle(window, agreed_now)
             if counts is None:
                 return
             await self.send(window, counts)
             self.next_window = window + 1
             log_decision(_log, "usage-reported", "window has settled", window=window, counts=counts)
 
+    def _leave_out(self, window: int, reason: str) -> None:
+        log_decision(_log, "usage-left-out", reason, window=window)
+        self.next_window = window + 1
+
     async def _first_unreported(self, last: int) -> int:
         """Return the window to report first.
 
@@ -159,17 +184,17 @@
         store was restored since that sum was stored, later windows may have been reported as well;
         a host that does not know how many leaves out all that have ended.
         """
-        sums = await self.table.scan(SUMS_PREFIX)
-        newest_era = _decode_sum(sums[-1].value).era if sums else NO_ERA
-        may_be_lost = newest_era != self.table.era and (bool(sums) or not self.first_start)
+        plausible = range(last - MAX_UNREPORTED_WINDOWS, last + RETAINED_WINDOWS + 1)
+        newest = _newest_sum(await self.table.scan(SUMS_PREFIX), plausible)
+        newest_era = newest[1].era if newest else NO_ERA
+        may_be_lost = newest_era != self.table.era and (bool(newest) or not self.first_start)
         if may_be_lost and self.progress.settled_window == NO_WINDOW:
             self.progress.record(last)
-        if sums:
-            return max(_sum_window(sums[-1].key), last - RETAINED_WINDOWS)
-        counts = await self.table.scan(COUNTS_PREFIX)
-        if counts:
-            return int(counts[0].key.removeprefix(COUNTS_PREFIX).split("/")[0])
-        return last
+        if newest:
+            return max(newest[0], last - RETAINED_WINDOWS)
+        rows = await self.table.scan(COUNTS_PREFIX)
+        windows = (key_window(row.key, COUNTS_PREFIX) for row in rows)
+        return next((found for found in windows if found is not None and found in plausible), last)
 
     async def _is_sum_lost(self, window: int) -> bool:
         """Return whether a sum was stored that neither this host nor the store knows any more."""
@@ -180,7 +205,22 @@
     async def _stored_sum(self, window: int) -> dict[str, int] | None:
         key = sum_key(window)
         row = (await self.table.read([key])).get(key)
-        return None if row is None else _decode_sum(row.value).counts
+        return None if row is None else self._counts_in(row, window)
+
+    def _counts_in(self, row: Row, window: int) -> dict[str, int]:
+        """Return the counts of a stored sum, or those that this host stored before.
+
+        Raises
+        ------
+        DecodingError
+            The row holds no sum, and this host stored none.
+        """
+        try:
+            return _decode_sum(row).counts
+        except DecodingError:
+            if window in self._own_sums:
+                return self._own_sums[window]
+            raise
 
     async def _settle(self, window: int, agreed_now: float) -> dict[str, int] | None:
         """Store the sum of a window if there is none; return the stored sum, or None to wait."""
@@ -200,7 +240,7 @@
         writes = [Write(sum_key(window), value), Write(sum_key(window - RETAINED_WINDOWS), None)]
         result = await self.table.transact([Check(sum_key(window), ABSENT)], writes)
         if not result.committed:
-            total = _decode_sum(result.conflicts[0].value).counts
+            total = self._counts_in(result.conflicts[0], window)
         self._record_sum(window, total)
         if result.committed:
             await self._delete_counts(window - RETAINED_WINDOWS)
@@ -217,8 +257,9 @@
         """Return the counts of a window by process, merged from the store and from peers."""
         prefix = counts_prefix(window)
         counts_by_process = {
-            row.key.removeprefix(prefix): HostCounts(row.value["closed"], row.value["counts"])
+            row.key.removeprefix(prefix): counts
             for row in await self.table.scan(prefix)
+            if (counts := decode_counts(row)) is not None
         }
         for process, published in self.peer_counts(window).items():
             stored = counts_by_process.get(process)
--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -8,10 +8,14 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Annotated
 
-from samphirehall.backing.table import ABSENT, NO_ERA, Check, Table, Write
+import msgspec
+
+from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row, Table, Write
+from samphirehall.core.decoding import DecodingError, convert, parse_unsigned
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.core.log import log_decision
+from samphirehall.core.log import RejectionLog, log_decision
 
 SAVE_INTERVAL_SECONDS = 1.0  # bounds the counts a killed host loses; costs one small write
 MAX_ROWS_PER_CALL = 40  # a call may hold 100 entries, and a written row takes two
@@ -19,9 +23,13 @@
 MAX_PUBLISHED_WINDOWS = 3  # older windows have been reported
 RETAINED_WINDOWS = 24  # reports are due within a few windows
 WINDOW_KEY_DIGITS = 12  # zero-padded, so that keys sort as numbers
+MAX_COUNT = 10**12  # requests of a customer in a window; a million such counts fit 64 bits
 COUNTS_PREFIX = "usage/counts/"
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 _log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "usage-unreadable")
 
 
 def counts_prefix(window: int) -> str:
@@ -29,6 +37,12 @@
     return f"{COUNTS_PREFIX}{window:0{WINDOW_KEY_DIGITS}d}/"
 
 
+def key_window(key: str, prefix: str) -> int | None:
+    """Return the window that a key names after a prefix, or None if it names none."""
+    digits = key.removeprefix(prefix).split("/")[0]
+    return parse_unsigned(digits) if len(digits) == WINDOW_KEY_DIGITS else None
+
+
 @dataclass(slots=True, frozen=True)
 class HostCounts:
     """Counts of one process in one window.
@@ -51,6 +65,23 @@
         return HostCounts(self.closed or other.closed, counts)
 
 
+class _StoredCounts(msgspec.Struct):
+    """Value of the row of a process in a window."""
+
+    closed: bool
+    counts: dict[str, Count]
+
+
+def decode_counts(row: Row) -> HostCounts | None:
+    """Decode the counts in a row; log a row that cannot be read and return None."""
+    try:
+        stored = convert(row.value, _StoredCounts)
+    except DecodingError as error:
+        _rejections.record(row.key, error)
+        return None
+    return HostCounts(stored.closed, stored.counts)
+
+
 def split_counts(
     windows: Mapping[int, HostCounts], *, max_customers: int
 ) -> list[dict[int, HostCounts]]:
@@ -160,8 +191,9 @@
             row = rows.get(write.key)
             self._versions[write.key] = row.version if row else ABSENT
             self._saved.pop(name, None)
-            if row is not None:
-                self._saved[name] = HostCounts(row.value["closed"], row.value["counts"])
+            counts_found = None if row is None else decode_counts(row)
+            if counts_found is not None:
+                self._saved[name] = counts_found
         return False
 
 
