Read the quarantine beside rows with numbers out of range

A time of the last crash over 10^308 raised OverflowError out of the loop that keeps the quarantine and ended the host; a text in place of the list of parts was taken as a group of its letters. The rows now have a type with bounds.

TestOddRows in tests/gateway/test_quarantine_store.py: one test failed before.

--- a/samphirehall/gateway/quarantine_store.py
+++ b/samphirehall/gateway/quarantine_store.py
@@ -6,20 +6,36 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import anyio
+import msgspec
 import xxhash
 
 from samphirehall.backing.table import NO_ERA, Table, Write
+from samphirehall.core.decoding import DecodingError, convert
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.core.log import log_decision
+from samphirehall.core.log import RejectionLog, log_decision
 from samphirehall.routing.part_quarantine import Group, PartQuarantine
 
 PREFIX = "quarantine/"
 CHECK_INTERVAL_SECONDS = 0.5  # a started hub reads the rows before the first crashes
 MAX_ROWS = 256
+MAX_PARTS = 4096  # of one group
+MAX_PART_CHARACTERS = 1024  # of the identifier of a part
+MAX_UNIX_SECONDS = 253_402_300_799.0  # the end of the year 9999
 
 _log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "quarantine-unreadable")
+
+_Part = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_PART_CHARACTERS)]
+
+
+class _StoredGroup(msgspec.Struct):
+    """Value of a row; `last_crash` is in seconds since 1970."""
+
+    parts: Annotated[list[_Part], msgspec.Meta(min_length=1, max_length=MAX_PARTS)]
+    last_crash: Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]
 
 
 @dataclass(slots=True, frozen=True)
@@ -91,11 +107,11 @@
         rows = []
         for row in found:
             try:
-                group, last_crash = frozenset(row.value["parts"]), float(row.value["last_crash"])
-            except (KeyError, TypeError, ValueError) as error:
-                _log.warning("quarantine-unreadable", extra={"key": row.key, "reason": repr(error)})
+                stored = convert(row.value, _StoredGroup)
+            except DecodingError as error:
+                _rejections.record(row.key, error)
                 continue
-            rows.append(_GroupRow(row.key, group, last_crash))
+            rows.append(_GroupRow(row.key, frozenset(stored.parts), stored.last_crash))
         return rows
 
     def _take_over(self, rows: list[_GroupRow]) -> dict[Group, str]:
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -1,10 +1,14 @@
 """Quarantine of parts of prompts across the end of all hosts."""
 
+import anyio
 import pytest
+from hypothesis import given
 
 from samphirehall.backing.table import Write
 from samphirehall.gateway.quarantine_store import PREFIX, QuarantineStore
 from samphirehall.routing.part_quarantine import MIN_SCORE, PartQuarantine
+from tests.support import odd_bytes
+from tests.support.odd_rows import leave, odd_values
 from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
@@ -108,3 +112,26 @@
         await hub.store.step()
         assert hub.blocked is None
         assert await table.scan(PREFIX) == []
+
+
+class TestOddRows:
+    @odd_values
+    async def test_odd_row_leaves_the_others(self, value):
+        table = FaultyTable()
+        leave(table, PREFIX + "a", value)
+        good = {"parts": ["deadly"], "last_crash": 1e9}
+        table.store.transact([], [Write(PREFIX + "b", good)])
+        hub = Hub(table, now=10.0)
+        await hub.store.step()
+        assert hub.quarantine.blocked_count == 1 and hub.blocked
+
+    @given(odd_bytes.json_values)
+    def test_any_value_leaves_the_hub_running(self, value):
+        async def play():
+            table = FaultyTable()
+            leave(table, PREFIX + "a", value)
+            hub = Hub(table, now=10.0)
+            await hub.store.step()
+            await hub.store.step()
+
+        anyio.run(play)
