Read the directory beside addresses that nothing can listen on

The address of a host or hub with a port of 5,000 digits, or with a digit that is not ASCII, raised ValueError out of the directory's loops and ended the host; one with a name in place of an IP number was taken and sent on to other hosts. Addresses are now checked by core.decoding.parse_address.

--- a/samphirehall/gateway/datagrams.py
+++ b/samphirehall/gateway/datagrams.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from samphirehall.gateway.host_directory import Address, parse_address
+from samphirehall.core.decoding import Address, parse_address
 
 MAX_DATAGRAM_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 1024 * 1024  # a hub may receive from all members at the same moment
--- a/samphirehall/gateway/host_directory.py
+++ b/samphirehall/gateway/host_directory.py
@@ -11,8 +11,9 @@
 import anyio
 
 from samphirehall.backing.table import Table, Write
+from samphirehall.core.decoding import Address, DecodingError, Name, convert, parse_address
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.core.log import log_decision
+from samphirehall.core.log import RejectionLog, log_decision
 
 HOST_PREFIX = "hosts/"
 HUB_PREFIX = "hubs/"
@@ -21,17 +22,7 @@
 
 _log = logging.getLogger(__name__)
 
-Address = tuple[str, int]
-
-
-def parse_address(address: object) -> Address | None:
-    """Return the parts of ``ip:port``, or None if it is no such address."""
-    if not isinstance(address, str):
-        return None
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        return None
-    return host, int(port)
+_rejections = RejectionLog(_log, "peer-unreadable")
 
 
 class HostDirectory:
@@ -115,7 +106,8 @@
         prefix = f"{HOST_PREFIX}{self._zone}/"
         rows = {row.key.removeprefix(prefix): row.value for row in await self._table.scan(prefix)}
         for name, address in rows.items():
-            self.add_host(name, address)
+            if not self.add_host(name, address):
+                _rejections.record(name, "no IP address and port")
         return set(rows)
 
     async def _register_unlisted(self, live: Mapping[str, str], listed: set[str]) -> None:
@@ -131,8 +123,13 @@
 
     async def _load_hubs(self) -> None:
         for row in await self._table.scan(HUB_PREFIX):
-            if isinstance(row.value, list) and len(row.value) == 2:
-                self.add_hub(row.key.removeprefix(HUB_PREFIX), str(row.value[0]), row.value[1])
+            try:
+                name, address = convert(row.value, tuple[Name, str])
+            except DecodingError as error:
+                _rejections.record(row.key, error)
+                continue
+            if not self.add_hub(row.key.removeprefix(HUB_PREFIX), name, address):
+                _rejections.record(row.key, "no IP address and port")
 
 
 async def _try(call: Callable[[], Awaitable[object]]) -> bool:
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -12,12 +12,13 @@
 import anyio
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.decoding import Address, parse_address
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.crashes import Crash, PartCrash
 from samphirehall.gateway.datagrams import DatagramSocket
-from samphirehall.gateway.host_directory import Address, HostDirectory, parse_address
+from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.load import decode_loads, subtract_loads
 from samphirehall.gateway.rows import Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
--- a/samphirehall/gateway/zone_members.py
+++ b/samphirehall/gateway/zone_members.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from samphirehall.gateway.host_directory import Address
+from samphirehall.core.decoding import Address
 from samphirehall.gateway.zone_messages import MemberUpdate
 
 MEMBER_TIMEOUT_SECONDS = 6.0  # usage counts of a host cut off for less are waited for
--- a/tests/gateway/test_host_directory.py
+++ b/tests/gateway/test_host_directory.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from samphirehall.gateway.host_directory import HOST_PREFIX, HostDirectory
+from samphirehall.backing.table import Write
+from samphirehall.gateway.host_directory import HOST_PREFIX, HUB_PREFIX, HostDirectory
+from tests.support.odd_rows import ODD_VALUES, leave
 from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
@@ -37,3 +39,26 @@
     async def test_unavailable_store_is_reported(self):
         table = FaultyTable(faults=TableFaults(outage=True))
         assert not await directory(table, "host-1").refresh_as_hub({})
+
+
+class TestOddEntries:
+    @pytest.mark.parametrize(
+        "value",
+        [*ODD_VALUES, "10.0.0.9:0", "10.0.0.9:" + "1" * 5_000, "host:80", ["h", "10.0.0.9:²"]],
+        ids=lambda value: str(value)[:40],
+    )
+    async def test_odd_entry_leaves_the_others(self, value):
+        table = FaultyTable()
+        leave(table, f"{HOST_PREFIX}a/host-2", value)
+        leave(table, f"{HUB_PREFIX}b", value)
+        table.store.transact(
+            [],
+            [
+                Write(f"{HOST_PREFIX}a/host-3", "10.0.0.3:7000"),
+                Write(f"{HUB_PREFIX}c", ["host-4", "10.0.0.4:7000"]),
+            ],
+        )
+        directory = HostDirectory(table, "host-1", "a", "10.0.0.1:7000")
+        assert await directory.refresh_as_hub({})
+        assert directory.hosts == {"host-3": ("10.0.0.3", 7000)}
+        assert directory.hubs == {"c": ("host-4", ("10.0.0.4", 7000))}
