Refuse requests whose numbers cannot be used, and odd handles of engines

X-Token-Counts and X-Prompt-Prefix took any number: negative ones, and ones over 64 bits, which made the next load datagram raise OverflowError and ended the host. Identifiers of parts of any length were sent on to other hosts, and all parts of a prompt at once, which fit no datagram. A Last-Event-Id of 5,000 digits, and a target that is not ASCII, which no request to an endpoint can carry, raised out of the request and were answered 500. The KV handle in the answer to a prefill was used whatever it held: with a blank or line break the request to the next engine raised h11.LocalProtocolError, and a deep answer RecursionError, neither of which counts as a failure of that engine.

Such requests are refused with 400, as those without a number are already, and such handles are none, so that the prefill is retried elsewhere. A Server-Limit that is no number is logged once a minute, not with each answer.

--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -34,6 +34,7 @@
 MAX_CUSTOMERS_PER_DATAGRAM = 60  # a datagram must fit one packet
 MAX_UNSTORED_PROCESSES = 10  # per datagram to another hub
 MAX_BLOCKED_GROUPS = 8  # per datagram, which must fit one packet
+MAX_PARTS_PER_PROMPT = 32  # of the first parts, which the later ones need
 MAX_UNACKNOWLEDGED = 64  # updates of this host whose loads are remembered
 MAX_AGE_SECONDS = 1e9  # stands for an infinite age in a message
 
@@ -140,7 +141,7 @@
         context.unpublished_stage_changes.clear()
         news = News(
             [
-                (engine, [(part.part_id, part.tokens) for part in parts])
+                (engine, [(part.part_id, part.tokens) for part in parts[:MAX_PARTS_PER_PROMPT]])
                 for engine, parts in prompts
             ],
             changing,
--- a/samphirehall/platform/wire.py
+++ b/samphirehall/platform/wire.py
@@ -1,10 +1,14 @@
 """Headers of the platform's protocol: decoding client requests, encoding sends to endpoints."""
 
 import logging
+import re
+from typing import Annotated
 
 import msgspec
 
+from samphirehall.core.decoding import decode, parse_unsigned
 from samphirehall.core.errors import SamphireError
+from samphirehall.core.log import RejectionLog
 from samphirehall.core.results import BAD_REQUEST
 from samphirehall.gateway.types import Headers, Prompt, PromptPart, Request
 from samphirehall.gateway.wire_codec import Dispatch, WireCodec
@@ -29,6 +33,10 @@
 SECONDS_PER_MILLISECOND = 1e-3
 MIN_DEADLINE_MILLISECONDS = 1
 MAX_URGENCY = 9
+MAX_TOKENS = 10**9  # of a prompt, an answer or a part; sums over all requests fit 64 bits
+MAX_PART_ID_CHARACTERS = 128  # a SHA-512 in hexadecimal; sent on to other hosts
+MAX_KV_HANDLE_CHARACTERS = 200
+MAX_LIMIT_REQUESTS_PER_SECOND = 1e9
 
 # Not forwarded from a client: hop-by-hop headers, and headers that only this system may set.
 _STRIPPED_HEADERS = frozenset(
@@ -58,11 +66,19 @@
 )
 
 
+_FORWARDABLE_TARGET = re.compile(rb"[!-~]+")
+
+
 class _PrefillAnswer(msgspec.Struct):
-    kv_handle: str
+    """Answer to a prefill; the handle goes into a path and a header."""
+
+    kv_handle: Annotated[
+        str, msgspec.Meta(pattern=r"^[!-~]+\Z", max_length=MAX_KV_HANDLE_CHARACTERS)
+    ]
 
 
 _log = logging.getLogger(__name__)
+_limit_rejections = RejectionLog(_log, "endpoint-limit-unreadable")
 
 _prefill_answer_decoder = msgspec.json.Decoder(_PrefillAnswer)
 
@@ -75,13 +91,15 @@
     Raises
     ------
     SamphireError
-        The request has no id, has both a content length and a transfer encoding, or has a
-        header whose number cannot be parsed.
+        The request has no id, has both a content length and a transfer encoding, has a header
+        with a number that cannot be parsed or is out of range, or a target that is not ASCII.
     """
     fields = dict(headers)
     request_id = fields.get(REQUEST_ID_HEADER, b"").decode("latin-1")
     if not request_id:
         raise SamphireError(BAD_REQUEST, "the request has no id")
+    if _FORWARDABLE_TARGET.fullmatch(target) is None:
+        raise SamphireError(BAD_REQUEST, "the target has characters that are not ASCII")
     if b"content-length" in fields and b"transfer-encoding" in fields:
         raise SamphireError(
             BAD_REQUEST, "the body has both a content-length and a transfer-encoding"
@@ -105,7 +123,7 @@
         body,
         None if key is None else key.decode("latin-1"),
         _decode_prompt(fields),
-        int(last_event) if last_event.isdigit() else None,
+        parse_unsigned(last_event),
         (
             None
             if deadline is None
@@ -137,7 +155,7 @@
     if counts is None:
         return None
     try:
-        prompt_tokens, output_tokens = (int(count) for count in counts.split(b","))
+        prompt_tokens, output_tokens = (_parse_tokens(count) for count in counts.split(b","))
         parts = tuple(_decode_parts(fields.get(PROMPT_PARTS_HEADER, b"")))
     except ValueError as error:
         raise SamphireError(BAD_REQUEST, f"prompt headers: {error}") from error
@@ -147,7 +165,17 @@
 
 def _decode_parts(value: bytes) -> list[PromptPart]:
     entries = [entry.strip().partition(b":") for entry in value.split(b",") if entry.strip()]
-    return [PromptPart(name.decode("latin-1"), int(tokens)) for name, _, tokens in entries]
+    parts = [PromptPart(name.decode("latin-1"), _parse_tokens(n)) for name, _, n in entries]
+    if not all(0 < len(part.part_id) <= MAX_PART_ID_CHARACTERS for part in parts):
+        raise ValueError(f"a part needs an id of up to {MAX_PART_ID_CHARACTERS} characters")
+    return parts
+
+
+def _parse_tokens(value: bytes) -> int:
+    tokens = parse_unsigned(value.strip(), maximum=MAX_TOKENS)
+    if tokens is None:
+        raise ValueError(f"a count of tokens must be a number from 0 to {MAX_TOKENS}")
+    return tokens
 
 
 def request_headers(request: Request, dispatch: Dispatch) -> Headers:
@@ -196,12 +224,9 @@
     Raises
     ------
     ValueError
-        The answer has no KV handle.
+        The answer has no KV handle that a request can name.
     """
-    try:
-        return _prefill_answer_decoder.decode(body).kv_handle
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(f"answer to a prefill: {error}") from error
+    return decode(body, _prefill_answer_decoder).kv_handle
 
 
 def kv_release_call(handle: str) -> tuple[str, bytes]:
@@ -212,7 +237,8 @@
 def endpoint_limit(headers: Headers) -> float | None:
     """Return the requests per second that an endpoint takes from all hosts; None without a limit.
 
-    A limit that is no number of at least 0 is left out and logged.
+    A limit that is no number of at least 0 is left out and logged; a higher one than
+    `MAX_LIMIT_REQUESTS_PER_SECOND` counts as that.
     """
     value = next((value for name, value in headers if name == LIMIT_HEADER), None)
     if value is None:
@@ -222,9 +248,9 @@
     except ValueError:
         limit = -1.0
     if not 0 <= limit < float("inf"):
-        _log.warning("endpoint-limit-unreadable", extra={"value": value.decode("latin-1")})
+        _limit_rejections.record("answer", value.decode("latin-1"))
         return None
-    return limit
+    return min(limit, MAX_LIMIT_REQUESTS_PER_SECOND)
 
 
 WIRE_CODEC = WireCodec(
