Report odd numbers in settings files as problems

A number of over 4,300 digits or with a digit that is not ASCII, or an address with such a port, raised ValueError in place of SettingsError. Settings are read again at run time, where only SettingsError is expected, so that a bad file ended the host that should go on with the settings it has. A TOML file nested deeply raised RecursionError. Ports and numbers now have upper bounds, and values are cut in messages.

--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from samphirehall.core.decoding import MAX_PORT, parse_unsigned, shorten
 from samphirehall.settings.loading import SettingsError, SettingsProblem, valid_address
 
 PATH_VARIABLE = "SAMPHIREHALL_BOOT"
@@ -12,6 +13,7 @@
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # must match deploy/system.toml
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 SECONDS_PER_MILLISECOND = 1e-3
+MAX_NUMBER = 1e12  # of any quantity, in the unit of its field
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,8 +110,8 @@
         client_listen_address=fields.address("listen.front"),
         readiness_listen_address=fields.address("listen.ready"),
         ip=fields.required("ip"),
-        min_peer_port=fields.integer("port_range", ports[0]),
-        max_peer_port=fields.integer("port_range", ports[-1]),
+        min_peer_port=fields.integer("port_range", ports[0], maximum=MAX_PORT),
+        max_peer_port=fields.integer("port_range", ports[-1], maximum=MAX_PORT),
         store_address=fields.address("platform.address"),
         duties_address=fields.address("cloud.address"),
         duties=tuple(filter(None, fields.optional("cloud.duties").split(","))),
@@ -162,16 +164,17 @@
             number = float(value or 0)
         except ValueError:
             number = -1.0
-        if not 0 <= number < float("inf"):
-            self._add_problem(name, value, "a number of at least 0")
+        if not 0 <= number <= MAX_NUMBER:
+            self._add_problem(name, value, f"a number from 0 to {MAX_NUMBER:.0f}")
         return number
 
-    def integer(self, name: str, part: str | None = None) -> int:
+    def integer(self, name: str, part: str | None = None, *, maximum: int = int(MAX_NUMBER)) -> int:
         value = self.required(name) if part is None else part
-        if not value.isdigit():
-            self._add_problem(name, value, "a whole number of at least 0")
-            return 0
-        return int(value)
-
-    def _add_problem(self, key: str, value: object, allowed: str) -> None:
-        self.problems.append(SettingsProblem(self._file, key, value, allowed))
+        number = parse_unsigned(value, maximum=maximum)
+        if number is None:
+            self._add_problem(name, value, f"a whole number from 0 to {maximum}")
+        return number or 0
+
+    def _add_problem(self, key: str, value: str | None, allowed: str) -> None:
+        shown = None if value is None else shorten(value)
+        self.problems.append(SettingsProblem(self._file, key, shown, allowed))
--- a/samphirehall/settings/loading.py
+++ b/samphirehall/settings/loading.py
@@ -1,7 +1,6 @@
 """Reading and checking of settings files; all problems of a file are reported together."""
 
 import dataclasses
-import ipaddress
 import tomllib
 import typing
 from collections.abc import Callable
@@ -11,13 +10,12 @@
 
 import msgspec
 
+from samphirehall.core.decoding import parse_address
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import SETTINGS_INVALID
 
 T = TypeVar("T")
 
-MAX_PORT = 65_535
-
 
 @dataclass(slots=True, frozen=True)
 class SettingsProblem:
@@ -73,7 +71,7 @@
     except OSError as error:
         problem = SettingsProblem(file, "file", file, f"a readable file ({error.strerror})")
         raise SettingsError([problem]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError([SettingsProblem(file, "file", file, f"TOML ({error})")]) from error
     problems: list[SettingsProblem] = []
     settings = build_checked(settings_type, document, file=file, prefix="", problems=problems)
@@ -150,9 +148,4 @@
 
 def valid_address(address: str) -> bool:
     """Return whether `address` is an IP number and a port."""
-    number, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(number.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdigit() and 1 <= int(port) <= MAX_PORT
+    return parse_address(address) is not None
