Send no order to an engine whose report cannot be read

A report of an engine that was nested deeply raised RecursionError out of the loop that orders stages, and one with a negative or too large number of orders was passed back to the engine. It now counts as no answer.

tests/platform/test_engine_orders.py: 3 of its tests failed before.

--- a/samphirehall/platform/engine_orders.py
+++ b/samphirehall/platform/engine_orders.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 
+from samphirehall.core.decoding import DecodingError, Unsigned, decode
 from samphirehall.gateway.connections import (
     EndpointConnections,
     IncompleteResponseError,
@@ -25,7 +26,7 @@
 class _Report(msgspec.Struct):
     """State that an engine reports; `sequence` is the number of orders it has accepted."""
 
-    sequence: int
+    sequence: Unsigned
     busy: bool = False
 
 
@@ -56,7 +57,7 @@
             report = await _call(connections, engine, "GET", b"/report", b"")
             if report[0] != HTTP_OK:
                 return False
-            state = _report_decoder.decode(report[1])
+            state = decode(report[1], _report_decoder)
             if state.busy:
                 return False
         grant = current_grant(duty)
@@ -72,7 +73,7 @@
                 connections, engine, "POST", b"/order", msgspec.json.encode(order)
             )
         return status in ACCEPTED_STATUSES
-    except (NotSentError, IncompleteResponseError, TimeoutError, msgspec.DecodeError) as error:
+    except (NotSentError, IncompleteResponseError, TimeoutError, DecodingError) as error:
         extra = {"endpoint": engine.endpoint_id, "reason": repr(error)}
         _log.warning("order-unanswered", extra=extra)
         return False
