Ignore event numbers and idle timeouts out of range

A Keep-Alive timeout of 400 digits raised OverflowError, and one of 5,000 digits ValueError, out of a response that was sound; the first was answered 500, the second counted as a crash of the endpoint. An event id of 5,000 digits broke a stream that it did not need to break. A timeout is now capped at an hour, and an event with such an id counts as one without a number.

--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -17,6 +17,7 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import SOCKET_OPTIONS
+from samphirehall.core.decoding import parse_unsigned
 from samphirehall.core.network import TcpBackend, TcpStream
 from samphirehall.gateway.types import Headers
 
@@ -30,6 +31,7 @@
 MAX_INFORMATIONAL_RESPONSES = 8  # before the response itself; more may have no end
 IDLE_TIMEOUT_FRACTION = 0.5  # of the endpoint's idle timeout, so that this side closes first
 DEFAULT_IDLE_TIMEOUT_SECONDS = 2.0  # when the endpoint states no timeout
+MAX_IDLE_TIMEOUT_SECONDS = 3600  # that an endpoint can state
 MAX_NON_REPEATABLE_IDLE_SECONDS = 0.5  # an older connection may be closing at the endpoint
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
@@ -208,7 +210,10 @@
     def _update_idle_timeout(self, headers: Headers) -> None:
         for name, value in headers:
             if name == b"keep-alive" and (match := _KEEP_ALIVE_TIMEOUT.search(value)):
-                self.idle_timeout = int(match[1]) * IDLE_TIMEOUT_FRACTION
+                stated = parse_unsigned(match[1], maximum=MAX_IDLE_TIMEOUT_SECONDS)
+                if stated is None:
+                    stated = MAX_IDLE_TIMEOUT_SECONDS
+                self.idle_timeout = stated * IDLE_TIMEOUT_FRACTION
 
 
 class EndpointConnections:
--- a/samphirehall/gateway/events.py
+++ b/samphirehall/gateway/events.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from samphirehall.core.decoding import parse_unsigned
+
 MAX_EVENT_BYTES = 256 * 1024  # bounds the buffer of each stream for an event without an end
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -16,7 +18,7 @@
     Parameters
     ----------
     number : int or None
-        Value of its id field; None without one.
+        Value of its id field; None without one, or if it is no number of 63 bits.
     data : bytes
         All bytes, including the blank line at the end.
     """
@@ -50,7 +52,7 @@
         for match in _EVENT_END.finditer(buffer):
             event_bytes = buffer[start : match.end()]
             event_id = _EVENT_ID.search(event_bytes)
-            events.append(Event(int(event_id[1]) if event_id else None, event_bytes))
+            events.append(Event(parse_unsigned(event_id[1]) if event_id else None, event_bytes))
             start = match.end()
         self._remainder = buffer[start:]
         if len(self._remainder) > MAX_EVENT_BYTES:
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -150,3 +150,17 @@
             await ask(connections, "1", body=body)
         received = await anyio.to_thread.run_sync(count_received_bytes, listener)
     assert received < len(body)
+
+
+@pytest.mark.parametrize(
+    "timeout", [b"1" * 400, b"1" * 5_000, b"99999999999999999999", b"0", b"-1", b"\xb2"]
+)
+async def test_odd_idle_timeout_leaves_the_response(timeout):
+    async def script(received, writer):
+        extra = b"Keep-Alive: timeout=" + timeout + b"\r\n"
+        writer.write(response_bytes(received, b"ok").replace(b"\r\n", b"\r\n" + extra, 1))
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        assert await ask(connections, "1") == b"ok"
+        assert await ask(connections, "2") == b"ok"
