Run a stream and use prompt memory at one software version only

Callers got one answer with events of two software versions: when an engine broke off, the host went on with the stream at whichever engine responded first. A prompt read at one version was also handed to, or fetched by, an engine of another one.

The endpoint list was read without the `version` of its entries. It is decoded now, and each plan takes prefill engine, decode engine and prefix source of one version. After its first event a stream takes engines of that event's version only; if none is left it ends as cut. A send that failed before the first event may still go to any version, with a new prefill. Engines in backoff of the version that a stream needs are used before engines of another version that are not.

--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -171,8 +171,11 @@
         now: float,
         excluded: Iterable[str] = (),
         stage: Stage | None = None,
+        software_version: str | None = None,
     ) -> list[EndpointState]:
-        """Return the endpoints of a service, or of one stage of it, that accept new requests.
+        """Return the endpoints of a service that accept new requests.
+
+        With a stage or a software version, only endpoints of these are returned.
 
         Endpoints in backoff are excluded as long as there are others. Unreachable prefill
         engines are always excluded, because decode engines can prefill as well.
@@ -185,6 +188,7 @@
             and not state.is_changing(now=now)
             and endpoint_id not in excluded
             and (stage is None or state.listed.stage is stage)
+            and software_version in (None, state.listed.software_version)
         ]
         preferred = [state for state in ready if state.backoff_until <= now]
         if stage is Stage.PREFILL and not preferred:
@@ -201,6 +205,7 @@
             service=listed.service,
             zone=listed.zone,
             stage=listed.stage,
+            software_version=listed.software_version,
             born=listed.started_at_milliseconds,
         )
 
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -118,63 +118,102 @@
 def _next_plan(
     context: GatewayContext, request_state: RequestState, prompt: Prompt
 ) -> GenerationPlan | None:
-    engine_limits = request_state.service.engine
-    if engine_limits is None:
+    """Return the plan with the earliest first event, all of whose engines are of one version."""
+    if request_state.service.engine is None:
         return None
     engines = {
-        stage: context.fleet.candidates(
-            request_state.service.name,
-            now=context.clock(),
-            excluded=request_state.tried_endpoints,
-            stage=stage,
-        )
+        stage: _candidates(context, request_state, stage, request_state.stream_version)
         for stage in Stage
     }
     decoders = engines[Stage.DECODE]
     allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
         raise limit_error(context, decoders)
-    source = _best_prefix_source(context, request_state, engines, prompt)
     remaining_target = request_state.route.latency_target - request_state.elapsed(
         now=context.clock()
     )
+    versions = {engine.listed.software_version for engine in allowed[Stage.DECODE]}
+    plan = None
     for width in (1, WIDE_CHOICE_FACTOR):
-        candidates = [
-            *prefill_candidates(allowed[Stage.PREFILL], prompt, width=width),
-            *decode_candidates(
-                allowed[Stage.DECODE], host=context.host, zone=context.zone, width=width
-            ),
+        plans = [
+            _version_plan(context, request_state, prompt, engines, allowed, version, width)
+            for version in sorted(versions)
         ]
-        views = [_engine_view(context, request_state, engine, prompt) for engine in candidates]
-        plan = plan_generation(
-            views,
-            prompt,
-            engine_limits,
-            prefix_source=source,
-            kv_transfer_overhead=context.kv_transfer_overhead.value,
-            max_event_gap=request_state.route.inter_event_gap_target
-            or DEFAULT_INTER_EVENT_GAP_SECONDS,
-        )
+        found = [plan for plan in plans if plan is not None]
+        plan = min(found, key=lambda plan: plan.cost, default=None)
         if plan is not None and plan.time_to_first_event <= remaining_target:
             break
     if plan is not None:
-        request_state.extra_log_fields["choice"] = _plan_log_fields(plan, len(views))
+        request_state.extra_log_fields["choice"] = _plan_log_fields(plan)
     return plan
 
 
+def _candidates(
+    context: GatewayContext, request_state: RequestState, stage: Stage, version: str | None
+) -> list[EndpointState]:
+    """Return the engines of one stage, and of one software version if it is given."""
+    return context.fleet.candidates(
+        request_state.service.name,
+        now=context.clock(),
+        excluded=request_state.tried_endpoints,
+        stage=stage,
+        software_version=version,
+    )
+
+
+def _version_plan(
+    context: GatewayContext,
+    request_state: RequestState,
+    prompt: Prompt,
+    engines: Mapping[Stage, Sequence[EndpointState]],
+    allowed: Mapping[Stage, Sequence[EndpointState]],
+    version: str,
+    width: int,
+) -> GenerationPlan | None:
+    """Return the plan with the earliest first event on engines of one software version."""
+    engine_limits = request_state.service.engine
+    assert engine_limits is not None
+    prefillers, decoders = (
+        [engine for engine in allowed[stage] if engine.listed.software_version == version]
+        for stage in (Stage.PREFILL, Stage.DECODE)
+    )
+    candidates = [
+        *prefill_candidates(prefillers, prompt, width=width),
+        *decode_candidates(decoders, host=context.host, zone=context.zone, width=width),
+    ]
+    return plan_generation(
+        [_engine_view(context, request_state, engine, prompt) for engine in candidates],
+        prompt,
+        engine_limits,
+        prefix_source=_best_prefix_source(context, request_state, engines, prompt, version),
+        kv_transfer_overhead=context.kv_transfer_overhead.value,
+        max_event_gap=request_state.route.inter_event_gap_target or DEFAULT_INTER_EVENT_GAP_SECONDS,
+    )
+
+
 def _best_prefix_source(
     context: GatewayContext,
     request_state: RequestState,
     engines: Mapping[Stage, Sequence[EndpointState]],
     prompt: Prompt,
+    version: str,
 ) -> EngineView | None:
-    """Return the engine that caches most of the prompt, one of this zone among equals."""
+    """Return the engine of one software version that caches most of the prompt.
+
+    Among equals, one of this zone is returned.
+    """
 
     def cached(engine: EndpointState) -> tuple[int, bool]:
         tokens = engine.cache.cached_tokens(prompt.parts) if engine.cache else 0
         return tokens, engine.listed.zone == context.zone
 
-    best = max((engine for stage in Stage for engine in engines[stage]), key=cached, default=None)
+    same_version = (
+        engine
+        for stage in Stage
+        for engine in engines[stage]
+        if engine.listed.software_version == version
+    )
+    best = max(same_version, key=cached, default=None)
     return None if best is None else _engine_view(context, request_state, best, prompt)
 
 
@@ -197,15 +236,17 @@
         rate.tokens_per_second,
         rate.overhead,
         endpoint.failure_penalty(),
+        listed.software_version,
     )
 
 
-def _plan_log_fields(plan: GenerationPlan, considered: int) -> dict[str, object]:
+def _plan_log_fields(plan: GenerationPlan) -> dict[str, object]:
     return {
         "reads": plan.prefill_engine.endpoint_id,
         "generates": plan.decode.endpoint_id,
         "fetches": plan.prefix_source.endpoint_id if plan.prefix_source else None,
-        "considered": considered,
+        "considered": plan.considered,
+        "software_version": plan.decode.software_version,
         "tokens_ahead": plan.prefill_engine.tokens_ahead,
         "unread_tokens": plan.uncached_tokens,
         "tokens_per_second": round(plan.prefill_engine.prefill_tokens_per_second),
@@ -257,18 +298,15 @@
 ) -> GenerationPlan | None:
     """Return the plan with another decode engine if its own one accepts no new requests any more.
 
-    The prefill may have taken seconds. None is returned without such an engine.
+    The prefill may have taken seconds. None is returned without such an engine of the same
+    software version.
     """
     now = context.clock()
     planned = context.fleet.endpoint(plan.decode.endpoint_id)
     if planned is not None and planned.listed.ready and not planned.is_changing(now=now):
         return plan
-    candidates = context.fleet.candidates(
-        request_state.service.name,
-        now=now,
-        excluded=request_state.tried_endpoints,
-        stage=Stage.DECODE,
-    )
+    version = plan.decode.software_version
+    candidates = _candidates(context, request_state, Stage.DECODE, version)
     prompt = request_state.request.prompt
     assert prompt is not None
     views = [
@@ -380,6 +418,7 @@
 
         def on_event() -> None:
             delivery.record_event(now=context.clock())
+            request_state.stream_version = plan.decode.software_version
             if delivery.first_event_at is None:
                 _record_first_event(context, request_state, plan, delivery, started, kv_handle)
             pending_prefill.close()
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from samphirehall.gateway.types import EngineLimits, Prompt, Stage
 
@@ -47,6 +47,8 @@
         Seconds of a call besides prefill.
     failure_penalty : float
         Seconds added to its estimates because of recent failures.
+    software_version : str
+        Version of its software.
     """
 
     endpoint_id: str
@@ -60,6 +62,7 @@
     prefill_tokens_per_second: float
     overhead: float
     failure_penalty: float = 0.0
+    software_version: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,6 +84,8 @@
     time_to_first_event : float
         Seconds until the first event; with a dedicated prefill engine it includes the
         failure penalty of the decode engine.
+    considered : int
+        Number of engines among which they were chosen.
     """
 
     dedicated_prefill: EngineView | None
@@ -89,12 +94,18 @@
     uncached_tokens: int
     queue_wait: float
     time_to_first_event: float
+    considered: int = 0
 
     @property
     def prefill_engine(self) -> EngineView:
         """Engine that does the prefill."""
         return self.dedicated_prefill or self.decode
 
+    @property
+    def cost(self) -> float:
+        """Seconds until the first event, with the failure penalty of the prefill engine."""
+        return self.time_to_first_event + self.prefill_engine.failure_penalty
+
 
 def plan_generation(
     engines: Iterable[EngineView],
@@ -110,7 +121,7 @@
     Parameters
     ----------
     engines : iterable of EngineView
-        Engines that accept new requests.
+        Engines of one software version that accept new requests.
     prompt : Prompt
         Length and parts of the prompt.
     limits : EngineLimits
@@ -121,7 +132,7 @@
     max_event_gap : float
         Maximum seconds between events of the running streams.
     prefix_source : EngineView or None
-        Engine outside of `engines` that may cache more of the prompt than these.
+        Engine of the same version, outside of `engines`, that may cache more of the prompt.
     """
     views = list(engines)
     sources = [*views, prefix_source] if prefix_source else views
@@ -139,7 +150,8 @@
             )
     local_plans = [_build_plan(None, decode, sources, prompt, limits, 0.0) for decode in decoders]
     plans += [plan for plan in local_plans if not plans or _inter_event_gap(plan) <= max_event_gap]
-    return min(plans, key=lambda plan: plan.time_to_first_event + _failure_penalty(plan))
+    best = min(plans, key=lambda plan: plan.cost)
+    return replace(best, considered=len(views))
 
 
 def _inter_event_gap(plan: GenerationPlan) -> float:
@@ -231,12 +243,3 @@
     return FULL_BATCH_PENALTY_SECONDS * max(
         0.0, decode.requests / limits.slots - UNCONTENDED_BATCH_FRACTION
     )
-
-
-def _failure_penalty(plan: GenerationPlan) -> float:
-    penalty = (
-        plan.decode.failure_penalty
-        if plan.dedicated_prefill is None
-        else plan.dedicated_prefill.failure_penalty
-    )
-    return penalty
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -82,6 +82,8 @@
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
         Whether the request runs although a part of its prompt is in quarantine.
+    stream_version : str or None
+        Software version that the events of the stream must come from; None before the first event.
     extra_log_fields : dict
         Further fields of the log line.
     """
@@ -101,6 +103,7 @@
     delivered_sends: int = 0
     prefill_done: bool = False
     on_trial: bool = False
+    stream_version: str | None = None
     extra_log_fields: dict[str, Any] = field(default_factory=dict)
 
     @property
--- a/samphirehall/gateway/types.py
+++ b/samphirehall/gateway/types.py
@@ -103,6 +103,8 @@
         Seconds that the caller waits, counted from `received_at`.
     received_at : float
         Boot clock in seconds when the request had been received in full.
+    resumes : str or None
+        Id of the request that brought the first event of the stream that the caller resumes.
     """
 
     request_id: str
@@ -116,6 +118,12 @@
     resume_after: int | None
     timeout: float | None
     received_at: float
+    resumes: str | None = None
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return self.resumes is not None or bool(self.resume_after)
 
     @property
     def path(self) -> str:
@@ -306,6 +314,8 @@
         Whether the platform may reclaim it on short notice.
     started_at_milliseconds : int
         Start of this incarnation, in milliseconds since 1970.
+    software_version : str
+        Version of its software; empty if it states none.
     """
 
     endpoint_id: str
@@ -317,6 +327,7 @@
     stage: Stage | None = None
     cheap: bool = False
     started_at_milliseconds: int = 0
+    software_version: str = ""
 
     @property
     def identity(self) -> tuple[str, int, str]:
--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -1,7 +1,7 @@
 """Decoding of the operator's configuration document and of rows of the endpoint list."""
 
 import logging
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -22,6 +22,7 @@
 SECONDS_PER_MILLISECOND = 1e-3
 BITS_PER_MEGABIT = 1e6
 DEFAULT_ROUTE_TIMEOUT_SECONDS = 3600.0  # for a route without a timeout
+MAX_SOFTWARE_VERSION_LENGTH = 100
 
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -108,6 +109,7 @@
     stage: str | None = None
     spot: bool = False
     born: int = 0
+    version: Annotated[str, msgspec.Meta(max_length=MAX_SOFTWARE_VERSION_LENGTH)] = ""
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -219,4 +221,5 @@
         stage,
         entry.spot,
         entry.born,
+        entry.version,
     )
--- a/samphirehall/platform/wire.py
+++ b/samphirehall/platform/wire.py
@@ -20,6 +20,7 @@
 TOKEN_COUNTS_HEADER = b"x-token-counts"
 PROMPT_PARTS_HEADER = b"x-prompt-prefix"
 LAST_EVENT_HEADER = b"last-event-id"
+RESUMED_REQUEST_HEADER = b"resumes"
 URGENCY_HEADER = b"x-request-urgency"
 STAGE_HEADER = b"x-stage"
 KV_SOURCE_HEADER = b"x-kv-source"
@@ -112,6 +113,7 @@
             else _parse_number(deadline, DEADLINE_HEADER) * SECONDS_PER_MILLISECOND
         ),
         now,
+        fields.get(RESUMED_REQUEST_HEADER, b"").decode("latin-1") or None,
     )
 
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -264,7 +264,8 @@
         scripts = {"d1": Engine(OLD), "d2": Engine(NEW)}
         async with engines(**scripts) as running, Host(FaultyTable()) as host:
             host.list("d1", running["d1"], OLD)
-            host.list("d2", running["d2"], NEW, requests=60)
+            host.list("d2", running["d2"], NEW)
+            host.context.loads._local["d2"].pending_prefill_tokens[0] = 400_000
             host.context.record_cached_prompt("d2", (PromptPart("shared", 20_000),))
             caller, error = await host.serve("r1", parts=b"shared:20000,own:10")
         assert error is None and versions(caller) == {OLD}
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,6 +138,13 @@
             12,
         )
 
+    def test_software_version_is_decoded(self):
+        entry = {**ENTRY, "version": "v1.1"}
+        assert documents.decode_endpoint("i-1", json.dumps(entry).encode()).software_version == (
+            "v1.1"
+        )
+        assert documents.decode_endpoint("i-1", json.dumps(ENTRY).encode()).software_version == ""
+
     def test_draining_endpoint_is_not_ready(self):
         entry = {**ENTRY, "state": "draining"}
         assert not documents.decode_endpoint("i-1", json.dumps(entry).encode()).ready
@@ -151,6 +158,8 @@
             {"address": 7},
             {"stage": "odd"},
             {"service": None},
+            {"version": 1},
+            {"version": "v" * 101},
         ],
         ids=str,
     )
@@ -204,6 +213,13 @@
             decode(without=[without])
         assert caught.value.result.http_status == 400
 
+    def test_resumed_request_is_decoded_and_passed_on(self):
+        assert decode().resumes is None
+        request = decode([(b"resumes", b"r0")])
+        assert request.resumes == "r0"
+        headers = wire.request_headers(request, Dispatch(listed("i-1"), None, 2, 1.0))
+        assert (b"resumes", b"r0") in headers
+
     def test_body_with_length_and_transfer_encoding_is_refused(self):
         with pytest.raises(SamphireError):
             decode([(b"content-length", b"4"), (b"transfer-encoding", b"chunked")])
