Let callers take up a stream at the version that began it only

No host knew at which version a stream had begun, and none could after all had ended. A record is written while the prompt is read, and awaited before the first event and the head of the response are passed on. A take-up finds its version from this host, from a list in which only one version was seen for the lifetime of a stream, or from one scan of the store that all waiting take-ups share; then only engines of that version are candidates, up to the caller's deadline. Without a version (2018) or an engine of it (2019) it is refused as not run. The service of a split route is chosen by the id that the take-up names.

--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -118,6 +118,22 @@
 METHOD_NOT_ALLOWED = _define(
     2017, "method-not-allowed", 405, _NOT_RUN, 2, "The path does not take this method."
 )
+STREAM_UNKNOWN = _define(
+    2018,
+    "stream-unknown",
+    503,
+    _NOT_RUN,
+    75,
+    "This host cannot learn at which software version the stream began; ask another.",
+)
+STREAM_VERSION_GONE = _define(
+    2019,
+    "stream-version-gone",
+    503,
+    _NOT_RUN,
+    75,
+    "No engine of the software version that began the stream can take it.",
+)
 ISOLATED = _define(
     2030,
     "isolated",
--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -12,6 +12,7 @@
 from samphirehall.gateway.load import LoadTracker
 from samphirehall.gateway.prefill_rate import PrefillRate, RunningAverage
 from samphirehall.gateway.repeat_budget import RepeatBudget
+from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
 
@@ -61,6 +62,8 @@
         Endpoints and the prompts that they now cache, not yet sent to peers.
     unpublished_stage_changes : list
         Engines that were ordered to change their stage, not yet sent to peers.
+    streams : StreamStore or None
+        Software versions of streams; without it, callers take up no stream.
 
     Attributes
     ----------
@@ -89,6 +92,7 @@
     prefill_demands: dict[str, DemandMeter] = field(default_factory=dict)
     pending_cache_updates: list[tuple[str, tuple[PromptPart, ...]]] = field(default_factory=list)
     unpublished_stage_changes: list[str] = field(default_factory=list)
+    streams: StreamStore | None = None
     limits: EndpointLimits = field(init=False)
 
     def __post_init__(self) -> None:
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -8,6 +8,7 @@
 from samphirehall.gateway.cache_model import CacheModel
 from samphirehall.gateway.connections import EndpointConnections
 from samphirehall.gateway.types import ListedEndpoint, Service, Stage
+from samphirehall.routing.stream_versions import ListedVersions
 
 INITIAL_BACKOFF_SECONDS = 0.5  # a crashed process resets connections at once
 MAX_BACKOFF_SECONDS = 4.0  # crashed endpoints restart within seconds
@@ -85,12 +86,13 @@
     """Endpoints of the endpoint list, by id.
 
     `retired` collects connections to close, and `lost` the ids of endpoints that
-    disappeared without announcing that they leave.
+    disappeared without announcing that they leave. `versions` holds the listed software versions.
     """
 
     def __init__(self) -> None:
         self._states: dict[str, EndpointState] = {}
         self._left_identities: set[tuple[str, int, str]] = set()
+        self.versions = ListedVersions()
         self.retired: list[EndpointConnections] = []
         self.lost: list[str] = []
 
@@ -118,6 +120,9 @@
             listed = replace(listed, ready=False)
         engine_limits = service.engine if service else None
         known = self._states.get(listed.endpoint_id)
+        self.versions.add(listed.service, listed.software_version)
+        if known is not None:
+            self.versions.remove(known.listed.service, known.listed.software_version, now=now)
         if known is not None and known.listed.identity == listed.identity:
             if known.listed != listed:
                 self._log_change("endpoint-changed", listed)
@@ -143,7 +148,7 @@
             state.listed = replace(state.listed, ready=False)
             self._log_change("endpoint-suspended", state.listed)
 
-    def remove(self, endpoint_id: str) -> None:
+    def remove(self, endpoint_id: str, *, now: float = float("-inf")) -> None:
         """Remove an endpoint that is no longer listed.
 
         It may be listed again: entries also expire while the store is unavailable.
@@ -151,6 +156,7 @@
         state = self._states.pop(endpoint_id, None)
         if state is None:
             return
+        self.versions.remove(state.listed.service, state.listed.software_version, now=now)
         self._retire(state)
         self._log_change("endpoint-gone", state.listed)
 
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -123,7 +123,7 @@
             )
         route = self._routes.find(request.host, request.path)
         customer = self._routes.authenticate(request, route)
-        service_name = choose_service(route, request.request_id)
+        service_name = choose_service(route, request.resumes or request.request_id)
         service = self._routes.configuration.services.get(service_name)
         if service is None:
             raise SamphireError(NO_ROUTE, f"route {route.name} names no service {service_name}")
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -1,13 +1,22 @@
 """Run requests on engines: prefill, decode, and resume on another engine after a failure."""
 
 import contextlib
+import logging
+import math
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
 
 import anyio
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import OK, OVERLOADED, STREAM_CUT, Result
+from samphirehall.core.results import (
+    OK,
+    OVERLOADED,
+    STREAM_CUT,
+    STREAM_UNKNOWN,
+    STREAM_VERSION_GONE,
+    Result,
+)
 from samphirehall.gateway.admission import decide_admission
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
 from samphirehall.gateway.context import GatewayContext
@@ -31,6 +40,7 @@
     set_inactivity_deadline,
 )
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
+from samphirehall.gateway.stream_store import Recording
 from samphirehall.gateway.types import Prompt, PromptPart, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
@@ -43,6 +53,12 @@
 WIDE_CHOICE_FACTOR = 4  # more candidates if the first cannot respond within the latency target
 RELEASE_TIMEOUT_SECONDS = 0.3  # the engine expires the KV handle itself soon after
 
+_log = logging.getLogger(__name__)
+
+
+class RecordMissingError(Exception):
+    """The software version of a stream was not stored before its first event."""
+
 
 async def run_generation(
     context: GatewayContext, request_state: RequestState, caller: Caller
@@ -57,6 +73,8 @@
     prompt = request_state.request.prompt
     assert prompt is not None
     delivery = Delivery(caller, request_state.request.resume_after)
+    if request_state.takes_up:
+        await _find_stream_version(context, request_state)
     while (plan := _next_plan(context, request_state, prompt)) is not None:
         _check_quarantine_again(context, request_state, delivery)
         if not request_state.sends:
@@ -78,9 +96,40 @@
             break
     if caller.started:
         raise SamphireError(STREAM_CUT, "the stream broke and could not be continued")
+    if request_state.takes_up and not request_state.sends:
+        raise _version_gone_error(context, request_state)
     raise no_answer_error(request_state)
 
 
+async def _find_stream_version(context: GatewayContext, request_state: RequestState) -> None:
+    """Find the software version at which a stream that the caller takes up has to go on.
+
+    Raises
+    ------
+    SamphireError
+        The version is unknown, or the stream belongs to another service.
+    """
+    request, service = request_state.request, request_state.service.name
+    if context.streams is None:
+        raise SamphireError(STREAM_UNKNOWN, "no versions of streams are known")
+    request_state.extra_log_fields["resumes"] = request.resumes
+    found = await context.streams.origin(request.resumes, service)
+    request_state.extra_log_fields["origin"] = found.reason
+    request_state.extra_log_fields["stream_version"] = found.version
+    if found.service != service:
+        raise SamphireError(STREAM_VERSION_GONE, f"the stream began at service {found.service}")
+    request_state.stream_version = found.version
+
+
+def _version_gone_error(context: GatewayContext, request_state: RequestState) -> SamphireError:
+    """Return the error for a stream of whose version no engine can take it."""
+    service = request_state.service.name
+    if not context.fleet.versions.of_service(service):
+        return no_answer_error(request_state)
+    detail = f"no engine of version {request_state.stream_version} of service {service}"
+    return SamphireError(STREAM_VERSION_GONE, detail)
+
+
 def _check_quarantine_again(
     context: GatewayContext, request_state: RequestState, delivery: Delivery
 ) -> None:
@@ -121,10 +170,10 @@
     """Return the plan with the earliest first event, all of whose engines are of one version."""
     if request_state.service.engine is None:
         return None
-    engines = {
-        stage: _candidates(context, request_state, stage, request_state.stream_version)
-        for stage in Stage
-    }
+    version = request_state.stream_version
+    if version is None:
+        version = _begin_version(context, request_state)
+    engines = {stage: _candidates(context, request_state, stage, version) for stage in Stage}
     decoders = engines[Stage.DECODE]
     allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
@@ -148,6 +197,15 @@
     return plan
 
 
+def _begin_version(context: GatewayContext, request_state: RequestState) -> str | None:
+    """Return the version at which a stream has to begin; None if any will do."""
+    if context.streams is None or not request_state.route.resumable:
+        return None
+    version = context.streams.begin_version(request_state.service.name)
+    has_engines = version is not None and _candidates(context, request_state, Stage.DECODE, version)
+    return version if has_engines else None
+
+
 def _candidates(
     context: GatewayContext, request_state: RequestState, stage: Stage, version: str | None
 ) -> list[EndpointState]:
@@ -260,12 +318,13 @@
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> None:
     now = context.clock()
+    # A stream that goes on has its first event behind it; only the caller's deadline is left.
+    latency_target = math.inf if request_state.takes_up else request_state.route.latency_target
     decision = decide_admission(
         queue_wait=plan.queue_wait,
         time_to_first_event=plan.time_to_first_event,
-        remaining_latency_target=request_state.route.latency_target
-        - request_state.elapsed(now=now),
-        latency_target=request_state.route.latency_target,
+        remaining_latency_target=latency_target - request_state.elapsed(now=now),
+        latency_target=latency_target,
         time_to_deadline=request_state.remaining_time(now=now),
     )
     request_state.extra_log_fields["admission"] = decision.reason
@@ -277,8 +336,9 @@
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan, delivery: Delivery
 ) -> bool:
     """Prefill and decode by one plan; return whether the caller has the whole response."""
+    recording = _begin_stream(context, request_state, plan)
     if plan.dedicated_prefill is None:
-        return await _decode(context, request_state, plan, delivery, None)
+        return await _decode(context, request_state, plan, delivery, None, recording)
     kv_handle = await _prefill(context, request_state, plan)
     if kv_handle is None:
         return False
@@ -287,12 +347,47 @@
         current_plan = _with_ready_decode_engine(context, request_state, plan)
         if current_plan is None:
             return False
-        return await _decode(context, request_state, current_plan, delivery, kv_handle)
+        return await _decode(context, request_state, current_plan, delivery, kv_handle, recording)
     finally:
         if delivery.first_event_at is None:
             await _release_kv_handle(context, plan.dedicated_prefill.endpoint_id, kv_handle)
 
 
+def _begin_stream(
+    context: GatewayContext, request_state: RequestState, plan: GenerationPlan
+) -> Recording | None:
+    """Start to store the version of a stream that begins; return its record."""
+    route, request = request_state.route, request_state.request
+    is_begun = request_state.stream_version is not None
+    if context.streams is None or not route.resumable or is_begun:
+        return None
+    lifetime = route.timeout if request.timeout is None else request.timeout
+    return context.streams.begin(
+        request.request_id,
+        request_state.service.name,
+        plan.decode.software_version,
+        lifetime - request_state.elapsed(now=context.clock()),
+    )
+
+
+async def _confirm_recording(
+    context: GatewayContext, request_state: RequestState, recording: Recording | None
+) -> None:
+    """Wait until the version of a stream is stored, if it has to be.
+
+    Raises
+    ------
+    RecordMissingError
+        The version was not stored in time.
+    """
+    if recording is None or context.streams is None:
+        return
+    started = context.clock()
+    if not await context.streams.confirm(recording):
+        raise RecordMissingError
+    request_state.extra_log_fields["record_wait"] = round(context.clock() - started, 4)
+
+
 def _with_ready_decode_engine(
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> GenerationPlan | None:
@@ -361,20 +456,24 @@
     plan: GenerationPlan,
     delivery: Delivery,
     kv_handle: KvHandle | None,
+    recording: Recording | None,
 ) -> bool:
     """Decode on one engine and record the outcome; return whether it completed the response."""
     decode_engine = context.fleet.endpoint(plan.decode.endpoint_id)
     if decode_engine is None:
         return False
-    outcome = SendOutcome.CUT
+    outcome, is_engine_at_fault = SendOutcome.CUT, True
     request_state.tried_endpoints.add(plan.decode.endpoint_id)
     try:
         with context.loads.track_request(plan.decode.endpoint_id):
             outcome = await _relay_decode(
-                context, request_state, plan, delivery, decode_engine, kv_handle
+                context, request_state, plan, delivery, decode_engine, kv_handle, recording
             )
     except SEND_ERRORS as error:
         outcome = outcome_from_error(error)
+    except RecordMissingError:
+        is_engine_at_fault = False
+        _log.warning("stream-not-stored", extra={"request": request_state.request.request_id})
     finally:
         request_state.record_send(plan.decode.endpoint_id, "generate", outcome)
         request_state.extra_log_fields["longest_pause"] = round(delivery.longest_gap, 4)
@@ -383,7 +482,7 @@
         request_state.may_have_run = True
     if outcome is SendOutcome.ANSWERED:
         decode_engine.record_success()
-    elif outcome is not SendOutcome.NOT_RUN:
+    elif outcome is not SendOutcome.NOT_RUN and is_engine_at_fault:
         decode_engine.record_failure(
             now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT
         )
@@ -398,6 +497,7 @@
     delivery: Delivery,
     decode_engine: EndpointState,
     kv_handle: KvHandle | None,
+    recording: Recording | None,
 ) -> SendOutcome:
     """Send the request to the decode engine and relay its stream; return the outcome."""
     dispatch = _make_dispatch(
@@ -416,9 +516,11 @@
             + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
         )
 
-        def on_event() -> None:
+        async def on_event() -> None:
             delivery.record_event(now=context.clock())
-            request_state.stream_version = plan.decode.software_version
+            if request_state.stream_version is None:
+                await _confirm_recording(context, request_state, recording)
+                request_state.stream_version = plan.decode.software_version
             if delivery.first_event_at is None:
                 _record_first_event(context, request_state, plan, delivery, started, kv_handle)
             pending_prefill.close()
--- a/samphirehall/gateway/metrics.py
+++ b/samphirehall/gateway/metrics.py
@@ -85,6 +85,11 @@
         self._sends = _Counter(
             "sends", "Sends to endpoints by purpose and outcome.", ("purpose", "outcome")
         )
+        self._streams = _Counter(
+            "streams",
+            "Resumable streams: new ones and those taken up by callers, and whether they ran.",
+            ("kind", "outcome"),
+        )
         self._request_seconds = _Histogram(
             "request_seconds",
             "Seconds from receipt of the whole request to the end of its response.",
@@ -135,6 +140,12 @@
                 self._failed_endpoints.add(endpoint_id)
                 self._endpoint_failures.increment(endpoint_id)
         self._observe_stream(request_state)
+        if request_state.route.resumable:
+            has_events = "first_event_after" in request_state.extra_log_fields
+            self._streams.increment(
+                "taken-up" if request_state.takes_up else "new",
+                "went-on" if has_events else "refused",
+            )
 
     def _observe_stream(self, request_state: RequestState) -> None:
         route, notes = request_state.route.name, request_state.extra_log_fields
@@ -159,6 +170,7 @@
             self._requests,
             self._customer_requests,
             self._sends,
+            self._streams,
             self._request_seconds,
             self._first_event_seconds,
             self._wait_seconds,
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -1,6 +1,6 @@
 """Relay the event stream of an engine to the caller, whole events only."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -61,7 +61,7 @@
     delivery: Delivery,
     response: Response,
     scope: anyio.CancelScope,
-    on_event: Callable[[], None],
+    on_event: Callable[[], Awaitable[None]],
 ) -> None:
     """Relay the events that the caller lacks, then complete its response.
 
@@ -76,7 +76,7 @@
     scope : CancelScope
         Scope of the send; its deadline is moved with each event.
     on_event : callable
-        Called when an event arrives, before it is forwarded.
+        Called when an event arrives, before it or the head of the response is forwarded.
 
     Raises
     ------
@@ -85,16 +85,18 @@
     """
     delivery.splitter = EventSplitter()
     continues = delivery.caller.started
-    if not continues:
-        await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
-        on_event()
+        await on_event()
+        if not delivery.caller.started:
+            await delivery.caller.start(200, _stream_headers(response))
         set_inactivity_deadline(scope, request_state, _inter_event_gap_limit(request_state))
         if continues and event.number is None:
             raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
     if delivery.splitter.remainder:
         raise IncompleteResponseError("the stream ended inside an event")
+    if not delivery.caller.started:
+        await delivery.caller.start(200, _stream_headers(response))
     await delivery.caller.finish()
 
 
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -117,6 +117,11 @@
         prompt = self.request.prompt
         return prompt.shared_part_ids if prompt else ()
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        return self.route.resumable and self.request.takes_up
+
     def elapsed(self, *, now: float) -> float:
         """Return the seconds since the whole request was received."""
         return now - self.request.received_at
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -25,6 +25,7 @@
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, Switch, TableFollower, keep_known_rows
 from samphirehall.gateway.scaling import EndpointScaler, ScalingCalls, scale_forever
+from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, Stage
 from samphirehall.gateway.usage_reports import ReportProgress, UsageReports, report_periodically
 from samphirehall.gateway.usage_windows import (
@@ -59,6 +60,7 @@
 ENDPOINT_POLL_INTERVAL_SECONDS = 0.5
 # With the poll interval, shorter than the time after which the store counts as lost.
 ENDPOINT_FEED_WAIT_SECONDS = 0.5
+LIST_MAX_AGE_SECONDS = 3.0  # of an endpoint list that is taken for the current one
 BALANCER_GRACE_SECONDS = 3.0  # two failed probes one second apart, and one second for the answer
 STOP_MARGIN_SECONDS = 1.0  # left before the platform kills the process
 FINISH_TIMEOUT_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
@@ -161,6 +163,17 @@
             clock=boot_seconds,
             agreed_time=self.agreed_now,
         )
+        self.context.streams = StreamStore(
+            self.store,
+            self.context.fleet,
+            process,
+            is_hub=lambda: self.exchange.is_hub,
+            list_is_current=self._list_is_current,
+            list_era=lambda: self.endpoints.replica.position.era,
+            clock=boot_seconds,
+            agreed_time=self.agreed_now,
+        )
+        self.streams = self.context.streams
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
         self.ingress = IngressState(lambda: self.gateway.limits)
@@ -223,6 +236,20 @@
         """Return the time agreed with the peers, in seconds since 1970."""
         return self.agreed_time.estimate(wall=wall_seconds(), now=boot_seconds())
 
+    def _list_is_current(self) -> bool:
+        """Return whether no host can know of an endpoint that this host has not heard of."""
+        now = boot_seconds()
+        if not self.endpoints.replica.has_snapshot:
+            return False
+        if self.exchange.store_age(now=now) < LIST_MAX_AGE_SECONDS:
+            return True
+        # While the store answers nobody, nobody learns of a new endpoint.
+        zones = {state.listed.zone for state in self.context.fleet.states()}
+        hears_zones = zones <= set(self.exchange.live_zones(now=now))
+        return hears_zones and (
+            len(self.exchange.live_hosts(now=now)) > 1 or self.exchange.most_hosts == 1
+        )
+
     def _usage_by_process(self, window: int) -> dict[str, HostCounts]:
         """Return the usage counts of a window, by process: those of peers and of this host."""
         counts = dict(self.peer_usage.counts_by_process(window))
@@ -290,7 +317,7 @@
 
     def _apply_endpoint_row(self, change: RowChange) -> None:
         if change.value is None:
-            self.context.fleet.remove(change.key)
+            self.context.fleet.remove(change.key, now=boot_seconds())
             return
         listed = self._listed[change.key]
         if listed is None:
@@ -349,6 +376,7 @@
         group.start_soon(node.duty.run)
         group.start_soon(node.save_usage_periodically)
         group.start_soon(node.quarantine_store.run)
+        group.start_soon(node.streams.run)
         group.start_soon(_follow_settings, node)
         _start_duties(group, node)
         await _listen(stack, node)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -48,6 +48,16 @@
         assert registry.get_sample_value("samphire_wait_seconds_sum") == 0.3
         assert registry.get_sample_value("samphire_longest_pause_seconds_sum") == 0.2
 
+    def test_streams_are_counted_by_kind_and_outcome(self, registry, metrics):
+        chat = next(route for route in ROUTES if route.resumable)
+        for resumes, notes in [(None, {"first_event_after": 0.1}), ("r0", {})]:
+            state = request_state(**notes)
+            state.route, state.request.resumes = chat, resumes
+            metrics.observe_request(state, OK, 0.5)
+        value = registry.get_sample_value
+        assert value("samphire_streams_total", {"kind": "new", "outcome": "went-on"}) == 1
+        assert value("samphire_streams_total", {"kind": "taken-up", "outcome": "refused"}) == 1
+
     def test_failures_are_counted_by_endpoint_until_it_is_unlisted(self, registry, metrics):
         sends = [("e1", "run", SendOutcome.NOT_SENT), ("e2", "run", SendOutcome.NOT_RUN)]
         metrics.observe_request(request_state(*sends), NO_ENDPOINT, 0.01)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -7,10 +7,12 @@
 import anyio
 import pytest
 
-from samphirehall.core.clock import boot_seconds
+from samphirehall.backing.table import NO_ERA
+from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import STREAM_CUT, RunState
 from samphirehall.gateway.gateway import Gateway
+from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import PromptPart
 from samphirehall.platform import documents, wire
 from tests.gateway.helpers import (
@@ -61,15 +63,29 @@
 
     def __init__(self, table, name="host-a"):
         self.context, _ = context()
+        self.context.streams = StreamStore(
+            table,
+            self.context.fleet,
+            f"{name}/1",
+            is_hub=lambda: True,
+            list_is_current=lambda: True,
+            list_era=lambda: NO_ERA,
+            clock=boot_seconds,
+            agreed_time=wall_seconds,
+        )
         self.context.host = name
         self.gateway = Gateway(self.context)
         self.gateway.apply_configuration(configuration(), source="test")
 
     async def __aenter__(self):
+        self._running = anyio.create_task_group()
+        group = await self._running.__aenter__()
+        group.start_soon(self.context.streams.run)
         return self
 
     async def __aexit__(self, *exc_info):
-        return None
+        self._running.cancel_scope.cancel()
+        return await self._running.__aexit__(*exc_info)
 
     def list(self, name, endpoint, version, *, requests=0):
         """List an engine; a name with a leading p prefills."""
