--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -1,13 +1,22 @@
 """Run requests on engines: prefill, decode, and resume on another engine after a failure."""
 
 import contextlib
+import logging
+import math
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
 
 import anyio
 
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import OK, OVERLOADED, STREAM_CUT, Result
+from samphirehall.core.results import (
+    OK,
+    OVERLOADED,
+    STREAM_CUT,
+    STREAM_UNKNOWN,
+    STREAM_VERSION_GONE,
+    Result,
+)
 from samphirehall.gateway.admission import decide_admission
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
 from samphirehall.gateway.context import GatewayContext
@@ -35,6 +44,7 @@
 )
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
 from samphirehall.gateway.silence import silence_limit
+from samphirehall.gateway.stream_store import Recording
 from samphirehall.gateway.types import Prompt, PromptPart, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
@@ -47,6 +57,12 @@
 WIDE_CHOICE_FACTOR = 4  # more candidates if the first cannot respond within the latency target
 RELEASE_TIMEOUT_SECONDS = 0.3  # the engine expires the KV handle itself soon after
 
+_log = logging.getLogger(__name__)
+
+
+class RecordMissingError(Exception):
+    """The software version of a stream was not stored before its first event."""
+
 
 async def run_generation(
     context: GatewayContext, request_state: RequestState, caller: Caller
@@ -61,6 +77,8 @@
     prompt = request_state.request.prompt
     assert prompt is not None
     delivery = Delivery(caller, request_state.request.resume_after)
+    if request_state.takes_up:
+        await _find_stream_version(context, request_state)
     while (plan := _next_plan(context, request_state, prompt)) is not None:
         _check_quarantine_again(context, request_state, delivery)
         if not request_state.sends:
@@ -82,9 +100,40 @@
             break
     if caller.started:
         raise SamphireError(STREAM_CUT, "the stream broke and could not be continued")
+    if request_state.takes_up and not request_state.sends:
+        raise _version_gone_error(context, request_state)
     raise no_answer_error(request_state)
 
 
+async def _find_stream_version(context: GatewayContext, request_state: RequestState) -> None:
+    """Find the software version at which a stream that the caller takes up has to go on.
+
+    Raises
+    ------
+    SamphireError
+        The version is unknown, or the stream belongs to another service.
+    """
+    request, service = request_state.request, request_state.service.name
+    if context.streams is None:
+        raise SamphireError(STREAM_UNKNOWN, "no versions of streams are known")
+    request_state.extra_log_fields["resumes"] = request.resumes
+    found = await context.streams.origin(request.resumes, service)
+    request_state.extra_log_fields["origin"] = found.reason
+    request_state.extra_log_fields["stream_version"] = found.version
+    if found.service != service:
+        raise SamphireError(STREAM_VERSION_GONE, f"the stream began at service {found.service}")
+    request_state.stream_version = found.version
+
+
+def _version_gone_error(context: GatewayContext, request_state: RequestState) -> SamphireError:
+    """Return the error for a stream of whose version no engine can take it."""
+    service = request_state.service.name
+    if not context.fleet.versions.of_service(service):
+        return no_answer_error(request_state)
+    detail = f"no engine of version {request_state.stream_version} of service {service}"
+    return SamphireError(STREAM_VERSION_GONE, detail)
+
+
 def _check_quarantine_again(
     context: GatewayContext, request_state: RequestState, delivery: Delivery
 ) -> None:
@@ -143,63 +192,111 @@
 def _next_plan(
     context: GatewayContext, request_state: RequestState, prompt: Prompt
 ) -> GenerationPlan | None:
-    engine_limits = request_state.service.engine
-    if engine_limits is None:
+    """Return the plan with the earliest first event, all of whose engines are of one version."""
+    if request_state.service.engine is None:
         return None
-    engines = {
-        stage: context.fleet.candidates(
-            request_state.service.name,
-            now=context.clock(),
-            excluded=request_state.tried_endpoints,
-            stage=stage,
-        )
-        for stage in Stage
-    }
+    version = request_state.stream_version
+    if version is None:
+        version = _begin_version(context, request_state)
+    engines = {stage: _candidates(context, request_state, stage, version) for stage in Stage}
     decoders = engines[Stage.DECODE]
     allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
         raise limit_error(context, decoders)
-    source = _best_prefix_source(context, request_state, engines, prompt)
     remaining_target = request_state.route.latency_target - request_state.elapsed(
         now=context.clock()
     )
+    versions = {engine.listed.software_version for engine in allowed[Stage.DECODE]}
+    plan = None
     for width in (1, WIDE_CHOICE_FACTOR):
-        candidates = [
-            *prefill_candidates(allowed[Stage.PREFILL], prompt, width=width),
-            *decode_candidates(
-                allowed[Stage.DECODE], host=context.host, zone=context.zone, width=width
-            ),
+        plans = [
+            _version_plan(context, request_state, prompt, engines, allowed, version, width)
+            for version in sorted(versions)
         ]
-        views = [_engine_view(context, request_state, engine, prompt) for engine in candidates]
-        plan = plan_generation(
-            views,
-            prompt,
-            engine_limits,
-            prefix_source=source,
-            kv_transfer_overhead=context.kv_transfer_overhead.value,
-            max_event_gap=request_state.route.inter_event_gap_target
-            or DEFAULT_INTER_EVENT_GAP_SECONDS,
-        )
+        found = [plan for plan in plans if plan is not None]
+        plan = min(found, key=lambda plan: plan.cost, default=None)
         if plan is not None and plan.time_to_first_event <= remaining_target:
             break
     if plan is not None:
-        request_state.extra_log_fields["choice"] = _plan_log_fields(plan, len(views))
+        request_state.extra_log_fields["choice"] = _plan_log_fields(plan)
     return plan
 
 
+def _begin_version(context: GatewayContext, request_state: RequestState) -> str | None:
+    """Return the version at which a stream has to begin; None if any will do."""
+    if context.streams is None or not request_state.route.resumable:
+        return None
+    version = context.streams.begin_version(request_state.service.name)
+    has_engines = version is not None and _candidates(context, request_state, Stage.DECODE, version)
+    return version if has_engines else None
+
+
+def _candidates(
+    context: GatewayContext, request_state: RequestState, stage: Stage, version: str | None
+) -> list[EndpointState]:
+    """Return the engines of one stage, and of one software version if it is given."""
+    return context.fleet.candidates(
+        request_state.service.name,
+        now=context.clock(),
+        excluded=request_state.tried_endpoints,
+        stage=stage,
+        software_version=version,
+    )
+
+
+def _version_plan(
+    context: GatewayContext,
+    request_state: RequestState,
+    prompt: Prompt,
+    engines: Mapping[Stage, Sequence[EndpointState]],
+    allowed: Mapping[Stage, Sequence[EndpointState]],
+    version: str,
+    width: int,
+) -> GenerationPlan | None:
+    """Return the plan with the earliest first event on engines of one software version."""
+    engine_limits = request_state.service.engine
+    assert engine_limits is not None
+    prefillers, decoders = (
+        [engine for engine in allowed[stage] if engine.listed.software_version == version]
+        for stage in (Stage.PREFILL, Stage.DECODE)
+    )
+    candidates = [
+        *prefill_candidates(prefillers, prompt, width=width),
+        *decode_candidates(decoders, host=context.host, zone=context.zone, width=width),
+    ]
+    return plan_generation(
+        [_engine_view(context, request_state, engine, prompt) for engine in candidates],
+        prompt,
+        engine_limits,
+        prefix_source=_best_prefix_source(context, request_state, engines, prompt, version),
+        kv_transfer_overhead=context.kv_transfer_overhead.value,
+        max_event_gap=request_state.route.inter_event_gap_target or DEFAULT_INTER_EVENT_GAP_SECONDS,
+    )
+
+
 def _best_prefix_source(
     context: GatewayContext,
     request_state: RequestState,
     engines: Mapping[Stage, Sequence[EndpointState]],
     prompt: Prompt,
+    version: str,
 ) -> EngineView | None:
-    """Return the engine that caches most of the prompt, one of this zone among equals."""
+    """Return the engine of one software version that caches most of the prompt.
+
+    Among equals, one of this zone is returned.
+    """
 
     def cached(engine: EndpointState) -> tuple[int, bool]:
         tokens = engine.cache.cached_tokens(prompt.parts) if engine.cache else 0
         return tokens, engine.listed.zone == context.zone
 
-    best = max((engine for stage in Stage for engine in engines[stage]), key=cached, default=None)
+    same_version = (
+        engine
+        for stage in Stage
+        for engine in engines[stage]
+        if engine.listed.software_version == version
+    )
+    best = max(same_version, key=cached, default=None)
     return None if best is None else _engine_view(context, request_state, best, prompt)
 
 
@@ -222,15 +319,17 @@
         rate.tokens_per_second,
         rate.overhead,
         endpoint.failure_penalty(),
+        listed.software_version,
     )
 
 
-def _plan_log_fields(plan: GenerationPlan, considered: int) -> dict[str, object]:
+def _plan_log_fields(plan: GenerationPlan) -> dict[str, object]:
     return {
         "reads": plan.prefill_engine.endpoint_id,
         "generates": plan.decode.endpoint_id,
         "fetches": plan.prefix_source.endpoint_id if plan.prefix_source else None,
-        "considered": considered,
+        "considered": plan.considered,
+        "software_version": plan.decode.software_version,
         "tokens_ahead": plan.prefill_engine.tokens_ahead,
         "unread_tokens": plan.uncached_tokens,
         "tokens_per_second": round(plan.prefill_engine.prefill_tokens_per_second),
@@ -244,12 +343,13 @@
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> None:
     now = context.clock()
+    # A stream that goes on has its first event behind it; only the caller's deadline is left.
+    latency_target = math.inf if request_state.takes_up else request_state.route.latency_target
     decision = decide_admission(
         queue_wait=plan.queue_wait,
         time_to_first_event=plan.time_to_first_event,
-        remaining_latency_target=request_state.route.latency_target
-        - request_state.elapsed(now=now),
-        latency_target=request_state.route.latency_target,
+        remaining_latency_target=latency_target - request_state.elapsed(now=now),
+        latency_target=latency_target,
         time_to_deadline=request_state.remaining_time(now=now),
     )
     request_state.extra_log_fields["admission"] = decision.reason
@@ -261,8 +361,9 @@
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan, delivery: Delivery
 ) -> bool:
     """Prefill and decode by one plan; return whether the caller has the whole response."""
+    recording = _begin_stream(context, request_state, plan)
     if plan.dedicated_prefill is None:
-        return await _decode(context, request_state, plan, delivery, None)
+        return await _decode(context, request_state, plan, delivery, None, recording)
     kv_handle = await _prefill(context, request_state, plan)
     if kv_handle is None:
         return False
@@ -271,29 +372,61 @@
         current_plan = _with_ready_decode_engine(context, request_state, plan)
         if current_plan is None:
             return False
-        return await _decode(context, request_state, current_plan, delivery, kv_handle)
+        return await _decode(context, request_state, current_plan, delivery, kv_handle, recording)
     finally:
         if delivery.first_event_at is None:
             await _release_kv_handle(context, plan.dedicated_prefill.endpoint_id, kv_handle)
 
 
+def _begin_stream(
+    context: GatewayContext, request_state: RequestState, plan: GenerationPlan
+) -> Recording | None:
+    """Start to store the version of a stream that begins; return its record."""
+    route, request = request_state.route, request_state.request
+    is_begun = request_state.stream_version is not None
+    if context.streams is None or not route.resumable or is_begun:
+        return None
+    lifetime = route.timeout if request.timeout is None else request.timeout
+    return context.streams.begin(
+        request.request_id,
+        request_state.service.name,
+        plan.decode.software_version,
+        lifetime - request_state.elapsed(now=context.clock()),
+    )
+
+
+async def _confirm_recording(
+    context: GatewayContext, request_state: RequestState, recording: Recording | None
+) -> None:
+    """Wait until the version of a stream is stored, if it has to be.
+
+    Raises
+    ------
+    RecordMissingError
+        The version was not stored in time.
+    """
+    if recording is None or context.streams is None:
+        return
+    started = context.clock()
+    if not await context.streams.confirm(recording):
+        raise RecordMissingError
+    request_state.extra_log_fields["record_wait"] = round(context.clock() - started, 4)
+
+
 def _with_ready_decode_engine(
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> GenerationPlan | None:
     """Return the plan with another decode engine if its own one accepts no new requests any more.
 
-    The prefill may have taken seconds. None is returned without such an engine.
+    The prefill may have taken seconds. None is returned without such an engine of the same
+    software version.
     """
     now = context.clock()
     planned = context.fleet.endpoint(plan.decode.endpoint_id)
     if planned is not None and planned.listed.ready and not planned.is_changing(now=now):
         return plan
-    candidates = context.fleet.candidates(
-        request_state.service.name,
-        now=now,
-        excluded=request_state.tried_endpoints,
-        stage=Stage.DECODE,
-    )
+    version = plan.decode.software_version
+    candidates = _candidates(context, request_state, Stage.DECODE, version)
     prompt = request_state.request.prompt
     assert prompt is not None
     views = [
@@ -348,20 +481,24 @@
     plan: GenerationPlan,
     delivery: Delivery,
     kv_handle: KvHandle | None,
+    recording: Recording | None,
 ) -> bool:
     """Decode on one engine and record the outcome; return whether it completed the response."""
     decode_engine = context.fleet.endpoint(plan.decode.endpoint_id)
     if decode_engine is None:
         return False
-    outcome = SendOutcome.CUT
+    outcome, is_engine_at_fault = SendOutcome.CUT, True
     request_state.tried_endpoints.add(plan.decode.endpoint_id)
     try:
         with context.loads.track_request(plan.decode.endpoint_id):
             outcome = await _relay_decode(
-                context, request_state, plan, delivery, decode_engine, kv_handle
+                context, request_state, plan, delivery, decode_engine, kv_handle, recording
             )
     except SEND_ERRORS as error:
         outcome = outcome_from_error(error)
+    except RecordMissingError:
+        is_engine_at_fault = False
+        _log.warning("stream-not-stored", extra={"request": request_state.request.request_id})
     finally:
         request_state.record_send(plan.decode.endpoint_id, "generate", outcome)
         request_state.extra_log_fields["longest_pause"] = round(delivery.longest_gap, 4)
@@ -370,7 +507,7 @@
         request_state.may_have_run = True
     if outcome is SendOutcome.ANSWERED:
         decode_engine.record_success()
-    elif outcome is not SendOutcome.NOT_RUN:
+    elif outcome is not SendOutcome.NOT_RUN and is_engine_at_fault:
         decode_engine.record_failure(
             now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT
         )
@@ -385,6 +522,7 @@
     delivery: Delivery,
     decode_engine: EndpointState,
     kv_handle: KvHandle | None,
+    recording: Recording | None,
 ) -> SendOutcome:
     """Send the request to the decode engine and relay its stream; return the outcome."""
     dispatch = _make_dispatch(
@@ -410,8 +548,11 @@
             + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
         )
 
-        def on_event() -> None:
+        async def on_event() -> None:
             delivery.record_event(now=context.clock())
+            if request_state.stream_version is None:
+                await _confirm_recording(context, request_state, recording)
+                request_state.stream_version = plan.decode.software_version
             if delivery.first_event_at is None:
                 _record_first_event(context, request_state, plan, delivery, started, kv_handle)
             pending_prefill.close()
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -1,6 +1,6 @@
 """Relay the event stream of an engine to the caller, whole events only."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
 from samphirehall.gateway.connections import IncompleteResponseError, Response
@@ -60,7 +60,7 @@
     delivery: Delivery,
     response: Response,
     limit: SilenceLimit,
-    on_event: Callable[[], None],
+    on_event: Callable[[], Awaitable[None]],
 ) -> None:
     """Relay the events that the caller lacks, then complete its response.
 
@@ -75,7 +75,7 @@
     limit : SilenceLimit
         Limit of the send; it is restarted with each event.
     on_event : callable
-        Called when an event arrives, before it is forwarded.
+        Called when an event arrives, before it or the head of the response is forwarded.
 
     Raises
     ------
@@ -84,17 +84,19 @@
     """
     delivery.splitter = EventSplitter()
     continues = delivery.caller.started
-    if not continues:
-        await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
-        on_event()
         restart_silence_limit(limit, request_state, _inter_event_gap_limit(request_state))
+        await on_event()
+        if not delivery.caller.started:
+            await delivery.caller.start(200, _stream_headers(response))
         if continues and event.number is None:
             raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
     limit.stop()
     if delivery.splitter.remainder:
         raise IncompleteResponseError("the stream ended inside an event")
+    if not delivery.caller.started:
+        await delivery.caller.start(200, _stream_headers(response))
     await delivery.caller.finish()
 
 
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -84,6 +84,8 @@
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
         Whether the request runs although a part of its prompt is in quarantine.
+    stream_version : str or None
+        Software version that the events of the stream must come from; None before the first event.
     extra_log_fields : dict
         Further fields of the log line.
     """
@@ -104,6 +106,7 @@
     reserved_repeats: int = 0
     prefill_done: bool = False
     on_trial: bool = False
+    stream_version: str | None = None
     extra_log_fields: dict[str, Any] = field(default_factory=dict)
 
     @property
@@ -117,6 +120,11 @@
         prompt = self.request.prompt
         return prompt.shared_part_ids if prompt else ()
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        return self.route.resumable and self.request.takes_up
+
     def elapsed(self, *, now: float) -> float:
         """Return the seconds since the whole request was received."""
         return now - self.request.received_at
--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -35,6 +35,7 @@
 MAX_ADDRESS_CHARACTERS = 64  # an IPv6 address in brackets and a port take 47
 MAX_UNIX_MILLISECONDS = 253_402_300_799_999  # the end of the year 9999
 MAX_AMOUNT = 1e15  # of any quantity in a configuration, in the unit of its field
+MAX_SOFTWARE_VERSION_LENGTH = 100
 
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -124,6 +125,7 @@
     stage: str | None = None
     spot: bool = False
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MILLISECONDS)] = 0
+    version: Annotated[str, msgspec.Meta(max_length=MAX_SOFTWARE_VERSION_LENGTH)] = ""
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -241,4 +243,5 @@
         None if entry.stage is None else Stage(entry.stage),
         entry.spot,
         entry.born,
+        entry.version,
     )
