--- a/samphirehall/gateway/ingress.py
+++ b/samphirehall/gateway/ingress.py
@@ -11,6 +11,7 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
+from samphirehall.core.log import log_decision
 from samphirehall.core.results import INTERNAL_NOT_RUN, INTERNAL_UNKNOWN
 from samphirehall.forwarding.answers import (
     JSON,
@@ -72,12 +73,22 @@
 
 
 class AsgiCaller:
-    """Response to one client, sent through ASGI."""
+    """Response to one client, sent through ASGI.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether the whole response has been sent.
+    request_id : str
+        Id of the request, for the log; empty until it has been read.
+    """
 
     def __init__(self, send: Send, state: IngressState) -> None:
         self._send = send
         self._state = state
         self._started = False
+        self.complete = False
+        self.request_id = ""
 
     @property
     def started(self) -> bool:
@@ -97,6 +108,7 @@
     async def finish(self) -> None:
         """Mark the body as complete."""
         await send_body(self._send, b"")
+        self.complete = True
 
 
 async def send_refusal(caller: Caller, error: SamphireError, request_id: str) -> None:
@@ -138,7 +150,12 @@
                 await _handle_request(state, decode, serve, scope, receive, caller)
         finally:
             state.open_requests -= 1
-        if client_scope.cancelled_caught or not caller.started:
+        if client_scope.cancelled_caught:
+            connection.close()
+        elif not caller.complete:
+            # The response must not look complete.
+            reason = "incomplete answer" if caller.started else "no answer"
+            log_decision(_log, "connection-closed", reason, request=caller.request_id)
             connection.close()
 
     return app
@@ -175,22 +192,17 @@
     request_id = ""
     try:
         request = await _read_request(state, decode, scope, receive)
-        request_id = request.request_id
+        request_id = caller.request_id = request.request_id
         await serve(request, caller)
     except CallerDisconnectedError:
         return
     except SamphireError as error:
-        if caller.started:
-            # The connection is closed in mid-body so that the response does not look complete.
-            caller_connection(scope).close()
-        else:
+        if not caller.started:
             await send_refusal(caller, error, request_id)
     except Exception as error:
         _log.exception("request-crashed", extra={"request": request_id})
         result = INTERNAL_UNKNOWN if request_id else INTERNAL_NOT_RUN
-        if caller.started:
-            caller_connection(scope).close()
-        else:
+        if not caller.started:
             await send_refusal(caller, SamphireError(result, type(error).__name__), request_id)
 
 
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -86,6 +86,19 @@
             received = await read_all(stream)
         assert b"half" in received and b"0\r\n\r\n" not in received
 
+    async def test_connection_that_is_closed_inside_an_answer_is_logged(self, caplog):
+        async def cut(request, caller):
+            await caller.start(200, [])
+            raise SamphireError(STREAM_CUT, "cut")
+
+        caplog.set_level("INFO")
+        ingress = Ingress(cut)
+        async with ingress.serving, await ingress.connect() as stream:
+            await stream.send(GET)
+            await read_all(stream)
+        (line,) = [record for record in caplog.records if record.message == "connection-closed"]
+        assert line.request == "r1" and line.reason
+
     async def test_unreadable_request_is_refused(self):
         ingress = Ingress(answer)
         async with ingress.serving, await ingress.connect() as stream:
