Drop headers of answers that the server of callers cannot send

Callers saw: no answer at all; the connection was closed although an endpoint had answered the request.

Cause: h11 accepts a control character in the value of a response header, uvicorn raises on it, and by then counts the response as started, so that nothing can be sent any more. In the gateway this holds for each header of an endpoint, in the entry for the content type of a plain service.

Such a header is dropped and logged (header-dropped); a content type falls back to the default. The tests failed before: the client received no byte; the content type was passed on.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import re
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
@@ -33,6 +34,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES),
 )
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 NOT_WRITTEN_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
 TRANSPORT_ERRORS = (
     httpcore.NetworkError,
@@ -238,3 +240,11 @@
         if key.lower() == name:
             return value.decode("latin-1")
     return None
+
+
+def holds_control_character(value: bytes) -> bool:
+    """Return whether a header value holds a control character.
+
+    h11 accepts one in a response; uvicorn then sends no response at all.
+    """
+    return _CONTROL_CHARACTER.search(value) is not None
--- a/samphirehall/forwarding/service_call.py
+++ b/samphirehall/forwarding/service_call.py
@@ -9,7 +9,7 @@
 from samphirehall.admission.authentication import Caller, is_key_valid
 from samphirehall.admission.key_validity import check_key_validity
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import header, read_body
+from samphirehall.core.connections import header, holds_control_character, read_body
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import DEADLINE_NOT_RUN, ENDPOINT_FAILED, KEY_UNKNOWN
@@ -20,6 +20,7 @@
 from samphirehall.routing.fleet import RoutingRequest
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+DEFAULT_CONTENT_TYPE = "application/json"
 
 _log = logging.getLogger(__name__)
 
@@ -139,7 +140,11 @@
                 if is_answer_to(response.headers, call.request_id) is False:
                     raise httpcore.RemoteProtocolError("the answer to another request")
                 body = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
-                content_type = header(response.headers, b"content-type") or "application/json"
+                content_type = header(response.headers, b"content-type") or DEFAULT_CONTENT_TYPE
+                if holds_control_character(content_type.encode("latin-1")):
+                    reason = "control character in the content type"
+                    log_decision(_log, "header-dropped", reason, request=call.request_id)
+                    content_type = DEFAULT_CONTENT_TYPE
                 context.fleet.record_success(endpoint.endpoint_id)
                 return ServiceAnswer(
                     response.status, content_type.encode(), body, endpoint.endpoint_id
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -1,9 +1,12 @@
 """Requests to plain endpoints, with buffered answers and retries where they are safe."""
 
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from samphirehall.core.connections import holds_control_character
 from samphirehall.core.errors import SamphireError
+from samphirehall.core.log import log_decision
 from samphirehall.core.results import NO_ENDPOINT, OK, OUTCOME_UNKNOWN, Result
 from samphirehall.gateway.connections import Response
 from samphirehall.gateway.context import GatewayContext
@@ -31,11 +34,12 @@
 RETRY_AFTER_SECONDS = 0.2  # a few service times, after which a full endpoint has capacity again
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))  # callers interpret these as "has not run"
 MIN_SERVER_ERROR_STATUS = 500
-
 _HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade")
 )
 
+_log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True, frozen=True)
 class BufferedAnswer:
@@ -47,8 +51,14 @@
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers of an endpoint's answer without the hop-by-hop ones."""
-    return [(name, value) for name, value in headers if name not in _HOP_HEADERS]
+    """Return the headers of an endpoint's answer without hop-by-hop and invalid ones."""
+    kept = []
+    for name, value in headers:
+        if holds_control_character(value):
+            log_decision(_log, "header-dropped", "control character", header=name.decode())
+        elif name not in _HOP_HEADERS:
+            kept.append((name, value))
+    return kept
 
 
 async def run_plain(context: GatewayContext, request_state: RequestState, caller: Caller) -> Result:
--- a/tests/forwarding/test_faulty_answers.py
+++ b/tests/forwarding/test_faulty_answers.py
@@ -96,6 +96,18 @@
         assert second.body == b"own"
 
 
+async def test_control_character_in_a_content_type_is_not_passed_on():
+    async def script(exchange, writer):
+        head = answer(200, b"lots", request_id=exchange.request_id)
+        writer.write(head.replace(b"\r\n\r\n", b"\r\nContent-Type: a\x01b\r\n\r\n"))
+
+    async with ScriptedEndpoint(script).serving() as endpoint:
+        context = entry_context([endpoint], protocol=EndpointProtocol.SERVICE)
+        async with running_app(context) as app:
+            reply = await ask(app, "/services/stock/lots", method="GET")
+    assert reply.body == b"lots" and reply.headers[b"content-type"] == b"application/json"
+
+
 def failing(status):
     async def script(exchange, writer):
         writer.write(answer(status, ERROR_TEXT))
--- /dev/null
+++ b/tests/gateway/test_relayed_headers.py
@@ -0,0 +1,33 @@
+"""Answers of endpoints whose headers the server of clients cannot send as they are."""
+
+import pytest
+
+from tests.gateway.helpers import response_bytes, scripted_endpoint
+from tests.gateway.test_ingress import Ingress, read_all
+from tests.gateway.test_plain import gateway_with
+
+pytestmark = pytest.mark.anyio
+
+GET = (
+    b"GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Key: key-1\r\n"
+    b"Connection: close\r\n\r\n"
+)
+
+
+async def ask(script):
+    """Return what a client receives for a request that an endpoint answers by a script."""
+    async with scripted_endpoint(script) as endpoint:
+        gateway, _ = gateway_with(endpoint.address)
+        ingress = Ingress(gateway.serve)
+        async with ingress.serving, await ingress.connect() as stream:
+            await stream.send(GET)
+            return await read_all(stream)
+
+
+@pytest.mark.parametrize("value", ["a\x01b", "a\x7fb", "\x1f"])
+async def test_control_character_in_a_header_loses_no_answer(value):
+    async def script(received, writer):
+        writer.write(response_bytes(received, extra=[f"X-Other: {value}"]))
+
+    received = await ask(script)
+    assert received.startswith(b"HTTP/1.1 200") and received.endswith(b"ok")
