Leave out the length of an answer that has no body

Callers saw: the connection was closed after a whole answer with status 204 or 304 that named a length, without Connection: close. Such a length is allowed with 304. That a request was lost this way is not shown.

Cause: uvicorn expects as many bytes as Content-Length says and raises when there are fewer. The two-process form sends lengths of its own and is not affected (read from the code). The test failed before: request-crashed was logged.

--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -34,6 +34,7 @@
 RETRY_AFTER_SECONDS = 0.2  # a few service times, after which a full endpoint has capacity again
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))  # callers interpret these as "has not run"
 MIN_SERVER_ERROR_STATUS = 500
+BODILESS_STATUSES = frozenset((204, 304))
 _HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade")
 )
@@ -61,6 +62,17 @@
     return kept
 
 
+def answer_headers(status: int, headers: Headers) -> Headers:
+    """Return the headers of an endpoint's answer to forward with its status.
+
+    The length of an answer without a body is left out, as uvicorn expects so many bytes.
+    """
+    kept = end_to_end_headers(headers)
+    if status in BODILESS_STATUSES:
+        return [pair for pair in kept if pair[0] != b"content-length"]
+    return kept
+
+
 async def run_plain(context: GatewayContext, request_state: RequestState, caller: Caller) -> Result:
     """Send a request to one endpoint after another until one answers; return the result.
 
@@ -98,7 +110,7 @@
     request_state: RequestState, caller: Caller, answer: BufferedAnswer
 ) -> None:
     request_state.extra_log_fields["status"] = answer.status
-    await caller.start(answer.status, end_to_end_headers(answer.headers))
+    await caller.start(answer.status, answer_headers(answer.status, answer.headers))
     if answer.body:
         await caller.write(answer.body)
     await caller.finish()
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -9,6 +9,7 @@
     MAX_ANSWER_BYTES,
     MIN_SERVER_ERROR_STATUS,
     NOT_RUN_STATUSES,
+    answer_headers,
     end_to_end_headers,
 )
 from samphirehall.gateway.request_state import Caller, RequestState, SendOutcome
@@ -116,7 +117,7 @@
     ):
         return SendOutcome.FAILED
     request_state.extra_log_fields["status"] = response.status
-    await delivery.caller.start(response.status, end_to_end_headers(response.headers))
+    await delivery.caller.start(response.status, answer_headers(response.status, response.headers))
     await delivery.caller.write(body)
     await delivery.caller.finish()
     return SendOutcome.ANSWERED
--- a/tests/gateway/test_relayed_headers.py
+++ b/tests/gateway/test_relayed_headers.py
@@ -31,3 +31,13 @@
 
     received = await ask(script)
     assert received.startswith(b"HTTP/1.1 200") and received.endswith(b"ok")
+
+
+@pytest.mark.parametrize("status", [204, 304])
+async def test_length_of_an_answer_that_has_no_body_closes_no_connection(status, caplog):
+    async def script(received, writer):
+        writer.write(response_bytes(received, b"", status=status, length=17))
+
+    received = await ask(script)
+    assert received.startswith(b"HTTP/1.1 %d" % status) and received.endswith(b"\r\n\r\n")
+    assert not [record for record in caplog.records if record.message == "request-crashed"]
