Wait for a silent engine as long as its callers do

Callers saw: a stream of a sound engine that fell silent for 1.2 s or more and would have gone on was ended and taken up at another engine, which costs a repeat and cuts the stream if that one refuses.

Cause: the limit on a gap was 8 times the target gap, at least 1 s, while callers wait for 2 s, 4 times the latency target or 8 times the target gap, whichever is longest; and sound engines may be silent for a second or so. The limit is now 0.4 s before callers abandon the stream. A stream with such a pause is late in either case.

--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -17,8 +17,11 @@
 from samphirehall.gateway.types import Headers
 from samphirehall.gateway.wire_codec import WireCodec
 
-GAP_LIMIT_FACTOR = 8.0  # times the target gap; callers abandon a stream after such a gap
-MIN_GAP_LIMIT_SECONDS = 1.0  # preemption on an engine commonly causes shorter gaps
+# Callers abandon a stream after a gap of the longest of these.
+MIN_ABANDONED_GAP_SECONDS = 2.0
+ABANDONED_GAP_LATENCY_FACTOR = 4.0  # times the latency target
+ABANDONED_GAP_TARGET_FACTOR = 8.0  # times the target gap
+RESUME_SECONDS = 0.4  # to resume a stream on another engine before its caller abandons it
 
 
 @dataclass(slots=True)
@@ -85,11 +88,13 @@
     """
     delivery.splitter = EventSplitter()
     continues = delivery.caller.started
+    route = request_state.route
+    gap_limit = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
     if not continues:
         await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
         on_event()
-        restart_silence_limit(limit, request_state, _inter_event_gap_limit(request_state))
+        restart_silence_limit(limit, request_state, gap_limit)
         if continues and event.number is None:
             raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
@@ -146,11 +151,17 @@
     await delivery.caller.write(event.data)
 
 
-def _inter_event_gap_limit(request_state: RequestState) -> float:
-    return max(
-        MIN_GAP_LIMIT_SECONDS,
-        GAP_LIMIT_FACTOR * (request_state.route.inter_event_gap_target or 0.0),
+def inter_event_gap_limit(latency_target: float, gap_target: float | None) -> float:
+    """Return the seconds of silence after which a stream should go on at another engine.
+
+    Sound engines are silent for over a second at times, so this is as late as callers allow.
+    """
+    abandoned_gap = max(
+        MIN_ABANDONED_GAP_SECONDS,
+        ABANDONED_GAP_LATENCY_FACTOR * latency_target,
+        ABANDONED_GAP_TARGET_FACTOR * (gap_target or 0.0),
     )
+    return abandoned_gap - RESUME_SECONDS
 
 
 def _stream_headers(response: Response) -> Headers:
