--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -246,6 +246,13 @@
             assert await system.process.wait() == 0
 
 
+@pytest.mark.parametrize(("stop_timeout", "open_for"), [(8.0, 3.0), (4.0, 1.2), (2.0, -0.8)])
+def test_requests_taken_in_a_stop_have_time_to_finish(stop_timeout, open_for):
+    schedule = node.stop_schedule(stop_timeout, now=100.0)
+    assert schedule.open_until == pytest.approx(100.0 + open_for)
+    assert schedule.finish_by == pytest.approx(100.0 + stop_timeout - 0.3)
+
+
 async def test_second_stop_signal_cuts_no_running_request(tmp_path):
     async with running_system(tmp_path) as system:
         await system.wait_until(lambda: served(system), "served")
