--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -562,7 +562,10 @@
                 return await handle_failure_response(
                     context.wire_codec, request_state, delivery, response
                 )
-            await relay_stream(request_state, delivery, response, limit, on_event)
+            hold_head = recording is not None
+            await relay_stream(
+                request_state, delivery, response, limit, on_event, hold_head=hold_head
+            )
     return SendOutcome.ANSWERED
 
 
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -9,6 +9,7 @@
     MAX_ANSWER_BYTES,
     MIN_SERVER_ERROR_STATUS,
     NOT_RUN_STATUSES,
+    answer_headers,
     end_to_end_headers,
 )
 from samphirehall.gateway.request_state import Caller, RequestState, SendOutcome
@@ -16,8 +17,11 @@
 from samphirehall.gateway.types import Headers
 from samphirehall.gateway.wire_codec import WireCodec
 
-GAP_LIMIT_FACTOR = 8.0  # times the target gap; callers abandon a stream after such a gap
-MIN_GAP_LIMIT_SECONDS = 1.0  # preemption on an engine commonly causes shorter gaps
+# Callers abandon a stream after a gap of the longest of these.
+MIN_ABANDONED_GAP_SECONDS = 2.0
+ABANDONED_GAP_LATENCY_FACTOR = 4.0  # times the latency target
+ABANDONED_GAP_TARGET_FACTOR = 8.0  # times the target gap
+RESUME_SECONDS = 0.4  # to resume a stream on another engine before its caller abandons it
 
 
 @dataclass(slots=True)
@@ -61,6 +65,8 @@
     response: Response,
     limit: SilenceLimit,
     on_event: Callable[[], Awaitable[None]],
+    *,
+    hold_head: bool = False,
 ) -> None:
     """Relay the events that the caller lacks, then complete its response.
 
@@ -75,7 +81,9 @@
     limit : SilenceLimit
         Limit of the send; it is restarted with each event.
     on_event : callable
-        Called when an event arrives, before it or the head of the response is forwarded.
+        Called when an event arrives, before it is forwarded.
+    hold_head : bool
+        Whether the head of the response is held back until then as well.
 
     Raises
     ------
@@ -84,8 +92,12 @@
     """
     delivery.splitter = EventSplitter()
     continues = delivery.caller.started
+    route = request_state.route
+    gap_limit = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
+    if not (continues or hold_head):
+        await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
-        restart_silence_limit(limit, request_state, _inter_event_gap_limit(request_state))
+        restart_silence_limit(limit, request_state, gap_limit)
         await on_event()
         if not delivery.caller.started:
             await delivery.caller.start(200, _stream_headers(response))
@@ -118,7 +130,7 @@
     ):
         return SendOutcome.FAILED
     request_state.extra_log_fields["status"] = response.status
-    await delivery.caller.start(response.status, end_to_end_headers(response.headers))
+    await delivery.caller.start(response.status, answer_headers(response.status, response.headers))
     await delivery.caller.write(body)
     await delivery.caller.finish()
     return SendOutcome.ANSWERED
@@ -147,11 +159,17 @@
     await delivery.caller.write(event.data)
 
 
-def _inter_event_gap_limit(request_state: RequestState) -> float:
-    return max(
-        MIN_GAP_LIMIT_SECONDS,
-        GAP_LIMIT_FACTOR * (request_state.route.inter_event_gap_target or 0.0),
+def inter_event_gap_limit(latency_target: float, gap_target: float | None) -> float:
+    """Return the seconds of silence after which a stream should go on at another engine.
+
+    Sound engines are silent for over a second at times, so this is as late as callers allow.
+    """
+    abandoned_gap = max(
+        MIN_ABANDONED_GAP_SECONDS,
+        ABANDONED_GAP_LATENCY_FACTOR * latency_target,
+        ABANDONED_GAP_TARGET_FACTOR * (gap_target or 0.0),
     )
+    return abandoned_gap - RESUME_SECONDS
 
 
 def _stream_headers(response: Response) -> Headers:
