Keep the hub heard when changes of the list fit no datagram

A hub sends the changes of the endpoint list of the last second with each update. With an entry of 64 KB in the list, which another writer may leave, no update fitted a datagram for that second: sendto raised EMSGSIZE, members heard no hub for longer than its timeout and chose others. Changes of over 32 KB are now left out, marked as a gap, so that hosts that lack them fetch the list, as they do after lost datagrams.

Tests: TestLongRows in tests/gateway/test_zone_exchange.py, of which both failed before (members followed another hub, or learned of the next entry late).

--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -36,6 +36,7 @@
 MAX_BLOCKED_GROUPS = 8  # per datagram, which must fit one packet
 MAX_PARTS_PER_PROMPT = 32  # of the first parts, which the later ones need
 MAX_UNACKNOWLEDGED = 64  # updates of this host whose loads are remembered
+MAX_CHANGES_BYTES = 32_768  # of rows in a datagram, which holds at most 65,507 bytes
 MAX_AGE_SECONDS = 1e9  # stands for an infinite age in a message
 
 
@@ -259,7 +260,13 @@
 
 
 def encode_changes(changes: ChangeSet) -> EncodedChanges:
-    """Encode changes of the endpoint list for a datagram."""
+    """Encode changes of the endpoint list for a datagram.
+
+    If they are too long for one, they are left out, and receivers that lack them fetch the list.
+    """
+    length = sum(len(row.key) + len(row.value or b"") for row in changes.changes)
+    if length > MAX_CHANGES_BYTES:
+        return EncodedChanges(changes.position, changes.position, [])
     rows = [EncodedChange(row.key, row.version, row.value) for row in changes.changes]
     return EncodedChanges(changes.after, changes.position, rows)
 
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -20,7 +20,15 @@
 from samphirehall.gateway.datagrams import DatagramSocket
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.load import EndpointLoad
-from samphirehall.gateway.rows import RowChange, Rows, StoreVersion, Switch, TableFollower
+from samphirehall.gateway.rows import (
+    ChangeSet,
+    RowChange,
+    Rows,
+    StoreVersion,
+    Switch,
+    TableFollower,
+    TableReplica,
+)
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
@@ -32,6 +40,7 @@
     datagram,
     encode_message,
 )
+from samphirehall.gateway.zone_updates import decode_changes, encode_changes
 from samphirehall.platform.documents import decode_endpoint
 from samphirehall.programs.node import FINAL_PUBLISH_SECONDS
 from tests.gateway.helpers import MODEL, ROUTES, context, request
@@ -143,7 +152,10 @@
             self.context.fleet.remove(change.key)
         else:
             listed = decode_endpoint(change.key, change.value)
-            self.context.fleet.update(listed, MODEL, now=boot_seconds())
+            if listed is None:
+                self.context.fleet.suspend(change.key)
+            else:
+                self.context.fleet.update(listed, MODEL, now=boot_seconds())
 
     def state(self, endpoint="d1"):
         found = self.context.fleet.endpoint(endpoint)
@@ -466,3 +478,27 @@
         again = [fingerprint(request(request_id=name, body=b"b"), ROUTES[0]) for name in "xy"]
         other = fingerprint(request(body=b"c"), ROUTES[0])
         assert again[0] == again[1] != other
+
+
+class TestLongRows:
+    async def test_changes_with_a_row_too_long_for_a_datagram_make_receivers_fetch_the_list(self):
+        position, newest = StoreVersion(0, 5), StoreVersion(0, 9)
+        row = RowChange("odd", newest, b"x" * 65_536)
+        encoded = encode_changes(ChangeSet(position, newest, [row]))
+        replica = TableReplica(lambda change: None)
+        replica.has_snapshot, replica.position = True, position
+        assert encoded.changes == []
+        assert not replica.apply_change_set(decode_changes(encoded), now=0.0)
+        assert replica.position == position
+
+    async def test_odd_long_entry_in_the_list_leaves_members_with_their_hub(self):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, ["h1", "h2", "h3"])
+            hub, _ = hub_and_members(hosts)
+            endpoints.put("odd", zone="z" * 65_536)
+            endpoints.put("d2", state="ready")
+            began = boot_seconds()
+            await until(lambda: all(host.state("d2") for host in hosts))
+            assert boot_seconds() - began < 0.6
+            assert {host.exchange.hub for host in hosts} == {hub.context.host}
+            group.cancel_scope.cancel()
