Reject datagrams and frames between hosts with values out of range

One UDP packet of 60,000 nested arrays raised RecursionError out of the loop that hears other hosts and ended the host. Sequence numbers above 32 bits raised struct.error in the next update of the hub, and loads of which two add up to over 64 bits OverflowError. NaN as a clock, an age or a limit was taken, as was any count of hosts and any usage window. Messages now have types with bounds, and a packet that is none, or out of range, is logged once a minute and left out. Frames raise FrameError, with a short message, for each payload.

--- a/samphirehall/core/frames.py
+++ b/samphirehall/core/frames.py
@@ -16,9 +16,18 @@
 from anyio.abc import ByteStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from samphirehall.core.decoding import shorten
 from samphirehall.core.errors import FrameError
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+_MALFORMED_ERRORS = (
+    ValueError,
+    TypeError,
+    RecursionError,
+    OverflowError,
+    msgspec.MsgspecError,
+    msgpack.UnpackException,
+)
 _LENGTH = struct.Struct(">I")
 _FIELD_NAMES: dict[type, tuple[str, ...]] = {}
 
@@ -115,9 +124,9 @@
         return msgspec.convert(named, message_type)
     except KeyError as error:
         known = ", ".join(sorted(message_types))
-        raise FrameError(f"unknown message type {error}; known: {known}") from error
-    except (ValueError, TypeError, msgspec.ValidationError, msgpack.UnpackException) as error:
-        raise FrameError(f"malformed message: {error}") from error
+        raise FrameError(f"unknown message type {shorten(error)}; known: {known}") from error
+    except _MALFORMED_ERRORS as error:
+        raise FrameError(f"malformed message: {shorten(error)}") from error
 
 
 def _field_names(message_type: type) -> tuple[str, ...]:
--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -13,12 +13,12 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Annotated, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
-import msgspec
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import Unsigned
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 
@@ -36,9 +36,6 @@
     """The store no longer keeps the changes after the requested version."""
 
 
-_Unsigned = Annotated[int, msgspec.Meta(ge=0)]
-
-
 class StoreVersion(NamedTuple):
     """Version of the store, ordered across restorations.
 
@@ -50,8 +47,8 @@
         Counter of the store, which goes back when it is restored.
     """
 
-    era: _Unsigned
-    number: _Unsigned
+    era: Unsigned
+    number: Unsigned
 
 
 NO_VERSION = StoreVersion(0, 0)
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -13,6 +13,7 @@
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.decoding import Address, parse_address
+from samphirehall.core.log import RejectionLog
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext
@@ -123,6 +124,7 @@
         self._roles = ZoneRoles(
             context, directory, endpoints, reading, self._view, now=boot_seconds()
         )
+        self._rejections = RejectionLog(_log, "peer-unreadable")
         self._zone_processes: set[str] = set()
         self._usage_is_stored = True
         self._changed = anyio.Event()
@@ -327,13 +329,13 @@
             try:
                 acknowledged, message = decode_datagram(data)
             except ValueError as error:
-                _log.warning("peer-unreadable", extra={"reason": str(error)})
+                self._rejections.record("datagram", error)
                 continue
             sender = message if isinstance(message, MemberUpdate) else message.summary
             address = parse_address(sender.address)
             if address is None:
                 reason = f"address {sender.address!r} is no IP address and port"
-                _log.warning("peer-unreadable", extra={"reason": reason})
+                self._rejections.record("datagram", reason)
             elif isinstance(message, MemberUpdate):
                 self._apply_member_update(message, address, now=boot_seconds())
             else:
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -9,14 +9,32 @@
 
 import msgspec
 
-from samphirehall.gateway.endpoint_limits import LimitReport
+from samphirehall.core.decoding import Name, Unsigned, decode
 from samphirehall.gateway.rows import StoreVersion
+from samphirehall.gateway.usage_windows import WINDOW_KEY_DIGITS, Count
+
+MAX_SEQUENCE = 2**32 - 1  # an acknowledgement has 32 bits
+MAX_UNIX_SECONDS = 253_402_300_799.0  # the end of the year 9999
+MAX_AGE_SECONDS = 1e10
+CLOCK_ROUNDING_SECONDS = 1.0  # a difference of two clock readings may be slightly negative
+MAX_LOAD = 10**15  # requests or tokens, of a host or a zone; sums over all fit 64 bits
+MAX_RATE = 1e15  # requests or tokens per second
+MAX_HOSTS = 100_000  # of one zone
+MAX_WINDOW = 10**WINDOW_KEY_DIGITS - 1
 
 _ACKNOWLEDGED = struct.Struct(">I")
-_Unsigned = Annotated[int, msgspec.Meta(ge=0)]
+_Time = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]
+_Age = Annotated[float, msgspec.Meta(ge=-CLOCK_ROUNDING_SECONDS, le=MAX_AGE_SECONDS)]
+_Load = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOAD)]
+_Demand = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_Window = Annotated[int, msgspec.Meta(ge=0, le=MAX_WINDOW)]
+_LatestWindow = Annotated[int, msgspec.Meta(ge=-1, le=MAX_WINDOW)]
+_Fingerprint = Annotated[int, msgspec.Meta(ge=0)]  # all 64 bits
+# As `LimitReport`.
+_Limit = tuple[str, Annotated[float, msgspec.Meta(ge=-1, le=MAX_RATE)], _Age]
 
 # Whether a usage window is closed, and its requests by customer.
-EncodedCounts = tuple[bool, dict[str, int]]
+EncodedCounts = tuple[bool, dict[str, Count]]
 
 
 class News(msgspec.Struct, array_like=True):
@@ -37,10 +55,10 @@
         Suspect parts of prompts with a complete answer.
     """
 
-    cached_prompts: list[tuple[str, list[tuple[str, _Unsigned]]]] = []
+    cached_prompts: list[tuple[str, list[tuple[str, _Load]]]] = []
     changing_engines: list[str] = []
-    crashes: list[tuple[int, str]] = []
-    part_crashes: list[tuple[str, float, tuple[str, ...]]] = []
+    crashes: list[tuple[_Fingerprint, str]] = []
+    part_crashes: list[tuple[str, _Age, tuple[str, ...]]] = []
     cleared_parts: list[str] = []
 
 
@@ -93,21 +111,21 @@
         Latest usage window known to be settled; -1 if unknown. See `ReportProgress`.
     """
 
-    host: str
-    zone: str
+    host: Name
+    zone: Name
     address: str
     process: str
-    sequence: _Unsigned
-    wall_time: float
-    configuration_version: _Unsigned
-    store_age: float | None
-    loads: dict[str, list[int]]
-    demand: dict[str, float]
-    usage: dict[int, EncodedCounts]
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+    wall_time: _Time
+    configuration_version: Unsigned
+    store_age: _Age | None
+    loads: dict[str, list[_Load]]
+    demand: dict[str, _Demand]
+    usage: dict[_Window, EncodedCounts]
     news: News
     changes: EncodedChanges | None = None
-    limits: list[LimitReport] = []
-    settled_window: int = -1
+    limits: list[_Limit] = []
+    settled_window: _LatestWindow = -1
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -125,13 +143,13 @@
         Sums over the hosts; see `MemberUpdate`.
     """
 
-    zone: str
-    hub: str
+    zone: Name
+    hub: Name
     address: str
-    hosts: _Unsigned
-    closed_window: int
-    loads: dict[str, list[int]]
-    demand: dict[str, float]
+    hosts: Annotated[int, msgspec.Meta(ge=0, le=MAX_HOSTS)]
+    closed_window: _LatestWindow
+    loads: dict[str, list[_Load]]
+    demand: dict[str, _Demand]
 
 
 class HubUpdate(msgspec.Struct, array_like=True, tag="hub"):
@@ -170,19 +188,19 @@
     """
 
     summary: ZoneSummary
-    agreed_time: float
-    configuration_version: _Unsigned
-    store_age: float
+    agreed_time: _Time
+    configuration_version: Unsigned
+    store_age: _Age
     reader: str | None
     reads: bool
     changes: EncodedChanges
     news: News
     others: list[ZoneSummary] = []
-    members: list[tuple[str, str]] = []
-    usage: dict[str, dict[int, EncodedCounts]] = {}
-    blocked_parts: list[tuple[list[str], float]] = []
-    limits: list[LimitReport] = []
-    settled_window: int = -1
+    members: list[tuple[Name, str]] = []
+    usage: dict[str, dict[_Window, EncodedCounts]] = {}
+    blocked_parts: list[tuple[list[str], _Age]] = []
+    limits: list[_Limit] = []
+    settled_window: _LatestWindow = -1
 
 
 Message = MemberUpdate | HubUpdate
@@ -215,12 +233,9 @@
     Raises
     ------
     ValueError
-        The datagram is no message.
+        The datagram is no message, or holds a number out of range.
     """
     if len(data) < _ACKNOWLEDGED.size:
         raise ValueError(f"datagram of {len(data)} bytes")
     (acknowledged,) = _ACKNOWLEDGED.unpack_from(data)
-    try:
-        return acknowledged, _decoder.decode(data[_ACKNOWLEDGED.size :])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ValueError(str(error)) from error
+    return acknowledged, decode(data[_ACKNOWLEDGED.size :], _decoder)
