Send no request id twice on one connection to an endpoint

A faulty endpoint may write a response once more, and responses are matched by the request's id. Nothing kept a request from a kept connection that had carried its id: a prompt that is prefilled again at the same engine, since the engine that should decode refused it, took the repeated answer to the first prefill with its KV handle, which was released by then; a client's retry with the id of its first attempt took the refusal of that one. Releases of handles and orders to engines accept any response, so that an order could be answered by a response to an earlier request.

A connection now remembers hashes of the ids that it has carried, up to 1,024 and is closed after as many; it is left idle for other requests if it has carried the id of the next one. A call whose response names no id uses a new connection. The pool of forwarding, which matches by id as well, does the same; there no path on which an id is sent twice was shown.

Failed before (with the new argument left out): four tests in tests/gateway/test_connections.py, and in test_generation.py test_repeated_answer_to_the_first_prefill_is_not_that_to_the_second.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -11,10 +11,11 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 import httpcore
+import xxhash
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.network import TcpBackend, TcpStream
@@ -25,6 +26,7 @@
 KEEPALIVE_IDLE_SECONDS = 5
 KEEPALIVE_INTERVAL_SECONDS = 2
 MAX_KEEPALIVE_PROBES = 3
+MAX_REQUESTS_PER_CONNECTION = 1024  # bounds the ids that a connection remembers
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLISECONDS),
@@ -42,12 +44,36 @@
 )
 
 
+class CarriedIds:
+    """Ids of the requests that a connection has carried, as hashes.
+
+    A late or repeated response to a request matches another request with the same id, so a
+    connection is not used for an id that it has carried.
+    """
+
+    def __init__(self) -> None:
+        self._hashes: set[int] = set()
+
+    def __contains__(self, request_id: str) -> bool:
+        return xxhash.xxh3_64_intdigest(request_id.encode()) in self._hashes
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection has carried as many ids as are remembered."""
+        return len(self._hashes) >= MAX_REQUESTS_PER_CONNECTION
+
+    def add(self, request_id: str) -> None:
+        """Add the id of a request that is about to be sent."""
+        self._hashes.add(xxhash.xxh3_64_intdigest(request_id.encode()))
+
+
 @dataclass(slots=True)
 class _Connection:
-    """An HTTP connection and the TCP stream that carries it."""
+    """An HTTP connection, the TCP stream that carries it, and the ids of its requests."""
 
     http: httpcore.AsyncHTTP11Connection
     stream: TcpStream
+    carried: CarriedIds = field(default_factory=CarriedIds)
 
 
 class ConnectionPool:
@@ -96,6 +122,7 @@
         content: bytes | AsyncIterator[bytes] | None = None,
         read_timeout: float | None = None,
         new_connection: bool = False,
+        request_id: str | None = None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield its response before the body is read.
 
@@ -112,6 +139,9 @@
             disables both, for a request whose timeout is enforced elsewhere.
         new_connection : bool
             Open a new connection even if an idle one is available.
+        request_id : str, optional
+            Id by which the caller matches the response; a connection that has carried it is not
+            used.
 
         Raises
         ------
@@ -136,7 +166,9 @@
             content=content,
             extensions={"timeout": timeouts},
         )
-        connection = await self._dial() if new_connection else await self._acquire()
+        connection = await self._dial() if new_connection else await self._acquire(request_id)
+        if request_id is not None:
+            connection.carried.add(request_id)
         connection.stream.set_reset_on_close(True)
         if content is None or isinstance(content, bytes):
             connection.stream.buffer_writes()
@@ -180,17 +212,24 @@
         )
         return _Connection(httpcore.AsyncHTTP11Connection(self._origin, stream), stream)
 
-    async def _acquire(self) -> _Connection:
-        while self._idle:
-            idle_since, connection = self._idle.pop()
-            recent = boot_seconds() - idle_since < MAX_IDLE_SECONDS
-            if recent and connection.http.is_idle() and not connection.http.has_expired():
-                return connection
-            await connection.http.aclose()
+    async def _acquire(self, request_id: str | None) -> _Connection:
+        carriers: list[tuple[float, _Connection]] = []
+        try:
+            while self._idle:
+                idle_since, connection = self._idle.pop()
+                recent = boot_seconds() - idle_since < MAX_IDLE_SECONDS
+                if not (recent and connection.http.is_idle()) or connection.http.has_expired():
+                    await connection.http.aclose()
+                elif request_id is not None and request_id in connection.carried:
+                    carriers.append((idle_since, connection))
+                else:
+                    return connection
+        finally:
+            self._idle.extend(reversed(carriers))
         return await self._dial()
 
     async def _release(self, connection: _Connection) -> None:
-        reusable = connection.http.is_idle() and not self._closed
+        reusable = connection.http.is_idle() and not self._closed and not connection.carried.is_full
         if connection.http.is_idle():
             connection.stream.set_reset_on_close(False)
         if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
--- a/samphirehall/forwarding/attempt.py
+++ b/samphirehall/forwarding/attempt.py
@@ -296,6 +296,7 @@
             content=_encode_request(run, self._kv_source),
             read_timeout=math.inf,
             new_connection=fresh,
+            request_id=run.request_id,
         )
 
 
--- a/samphirehall/forwarding/service_call.py
+++ b/samphirehall/forwarding/service_call.py
@@ -135,6 +135,7 @@
                 content=call.body,
                 read_timeout=remaining,
                 new_connection=not call.caller.route.idempotent,
+                request_id=call.request_id,
             ) as response:
                 if is_answer_to(response.headers, call.request_id) is False:
                     raise httpcore.RemoteProtocolError("the answer to another request")
--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -2,7 +2,8 @@
 
 h11 parses the protocol. An endpoint may send a response late, or one too many.
 A response to another request is read and discarded, and a connection is reused
-only if exactly one whole response arrived on it.
+only if exactly one whole response arrived on it. It carries no request id twice, as
+a response to the first request would match the second one as well.
 """
 
 import contextlib
@@ -16,7 +17,7 @@
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import SOCKET_OPTIONS
+from samphirehall.core.connections import SOCKET_OPTIONS, CarriedIds
 from samphirehall.core.decoding import parse_unsigned
 from samphirehall.core.network import TcpBackend, TcpStream
 from samphirehall.gateway.types import Headers
@@ -104,6 +105,7 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._no_stray_bytes = True
+        self.carried = CarriedIds()
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
 
     @property
@@ -111,7 +113,8 @@
         """Whether exactly one whole response arrived and the endpoint keeps the connection open."""
         parser = self._parser
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        return self._no_stray_bytes and done and not parser.trailing_data[0]
+        whole = self._no_stray_bytes and done and not parser.trailing_data[0]
+        return whole and not self.carried.is_full
 
     @property
     def has_no_input(self) -> bool:
@@ -126,7 +129,7 @@
             # An endpoint may respond early and close; its response can still be read.
             await self._stream.write(data)
 
-    async def next_response(self, matches: ResponseMatcher) -> Response:
+    async def next_response(self, matches: ResponseMatcher | None) -> Response:
         for _ in range(MAX_STRAY_RESPONSES + 1):
             response = await self._next_final_response()
             if not isinstance(response, h11.Response):
@@ -134,7 +137,7 @@
                     f"got {type(response).__name__} where a response head was expected"
                 )
             headers = list(response.headers)
-            if matches(headers):
+            if matches is None or matches(headers):
                 self._update_idle_timeout(headers)
                 return Response(response.status_code, headers, self)
             await self._skip_stray_response()
@@ -241,7 +244,8 @@
         headers: Headers,
         body: bytes,
         *,
-        matches: ResponseMatcher,
+        matches: ResponseMatcher | None,
+        request_id: str | None = None,
         must_not_repeat: bool = False,
     ) -> AsyncIterator[Response]:
         """Send a request and yield its response with the body unread.
@@ -259,8 +263,11 @@
             All headers except Content-Length, which is added here.
         body : bytes
             Whole body.
-        matches : callable
-            Returns whether a response with the given headers answers this request.
+        matches : callable or None
+            Returns whether a response with the given headers answers this request. None if
+            responses do not tell; the request then uses a new connection.
+        request_id : str, optional
+            Id by which responses are matched; a connection that has carried it is not used.
         must_not_repeat : bool
             Whether the request must not be repeated. It then uses a connection that was idle
             only briefly, or a new one, since a write to a closed connection leaves open
@@ -276,9 +283,14 @@
         has_body = body or method not in ("GET", "HEAD", "DELETE")
         framing = [(b"Content-Length", str(len(body)).encode())] if has_body else []
         head = h11.Request(method=method, target=target, headers=[*headers, *framing])
-        connection = await self._acquire(
-            MAX_NON_REPEATABLE_IDLE_SECONDS if must_not_repeat else None
-        )
+        if matches is None:
+            connection = await self._open()
+        else:
+            connection = await self._acquire(
+                MAX_NON_REPEATABLE_IDLE_SECONDS if must_not_repeat else None, request_id
+            )
+        if request_id is not None:
+            connection.carried.add(request_id)
         try:
             await connection.send(head, body)
             yield await connection.next_response(matches)
@@ -306,17 +318,34 @@
             _, connection = self._idle.pop()
             await connection.aclose()
 
-    async def _acquire(self, max_idle: float | None) -> _Connection:
+    async def _acquire(self, max_idle: float | None, request_id: str | None) -> _Connection:
         now = boot_seconds()
-        while self._idle:
-            idle_since, connection = self._idle.pop()
-            idle_timeout = connection.idle_timeout if max_idle is None else max_idle
-            if (
-                now - idle_since < min(idle_timeout, connection.idle_timeout)
-                and connection.has_no_input
-            ):
-                return connection
-            await connection.aclose()
+        carriers: list[tuple[float, _Connection]] = []
+        try:
+            while self._idle:
+                idle_since, connection = self._idle.pop()
+                idle_timeout = connection.idle_timeout if max_idle is None else max_idle
+                if (
+                    now - idle_since >= min(idle_timeout, connection.idle_timeout)
+                    or not connection.has_no_input
+                ):
+                    await connection.aclose()
+                elif request_id is not None and request_id in connection.carried:
+                    carriers.append((idle_since, connection))
+                else:
+                    return connection
+        finally:
+            self._idle.extend(reversed(carriers))
+        return await self._open()
+
+    async def _open(self) -> _Connection:
+        """Open a connection.
+
+        Raises
+        ------
+        NotSentError
+            The endpoint cannot be reached.
+        """
         try:
             stream = await self._connect(CONNECT_TIMEOUT_SECONDS)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -42,6 +42,7 @@
         wire_codec.request_headers(request, dispatch),
         request.body,
         matches=lambda found: wire_codec.matches_request(request.request_id, found),
+        request_id=request.request_id,
         must_not_repeat=not (request_state.route.repeatable or dispatch.prefill_only),
     ) as response:
         now = context.clock()
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -475,6 +475,6 @@
                 target,
                 [(b"Host", kv_handle.address.encode())],
                 b"",
-                matches=lambda found: True,
+                matches=None,
             ) as response:
                 await response.read(max_bytes=MAX_HANDLE_BYTES)
--- a/samphirehall/platform/engine_orders.py
+++ b/samphirehall/platform/engine_orders.py
@@ -93,6 +93,6 @@
     if body:
         headers.append((b"Content-Type", b"application/json"))
     async with connections.exchange(
-        method, target, headers, body, matches=lambda answer_headers: True, must_not_repeat=True
+        method, target, headers, body, matches=None, must_not_repeat=True
     ) as answer:
         return answer.status, await answer.read(max_bytes=MAX_ANSWER_BYTES)
--- a/tests/core/test_connections.py
+++ b/tests/core/test_connections.py
@@ -3,7 +3,14 @@
 import anyio
 import pytest
 
-from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool
+from samphirehall.core.connections import (
+    MAX_REQUESTS_PER_CONNECTION,
+    TRANSPORT_ERRORS,
+    CarriedIds,
+    ConnectionPool,
+    read_body,
+)
+from tests.gateway.helpers import response_bytes, scripted_endpoint
 from tests.support.resets import count_received_bytes, non_accepting_listener, resetting_listener
 
 pytestmark = pytest.mark.anyio
@@ -65,3 +72,24 @@
                     pass
             received = await anyio.to_thread.run_sync(count_received_bytes, listener)
         assert received < len(body)
+
+
+class TestCarriedIds:
+    async def test_id_is_sent_once_on_a_connection(self):
+        async def script(received, writer):
+            writer.write(response_bytes(received))
+
+        async with scripted_endpoint(script) as endpoint:
+            pool = ConnectionPool(endpoint.address)
+            for request_id in ("1", "2", "1", "3", "2"):
+                async with pool.request("GET", "/", request_id=request_id) as response:
+                    await read_body(response, max_bytes=100)
+            assert endpoint.connections == 2
+            await pool.aclose()
+
+    def test_ids_are_bounded(self):
+        carried = CarriedIds()
+        for number in range(MAX_REQUESTS_PER_CONNECTION):
+            assert not carried.is_full and str(number) not in carried
+            carried.add(str(number))
+        assert carried.is_full and "0" in carried
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -27,6 +27,7 @@
         headers,
         body,
         matches=lambda found: matches_request(request_id, found),
+        request_id=request_id,
         must_not_repeat=must_not_repeat,
     ) as answer:
         return await answer.read(max_bytes=1000)
@@ -164,3 +165,61 @@
         connections = EndpointConnections(endpoint.address)
         assert await ask(connections, "1") == b"ok"
         assert await ask(connections, "2") == b"ok"
+
+
+def duplicating(bodies):
+    """Return a script that answers with bodies in order, each but the last one twice.
+
+    The second copy arrives with the next request on the same connection.
+    """
+    stale = {}
+
+    async def script(received, writer):
+        body = bodies.pop(0)
+        writer.write(stale.pop(writer, b"") + response_bytes(received, body))
+        stale[writer] = response_bytes(received, body)
+
+    return script
+
+
+async def test_repeated_refusal_does_not_answer_the_same_request_sent_again():
+    async with scripted_endpoint(duplicating([b"refused", b"done"])) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        assert [await ask(connections, "1") for _ in range(2)] == [b"refused", b"done"]
+        assert endpoint.connections == 2
+
+
+async def test_connection_that_carried_an_id_serves_other_requests():
+    async def script(received, writer):
+        writer.write(response_bytes(received))
+
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        for name in ("1", "2", "1", "3", "2", "4"):
+            await ask(connections, name)
+        assert endpoint.connections == 2
+
+
+async def test_ids_that_a_connection_remembers_are_bounded(monkeypatch):
+    async def script(received, writer):
+        writer.write(response_bytes(received))
+
+    monkeypatch.setattr("samphirehall.core.connections.MAX_REQUESTS_PER_CONNECTION", 3)
+    async with scripted_endpoint(script) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        for number in range(7):
+            await ask(connections, str(number))
+        assert endpoint.connections == 3
+
+
+async def test_call_whose_response_names_no_id_takes_no_stale_response():
+    async def call(connections):
+        async with connections.exchange(
+            "GET", b"/x", [(b"Host", b"h")], b"", matches=None
+        ) as found:
+            return await found.read(max_bytes=1000)
+
+    async with scripted_endpoint(duplicating([b"first", b"second", b"third"])) as endpoint:
+        connections = EndpointConnections(endpoint.address)
+        assert await ask(connections, "1") == b"first"
+        assert [await call(connections) for _ in range(2)] == [b"second", b"third"]
--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -150,6 +150,30 @@
         assert prefill.received[-1][":method"] == "DELETE"
         assert prefill.received[-1][":target"].endswith("/c0ffee")
 
+    async def test_repeated_answer_to_the_first_prefill_is_not_that_to_the_second(self):
+        stale = {}
+        handles = [b"h1", b"h2"]
+
+        async def prefill_and_repeat(received, writer):
+            if received[":method"] == "DELETE":
+                writer.write(response_bytes(received))
+                return
+            answer = response_bytes(received, b'{"kv_handle":"%s"}' % handles.pop(0))
+            writer.write(stale.pop(writer, b"") + answer)
+            stale[writer] = answer
+
+        async with (
+            scripted_endpoint(prefill_and_repeat) as prefill,
+            scripted_endpoint(refuse) as refusing,
+            scripted_endpoint(generate) as decode,
+        ):
+            gateway, _ = gateway_with(p1=prefill, d1=refusing, d2=decode)
+            gateway.context.loads._local["d1"].requests = 3
+            gateway.context.loads._local["d2"].requests = 5
+            caller = await serve(gateway, of=prompt(8000))
+        assert caller.body == WHOLE and not handles
+        assert decode.received[0]["x-kv-source"].endswith("/h2")
+
 
 class TestBrokenStreams:
     @pytest.mark.parametrize("tail", [b"", b"id: 3\nda"])
