Count reports and events of engines that cannot be read as none

Reports, answers to orders and cache events nested deeply raised RecursionError out of the loops that poll engines and ended the process; an event of a stream nested deeply was answered as an internal error. A load over 64 bits was published as a fact, which no message between hosts can hold, and a published load of infinity raised OverflowError at each host that decoded it. All go through core.decoding now, and loads have bounds.

--- a/samphirehall/core/types.py
+++ b/samphirehall/core/types.py
@@ -2,6 +2,13 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+
+from samphirehall.core.decoding import Unsigned
+
+MAX_MEASUREMENT_SECONDS = 1e12  # of an engine's clock
 
 
 class EndpointProtocol(enum.StrEnum):
@@ -136,12 +143,12 @@
         other times of the same engine.
     """
 
-    running: int = 0
-    waiting: int = 0
-    queued_prompt_tokens: int = 0
-    cached_tokens: int = 0
-    cache_capacity_tokens: int = 0
-    measured_at: float = 0.0
+    running: Unsigned = 0
+    waiting: Unsigned = 0
+    queued_prompt_tokens: Unsigned = 0
+    cached_tokens: Unsigned = 0
+    cache_capacity_tokens: Unsigned = 0
+    measured_at: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEASUREMENT_SECONDS)] = 0.0
 
 
 @dataclass(slots=True)
--- a/samphirehall/endpoints/events.py
+++ b/samphirehall/endpoints/events.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from samphirehall.core.decoding import DecodingError, Unsigned, decode
 from samphirehall.core.types import TokenUsage
 from samphirehall.endpoints.protocol import DONE
 
@@ -115,8 +116,8 @@
 
 
 class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: Unsigned = 0
+    completion_tokens: Unsigned = 0
 
 
 class CompletionChunk(msgspec.Struct):
@@ -148,8 +149,8 @@
         The payload is not a valid chunk.
     """
     try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError as error:
+        return decode(payload, _decoder)
+    except DecodingError as error:
         raise BrokenStreamError(f"event payload is malformed: {error}") from error
 
 
--- a/samphirehall/endpoints/orders.py
+++ b/samphirehall/endpoints/orders.py
@@ -16,8 +16,15 @@
 import msgspec
 
 from samphirehall.core.connections import TRANSPORT_ERRORS, body_after_check, read_body
+from samphirehall.core.decoding import DecodingError, decode
 from samphirehall.core.network import TcpBackend
-from samphirehall.endpoints.protocol import EngineOrder, EngineOrderAnswer, EngineReport
+from samphirehall.endpoints.protocol import (
+    ORDER_ANSWER_DECODER,
+    REPORT_DECODER,
+    EngineOrder,
+    EngineOrderAnswer,
+    EngineReport,
+)
 
 MAX_ANSWER_BYTES = 64 * 1024
 HTTP_OK = 200
@@ -58,8 +65,8 @@
     if status != HTTP_OK:
         raise OrderUnansweredError(f"order to {address}: answer has status {status}")
     try:
-        return msgspec.json.decode(body, type=EngineOrderAnswer)
-    except msgspec.DecodeError as error:
+        return decode(body, ORDER_ANSWER_DECODER)
+    except DecodingError as error:
         raise OrderUnansweredError(f"order to {address}: malformed answer: {error}") from error
 
 
@@ -69,8 +76,8 @@
         status, body = await _call(
             address, "GET", "/state", b"", recheck=_no_check, timeout=timeout
         )
-        return msgspec.json.decode(body, type=EngineReport) if status == HTTP_OK else None
-    except (OrderUnansweredError, msgspec.DecodeError):
+        return decode(body, REPORT_DECODER) if status == HTTP_OK else None
+    except (OrderUnansweredError, DecodingError):
         return None
 
 
--- a/samphirehall/endpoints/protocol.py
+++ b/samphirehall/endpoints/protocol.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
+import msgspec
+
 from samphirehall.core.connections import header
+from samphirehall.core.decoding import Unsigned
 from samphirehall.core.types import EngineLoad, Role
 
 REQUEST_ID_HEADER = b"x-request-id"
@@ -86,7 +89,7 @@
     leaving: bool = False
     load: EngineLoad = field(default_factory=EngineLoad)
     order_id: str = ""
-    fencing: int = 0
+    fencing: Unsigned = 0
 
 
 @dataclass(slots=True)
@@ -117,3 +120,7 @@
 
     accepted: bool
     reason: str = ""
+
+
+REPORT_DECODER = msgspec.json.Decoder(EngineReport)
+ORDER_ANSWER_DECODER = msgspec.json.Decoder(EngineOrderAnswer)
--- a/samphirehall/placement/polling.py
+++ b/samphirehall/placement/polling.py
@@ -9,16 +9,16 @@
 from collections.abc import Iterable
 
 import anyio
-import msgspec
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.decoding import decode
 from samphirehall.core.log import log_decision
 from samphirehall.core.rendezvous import is_chosen
 from samphirehall.core.types import EndpointInfo, EndpointState
 from samphirehall.endpoints.compact_report import encode_report
 from samphirehall.endpoints.pools import EndpointPools
-from samphirehall.endpoints.protocol import EngineReport
+from samphirehall.endpoints.protocol import REPORT_DECODER, EngineReport
 from samphirehall.node.context import ControlContext
 from samphirehall.node.facts import FactKind
 from samphirehall.node.state import NodeState
@@ -150,7 +150,7 @@
                 body = await read_body(response, max_bytes=MAX_REPORT_BYTES)
                 if response.status != HTTP_OK:
                     return None
-                return msgspec.json.decode(body, type=EngineReport)
+                return decode(body, REPORT_DECODER)
     except (*TRANSPORT_ERRORS, TimeoutError, ValueError):
         return None
 
--- a/samphirehall/routing/cache_events.py
+++ b/samphirehall/routing/cache_events.py
@@ -8,6 +8,7 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
+from samphirehall.core.decoding import Unsigned, decode
 from samphirehall.endpoints.pools import EndpointPools
 from samphirehall.routing.fleet import Fleet
 from samphirehall.routing.view import EndpointView
@@ -26,11 +27,14 @@
     `block` is the hash of a block, and `stored` is false if it was evicted.
     """
 
-    number: int
+    number: Unsigned
     block: int
     stored: bool
 
 
+_decoder = msgspec.json.Decoder(list[CacheEvent])
+
+
 class CacheEventPoller:
     """Applies the engines' cache events to the prefix index.
 
@@ -96,6 +100,6 @@
                 body = await read_body(response, max_bytes=MAX_RESPONSE_BYTES)
                 if response.status != HTTP_OK:
                     return []
-                return msgspec.json.decode(body, type=list[CacheEvent])
+                return decode(body, _decoder)
     except (*TRANSPORT_ERRORS, TimeoutError, ValueError):
         return []
