Leave out entries of the backing service that cannot be used

One host or endpoint with an unknown state, or without a field, made the whole list unreadable; one whose address no connection can be made to was taken, and its port of 5,000 digits raised ValueError out of the loops that poll engines or dial hosts. A deep answer raised RecursionError, and an era of 40 digits counted as a restoration. Entries are decoded one by one now, and odd answers count as none.

--- a/samphirehall/backing/client.py
+++ b/samphirehall/backing/client.py
@@ -15,8 +15,15 @@
     header,
     read_body,
 )
+from samphirehall.core.decoding import (
+    DecodingError,
+    decode,
+    parse_address,
+    parse_unsigned,
+    shorten,
+)
 from samphirehall.core.errors import PlatformUnavailableError
-from samphirehall.core.log import log_decision
+from samphirehall.core.log import RejectionLog, log_decision
 from samphirehall.core.types import EndpointInfo, EndpointKind, HostInfo, UsageFigures
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -25,7 +32,13 @@
 HTTP_NOT_FOUND = 404
 ERA_HEADER = b"table-era"  # in lower case; rises each time the table is restored from a copy
 
+MAX_ERA = 2**31 - 1  # fencing numbers of 63 bits hold the era above 32 bits
+
 _log = logging.getLogger(__name__)
+_host_rejections = RejectionLog(_log, "host-unreadable")
+_endpoint_rejections = RejectionLog(_log, "endpoint-unreadable")
+_host_decoder = msgspec.json.Decoder(HostInfo)
+_endpoint_decoder = msgspec.json.Decoder(EndpointInfo)
 
 T = TypeVar("T")
 
@@ -156,12 +169,22 @@
         return content
 
     async def hosts(self) -> list[HostInfo]:
-        """Return the list of live and leaving hosts, which may be out of date."""
-        return await self._call("GET", "/hosts", None, list[HostInfo])
+        """Return the list of live and leaving hosts, which may be out of date.
+
+        Entries that cannot be used are left out.
+        """
+        listed = await self._call("GET", "/hosts", None, list[msgspec.Raw])
+        return _usable(listed, _host_decoder, lambda host: host.mesh_address, _host_rejections)
 
     async def endpoints(self) -> list[EndpointInfo]:
-        """Return the list of endpoints in all zones, which may be out of date."""
-        return await self._call("GET", "/endpoints", None, list[EndpointInfo])
+        """Return the list of endpoints in all zones, which may be out of date.
+
+        Entries that cannot be used are left out.
+        """
+        listed = await self._call("GET", "/endpoints", None, list[msgspec.Raw])
+        return _usable(
+            listed, _endpoint_decoder, lambda endpoint: endpoint.address, _endpoint_rejections
+        )
 
     async def order_endpoints(
         self, order: EndpointOrder, *, recheck: Callable[[], None] | None = None
@@ -207,8 +230,8 @@
         if status not in (HTTP_OK, HTTP_CONFLICT):
             raise PlatformUnavailableError(f"{method} {path}: status {status}")
         try:
-            return msgspec.json.decode(answer, type=answer_type)
-        except msgspec.DecodeError as error:
+            return decode(answer, msgspec.json.Decoder(answer_type))
+        except DecodingError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
 
     async def _send(
@@ -242,9 +265,31 @@
         """
         if value is None:
             return
-        era = int(value)
+        era = parse_unsigned(value, maximum=MAX_ERA)
+        if era is None:
+            raise ValueError(f"era {shorten(value)!r} is no number up to {MAX_ERA}")
         if era < self.era:
             raise ValueError(f"answer of era {era}, but the table is in era {self.era}")
         if self._era is not None and era > self._era:
             log_decision(_log, "table-restored", "an older copy", era=era, before=self._era)
         self._era = era
+
+
+def _usable(
+    listed: list[msgspec.Raw],
+    decoder: msgspec.json.Decoder[T],
+    address: Callable[[T], str],
+    rejections: RejectionLog,
+) -> list[T]:
+    """Decode the entries of a list; log and leave out those without a usable address."""
+    usable = []
+    for raw in listed:
+        try:
+            entry = decode(raw, decoder)
+            if parse_address(address(entry)) is None:
+                raise DecodingError(f"{shorten(address(entry))!r} is no IP address and port")
+        except DecodingError as error:
+            rejections.record("list", error)
+            continue
+        usable.append(entry)
+    return usable
