Close holes in the version of a stream that random plays found

Random interleavings of beginnings, moves of the base, restarts, outages and restorations (tests/gateway/test_stream_store.py) let a stream go on at another version in three cases:

- A host whose endpoint list lags knew one version only.
The store is asked first now, and the single version of the list counts only where the store gives no answer.
- The single version was looked for over the lifetime of ordinary streams only, and a record that a restored store lost was feared for as long; both use the longest time that callers of the route wait if that is longer.

Known limit: a stream that began while the store was away and no engine of the base version was left is safe only until one comes back, or until its record is stored.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -113,7 +113,8 @@
     if context.streams is None:
         raise SamphireError(STREAM_UNKNOWN, "no versions of streams are known")
     request_state.extra_log_fields["resumes"] = request.resumes
-    found = await context.streams.origin(request.resumes, service)
+    lifetime = max(request_state.route.timeout, request.timeout or 0.0)
+    found = await context.streams.origin(request.resumes, service, lifetime)
     request_state.extra_log_fields["origin"] = found.reason
     request_state.extra_log_fields["stream_version"] = found.version
     if found.service != service:
--- a/samphirehall/gateway/stream_store.py
+++ b/samphirehall/gateway/stream_store.py
@@ -192,7 +192,7 @@
             raise _unknown("no base version is known, and the store does not answer")
         return base.version if base else None
 
-    async def origin(self, request_id: str | None, service: str) -> Origin:
+    async def origin(self, request_id: str | None, service: str, lifetime: float) -> Origin:
         """Return the service and software version of a stream.
 
         Parameters
@@ -201,6 +201,8 @@
             Id of the request that began the stream, if its caller names it.
         service : str
             Service of the request that takes it up.
+        lifetime : float
+            Longest time in seconds that callers of its route wait.
 
         Raises
         ------
@@ -212,27 +214,30 @@
         found = self.versions.begun_here(key, agreed=agreed)
         if found is not None:
             return found
-        version = self._fleet.versions.only_version(service, now=self._clock())
-        if version is not None:
-            return Origin(version, "single version", service)
-        if request_id is None:
-            raise SamphireError(STREAM_UNKNOWN, "the request that began the stream is not named")
         stream = self._last_scan.streams.get(key)
         if stream is not None and not stream.has_ended(agreed=agreed):
             return Origin(stream.version, "record", stream.service)
+        found = Origin(None, "the request that began the stream is not named")
+        if request_id is not None:
+            found = await self._stored_origin(key, service, lifetime)
+        if found.version is not None:
+            return found
+        version = self._fleet.versions.only_version(service, lifetime, now=self._clock())
+        if version is not None:
+            return Origin(version, "single version", service)
+        raise _unknown(found.reason)
+
+    async def _stored_origin(self, key: str, service: str, lifetime: float) -> Origin:
+        """Return the origin of a stream according to the store."""
         try:
             scan = await self._scan()
         except PlatformUnavailableError as error:
-            raise _unknown(str(error)) from error
+            return Origin(None, str(error))
         self._update_era()
-        found = self.versions.find(
-            key, service, scan.streams, scan.bases, agreed=self._agreed_time()
-        )
-        if found.reason == "base" and not scan.is_complete:
-            raise _unknown("a row of streams is unreadable")
-        if found.version is None:
-            raise _unknown(found.reason)
-        return found
+        agreed = self._agreed_time()
+        if key not in scan.streams and not scan.is_complete:
+            return Origin(None, "a row of streams is unreadable")
+        return self.versions.find(key, service, scan.streams, scan.bases, lifetime, agreed=agreed)
 
     async def _scan(self) -> _Scan:
         """Return a scan that began after this call; calls that wait at the same time share one."""
--- a/samphirehall/routing/stream_versions.py
+++ b/samphirehall/routing/stream_versions.py
@@ -20,7 +20,7 @@
 FORMER_BASE_SECONDS = 1.5 * STREAM_LIFETIME_SECONDS
 BASE_MAX_AGE_SECONDS = STREAM_LIFETIME_SECONDS  # since this host has read the base version
 CLOCK_TOLERANCE_SECONDS = 5.0  # by which the agreed time of two hosts may differ
-VERSION_HISTORY_SECONDS = 3 * STREAM_LIFETIME_SECONDS
+VERSION_HISTORY_SECONDS = 300.0  # for which versions that are no longer listed are remembered
 MAX_STREAMS = 20_000  # remembered by one host; the oldest without a record are forgotten first
 MAX_RECORDS = 500  # of one host at a time; they are one row of the store
 
@@ -79,9 +79,24 @@
         """Return whether all streams that begin now have to be recorded."""
         return agreed - max(self.moved_at, self.confirmed_at) < RECORD_ALL_SECONDS
 
-    def implied_version(self, *, era: int, agreed: float) -> str | None:
-        """Return the version at which a stream without a record began; None if that is unknown."""
-        if self.era < era or agreed - self.confirmed_at < FORMER_BASE_SECONDS:
+    def implied_version(
+        self, *, era: int, agreed: float, lifetime: float = STREAM_LIFETIME_SECONDS
+    ) -> str | None:
+        """Return the version at which a stream without a record began; None if that is unknown.
+
+        Parameters
+        ----------
+        era : int
+            Newest era of the store that is known.
+        agreed : float
+            Agreed time in seconds since 1970.
+        lifetime : float
+            Longest life of the stream in seconds; its record may be lost with a restored store.
+        """
+        restored_for = agreed - self.confirmed_at
+        if self.era < era or restored_for < FORMER_BASE_SECONDS:
+            return None
+        if restored_for < lifetime + CLOCK_TOLERANCE_SECONDS:
             return None
         if agreed - self.moved_at < FORMER_BASE_SECONDS:
             return self.former
@@ -157,11 +172,24 @@
             return 0.0
         return now - max(self._followed_since, self._ended.get((service, version), 0.0))
 
-    def only_version(self, service: str, *, now: float) -> str | None:
-        """Return the version of a service if no other was listed while a stream may live."""
-        horizon = now - STREAM_LIFETIME_SECONDS
+    def only_version(self, service: str, lifetime: float, *, now: float) -> str | None:
+        """Return the version of a service if no other was listed while a stream may live.
+
+        Parameters
+        ----------
+        service : str
+            Service.
+        lifetime : float
+            Longest life of the stream in seconds.
+        now : float
+            Boot clock in seconds.
+        """
+        lifetime = max(lifetime, STREAM_LIFETIME_SECONDS)
+        horizon = now - lifetime
         if self._followed_since is None or self._followed_since > horizon:
             return None
+        if lifetime > VERSION_HISTORY_SECONDS:
+            return None
         ended = {version for (name, version), at in self._ended.items() if name == service}
         recent = {v for v in ended if self._ended[service, v] >= horizon}
         recent.update(self.of_service(service))
@@ -286,6 +314,7 @@
         service: str,
         recorded: Mapping[str, Stream],
         bases: Mapping[str, BaseVersion],
+        lifetime: float,
         *,
         agreed: float,
     ) -> Origin:
@@ -296,7 +325,7 @@
         base = bases.get(service)
         if base is None:
             return Origin(None, "no base version is stored")
-        version = base.implied_version(era=self.era, agreed=agreed)
+        version = base.implied_version(era=self.era, agreed=agreed, lifetime=lifetime)
         if version is None:
             return Origin(None, "the store was restored, and records may be lost")
         return Origin(version, "base", service)
