Test records, split routes and refusals of streams that callers take up

The first event and the head wait for the record; a stream whose version cannot be stored begins again at the base version; a take-up that names no stream, or whose version the store does not tell, is refused as not run; one with a version is admitted up to the caller's deadline; on a split route it reaches the service that began the stream. The log line of a base version says why its row was written.

--- a/samphirehall/gateway/stream_store.py
+++ b/samphirehall/gateway/stream_store.py
@@ -372,9 +372,14 @@
                 result = await self._table.transact([check], [Write(key, _encode_base(base))])
                 if not result.committed:
                     return
-                reason = "absent" if stored is None else "restored store, or no engine of it left"
                 log_decision(
-                    _log, "base-version", reason, service=service, version=base.version, row=stored
+                    _log,
+                    "base-version",
+                    _base_reason(stored, base),
+                    service=service,
+                    version=base.version,
+                    before=stored.version if stored is not None else None,
+                    era=base.era,
                 )
                 stored = base
         if stored is not None:
@@ -408,6 +413,13 @@
         return has_row and not self.versions.records(agreed=self._agreed_time())
 
 
+def _base_reason(stored: BaseVersion | None, base: BaseVersion) -> str:
+    """Return why the row of a base version is written."""
+    if stored is None:
+        return "the store has none"
+    return "the store was restored" if stored.era < base.era else "no engine of it is listed"
+
+
 def _unknown(detail: str) -> SamphireError:
     return SamphireError(STREAM_UNKNOWN, detail, retry_after=UNKNOWN_RETRY_AFTER_SECONDS)
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -10,21 +11,23 @@
 from samphirehall.backing.table import NO_ERA
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import STREAM_CUT, RunState
+from samphirehall.core.results import OVERLOADED, STREAM_CUT, STREAM_UNKNOWN, RunState
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.stream_store import StreamStore
-from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.types import PromptPart, ServiceShare
 from samphirehall.platform import documents, wire
 from tests.gateway.helpers import (
     MODEL,
+    ROUTES,
     RecordingCaller,
     configuration,
     context,
+    request,
     response_bytes,
     scripted_endpoint,
 )
 from tests.support.resets import reset_on_close
-from tests.support.table import FaultyTable
+from tests.support.table import FaultyTable, TableFaults
 
 pytestmark = pytest.mark.anyio
 
@@ -100,7 +103,7 @@
     def remove(self, name):
         self.context.fleet.remove(name)
 
-    async def serve(self, request_id, *, resumes=None, after=None, parts=b"own:1000"):
+    async def serve(self, request_id, *, resumes=None, after=None, parts=b"own:1000", caller=None):
         """Serve a request; return its caller and the error that ended it, if any."""
         headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
         headers += [(b"x-key", b"key-1"), (b"x-deadline-ms", b"3000"), (b"x-model", b"m")]
@@ -110,10 +113,10 @@
             headers.append((b"last-event-id", str(after).encode()))
         if resumes is not None:
             headers.append((b"resumes", resumes.encode()))
-        request = wire.decode_request("POST", b"/chat/x", headers, b"", boot_seconds())
-        caller = RecordingCaller()
+        decoded = wire.decode_request("POST", b"/chat/x", headers, b"", boot_seconds())
+        caller = caller or RecordingCaller()
         try:
-            await self.gateway.serve(request, caller)
+            await self.gateway.serve(decoded, caller)
         except SamphireError as error:
             return caller, error
         return caller, None
@@ -246,6 +249,82 @@
         assert error is None and third.complete
         assert versions(first, second, third) == {OLD}
 
+    async def test_take_up_that_does_not_name_its_stream_is_refused(self):
+        async with engines(d1=Engine(OLD), d2=Engine(NEW)) as running, Host(FaultyTable()) as host:
+            host.list("d1", running["d1"], OLD)
+            host.list("d2", running["d2"], NEW)
+            caller, error = await host.serve("second", after=2)
+        assert_refused_as_not_run(caller, error)
+        assert error.result is STREAM_UNKNOWN
+
+    async def test_take_up_is_refused_while_the_store_does_not_tell_its_version(self):
+        table = FaultyTable(faults=TableFaults(outage=True))
+        async with engines(d1=Engine(OLD), d2=Engine(NEW)) as running, Host(table) as host:
+            host.list("d1", running["d1"], OLD)
+            host.list("d2", running["d2"], NEW)
+            caller, error = await host.serve("second", resumes="first", after=2)
+        assert_refused_as_not_run(caller, error)
+        assert error.result is STREAM_UNKNOWN and error.retry_after > 0
+
+    async def test_take_up_waits_longer_than_a_new_stream_may(self):
+        scripts = {"begins": BEGINS, "d1": Engine(OLD)}
+        async with engines(**scripts) as running, Host(FaultyTable()) as host:
+            await begin(host, running)
+            host.list("d1", running["d1"], OLD)
+            host.context.loads._local["d1"].pending_prefill_tokens[0] = 30_000
+            _, refused = await host.serve("new")
+            caller, error = await host.serve("second", resumes="first", after=2)
+        assert refused.result is OVERLOADED
+        assert error is None and caller.complete
+
+    def test_take_up_on_a_split_route_reaches_the_service_that_began_the_stream(self):
+        host = Host(FaultyTable())
+        shares = (ServiceShare("model", 1), ServiceShare("other", 1))
+        chat = next(route for route in ROUTES if route.name == "chat")
+        for number in range(20):
+            begun, taken_up = request(request_id=f"r{number}"), request(request_id=f"s{number}")
+            taken_up.resumes = f"r{number}"
+            host.gateway.apply_configuration(
+                replace(
+                    configuration(2 + number, routes=(replace(chat, shares=shares),)),
+                    services={"model": MODEL, "other": replace(MODEL, name="other")},
+                ),
+                source="test",
+            )
+            begun.target = taken_up.target = b"/chat/x"
+            services = {host.gateway._accept(item).service.name for item in (begun, taken_up)}
+            assert len(services) == 1
+
+
+class TestRecords:
+    @pytest.mark.parametrize("delay", [0.0, 0.1])
+    async def test_first_event_is_not_passed_on_before_the_version_is_stored(self, delay):
+        table = FaultyTable(faults=TableFaults(max_delay=delay))
+        seen = []
+        async with engines(d1=Engine(NEW)) as running, Host(table) as host:
+            host.list("d1", running["d1"], NEW)
+
+            class Caller(RecordingCaller):
+                async def start(self, status, headers):
+                    rows = table.store.scan("streams/begun/", 10)
+                    seen.append(sum(len(row.value["streams"]) for row in rows))
+                    await super().start(status, headers)
+
+            caller, error = await host.serve("first", caller=Caller())
+        assert error is None and caller.complete
+        assert seen == [1]
+
+    async def test_stream_whose_version_is_not_stored_begins_again_at_the_base(self):
+        table = FaultyTable()
+        async with engines(d1=Engine(OLD), d2=Engine(NEW)) as running, Host(table) as host:
+            host.list("d1", running["d1"], OLD, requests=60)
+            await host.context.streams.follow_bases()
+            host.list("d2", running["d2"], NEW)
+            table.faults = TableFaults(outage=True)
+            caller, error = await host.serve("first")
+        assert error is None and versions(caller) == {OLD}
+        assert len(running["d2"].received) == 1
+
 
 class TestPromptMemory:
     async def test_prompt_read_at_one_version_is_not_handed_to_an_engine_of_another(self):
