Do not go on with a stream at an engine that may have restarted

An engine that crashed may start again under the same id at another version before the endpoint list says so, and it takes the requests that name its id. A host that saw its connection break or be refused went on there with streams of the listed version (the test failed before). Such an engine now takes up no stream until it is listed anew or has answered a request. Hosts that saw no broken connection cannot tell.

--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -41,11 +41,13 @@
     failure_rate: float = 0.0
     backoff_until: float = 0.0
     unreachable_until: float = 0.0
+    may_have_restarted: bool = False
     changing_since: float = float("-inf")
     leaving_since: float = float("-inf")
 
     def record_success(self) -> None:
         """Record a successful answer; clears the backoff."""
+        self.may_have_restarted = False
         self.consecutive_failures = 0
         self.failure_rate *= FAILURE_RATE_DECAY
         self.backoff_until = 0.0
@@ -55,7 +57,9 @@
         """Record an error answer of the endpoint itself, which stays in use."""
         self.failure_rate = FAILURE_RATE_DECAY * self.failure_rate + 1 - FAILURE_RATE_DECAY
 
-    def record_failure(self, *, now: float, unreachable: bool = False) -> None:
+    def record_failure(
+        self, *, now: float, unreachable: bool = False, disconnected: bool = False
+    ) -> None:
         """Record a failure of the endpoint or of the connection to it, and back off.
 
         Parameters
@@ -64,7 +68,10 @@
             Boot clock in seconds.
         unreachable : bool
             Whether no connection could be established.
+        disconnected : bool
+            Whether a connection broke or was refused, as it is when the endpoint restarts.
         """
+        self.may_have_restarted |= disconnected
         self.consecutive_failures += 1
         self.failure_rate = FAILURE_RATE_DECAY * self.failure_rate + 1 - FAILURE_RATE_DECAY
         doublings = min(self.consecutive_failures - 1, MAX_BACKOFF_DOUBLINGS)
@@ -73,6 +80,10 @@
         if unreachable:
             self.unreachable_until = self.backoff_until
 
+    def is_surely_of(self, software_version: str) -> bool:
+        """Return whether the endpoint has a software version, and has not restarted unnoticed."""
+        return self.listed.software_version == software_version and not self.may_have_restarted
+
     def is_changing(self, *, now: float) -> bool:
         """Return whether a stage change was ordered and has not completed or timed out."""
         return now - self.changing_since < STAGE_CHANGE_TIMEOUT_SECONDS
@@ -181,7 +192,9 @@
     ) -> list[EndpointState]:
         """Return the endpoints of a service that accept new requests.
 
-        With a stage or a software version, only endpoints of these are returned.
+        With a stage or a software version, only endpoints of these are returned. With a version,
+        endpoints that may have restarted since their last answer are excluded: they may be of
+        another one before the endpoint list says so.
 
         Endpoints in backoff are excluded as long as there are others. Unreachable prefill
         engines are always excluded, because decode engines can prefill as well.
@@ -194,7 +207,7 @@
             and not state.is_changing(now=now)
             and endpoint_id not in excluded
             and (stage is None or state.listed.stage is stage)
-            and software_version in (None, state.listed.software_version)
+            and (software_version is None or state.is_surely_of(software_version))
         ]
         preferred = [state for state in ready if state.backoff_until <= now]
         if stage is Stage.PREFILL and not preferred:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -446,7 +446,11 @@
         outcome = outcome_from_error(error)
     finally:
         request_state.record_send(plan.prefill_engine.endpoint_id, PREFILL_PURPOSE, outcome)
-    prefill_engine.record_failure(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
+    prefill_engine.record_failure(
+        now=context.clock(),
+        unreachable=outcome is SendOutcome.NOT_SENT,
+        disconnected=outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN),
+    )
     request_state.tried_endpoints.add(plan.prefill_engine.endpoint_id)
     return None
 
@@ -485,7 +489,9 @@
         decode_engine.record_success()
     elif outcome is not SendOutcome.NOT_RUN and is_engine_at_fault:
         decode_engine.record_failure(
-            now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT
+            now=context.clock(),
+            unreachable=outcome is SendOutcome.NOT_SENT,
+            disconnected=outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN),
         )
     await update_crash_tracker(context, request_state, decode_engine, outcome)
     return outcome is SendOutcome.ANSWERED
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -249,6 +249,17 @@
         assert error is None and third.complete
         assert versions(first, second, third) == {OLD}
 
+    async def test_take_up_does_not_go_on_at_an_engine_that_may_have_restarted(self):
+        restarted = Engine(OLD, events=2)
+        async with engines(d1=restarted) as running, Host(FaultyTable()) as host:
+            host.list("d1", running["d1"], OLD)
+            await host.serve("first")
+            restarted.version, restarted.events = NEW, EVENTS
+            caller, error = await host.serve("second", resumes="first", after=2)
+            assert_refused_as_not_run(caller, error)
+            _, error = await host.serve("new")
+            assert error is None
+
     async def test_take_up_that_does_not_name_its_stream_is_refused(self):
         async with engines(d1=Engine(OLD), d2=Engine(NEW)) as running, Host(FaultyTable()) as host:
             host.list("d1", running["d1"], OLD)
