--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -117,7 +117,8 @@
     if context.streams is None:
         raise SamphireError(STREAM_UNKNOWN, "no versions of streams are known")
     request_state.extra_log_fields["resumes"] = request.resumes
-    found = await context.streams.origin(request.resumes, service)
+    lifetime = max(request_state.route.timeout, request.timeout or 0.0)
+    found = await context.streams.origin(request.resumes, service, lifetime)
     request_state.extra_log_fields["origin"] = found.reason
     request_state.extra_log_fields["stream_version"] = found.version
     if found.service != service:
@@ -470,7 +471,11 @@
         outcome = outcome_from_error(error)
     finally:
         request_state.record_send(plan.prefill_engine.endpoint_id, PREFILL_PURPOSE, outcome)
-    prefill_engine.record_failure(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
+    prefill_engine.record_failure(
+        now=context.clock(),
+        unreachable=outcome is SendOutcome.NOT_SENT,
+        disconnected=outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN),
+    )
     request_state.tried_endpoints.add(plan.prefill_engine.endpoint_id)
     return None
 
@@ -509,7 +514,9 @@
         decode_engine.record_success()
     elif outcome is not SendOutcome.NOT_RUN and is_engine_at_fault:
         decode_engine.record_failure(
-            now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT
+            now=context.clock(),
+            unreachable=outcome is SendOutcome.NOT_SENT,
+            disconnected=outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN),
         )
     await update_crash_tracker(context, request_state, decode_engine, outcome)
     return outcome is SendOutcome.ANSWERED
