--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -77,6 +77,7 @@
     kind: str = "standard"
     role: str = "mixed"
     state: str = "ready"
+    software_version: str = ""
     options: list[str] = field(default_factory=list)
 
 
@@ -183,6 +184,7 @@
                 arguments.append(f"--models={','.join(endpoint.models)}")
                 arguments.append(f"--checks_fencing={endpoint.checks_fencing}")
                 arguments.append(f"--role={endpoint.role}")
+                arguments.append(f"--software_version={endpoint.software_version}")
             self._add(endpoint.name, "samphire-standin", *arguments, *endpoint.options)
 
     def _write_settings(self) -> None:
@@ -237,6 +239,7 @@
         "role": endpoint.role,
         "state": endpoint.state,
         "checks_fencing": endpoint.checks_fencing,
+        "software_version": endpoint.software_version,
     }
     lines = [f"{key} = {json.dumps(value)}" for key, value in values.items()]
     return "\n".join(["[[endpoints]]", *lines, ""])
--- a/samphirehall/core/types.py
+++ b/samphirehall/core/types.py
@@ -78,6 +78,8 @@
         Whether the endpoint refuses orders with an old fencing number.
     leaving_in : float, optional
         Seconds until a leaving endpoint is gone, counted from the answer of the platform.
+    software_version : str
+        Version of the endpoint's software; empty if it is not listed.
     """
 
     endpoint_id: str
@@ -90,6 +92,7 @@
     state: EndpointState = EndpointState.READY
     checks_fencing: bool = True
     leaving_in: float | None = None
+    software_version: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirehall/endpoints/protocol.py
+++ b/samphirehall/endpoints/protocol.py
@@ -3,7 +3,8 @@
 Completions are OpenAI-compatible server-sent events. Each event has an ``id``
 line ``<request>:<index>``, with indexes counted from 0 over the whole answer,
 so that a stream can be resumed from the last event received. Answers name the
-request to which they belong in the header of its id.
+request to which they belong in the header of its id, and may name the engine's
+software version.
 """
 
 from collections.abc import Iterable
@@ -16,6 +17,7 @@
 REQUEST_ID_HEADER = b"x-request-id"
 PRIORITY_HEADER = b"x-priority"
 LAST_EVENT_HEADER = b"last-event-id"
+SOFTWARE_VERSION_HEADER = b"x-software-version"
 DONE = b"[DONE]"
 
 EngineAction = Literal["set-role", "load-model", "unload-model", "drain"]
--- a/samphirehall/load/caller.py
+++ b/samphirehall/load/caller.py
@@ -24,7 +24,7 @@
 from samphirehall.load.arrivals import Arrival, build_prompt
 from samphirehall.load.outcome import Outcome
 from samphirehall.load.scenario import Scenario, Targets, Workload
-from samphirehall.standins.tokens import TokenSource
+from samphirehall.standins.tokens import TokenSource, versions_in
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 DEADLINE_MARGIN_SECONDS = 5.0
@@ -240,8 +240,11 @@
     prompt: str,
     due: float,
 ) -> None:
-    """Read a token stream to its end and compare every token with the expected one."""
-    expected = TokenSource(workload.route, prompt)
+    """Read a token stream to its end and compare every token with the expected one.
+
+    The first token names the software version at which all of them are expected.
+    """
+    expected: TokenSource | None = None
     buffer, count, done = b"", 0, False
     last_token_at: float | None = None
     async for chunk in response.aiter_stream():
@@ -257,6 +260,8 @@
             text = decode_chunk(data).text
             if not text:
                 continue
+            if expected is None:
+                expected = TokenSource(workload.route, prompt, *versions_in(text)[:1])
             if text != expected.token_at_index(count):
                 attempt.wrong = True
             count += 1
--- a/samphirehall/programs/standin.py
+++ b/samphirehall/programs/standin.py
@@ -103,6 +103,7 @@
         models: str = "answer",
         checks_fencing: bool = True,
         role: str = "mixed",
+        software_version: str = "",
         records: str = "",
         **timing: float,
     ) -> None:
@@ -124,6 +125,8 @@
             Whether the engine refuses orders with an outdated fencing number.
         role : str
             Initial role: ``mixed``, ``prefill`` or ``decode``.
+        software_version : str
+            Version of the engine's software, on which its tokens depend; empty for none.
         records : str
             File to which a line is appended for each received call; empty for none.
         **timing
@@ -136,6 +139,7 @@
             loaded_models,
             checks_fencing=checks_fencing,
             role=Role(role),
+            software_version=str(software_version),
             timing=engine_timing(timing),
         )
         run_daemon(lambda: _serve_engine(engine, listen, records))
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -1,7 +1,8 @@
 """Stand-in of a model engine.
 
-Tokens depend only on model, prompt and index, so that every engine continues
-an answer in the same way and a check can tell which request an answer belongs to.
+Tokens depend only on model, prompt, index and software version, so that every
+engine of a version continues an answer in the same way, and a check can tell which
+request an answer belongs to and whether it is joined from two versions.
 """
 
 import logging
@@ -22,6 +23,7 @@
 from samphirehall.core.connections import ConnectionPool, read_body
 from samphirehall.core.types import EngineLoad, Priority, Role
 from samphirehall.endpoints.protocol import (
+    SOFTWARE_VERSION_HEADER,
     EngineOrder,
     EngineOrderAnswer,
     EngineReport,
@@ -111,6 +113,8 @@
         Whether orders with a lower fencing number than the last are refused.
     role : Role
         Initial role.
+    software_version : str
+        Version of the engine's software, named in its answers; empty for none.
     timing : EngineTiming
         Constants of the timing model.
     """
@@ -122,6 +126,7 @@
         *,
         checks_fencing: bool = True,
         role: Role = Role.MIXED,
+        software_version: str = "",
         timing: EngineTiming | None = None,
     ) -> None:
         self.endpoint_id = endpoint_id
@@ -130,6 +135,7 @@
         self.crashed = anyio.Event()
         self._timing = timing or EngineTiming()
         self._checks_fencing = checks_fencing
+        self._software_version = software_version
         self._report = EngineReport(endpoint_id, role=role, models=list(models))
         self._streams: dict[str, _Stream] = {}
         self._exports: dict[str, tuple[float, int]] = {}
@@ -184,22 +190,18 @@
         sequence = self._new_sequence(request_id, body, prompt, priority)
         sequence.imported = await self._import_kv(request_id, body, sequence)
         self._evict_old_streams()
-        stream = _Stream(body, sequence, TokenSource(body.model, prompt))
+        source = TokenSource(body.model, prompt, self._software_version)
+        stream = _Stream(body, sequence, source)
         self._streams[request_id] = stream
         self._batch.add(sequence)
-        return StreamingResponse(
-            self._stream_events(stream, start=len(body.prior_tokens)),
-            media_type="text/event-stream",
-        )
+        return self._stream_response(stream, start=len(body.prior_tokens))
 
     async def _resume(self, request: Request) -> Response:
         stream = self._streams.get(request.path_params["request_id"])
         if stream is None or stream.sequence.cancelled:
             return Response(status_code=STATUS_NOT_FOUND)
         last = int(request.headers["last-event-id"].rpartition(":")[2])
-        return StreamingResponse(
-            self._stream_events(stream, start=last + 1), media_type="text/event-stream"
-        )
+        return self._stream_response(stream, start=last + 1)
 
     async def _cancel(self, request: Request) -> Response:
         stream = self._streams.pop(request.path_params["request_id"], None)
@@ -290,6 +292,16 @@
         sequence.readerless_since = boot_seconds()
         return True
 
+    def _stream_response(self, stream: _Stream, *, start: int) -> Response:
+        headers = {}
+        if self._software_version:
+            headers[SOFTWARE_VERSION_HEADER.decode()] = self._software_version
+        return StreamingResponse(
+            self._stream_events(stream, start=start),
+            headers=headers,
+            media_type="text/event-stream",
+        )
+
     async def _stream_events(self, stream: _Stream, *, start: int) -> AsyncIterator[bytes]:
         """Yield the events from index `start`, joining those that are due together."""
         sequence, body = stream.sequence, stream.request
--- a/samphirehall/standins/platform.py
+++ b/samphirehall/standins/platform.py
@@ -71,11 +71,15 @@
 
 @dataclass(slots=True)
 class EndpointChange:
-    """Change of an endpoint's state, requested by a test or demonstration."""
+    """Change of an endpoint's entry, requested by a test or demonstration.
+
+    `software_version` is left as it is if None.
+    """
 
     endpoint_id: str
     state: EndpointState
     leaving_in: float | None = None
+    software_version: str | None = None
 
 
 @dataclass(slots=True)
@@ -316,6 +320,8 @@
         endpoint = self._endpoints[change.endpoint_id]
         if change.leaving_in is not None:
             self._leaves_at[change.endpoint_id] = boot_seconds() + change.leaving_in
+        if change.software_version is not None:
+            endpoint = dataclasses.replace(endpoint, software_version=change.software_version)
         self._endpoints[change.endpoint_id] = _with_state(endpoint, change.state)
         return json_response(True)
 
--- a/tests/promises/callers.py
+++ b/tests/promises/callers.py
@@ -10,7 +10,7 @@
 from itertools import count
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.standins.engine import token_at
+from samphirehall.standins.tokens import TokenSource, versions_in
 from tests.promises.events import CallEnded, History
 
 MODEL = "answer"
@@ -135,7 +135,10 @@
     def complete(
         self, *, prompt_suffix: str = "", marker: str = "", max_tokens: int = 0
     ) -> CallEnded:
-        """Request a completion, streamed or whole, and record it with the expected answer."""
+        """Request a completion, streamed or whole, and record it with the expected answer.
+
+        That is the one of the software version that the first token names.
+        """
         marker = marker or f"call-{next(_marker_numbers):06d}"
         prompt = f"{marker} is lot {self._random.randrange(999)} fit for Saturday? {prompt_suffix}"
         tokens = max_tokens or self._random.randint(*COMPLETION_TOKENS_RANGE)
@@ -146,14 +149,18 @@
             "max_tokens": tokens,
             "stream": stream,
         }
-        expected = "".join(token_at(MODEL, prompt, index) for index in range(tokens))
+
+        def expect(received: str) -> str:
+            source = TokenSource(MODEL, prompt, *versions_in(received)[:1])
+            return "".join(source.token_at_index(index) for index in range(tokens))
+
         return self._call(
             "stream" if stream else "whole",
             "POST",
             "/v1/chat/completions",
             body,
             marker=marker,
-            expected=expected,
+            expect=expect,
         )
 
     def look_up(self) -> CallEnded:
@@ -190,9 +197,10 @@
         body: object,
         *,
         marker: str,
-        expected: str = "",
+        expect: Callable[[str], str] = lambda received: "",
         idempotency_key: str = "",
     ) -> CallEnded:
+        """Send one call and record it; `expect` gives the correct answer for what was received."""
         host = self._random.choice(self._balancer.ready or sorted(self._balancer.addresses))
         headers = {
             "Authorization": f"Bearer {self._credentials.key}",
@@ -217,7 +225,7 @@
             result=int(response.headers.get("samphire-result", "0")),
             run=response.headers.get("samphire-run", ""),
             endpoint=response.headers.get("samphire-endpoint", ""),
-            expected=expected,
+            expected=expect(received),
             received=received,
             last_token=response.last_received_at if received else 0.0,
             ended=ended,
--- a/tests/promises/checkers.py
+++ b/tests/promises/checkers.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from samphirehall.core.results import OK, REPLAYED
+from samphirehall.standins.tokens import versions_in
 from tests.promises.events import (
     CallEnded,
     ConfigurationAccepted,
@@ -127,6 +128,15 @@
             yield call.at, f"{call.marker}: ended after {call.received!r} of {call.expected!r}"
 
 
+@checker
+def one_software_version(history: History) -> Iterable[tuple[float, str]]:
+    """No answer holds tokens of two software versions."""
+    for call in history.events_of_type(CallEnded):
+        versions = versions_in(call.received) if call.expected else []
+        if len(versions) > 1:
+            yield call.at, f"{call.marker}: joined from versions {versions}"
+
+
 @checker
 def at_most_once(history: History) -> Iterable[tuple[float, str]]:
     """A booking runs at most once, and all its answers are the same."""
--- a/tests/promises/test_checkers.py
+++ b/tests/promises/test_checkers.py
@@ -109,6 +109,7 @@
         _report(62.0, 2, "host-b"),
         _call(5.0, "call-1"),
         _call(5.0, "call-2", received="a b", ended=False, error="reset"),
+        _call(5.0, "call-5", expected=" w1-v2 w2-v2", received=" w1-v2 w2-v2"),
         _endpoint_called(6.0, "freight-1"),
         _booking(7.0),
         _booking(8.0, result=1001),
@@ -138,6 +139,15 @@
     ("one_report_a_window", [_report(63.0, 2, "host-b", figures="8")]),
     ("whole_answers", [_call(5.0, "call-9", received="a x", ended=False)]),
     ("whole_answers", [_call(5.0, "call-9", received="a b")]),
+    (
+        "one_software_version",
+        [_call(5.0, "call-9", expected=" w1-v1 w2-v1 w3-v1", received=" w1-v1 w2-v1 w3-v2")],
+    ),
+    (
+        "one_software_version",
+        [_call(5.0, "call-9", expected=" w1 w2", received=" w1 w2-v2", ended=False)],
+    ),
+    ("whole_answers", [_call(5.0, "call-9", expected=" w1-v1 w2-v1", received=" w1-v1 w2-v2")]),
     ("at_most_once", [_endpoint_called(6.5, "freight-1", endpoint="desk-2")]),
     ("at_most_once", [_booking(9.0, received="other")]),
     ("at_most_once", [_booking(9.0, "freight-8")]),
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,11 +1,11 @@
 import anyio
 import msgspec
 
-from samphirehall.core.connections import ConnectionPool, read_body
+from samphirehall.core.connections import ConnectionPool, header, read_body
 from samphirehall.core.serving import serving
 from samphirehall.core.types import Role
 from samphirehall.endpoints.events import EventReader, decode_chunk, extract_tokens
-from samphirehall.endpoints.protocol import EngineReport, EngineRequest
+from samphirehall.endpoints.protocol import SOFTWARE_VERSION_HEADER, EngineReport, EngineRequest
 from samphirehall.standins.engine import EngineStandin, token_at
 from samphirehall.standins.timing import EngineTiming
 from tests.support.ports import free_address
@@ -50,6 +50,24 @@
 
 
 class TestEngineStandin:
+    def test_engine_names_its_software_version_and_its_tokens_depend_on_it(self):
+        async def main():
+            address = free_address()
+            engine = EngineStandin("e-1", ["answer"], software_version="v2", timing=FAST_TIMING)
+            async with anyio.create_task_group() as group, serving(engine.app(), address):
+                group.start_soon(engine.run)
+                _, batch = await complete(address, "req-1")
+                expected = [token_at("answer", PROMPT, i, "v2") for i in range(6)]
+                assert extract_tokens(batch.data) == expected
+                pool = ConnectionPool(address)
+                resumed = {b"last-event-id": b"req-1:0"}
+                async with pool.request("GET", "/v1/streams/req-1", headers=resumed) as answer:
+                    assert header(answer.headers, SOFTWARE_VERSION_HEADER) == "v2"
+                await pool.aclose()
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+
     def test_mixed_engine_gives_the_whole_answer(self):
         async def check(address):
             reader, batch = await complete(address, "req-1")
