--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -121,7 +121,7 @@
         self._refresh()
         return [
             view
-            for view in self._views.values()
+            for view in self._listed_views()
             if view.info.zone == zone
             and view.info.protocol is EndpointProtocol.ENGINE
             and view.accepts_requests(now)
@@ -249,7 +249,7 @@
     ) -> _ServingEndpoints:
         serving = [
             view
-            for view in self._views.values()
+            for view in self._listed_views()
             if view.info.protocol is protocol and target in view.info.models
         ]
         valid_until = min((view.next_expiry(now) for view in serving), default=math.inf)
@@ -283,6 +283,9 @@
                 del self._views[endpoint_id]
         self.prefixes.retain_endpoints(set(table))
 
+    def _listed_views(self) -> list[EndpointView]:
+        return [self._views[endpoint_id] for endpoint_id in self._endpoint_table or ()]
+
     def _view(self, endpoint_id: str) -> EndpointView:
         self._refresh()
         return self._views[endpoint_id]
--- a/tests/routing/test_fleet.py
+++ b/tests/routing/test_fleet.py
@@ -62,6 +62,13 @@
         state.replace_endpoints([engine("b")])
         assert names(candidates_of(fleet)) == ["b"]
 
+    def test_endpoint_that_is_delisted_during_a_call_gets_no_more(self):
+        fleet, state = fleet_of(engine("a"), engine("b"))
+        fleet.begin_call("a")
+        state.replace_endpoints([engine("b")])
+        assert names(candidates_of(fleet)) == ["b"]
+        assert names(fleet.engines("z1", now=boot_seconds())) == ["b"]
+
 
 class TestFailurePenalty:
     def test_grows_with_each_failure_and_ends_with_success(self):
