--- a/samphirehall/forwarding/attempt.py
+++ b/samphirehall/forwarding/attempt.py
@@ -12,6 +12,7 @@
 from samphirehall.core.connections import (
     NOT_WRITTEN_ERRORS,
     TRANSPORT_ERRORS,
+    header,
     read_body,
 )
 from samphirehall.core.errors import SamphireError
@@ -23,6 +24,7 @@
     LAST_EVENT_HEADER,
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
+    SOFTWARE_VERSION_HEADER,
     EngineRequest,
     is_answer_to,
 )
@@ -47,6 +49,7 @@
     BUSY = "the engine is busy"
     BROKEN = "the stream broke"
     CRASHED = "the engine crashed"
+    OTHER_VERSION = "the engine has another software version"
 
 
 class AttemptFailedError(Exception):
@@ -96,6 +99,7 @@
         self._sink = sink
         self._kv_source = kv_source
         self._endpoint_id = endpoint.endpoint_id
+        self._listed_version = endpoint.software_version
         self._pool = context.pools.pool_for(endpoint.address)
         self._limits = context.settings.entry
         self._first_index = reader.next_index
@@ -110,9 +114,13 @@
         SamphireError
             The engine rejected the request as invalid.
         """
+        if self._listed_version:
+            self._check_version(self._listed_version)
         try:
             await self._call_and_resume()
-        except AttemptFailedError:
+        except AttemptFailedError as error:
+            if error.failure is Failure.OTHER_VERSION:
+                await self.cancel()
             raise
         except BaseException:
             await self.cancel()
@@ -233,15 +241,27 @@
                     if response.status != HTTP_OK:
                         self._run.may_have_run = had_run
                         await _raise_for_status(response)
+                    version = header(response.headers, SOFTWARE_VERSION_HEADER)
+                    version = version or self._listed_version
+                    self._check_version(version)
                     guard.until = boot_seconds() + self._limits.first_event_seconds
-                    await self._relay_events(response, guard)
+                    await self._relay_events(response, guard, version)
         except NOT_WRITTEN_ERRORS:
             self._run.may_have_run = had_run
             raise
         if not self._reader.done:
             raise BrokenStreamError("the stream ended without an end marker")
 
-    async def _relay_events(self, response: httpcore.Response, guard: StallGuard) -> None:
+    def _check_version(self, version: str) -> None:
+        """Raise if the answer began at another software version than `version`."""
+        run = self._run
+        if run.payloads and version != run.software_version:
+            detail = f"{version!r}, and the answer began at {run.software_version!r}"
+            raise AttemptFailedError(Failure.OTHER_VERSION, detail)
+
+    async def _relay_events(
+        self, response: httpcore.Response, guard: StallGuard, version: str
+    ) -> None:
         """Relay the chunks that are received without waiting as one batch."""
         chunks: list[bytes] = []
 
@@ -252,6 +272,8 @@
             chunks.clear()
             if not batch.content:
                 return
+            if not self._run.payloads:
+                self._run.software_version = version
             self._run.payloads.extend(batch.data)
             guard.until = boot_seconds() + CALLER_STALL_TIMEOUT_SECONDS
             guard.waits_for_caller = True
--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -1,7 +1,8 @@
 """Retry loop of a completion: choose an endpoint, run an attempt, continue on another engine.
 
 A later attempt sends the tokens received so far along with the prompt, so that the next engine
-continues the answer instead of starting again.
+continues the answer instead of starting again. What two software versions write does not fit
+together, so an answer goes on only at the version that began it.
 """
 
 import logging
@@ -35,10 +36,18 @@
 NO_ENDPOINT_TIMEOUT_SECONDS = 1.0
 TRIAL_TIMEOUT_SECONDS = 0.5
 TRIAL_POLL_INTERVAL_SECONDS = 0.05
+FAILURES_OF_SOUND_ENGINES = frozenset((Failure.BUSY, Failure.OTHER_VERSION))
 
 _log = logging.getLogger(__name__)
 
 
+class VersionGoneError(Exception):
+    """No engine is left of the software version that began the answer."""
+
+    def __init__(self, software_version: str) -> None:
+        super().__init__(f"no engine of software version {software_version!r} is left")
+
+
 async def run_completion(context: EntryContext, run: CompletionRun, sink: Sink) -> None:
     """Send the validated events of the complete answer to `sink`, retrying on other endpoints.
 
@@ -55,7 +64,15 @@
         if retries:
             await _wait_before_retry(context, run, retries)
             _refuse_quarantined(context, run)
-        decision, request = await _choose_with_timeout(context, run, failed)
+        try:
+            decision, request = await _choose_with_timeout(context, run, failed)
+        except VersionGoneError as error:
+            if run.stream_started:
+                raise run.build_error(str(error)) from error
+            log_decision(_log, "restart", str(error), request=run.request_id)
+            run.discard_events()
+            reader = EventReader(run.request_id)
+            continue
         try:
             await _run_attempt(context, run, reader, decision, request, sink)
             return
@@ -104,6 +121,13 @@
     """Return a routing decision; while no endpoint is available, poll for one.
 
     Polling ends after `NO_ENDPOINT_TIMEOUT_SECONDS`, or at the deadline once the answer has begun.
+
+    Raises
+    ------
+    SamphireError
+        No endpoint became available in time.
+    VersionGoneError
+        The answer has begun, and its software version is known and no longer listed.
     """
     give_up_at = run.deadline if run.payloads else boot_seconds() + NO_ENDPOINT_TIMEOUT_SECONDS
     wait_count = 0
@@ -117,6 +141,10 @@
         except NoEndpointError as error:
             if boot_seconds() >= min(give_up_at, run.deadline):
                 raise run.build_error(str(error)) from error
+            if run.software_version and not context.fleet.has_version(
+                run.caller.route.target, run.software_version, now=boot_seconds()
+            ):
+                raise VersionGoneError(run.software_version) from error
             failed.clear()
             wait_count += 1
             await anyio.sleep(retry_delay(wait_count + 2, random_source=context.random_source))
@@ -127,7 +155,13 @@
 ) -> tuple[RoutingDecision, RoutingRequest]:
     now = boot_seconds()
     target = run.caller.route.target
-    candidates = context.fleet.candidates(target, EndpointProtocol.ENGINE, excluded=failed, now=now)
+    candidates = context.fleet.candidates(
+        target,
+        EndpointProtocol.ENGINE,
+        excluded=failed,
+        software_version=run.software_version if run.payloads else None,
+        now=now,
+    )
     request = RoutingRequest(
         target,
         context.state.zone,
@@ -156,6 +190,7 @@
         customer=run.caller.customer,
         target=target,
         endpoint=decision.endpoint.info.endpoint_id,
+        software_version=decision.endpoint.info.software_version or None,
         candidates=len(candidates),
         prefill=decision.prefill_engine.info.endpoint_id if decision.prefill_engine else None,
         estimate=decision.estimated_latency,
@@ -338,9 +373,9 @@
     error: AttemptFailedError,
     received_events: int,
 ) -> None:
-    """Log a failed attempt and penalize the endpoint, unless it was only busy."""
+    """Log a failed attempt and penalize the endpoint, unless it is sound."""
     endpoint_id = view.info.endpoint_id
-    if error.failure is not Failure.BUSY:
+    if error.failure not in FAILURES_OF_SOUND_ENGINES:
         context.fleet.record_failure(endpoint_id, now=boot_seconds())
     log_decision(
         _log,
--- a/samphirehall/forwarding/completion_run.py
+++ b/samphirehall/forwarding/completion_run.py
@@ -51,6 +51,8 @@
         Whether a part of the request may have run on an endpoint.
     stream_started : bool
         Whether the head of a streamed answer has been sent to the caller.
+    software_version : str
+        Software version of the engine that sent the first event; empty if it is unknown.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     endpoints: list[str] = field(default_factory=list)
     may_have_run: bool = False
     stream_started: bool = False
+    software_version: str = ""
     _block_hashes: list[int] | None = None
     _fingerprint: str = ""
     _shared_parts: list[str] | None = None
@@ -109,6 +112,11 @@
             self._block_hashes = block_hashes(target, text, block_tokens=block_tokens)
         return self._block_hashes
 
+    def discard_events(self) -> None:
+        """Discard all events, so that the answer begins anew; the caller has received none."""
+        self.payloads.clear()
+        self.software_version = ""
+
     def build_error(self, detail: str, *, not_run: Result = NO_ENDPOINT) -> SamphireError:
         """Return the error that ends the completion and says whether the request ran.
 
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -96,18 +96,36 @@
         protocol: EndpointProtocol,
         *,
         excluded: frozenset[str] | set[str],
+        software_version: str | None = None,
         now: float,
     ) -> list[EndpointView]:
         """Return the endpoints that serve `target` and accept new requests.
 
         Prefill engines are left out, as they do not decode. Endpoints with a
-        failure penalty are returned only if there are no others.
+        failure penalty are returned only if there are no others. If
+        `software_version` is given, only endpoints that can continue an answer
+        of that version are returned.
         """
         serving = self._serving(target, protocol, now)
+        healthy, available = serving.healthy, serving.available
+        if software_version is not None:
+            healthy = [view for view in healthy if view.can_continue(software_version)]
+            available = [view for view in available if view.can_continue(software_version)]
         if not excluded:
-            return serving.healthy or serving.available
-        healthy = _without(serving.healthy, excluded)
-        return healthy or _without(serving.available, excluded)
+            return healthy or available
+        return _without(healthy, excluded) or _without(available, excluded)
+
+    def has_version(self, target: str, software_version: str, *, now: float) -> bool:
+        """Return whether an engine is listed that can continue an answer, now or soon."""
+        self._refresh()
+        return any(
+            target in view.info.models
+            and view.info.protocol is EndpointProtocol.ENGINE
+            and view.role is not Role.PREFILL
+            and view.can_continue(software_version)
+            and view.may_serve_later(now)
+            for view in self._listed_views()
+        )
 
     def prefill_candidates(
         self, target: str, *, excluded: frozenset[str] | set[str], now: float
@@ -277,6 +295,8 @@
             if view is None:
                 self._views[endpoint_id] = EndpointView(info)
             else:
+                if view.info.software_version != info.software_version:
+                    self.prefixes.remove_endpoint(endpoint_id)
                 view.info = info
         for endpoint_id in self._views.keys() - table.keys():
             if not self._views[endpoint_id].in_flight:
--- a/samphirehall/routing/view.py
+++ b/samphirehall/routing/view.py
@@ -15,6 +15,7 @@
 MAX_SLOWNESS = 20.0
 INITIAL_CONCURRENCY = 32.0
 NEVER = float("-inf")
+SERVING_STATES = frozenset((EndpointState.STARTING, EndpointState.READY, EndpointState.CHANGING))
 
 
 @dataclass(slots=True, eq=False)
@@ -88,6 +89,19 @@
             return False
         return self.report is None or not (self.report.leaving or self.report.changing)
 
+    def may_serve_later(self, now: float) -> bool:
+        """Return whether the endpoint accepts new requests, or may do so without a restart."""
+        if self.info.state not in SERVING_STATES or self.leaving_until > now:
+            return False
+        return self.report is None or not self.report.leaving
+
+    def can_continue(self, software_version: str) -> bool:
+        """Return whether an answer that began at a version may go on here.
+
+        An endpoint whose version is not listed names it when it answers.
+        """
+        return self.info.software_version in (software_version, "")
+
     def is_penalized(self, now: float) -> bool:
         """Return whether the endpoint is avoided because of failures.
 
--- a/tests/routing/helpers.py
+++ b/tests/routing/helpers.py
@@ -14,9 +14,16 @@
 LIFETIME = 60.0
 
 
-def engine(name, *, zone="z1", role=Role.MIXED, kind=EndpointKind.STANDARD):
+def engine(name, *, zone="z1", role=Role.MIXED, kind=EndpointKind.STANDARD, version=""):
     return EndpointInfo(
-        name, "127.0.0.1:1", zone, EndpointProtocol.ENGINE, kind, role, models=("answer",)
+        name,
+        "127.0.0.1:1",
+        zone,
+        EndpointProtocol.ENGINE,
+        kind,
+        role,
+        models=("answer",),
+        software_version=version,
     )
 
 
@@ -34,9 +41,9 @@
     state.fact_store.publish(FactKind.ENGINE_REPORT, name, value, lifetime=LIFETIME, now=now)
 
 
-def candidates_of(fleet, *, excluded=frozenset(), now=None):
+def candidates_of(fleet, *, excluded=frozenset(), now=None, **fields):
     now = boot_seconds() if now is None else now
-    return fleet.candidates("answer", EndpointProtocol.ENGINE, excluded=excluded, now=now)
+    return fleet.candidates("answer", EndpointProtocol.ENGINE, excluded=excluded, now=now, **fields)
 
 
 def names(views):
--- a/tests/routing/test_fleet.py
+++ b/tests/routing/test_fleet.py
@@ -70,6 +70,41 @@
         assert names(fleet.engines("z1", now=boot_seconds())) == ["b"]
 
 
+class TestSoftwareVersion:
+    def test_answer_is_continued_by_engines_of_its_version_and_of_unknown_ones(self):
+        fleet, _ = fleet_of(engine("a", version="v1"), engine("b", version="v2"), engine("c"))
+        assert names(candidates_of(fleet)) == ["a", "b", "c"]
+        assert names(candidates_of(fleet, software_version="v1")) == ["a", "c"]
+        assert names(candidates_of(fleet, software_version="")) == ["c"]
+
+    def test_penalized_engine_of_the_version_is_returned_if_there_is_no_other(self):
+        fleet, _ = fleet_of(engine("a", version="v1"), engine("b", version="v2"))
+        fleet.record_failure("a", now=boot_seconds())
+        assert names(candidates_of(fleet)) == ["b"]
+        assert names(candidates_of(fleet, software_version="v1")) == ["a"]
+
+    @pytest.mark.parametrize("state", list(EndpointState))
+    def test_version_is_there_while_an_engine_serves_or_is_about_to(self, state):
+        info = dataclasses.replace(engine("a", version="v1"), state=state)
+        fleet, _ = fleet_of(info, engine("b", version="v2"))
+        expected = state in (EndpointState.STARTING, EndpointState.READY, EndpointState.CHANGING)
+        assert fleet.has_version("answer", "v1", now=boot_seconds()) is expected
+
+    @pytest.mark.parametrize("fields", [{"leaving": True}, {"role": Role.PREFILL}])
+    def test_version_is_gone_if_its_engine_reports_that_it_takes_no_answers(self, fields):
+        fleet, state = fleet_of(engine("a", version="v1"), engine("b", version="v2"))
+        publish_report(state, "a", **fields)
+        assert not fleet.has_version("answer", "v1", now=boot_seconds())
+
+    def test_cached_prefixes_are_forgotten_when_the_version_changes(self):
+        fleet, state = fleet_of(engine("a", version="v1"), engine("b", version="v1"))
+        for name in ("a", "b"):
+            fleet.prefixes.store(name, [1, 2])
+        state.replace_endpoints([engine("a", version="v2"), engine("b", version="v1")])
+        candidates_of(fleet)
+        assert fleet.prefixes.matches([1, 2]) == {"b": 2}
+
+
 class TestFailurePenalty:
     def test_grows_with_each_failure_and_ends_with_success(self):
         fleet, _ = fleet_of(engine("a"), engine("b"))
