--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -243,7 +243,8 @@
         await _run_separate_prefill(context, run, reader, decision, request, sink)
         if reader.done:
             return
-        kv_source = decision.prefill_engine.info.address if reader.next_index else None
+        if reader.next_index and _fits_memory(run, decision):
+            kv_source = decision.prefill_engine.info.address
     kv_imported = kv_source is not None
     call = context.fleet.begin_prefill(
         decision.endpoint.info.endpoint_id,
@@ -275,6 +276,13 @@
         context.fleet.end_call(endpoint.endpoint_id)
 
 
+def _fits_memory(run: CompletionRun, decision: RoutingDecision) -> bool:
+    """Return whether the decode engine has the software version that prefilled the prompt."""
+    assert decision.prefill_engine is not None
+    listed = decision.prefill_engine.info.software_version
+    return listed == decision.endpoint.info.software_version == run.software_version
+
+
 async def _run_separate_prefill(
     context: EntryContext,
     run: CompletionRun,
--- a/samphirehall/routing/prefix_aware.py
+++ b/samphirehall/routing/prefix_aware.py
@@ -1,7 +1,7 @@
 """Routing policy that picks the earliest estimated finish, taking prefix caches into account."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from samphirehall.routing.estimate import (
     decode_seconds,
@@ -99,17 +99,31 @@
     ) -> RoutingDecision:
         """Return a decision with separate prefill and decode engines if it is clearly faster.
 
-        Otherwise return `single_engine`, the decision with one engine.
+        Otherwise return `single_engine`, the decision with one engine. Both engines have the
+        same software version, as a KV cache is of no use to another one.
         """
-        prefill_engine = min(
-            _select_candidates(
-                request.prefill_candidates, matches, setup.find_endpoint, random_source
-            ),
-            key=lambda view: estimate_first_token(view, request, matches, now),
-        )
-        decode_engine = min(
+        decode_engines = _best_by_version(
             decode_candidates, key=lambda view: decode_seconds(view, request.output_tokens, rates)
         )
+        usable = [
+            view
+            for view in request.prefill_candidates
+            if view.info.software_version in decode_engines
+        ]
+        if not usable:
+            return single_engine
+
+        def estimate_pair(view: EndpointView) -> float:
+            decode_engine = decode_engines[view.info.software_version]
+            return estimate_first_token(view, request, matches, now) + decode_seconds(
+                decode_engine, request.output_tokens, rates
+            )
+
+        prefill_engine = min(
+            _select_candidates(usable, matches, setup.find_endpoint, random_source),
+            key=estimate_pair,
+        )
+        decode_engine = decode_engines[prefill_engine.info.software_version]
         first_token_time = estimate_first_token(prefill_engine, request, matches, now)
         transfer_seconds = rates.transfer_seconds
         transfer_seconds += request.prompt_tokens / rates.transfer_tokens_per_second
@@ -164,6 +178,16 @@
     return drawn
 
 
+def _best_by_version(
+    candidates: Sequence[EndpointView], key: Callable[[EndpointView], float]
+) -> dict[str, EndpointView]:
+    """Return the candidate with the lowest key of each software version."""
+    best: dict[str, EndpointView] = {}
+    for view in sorted(candidates, key=key):
+        best.setdefault(view.info.software_version, view)
+    return best
+
+
 def _default_holder(candidates: Sequence[EndpointView], first_block: int) -> EndpointView:
     """Return the candidate that is preferred for a prefix which no endpoint holds.
 
--- a/samphirehall/standins/engine.py
+++ b/samphirehall/standins/engine.py
@@ -132,6 +132,7 @@
         self.endpoint_id = endpoint_id
         self.faults = EngineFaults()
         self.orders: list[EngineOrder] = []
+        self.imported_caches = 0
         self.crashed = anyio.Event()
         self._timing = timing or EngineTiming()
         self._checks_fencing = checks_fencing
@@ -288,6 +289,7 @@
         finally:
             await pool.aclose()
         tokens = msgspec.json.decode(content, type=ExportedCache).tokens
+        self.imported_caches += 1
         await anyio.sleep(self._timing.transfer_seconds(tokens))
         sequence.readerless_since = boot_seconds()
         return True
--- a/tests/forwarding/test_disaggregated_prefill.py
+++ b/tests/forwarding/test_disaggregated_prefill.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import pytest
 
 from samphirehall.core.serving import serving
 from samphirehall.core.types import EndpointInfo, EndpointProtocol, Role
@@ -10,20 +11,33 @@
 from samphirehall.settings.tables import RoutingTable
 from samphirehall.standins.engine import EngineStandin
 from samphirehall.standins.timing import EngineTiming
-from samphirehall.standins.tokens import token_at
+from samphirehall.standins.tokens import token_at, versions_in
 from tests.support.entry import complete, entry_context, running_app
 from tests.support.ports import free_address
 
 PROMPT = "a long ledger of lots " * 4000
 TOKENS = 6
+DEADLINE = [(b"samphire-deadline", b"1.5")]
 SLOW_PREFILL = EngineTiming(prefill_tokens_per_second=100_000, time_scale=10)
 
 
 @contextlib.asynccontextmanager
-async def entry_with_engines(*roles):
-    """Yield an entry and its stand-in engines, one for each role."""
+async def entry_with_engines(*roles, versions=None, listed=None):
+    """Yield an entry and its stand-in engines, one for each role.
+
+    `versions` are the engines' software versions, and `listed` those of the endpoint list if
+    they differ.
+    """
+    versions = versions or [""] * len(roles)
     engines = [
-        EngineStandin(f"e-{role}", ["answer"], role=role, timing=SLOW_PREFILL) for role in roles
+        EngineStandin(
+            f"e-{number}-{role}",
+            ["answer"],
+            role=role,
+            software_version=version,
+            timing=SLOW_PREFILL,
+        )
+        for number, (role, version) in enumerate(zip(roles, versions, strict=True))
     ]
     addresses = [free_address() for _ in engines]
     async with contextlib.AsyncExitStack() as stack:
@@ -40,8 +54,11 @@
                 EndpointProtocol.ENGINE,
                 role=role,
                 models=("answer",),
+                software_version=version,
+            )
+            for engine, address, role, version in zip(
+                engines, addresses, roles, listed or versions, strict=True
             )
-            for engine, address, role in zip(engines, addresses, roles, strict=True)
         )
         context.routing_policy = routing_policy(RoutingTable("prefix-aware"), context.fleet)
         app = await stack.enter_async_context(running_app(context))
@@ -77,3 +94,32 @@
                 assert decode.counts.prefilled_tokens > 0
 
         anyio.run(main)
+
+
+class TestSoftwareVersions:
+    def test_prompt_memory_is_handed_over_within_one_version(self):
+        async def main():
+            roles = (Role.PREFILL, Role.DECODE, Role.DECODE)
+            async with entry_with_engines(*roles, versions=["v1", "v2", "v1"]) as (app, engines):
+                reply = await complete(app, PROMPT, tokens=TOKENS)
+                assert streamed_tokens(reply) == [
+                    token_at("answer", PROMPT, index, "v1") for index in range(TOKENS)
+                ]
+                prefilled = [engine.counts.prefilled_tokens > 0 for engine in engines]
+                assert prefilled == [True, False, False]
+
+        anyio.run(main)
+
+    @pytest.mark.parametrize("listed", [None, ["v1", "v1"], ["", ""]])
+    def test_prompt_memory_is_not_handed_to_another_version(self, listed):
+        async def main():
+            roles = (Role.PREFILL, Role.DECODE)
+            async with entry_with_engines(*roles, versions=["v2", "v1"], listed=listed) as (
+                app,
+                (_, decode),
+            ):
+                reply = await complete(app, PROMPT, tokens=TOKENS, headers=DEADLINE)
+                assert len(versions_in("".join(streamed_tokens(reply)))) == 1
+                assert decode.imported_caches == 0
+
+        anyio.run(main)
--- a/tests/routing/test_prefix_aware.py
+++ b/tests/routing/test_prefix_aware.py
@@ -123,6 +123,32 @@
         assert decision.prefill_engine.info.endpoint_id == "p"
         assert decision.endpoint.info.endpoint_id == "d"
 
+    def test_both_engines_have_one_software_version(self):
+        sample_request = request(prompt_tokens=20_000, output_tokens=20)
+        for version in ("v1", "v2"):
+            fleet, _ = fleet_of(
+                engine("p", role=Role.PREFILL, version=version),
+                engine("d1", role=Role.DECODE, version="v1"),
+                engine("d2", role=Role.DECODE, version="v2"),
+            )
+            sample_request.prefill_candidates = fleet.prefill_candidates(
+                "answer", excluded=set(), now=boot_seconds()
+            )
+            decision = choose(fleet, sample_request)
+            assert decision.prefill_engine.info.software_version == version
+            assert decision.endpoint.info.software_version == version
+
+    def test_prompt_is_not_split_between_software_versions(self):
+        fleet, _ = fleet_of(
+            engine("p", role=Role.PREFILL, version="v1"),
+            engine("d", role=Role.DECODE, version="v2"),
+        )
+        sample_request = request(prompt_tokens=20_000, output_tokens=20)
+        sample_request.prefill_candidates = fleet.prefill_candidates(
+            "answer", excluded=set(), now=boot_seconds()
+        )
+        assert choose(fleet, sample_request).prefill_engine is None
+
     def test_short_prompt_is_not_worth_a_transfer(self):
         fleet, _ = fleet_of(engine("p", role=Role.PREFILL), engine("m"))
         sample_request = request(prompt_tokens=50, output_tokens=200)
