--- a/tests/promises/checkers.py
+++ b/tests/promises/checkers.py
@@ -22,10 +22,13 @@
     StopEnded,
     UsageReported,
 )
+from tests.promises.interruptions import interrupted_streams, streams_on_sound_hosts
 
 MAX_IN_FORCE_DELAY_SECONDS = 9.0
 MAX_KEY_WITHDRAWAL_SECONDS = 5.0
 LEAVING_GRACE_SECONDS = 5.0
+MIN_INTERRUPTED_STREAMS = 12  # fewer say nothing about the share that goes on
+MIN_CONTINUED_FRACTION = 0.5  # of the share of new streams that begin
 BOOKING = "booking"
 
 
@@ -137,6 +140,20 @@
             yield call.at, f"{call.marker}: joined from versions {versions}"
 
 
+@checker
+def interrupted_streams_go_on(history: History) -> Iterable[tuple[float, str]]:
+    """Of streams whose engine ended, a share goes on that is half of that of new ones at least."""
+    interrupted = interrupted_streams(history)
+    if len(interrupted) < MIN_INTERRUPTED_STREAMS:
+        return
+    streams = streams_on_sound_hosts(history)
+    begun = sum(bool(call.received) for call in streams) / len(streams)
+    went_on = sum(call.ended for call in interrupted) / len(interrupted)
+    if went_on < MIN_CONTINUED_FRACTION * begun:
+        detail = f"{went_on:.2f} of {len(interrupted)} interrupted streams went on"
+        yield interrupted[-1].at, f"{detail}, {begun:.2f} of {len(streams)} streams began"
+
+
 @checker
 def at_most_once(history: History) -> Iterable[tuple[float, str]]:
     """A booking runs at most once, and all its answers are the same."""
--- a/tests/promises/faults.py
+++ b/tests/promises/faults.py
@@ -112,6 +112,20 @@
     _set_relay(system, fault, Condition.SILENT)
 
 
+def release(system: System, fault: Fault) -> None:
+    """Restart an engine with another software version, which the platform lists later."""
+    program = system.programs[fault.target]
+    program.kill()
+    version = "v2" if system.software_versions[fault.target] == "v1" else "v1"
+    old = f"--software_version={system.software_versions[fault.target]}"
+    program.arguments[program.arguments.index(old)] = f"--software_version={version}"
+    system.software_versions[fault.target] = version
+    program.start()
+    time.sleep(fault.seconds)
+    body = {"endpoint_id": fault.target, "state": "ready", "software_version": version}
+    call(system.platform, "POST", "/admin/endpoints", body)
+
+
 def lose_track(system: System, fault: Fault) -> None:
     """Discard the data on the open connections of a relay until they end; new ones work."""
     system.relays.set(fault.target, Condition.SILENT, existing_only=True)
@@ -241,6 +255,7 @@
     "stop": stop,
     "cut": cut,
     "silence": silence,
+    "release": release,
     "lose-track": lose_track,
     "isolate": isolate,
     "outage": outage,
--- a/tests/promises/runs.py
+++ b/tests/promises/runs.py
@@ -10,20 +10,30 @@
 from tests.promises.events import CallEnded, History
 from tests.promises.faults import WITHDRAWN_LABEL, inject_faults
 from tests.promises.scenarios import RUN_SECONDS, fault_plan
-from tests.promises.system import System, default_endpoints, four_hosts
+from tests.promises.system import (
+    System,
+    default_endpoints,
+    endpoints_of_two_versions,
+    four_hosts,
+)
 
 JOIN_TIMEOUT_SECONDS = 20.0
 LONG_COMPLETION_TOKENS = 700
+STREAM_TOKENS = 120
+CONCURRENT_STREAMS = 40
 UNKNOWN_CREDENTIALS = Credentials("", "sk-samphire-never-issued", "stranger")
 CallerAction = Callable[[Caller], object]
 
 
 def run_scenario(folder: Path, scenario: str, seed: int) -> History:
     """Run one seed of a scenario, write its history to the folder, and return it."""
-    system = System(folder, four_hosts(), default_endpoints())
+    two_versions = scenario == "versions"
+    endpoints = endpoints_of_two_versions() if two_versions else default_endpoints()
+    system = System(folder, four_hosts(), endpoints, order_endpoints=not two_versions)
     plan = fault_plan(scenario, seed)
     withdraws = any(fault.action == "withdraw" for fault in plan)
-    with system, run_callers(system, seed, long_streams=withdraws):
+    streams = CONCURRENT_STREAMS if two_versions else 0
+    with system, run_callers(system, seed, long_streams=withdraws, more_streams=streams):
         started_at = time.monotonic()
         inject_faults(system, plan)
         time.sleep(max(0.0, started_at + RUN_SECONDS - time.monotonic()))
@@ -31,8 +41,13 @@
 
 
 @contextmanager
-def run_callers(system: System, seed: int, *, long_streams: bool) -> Iterator[Balancer]:
-    """Run the callers, the balancer and the observer of the system inside the context."""
+def run_callers(
+    system: System, seed: int, *, long_streams: bool, more_streams: int = 0
+) -> Iterator[Balancer]:
+    """Run the callers, the balancer and the observer of the system inside the context.
+
+    `more_streams` callers hold one stream of over a second each.
+    """
     stop = threading.Event()
     balancer = Balancer(system.caller_addresses)
     threads = [
@@ -40,7 +55,10 @@
         threading.Thread(target=system.poll_configurations, args=[stop], daemon=True),
     ]
     for number, (credentials, work) in enumerate(
-        _caller_actions(system, long_streams=long_streams)
+        [
+            *_caller_actions(system, long_streams=long_streams),
+            *[(system.credentials[0], _complete_stream)] * more_streams,
+        ]
     ):
         caller = Caller(balancer, system.history, credentials, seed=f"{seed}/{number}")
         threads.append(threading.Thread(target=caller.run, args=[work, stop], daemon=True))
@@ -74,5 +92,9 @@
     ]
 
 
+def _complete_stream(caller: Caller) -> CallEnded:
+    return caller.complete(max_tokens=STREAM_TOKENS)
+
+
 def _complete_long_stream(caller: Caller) -> CallEnded:
     return caller.complete(max_tokens=LONG_COMPLETION_TOKENS)
--- a/tests/promises/scenarios.py
+++ b/tests/promises/scenarios.py
@@ -7,6 +7,8 @@
 
 HOSTS = ("host-a", "host-b", "host-c", "host-d")
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+ENGINES_V1 = ("engine-1", "engine-2", "engine-3")
+ENGINES_V2 = ("engine-4", "engine-5", "engine-6")
 DESKS = ("desk-1", "desk-2")
 CHEAP_ZONE = "prairie-3"
 RUN_SECONDS = 8.0
@@ -113,6 +115,26 @@
     ]
 
 
+def versions(choose: random.Random) -> list[Fault]:
+    """Engines of two software versions are killed in turn and one is released; hosts are killed.
+
+    While an engine is down, two others of its version serve.
+    """
+    host, other = choose.sample(HOSTS, 2)
+    first, second, released = choose.sample(ENGINES_V1, 3)
+    third, fourth = choose.sample(ENGINES_V2, 2)
+    return [
+        Fault("kill", first, choose.uniform(0.8, 1.2), 0.5),
+        Fault("kill", third, choose.uniform(1.8, 2.2), 0.5),
+        Fault("kill", second, choose.uniform(3.8, 4.2), 0.5),
+        Fault("kill", fourth, choose.uniform(4.6, 5.0), 0.5),
+        Fault("release", released, choose.uniform(6.2, 6.6), 0.5),
+        Fault("kill", f"{host}-entry", choose.uniform(2.0, 2.5), 0.5),
+        Fault("kill", f"{host}-control", choose.uniform(2.0, 2.5), 0.5),
+        Fault("kill", f"{other}-entry", choose.uniform(4.0, 4.5), 0.5),
+    ]
+
+
 def together(choose: random.Random) -> list[Fault]:
     """Faults of every kind, some of them at the same moment."""
     everything = [
@@ -132,6 +154,7 @@
     "operators": operators,
     "orders": orders,
     "planned": planned,
+    "versions": versions,
     "together": together,
 }
 
--- a/tests/promises/system.py
+++ b/tests/promises/system.py
@@ -46,6 +46,14 @@
 margin_seconds = 0.5
 delivery_limit_seconds = 0.5
 """ + USAGE_SETTINGS
+SOFTWARE_VERSIONS = {
+    "engine-1": "v1",
+    "engine-2": "v1",
+    "engine-3": "v1",
+    "engine-4": "v2",
+    "engine-5": "v2",
+    "engine-6": "v2",
+}
 DOCUMENT = {
     "models": {"answer": {"version": "2026-11"}},
     "routes": {
@@ -94,6 +102,21 @@
     ]
 
 
+def endpoints_of_two_versions() -> list[Endpoint]:
+    """Return the default endpoints and two more engines: three of each software version."""
+    endpoints = default_endpoints()
+    options = endpoints[0].options
+    for number in (5, 6):
+        engine = Endpoint(f"engine-{number}", "engine", "prairie-1", ["answer"])
+        engine.options = options[:]
+        endpoints.append(engine)
+    for endpoint in endpoints:
+        if endpoint.protocol == "engine":
+            endpoint.software_version = SOFTWARE_VERSIONS[endpoint.name]
+            endpoint.kind = "standard"
+    return endpoints
+
+
 def four_hosts() -> list[Host]:
     """Return four hosts in three availability zones."""
     zones = ("prairie-1", "prairie-1", "prairie-2", "prairie-3")
@@ -109,11 +132,21 @@
         Folder for settings, logs, records and the history.
     hosts, endpoints : list
         Hosts and endpoints to start.
+    order_endpoints : bool
+        Whether the hosts order endpoints from the platform and give them back.
     """
 
-    def __init__(self, folder: Path, hosts: list[Host], endpoints: list[Endpoint]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        hosts: list[Host],
+        endpoints: list[Endpoint],
+        *,
+        order_endpoints: bool = True,
+    ) -> None:
         super().__init__(folder, hosts, endpoints)
         self.history = History()
+        self.order_endpoints = order_endpoints
         self.extra_settings = {"entry": ENTRY_SETTINGS, "control": CONTROL_SETTINGS}
         self.platform_options = [f"--records={self._records_path('platform')}"]
         for endpoint in endpoints:
@@ -127,6 +160,7 @@
             )
         ]
         self.faults = PlatformFaults()
+        self.software_versions = {item.name: item.software_version for item in endpoints}
         self._stack = ExitStack()
         self._relays: Relays | None = None
         self._relayed_addresses: dict[str, str] = {}
@@ -176,7 +210,8 @@
             if item.label not in without:
                 customer["key_digests"].append(key_digest(item.key))
         models = {"answer": {"version": version}}
-        return {**DOCUMENT, "customers": customers, "models": models}
+        fleet = {**DOCUMENT["fleet"], "order_endpoints": self.order_endpoints}
+        return {**DOCUMENT, "customers": customers, "models": models, "fleet": fleet}
 
     def apply(
         self,
--- a/tests/promises/test_checkers.py
+++ b/tests/promises/test_checkers.py
@@ -97,6 +97,26 @@
     return ConfigurationSeen(at=at, host=host, version=version)
 
 
+def _interrupted(streams, *, went_on):
+    """Return streams whose engine is killed, of which the first `went_on` end well."""
+    events = [FaultBegun(at=5.0, action="kill", target="engine-1", until=10.0)]
+    for number in range(streams):
+        request_id = f"req-stream-{number}"
+        events.append(
+            EndpointCalled(
+                at=4.5,
+                endpoint="engine-1",
+                request_id=request_id,
+                path="POST /v1/chat/completions",
+                body="",
+                key_seen=False,
+            )
+        )
+        fields = {} if number < went_on else {"ended": False, "received": "a", "last_token": 4.9}
+        events.append(_call(6.0, f"call-{number}", started=4.4, request_id=request_id, **fields))
+    return events
+
+
 def _good_history():
     return [
         _order(1.0, "ord-1", 1, settled=2.0),
@@ -121,6 +141,7 @@
         StopBegun(at=40.0, process="host-a-entry"),
         _call(41.0, "call-4", status=503, result=2012, run="not-run", received="", ended=False),
         StopEnded(at=42.0, process="host-a-entry", status=0),
+        *_interrupted(12, went_on=6),
         FaultBegun(at=50.0, action="kill", target="host-a-control", until=60.0),
         _accepted(50.0, 1),
         _seen(70.0, 1),
@@ -147,6 +168,8 @@
         "one_software_version",
         [_call(5.0, "call-9", expected=" w1 w2", received=" w1 w2-v2", ended=False)],
     ),
+    ("interrupted_streams_go_on", _interrupted(12, went_on=5)),
+    ("interrupted_streams_go_on", _interrupted(12, went_on=0)),
     ("whole_answers", [_call(5.0, "call-9", expected=" w1-v1 w2-v1", received=" w1-v1 w2-v2")]),
     ("at_most_once", [_endpoint_called(6.5, "freight-1", endpoint="desk-2")]),
     ("at_most_once", [_booking(9.0, received="other")]),
--- a/tests/promises/test_proofs.py
+++ b/tests/promises/test_proofs.py
@@ -3,26 +3,35 @@
 import pytest
 
 from samphirehall.core.results import OK
+from tests.promises.checkers import MIN_INTERRUPTED_STREAMS
 from tests.promises.events import CallEnded, EngineOrdered, PlatformOrdered, UsageReported
+from tests.promises.interruptions import interrupted_streams
 from tests.promises.scenarios import SCENARIOS
 
 SHORT_SEEDS = (1, 2)
+SHORT_SEEDS_OF_SCENARIO = {"versions": (1,)}  # the others have two, within the time of CI
 LONG_SEEDS = tuple(range(100, 110))
 MIN_SUCCESSFUL_CALLS = 50
 REQUIRED_EVENTS = {"orders": (EngineOrdered, PlatformOrdered, UsageReported)}
 
 
-def _cases(config, seeds):
+def _seeds(scenario, selected_seed, *, is_long):
+    if selected_seed:
+        return (selected_seed,)
+    return LONG_SEEDS if is_long else SHORT_SEEDS_OF_SCENARIO.get(scenario, SHORT_SEEDS)
+
+
+def _cases(config, *, is_long):
     selected_seed = config.getoption("--seed")
     return [
-        (name, seed) for name in SCENARIOS for seed in ([selected_seed] if selected_seed else seeds)
+        (name, seed) for name in SCENARIOS for seed in _seeds(name, selected_seed, is_long=is_long)
     ]
 
 
 def pytest_generate_tests(metafunc):
     if "scenario" in metafunc.fixturenames:
-        seeds = LONG_SEEDS if "long" in metafunc.function.__name__ else SHORT_SEEDS
-        metafunc.parametrize(("scenario", "seed"), _cases(metafunc.config, seeds))
+        is_long = "long" in metafunc.function.__name__
+        metafunc.parametrize(("scenario", "seed"), _cases(metafunc.config, is_long=is_long))
 
 
 def _assert_exercised(history, scenario):
@@ -33,6 +42,8 @@
         call for call in history.events_of_type(CallEnded) if call.result == OK.code and call.ended
     ]
     assert len(successful) >= MIN_SUCCESSFUL_CALLS
+    if scenario == "versions":
+        assert len(interrupted_streams(history)) >= MIN_INTERRUPTED_STREAMS
 
 
 class TestSeeds:
