Send the head of a stream that is not resumable at once again

Such a stream cannot go on at another version, so its head need not wait for its first event. It did since the records of streams came, and test_event_without_end_cuts_the_stream failed: a stream that broke before its first event was answered 502 where it had been cut.

--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -76,7 +76,8 @@
     scope : CancelScope
         Scope of the send; its deadline is moved with each event.
     on_event : callable
-        Called when an event arrives, before it or the head of the response is forwarded.
+        Called when an event arrives, before it is forwarded. The head of a resumable stream is
+        forwarded after it as well, as a retry before the first event may change the version.
 
     Raises
     ------
@@ -85,6 +86,8 @@
     """
     delivery.splitter = EventSplitter()
     continues = delivery.caller.started
+    if not continues and not request_state.route.resumable:
+        await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
         await on_event()
         if not delivery.caller.started:
