--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -569,10 +569,7 @@
                 return await handle_failure_response(
                     context.wire_codec, request_state, delivery, response
                 )
-            hold_head = recording is not None
-            await relay_stream(
-                request_state, delivery, response, limit, on_event, hold_head=hold_head
-            )
+            await relay_stream(request_state, delivery, response, limit, on_event)
     return SendOutcome.ANSWERED
 
 
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -65,8 +65,6 @@
     response: Response,
     limit: SilenceLimit,
     on_event: Callable[[], Awaitable[None]],
-    *,
-    hold_head: bool = False,
 ) -> None:
     """Relay the events that the caller lacks, then complete its response.
 
@@ -81,9 +79,8 @@
     limit : SilenceLimit
         Limit of the send; it is restarted with each event.
     on_event : callable
-        Called when an event arrives, before it is forwarded.
-    hold_head : bool
-        Whether the head of the response is held back until then as well.
+        Called when an event arrives, before it is forwarded. The head of a resumable stream is
+        forwarded after it as well, as a retry before the first event may change the version.
 
     Raises
     ------
@@ -94,7 +91,7 @@
     continues = delivery.caller.started
     route = request_state.route
     gap_limit = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
-    if not (continues or hold_head):
+    if not (continues or route.resumable):
         await delivery.caller.start(200, _stream_headers(response))
     async for event in _received_events(response, delivery):
         restart_silence_limit(limit, request_state, gap_limit)
