Replace a decode engine that left the list during the prefill

A stream whose prompt was prefilled apart ended after its first token, without the end marker and without an error event, if its decode engine left the endpoint list meanwhile: the fleet had dropped its view, and the call to it began with a KeyError.

The attempt counts as one that reached no engine now, and another one continues.

test_decode_engine_that_left_the_list_during_the_prefill_is_replaced failed before: KeyError 'e-1-decode' in the log, and one of six tokens.

--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -245,6 +245,8 @@
             return
         if reader.next_index and _fits_memory(run, decision):
             kv_source = decision.prefill_engine.info.address
+    if not context.fleet.is_listed(decision.endpoint.info.endpoint_id):
+        raise AttemptFailedError(Failure.UNREACHABLE, "the endpoint has left the list")
     kv_imported = kv_source is not None
     call = context.fleet.begin_prefill(
         decision.endpoint.info.endpoint_id,
--- a/samphirehall/routing/fleet.py
+++ b/samphirehall/routing/fleet.py
@@ -160,6 +160,11 @@
             serving.healthy or serving.available, hosts=self.host_count(now)
         )
 
+    def is_listed(self, endpoint_id: str) -> bool:
+        """Return whether the endpoint is in the endpoint list."""
+        self._refresh()
+        return endpoint_id in (self._endpoint_table or ())
+
     def find(self, endpoint_id: str) -> EndpointView | None:
         """Return the view of an endpoint, or None."""
         return self._views.get(endpoint_id)
--- a/tests/forwarding/test_disaggregated_prefill.py
+++ b/tests/forwarding/test_disaggregated_prefill.py
@@ -7,6 +7,7 @@
 
 from samphirehall.core.serving import serving
 from samphirehall.core.types import EndpointInfo, EndpointProtocol, Role
+from samphirehall.forwarding import completion
 from samphirehall.routing.setup import routing_policy
 from samphirehall.settings.tables import RoutingTable
 from samphirehall.standins.engine import EngineStandin
@@ -95,6 +96,24 @@
 
         anyio.run(main)
 
+    def test_decode_engine_that_left_the_list_during_the_prefill_is_replaced(self, monkeypatch):
+        run_prefill = completion._run_separate_prefill
+
+        async def run_prefill_and_delist(context, run, reader, decision, request, sink):
+            await run_prefill(context, run, reader, decision, request, sink)
+            left = decision.endpoint.info.endpoint_id
+            listed = context.state.endpoints.values()
+            context.state.replace_endpoints([item for item in listed if item.endpoint_id != left])
+
+        monkeypatch.setattr(completion, "_run_separate_prefill", run_prefill_and_delist)
+
+        async def main():
+            async with entry_with_engines(Role.PREFILL, Role.DECODE, Role.DECODE) as (app, _):
+                reply = await complete(app, PROMPT, tokens=TOKENS)
+                assert streamed_tokens(reply) == EXPECTED_TOKENS
+
+        anyio.run(main)
+
 
 class TestSoftwareVersions:
     def test_prompt_memory_is_handed_over_within_one_version(self):
