Reject messages and facts of other hosts that cannot be used

A refusal with an unknown result code raised ValueError out of the dialling of peers, before any proof of the key, and so did lists of facts and of lifetimes of different lengths, a number of infinity in a fact, and a malformed part of a configuration on the link between the processes of a host: the control process ended. Facts with values of another shape raised out of the exchange with the host that passed them on, or out of the services that read them, and a demand of any number was taken.

Messages have types with bounds; what does not fit them ends that connection as a malformed frame does. A fact whose value cannot be read is logged once a minute by the store of facts or by its reader, and the other facts hold.

--- a/samphirehall/admission/served.py
+++ b/samphirehall/admission/served.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from samphirehall.admission.fair_queue import VirtualCounters
+from samphirehall.core.decoding import convert
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.state import NodeState
 
@@ -86,7 +87,7 @@
     def _apply_fact(self, fact: Fact) -> None:
         if fact.kind is not FactKind.SERVED_TOKENS or fact.owner == self._state.fact_store.owner:
             return
-        value = msgspec.convert(fact.value, ServedTokens)
+        value = convert(fact.value, ServedTokens)
         if value.zone != self._state.zone:
             return
         source = (fact.owner, fact.incarnation, fact.key)
--- a/samphirehall/configuration/documents.py
+++ b/samphirehall/configuration/documents.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Meta
 
+from samphirehall.core.decoding import decode
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import content_digest
 from samphirehall.core.results import CONFIGURATION_INVALID
@@ -139,7 +140,7 @@
     for path in paths:
         try:
             documents[str(path)] = tomllib.loads(Path(path).read_text())
-        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
             problems.append(SettingsProblem(str(path), "file", str(path), f"TOML ({error})"))
     if problems:
         raise ConfigurationError(problems)
@@ -256,8 +257,15 @@
 
 
 def decode_part(name: str, content: bytes) -> Part:
-    """Return the part that `encode_part` encoded."""
-    return typing.cast(Part, msgspec.json.decode(content, type=resolve_part_type(name)))
+    """Return the part that `encode_part` encoded.
+
+    Raises
+    ------
+    ValueError
+        The name or the content is not that of a part.
+    """
+    decoder: msgspec.json.Decoder[Any] = msgspec.json.Decoder(resolve_part_type(name))
+    return typing.cast(Part, decode(content, decoder))
 
 
 def part_digest(part: Part) -> str:
--- a/samphirehall/membership/connection.py
+++ b/samphirehall/membership/connection.py
@@ -128,6 +128,8 @@
             case Beat():
                 _receive_heartbeat(mesh, peer, message, now)
             case Facts(number, relay, lifetimes, payloads):
+                if len(lifetimes) != len(payloads):
+                    raise FrameError(f"{len(lifetimes)} lifetimes of {len(payloads)} facts")
                 for lifetime, payload in zip(lifetimes, payloads, strict=True):
                     mesh.receive_fact(peer, decode_fact(payload, lifetime), relay=relay, now=now)
                 peer.record_received(number)
--- a/samphirehall/membership/directory.py
+++ b/samphirehall/membership/directory.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from samphirehall.core.decoding import convert, parse_address
 from samphirehall.core.rendezvous import ranked
 from samphirehall.core.types import HostInfo, HostState
 from samphirehall.node.facts import Fact, FactKind, FactStore
@@ -43,15 +44,16 @@
     if not isinstance(value, Mapping) or fact.key != fact.owner:
         return None
     try:
-        return HostInfo(
+        info = HostInfo(
             fact.key,
-            value["zone"],
-            value["mesh"],
-            value["operator"],
+            convert(value["zone"], str),
+            convert(value["mesh"], str),
+            convert(value["operator"], str),
             HostState(value["state"]),
         )
     except (KeyError, ValueError):
         return None
+    return None if info.mesh_address and parse_address(info.mesh_address) is None else info
 
 
 class Directory:
--- a/samphirehall/membership/handshake.py
+++ b/samphirehall/membership/handshake.py
@@ -13,6 +13,7 @@
 import anyio
 import msgpack
 
+from samphirehall.core.decoding import shorten
 from samphirehall.core.errors import FrameError, SamphireError
 from samphirehall.core.frames import FrameStream
 from samphirehall.core.results import MESH_KEY, MESH_PROTOCOL, Result, by_code
@@ -75,7 +76,7 @@
         await frames.send(hello)
         answer = await frames.receive()
         if isinstance(answer, Refused):
-            raise SamphireError(by_code(answer.code), f"refused by the peer: {answer.detail}")
+            raise _refusal(answer)
         if not isinstance(answer, Challenge):
             raise FrameError(f"received {type(answer).__name__}, expected Challenge")
         if answer.protocol != protocol:
@@ -110,7 +111,7 @@
         await frames.send(challenge)
         answer = await frames.receive()
         if isinstance(answer, Refused):
-            raise SamphireError(by_code(answer.code), f"refused by the peer: {answer.detail}")
+            raise _refusal(answer)
         if not isinstance(answer, Proof) or not hmac.compare_digest(
             answer.proof, _compute_proof(key, _DIALLER, hello, challenge)
         ):
@@ -136,6 +137,15 @@
     return hmac.digest(key.encode(), transcript, hashlib.sha256)
 
 
+def _refusal(answer: Refused) -> Exception:
+    """Return the error that a peer stated, or a `FrameError` if it stated an unknown one."""
+    try:
+        result = by_code(answer.code)
+    except ValueError as error:
+        return FrameError(shorten(error))
+    return SamphireError(result, f"refused by the peer: {shorten(answer.detail)}")
+
+
 def _unknown_protocol_text(protocol: int) -> str:
     return f"unknown protocol version {protocol}; known: {PROTOCOL}"
 
--- a/samphirehall/membership/messages.py
+++ b/samphirehall/membership/messages.py
@@ -7,10 +7,18 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
+import msgspec
+
+from samphirehall.core.decoding import Unsigned
 from samphirehall.core.types import EndpointInfo
 
 PROTOCOL = 1
+MAX_LIFETIME_MILLISECONDS = 10**12
+MAX_SILENCE_TENTHS = 36_000  # an hour
+
+_Lifetime = Annotated[int, msgspec.Meta(ge=0, le=MAX_LIFETIME_MILLISECONDS)]
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,14 +100,14 @@
         connection.
     """
 
-    sent_milliseconds: int
-    echo_milliseconds: int
-    version: int
-    available_version: int
-    highest_known_version: int
+    sent_milliseconds: Unsigned
+    echo_milliseconds: Unsigned
+    version: Unsigned
+    available_version: Unsigned
+    highest_known_version: Unsigned
     verification_age_tenths: int
     digest: int
-    silence_timeout_tenths: int
+    silence_timeout_tenths: Annotated[int, msgspec.Meta(ge=0, le=MAX_SILENCE_TENTHS)]
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,9 +126,9 @@
         Encoded facts; see `samphirehall.membership.wire`.
     """
 
-    number: int
+    number: Unsigned
     relay: bool
-    lifetimes_milliseconds: tuple[int, ...]
+    lifetimes_milliseconds: tuple[_Lifetime, ...]
     payloads: tuple[bytes, ...]
 
 
@@ -128,7 +136,7 @@
 class Acknowledged:
     """Acknowledgement of all numbered `Facts` up to `number`."""
 
-    number: int
+    number: Unsigned
 
 
 @dataclass(slots=True, frozen=True)
@@ -163,10 +171,10 @@
         Names of removed parts; only in the last piece.
     """
 
-    version: int
-    base: int
-    piece: int
-    pieces: int
+    version: Unsigned
+    base: Unsigned
+    piece: Unsigned
+    pieces: Unsigned
     parts: dict[str, bytes]
     removed: tuple[str, ...]
 
--- a/samphirehall/membership/wire.py
+++ b/samphirehall/membership/wire.py
@@ -1,13 +1,16 @@
 """Encoding of facts, done once for all peers."""
 
 from dataclasses import dataclass
+from typing import Any
 
 import msgpack
 
+from samphirehall.core.decoding import Unsigned, convert, shorten
 from samphirehall.core.errors import FrameError
 from samphirehall.node.facts import Fact, FactKind
 
 MILLISECONDS_PER_SECOND = 1000
+_FACT: Any = tuple[FactKind, str, str, Unsigned, Unsigned, Any]
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,16 +57,8 @@
         The payload is not a fact.
     """
     try:
-        values = msgpack.unpackb(payload)
-        kind, key, owner, incarnation, counter, value = values
-        return Fact(
-            FactKind(kind),
-            str(key),
-            str(owner),
-            int(incarnation),
-            int(counter),
-            value,
-            lifetime_milliseconds / MILLISECONDS_PER_SECOND,
-        )
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise FrameError(f"malformed fact: {error}") from error
+        kind, key, owner, incarnation, counter, value = convert(msgpack.unpackb(payload), _FACT)
+        lifetime = lifetime_milliseconds / MILLISECONDS_PER_SECOND
+        return Fact(kind, key, owner, incarnation, counter, value, lifetime)
+    except (ValueError, TypeError, OverflowError, msgpack.UnpackException) as error:
+        raise FrameError(f"malformed fact: {shorten(error)}") from error
--- a/samphirehall/membership/zone_report.py
+++ b/samphirehall/membership/zone_report.py
@@ -1,9 +1,12 @@
 """Zone reports: one fact per zone with the configuration version in force on each of its hosts."""
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from samphirehall.core.decoding import DecodingError, Unsigned, convert
+from samphirehall.core.log import RejectionLog
 from samphirehall.membership.mesh import Mesh
 from samphirehall.membership.pacing import choose_zone_reporter
 from samphirehall.node.facts import FactKind, FactStore
@@ -14,6 +17,10 @@
 RETIRED_REPORT_LIFETIME_SECONDS = 10.0
 KEY_PREFIX = "zone/"
 
+_log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "zone-report-unreadable")
+_ENCODED_REPORT: Any = tuple[Unsigned, dict[str, Unsigned], list[str], list[str]]
+
 
 @dataclass(slots=True, frozen=True)
 class ZoneReport:
@@ -63,14 +70,11 @@
 
     Raises
     ------
-    ValueError
+    DecodingError
         The value is not a report.
     """
-    try:
-        version, others, down, hosts = value
-        return ZoneReport(int(version), dict(others), frozenset(down), frozenset(hosts))
-    except TypeError as error:
-        raise ValueError(f"not a zone report: {error}") from error
+    version, others, down, hosts = convert(value, _ENCODED_REPORT)
+    return ZoneReport(version, others, frozenset(down), frozenset(hosts))
 
 
 def current_reports(fact_store: FactStore, *, now: float) -> dict[str, ZoneReport]:
@@ -79,7 +83,12 @@
     for fact in fact_store.current(FactKind.CONFIGURATION, now=now):
         if fact.key.startswith(KEY_PREFIX):
             zone = fact.key.removeprefix(KEY_PREFIX)
-            by_zone.setdefault(zone, {})[fact.owner] = decode_report(fact.value)
+            try:
+                report = decode_report(fact.value)
+            except DecodingError as error:
+                _rejections.record(fact.owner, error)
+                continue
+            by_zone.setdefault(zone, {})[fact.owner] = report
     return {zone: choose_report(by_owner) for zone, by_owner in by_zone.items()}
 
 
--- a/samphirehall/node/facts.py
+++ b/samphirehall/node/facts.py
@@ -6,12 +6,16 @@
 """
 
 import enum
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 import xxhash
 
+from samphirehall.core.decoding import DecodingError
+from samphirehall.core.log import RejectionLog
+
 RECONCILED_KINDS_END = 6  # lowest kind that peers do not compare
 
 
@@ -93,6 +97,8 @@
 
 Listener = Callable[[Fact], None]
 
+_log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True, frozen=True)
 class StoredFact:
@@ -128,6 +134,7 @@
         }
         self._digest = 0
         self._subscriptions: list[_Subscription] = []
+        self._rejections = RejectionLog(_log, "fact-unreadable")
 
     @property
     def digest(self) -> int:
@@ -140,7 +147,8 @@
         Parameters
         ----------
         listener : callable
-            Called with each fact that is published or merged.
+            Called with each fact that is published or merged. A `DecodingError` that it raises
+            is logged, and the other listeners are called.
         source : object, optional
             Facts that are merged from this source object are skipped, so that
             they are not sent back to it.
@@ -253,4 +261,7 @@
         owners[fact.owner] = StoredFact(fact, now + fact.lifetime)
         for subscription in self._subscriptions:
             if source is None or subscription.source is not source:
-                subscription.listener(fact)
+                try:
+                    subscription.listener(fact)
+                except DecodingError as error:
+                    self._rejections.record(f"{fact.kind.name}/{fact.owner}", error)
--- a/samphirehall/node/link_messages.py
+++ b/samphirehall/node/link_messages.py
@@ -73,12 +73,16 @@
     Raises
     ------
     FrameError
-        If the update is based on a version that is not in force. The link is
-        then closed, and the next connection sends the whole configuration.
+        If the update is based on a version that is not in force, or has a malformed
+        part. The link is then closed, and the next connection sends the whole
+        configuration.
     """
     if update.version <= state.configuration.version:
         return False
-    parts = {name: decode_part(name, content) for name, content in update.changed_parts.items()}
+    try:
+        parts = {name: decode_part(name, content) for name, content in update.changed_parts.items()}
+    except ValueError as error:
+        raise FrameError(f"malformed part: {error}") from error
     if update.base_version == 0:
         return state.put_in_force(Configuration(update.version, parts))
     if update.base_version != state.configuration.version:
--- a/samphirehall/placement/demand.py
+++ b/samphirehall/placement/demand.py
@@ -1,12 +1,22 @@
 """Demand for each model, summed over the facts that the entries of a zone publish."""
 
+import logging
 from collections.abc import Container, Iterable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from samphirehall.core.decoding import DecodingError, Unsigned, convert
+from samphirehall.core.log import RejectionLog
 from samphirehall.node.facts import Fact
 
+MAX_RATE = 1e15  # tokens per second of one entry
+
+_log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "demand-unreadable")
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+
 
 @dataclass(slots=True, frozen=True)
 class Demand:
@@ -38,9 +48,9 @@
 class _DemandValue(msgspec.Struct):
     """Value of a demand fact as entries publish it."""
 
-    prefill_tokens_per_second: float = 0.0
-    decode_tokens_per_second: float = 0.0
-    waiting: int = 0
+    prefill_tokens_per_second: _Rate = 0.0
+    decode_tokens_per_second: _Rate = 0.0
+    waiting: Unsigned = 0
 
 
 def demand_by_model(facts: Iterable[Fact], hosts: Container[str]) -> dict[str, Demand]:
@@ -57,7 +67,11 @@
     for fact in facts:
         if owner_host(fact.owner) not in hosts:
             continue
-        value = msgspec.convert(fact.value, _DemandValue)
+        try:
+            value = convert(fact.value, _DemandValue)
+        except DecodingError as error:
+            _rejections.record(fact.owner, error)
+            continue
         demand = Demand(
             value.prefill_tokens_per_second, value.decode_tokens_per_second, value.waiting
         )
--- a/samphirehall/usage/pending_usage.py
+++ b/samphirehall/usage/pending_usage.py
@@ -3,10 +3,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from samphirehall.core.decoding import DecodingError, Unsigned, convert, parse_unsigned
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.usage.counts import Cell, Counts, latest_counts
 from samphirehall.usage.rows import Source
 
+MAX_WINDOW = 253_402_300_799  # seconds; the end of the year 9999
+
 
 @dataclass(slots=True)
 class _Entry:
@@ -34,16 +37,20 @@
             Counts of an entry process of this or another host.
         now : float
             Boot clock in seconds.
+
+        Raises
+        ------
+        DecodingError
+            The fact holds no counts of a window.
         """
         if fact.kind is not FactKind.USAGE:
             return
-        window, _, customer = fact.key.partition("/")
-        self.record(
-            Source(fact.owner, fact.incarnation),
-            Cell(int(window), customer),
-            Counts(*fact.value),
-            now=now,
-        )
+        digits, _, customer = fact.key.partition("/")
+        window = parse_unsigned(digits, maximum=MAX_WINDOW)
+        if window is None:
+            raise DecodingError(f"{digits[:20]!r} is no window")
+        counts = Counts(*convert(fact.value, tuple[Unsigned, Unsigned, Unsigned]))
+        self.record(Source(fact.owner, fact.incarnation), Cell(window, customer), counts, now=now)
 
     def record(self, source: Source, cell: Cell, counts: Counts, *, now: float) -> None:
         """Record the cumulative counts of a process; lower counts than before have no effect."""
--- a/samphirehall/usage/publisher.py
+++ b/samphirehall/usage/publisher.py
@@ -3,6 +3,7 @@
 import anyio
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import Unsigned, convert
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.state import NodeState
 from samphirehall.usage.counts import Cell, Counts
@@ -69,4 +70,4 @@
     def _on_fact(self, fact: Fact) -> None:
         is_for_this_process = fact.key == str(self._state.incarnation)
         if fact.kind is FactKind.USAGE_RECORDED and is_for_this_process:
-            self._meter.forget(int(fact.value))
+            self._meter.forget(convert(fact.value, Unsigned))
