Go on beside table rows that another writer has left

Rows of drain requests, orders, claims, usage, frozen figures and pointers to configurations were converted where they were read, and what another writer had left there raised msgspec.ValidationError, KeyError or ValueError out of the loop that read them, of which those of the control process end the process. A count of window 0 in a fact made a flush read a row of each window since 1970.

Of several rows, one that cannot be read is logged and left out; an own usage row is written again, and a window whose frozen figures cannot be read is left out as one that was lost. Where one row decides, the table has given no answer (PlatformUnavailableError), for which each caller has a retry and a log line; a claim is refused with STORE_UNAVAILABLE, as it is unknown whether the request may run. A flush reads at most 10,000 windows. An odd open order still keeps the next order for its subject back until an operator deletes the row.

--- a/samphirehall/authority/journal.py
+++ b/samphirehall/authority/journal.py
@@ -7,12 +7,13 @@
 """
 
 from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
 import msgspec
 
 from samphirehall.authority.lease import LeaseGrant, LeaseLostError
-from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write, readable_rows
+from samphirehall.core.decoding import DecodingError, Unsigned, convert
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.results import ORDER_PENDING
 
@@ -34,6 +35,13 @@
 OrderT = TypeVar("OrderT", bound=OrderRow)
 
 
+class _StoredOrder(msgspec.Struct):
+    """Value of a row; the order is decoded by its own type."""
+
+    order: Any
+    sequence: Unsigned
+
+
 class OrderPendingError(SamphireError):
     """An earlier order for the same subject is not settled yet.
 
@@ -93,7 +101,7 @@
     async def open_orders(self) -> list[JournaledOrder[OrderT]]:
         """Return the open orders of all subjects."""
         rows = await self._table.scan(self._open_key(""), limit=MAX_OPEN_ORDERS)
-        return [self._decode(row) for row in rows]
+        return [order for _, order in readable_rows(rows, self._decode_value)]
 
     async def append(self, grant: LeaseGrant, order: OrderT) -> None:
         """Journal an order under a grant.
@@ -148,8 +156,21 @@
         return f"orders/last/{self._name}/{subject}"
 
     def _decode(self, row: Row) -> JournaledOrder[OrderT]:
-        order = msgspec.convert(row.value["order"], self._order_type)
-        return JournaledOrder(order, row.value["sequence"])
+        """Decode an order.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The row holds no order.
+        """
+        try:
+            return self._decode_value(row.value)
+        except DecodingError as error:
+            raise PlatformUnavailableError(f"row {row.key!r}: {error}") from error
+
+    def _decode_value(self, value: Any) -> JournaledOrder[OrderT]:
+        stored = convert(value, _StoredOrder)
+        return JournaledOrder(convert(stored.order, self._order_type), stored.sequence)
 
 
 def _raise_conflict(grant: LeaseGrant, order: OrderRow, conflicts: tuple[Row, ...]) -> None:
--- a/samphirehall/backing/table.py
+++ b/samphirehall/backing/table.py
@@ -10,13 +10,23 @@
 read in one era says anything about what was written in another.
 """
 
-from collections.abc import Sequence
+import logging
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
+
+from samphirehall.core.decoding import DecodingError, convert
+from samphirehall.core.errors import PlatformUnavailableError
+from samphirehall.core.log import RejectionLog
 
 ABSENT = 0
 NO_ERA = 0  # of a table that states no era, or was never restored
 
+_log = logging.getLogger(__name__)
+_rejections = RejectionLog(_log, "row-unreadable")
+
+T = TypeVar("T")
+
 
 @dataclass(slots=True, frozen=True)
 class Row:
@@ -37,6 +47,39 @@
     value: Any
 
 
+def convert_row(row: Row, value_type: type[T]) -> T:
+    """Convert the value of a row that a decision needs.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        Another writer has left something else there, so that the table gives no answer.
+    """
+    try:
+        return convert(row.value, value_type)
+    except DecodingError as error:
+        raise PlatformUnavailableError(f"row {row.key!r}: {error}") from error
+
+
+def readable_rows(rows: Iterable[Row], decode: Callable[[Any], T]) -> list[tuple[Row, T]]:
+    """Return rows with their decoded values; log and leave out those that cannot be read.
+
+    Parameters
+    ----------
+    rows : iterable of Row
+        Rows of one kind.
+    decode : callable
+        Decodes a value or raises `DecodingError`.
+    """
+    readable = []
+    for row in rows:
+        try:
+            readable.append((row, decode(row.value)))
+        except DecodingError as error:
+            _rejections.record(row.key, error)
+    return readable
+
+
 @dataclass(slots=True, frozen=True)
 class Check:
     """Condition of a transaction: `key` has `version` (`ABSENT` for no row)."""
--- a/samphirehall/configuration/store.py
+++ b/samphirehall/configuration/store.py
@@ -17,9 +17,10 @@
 import msgspec
 
 from samphirehall.backing import Check, Table, Write
-from samphirehall.backing.table import ABSENT, NO_ERA
+from samphirehall.backing.table import ABSENT, NO_ERA, convert_row, readable_rows
 from samphirehall.configuration.documents import Part, decode_part, encode_part, part_digest
 from samphirehall.configuration.version import Configuration
+from samphirehall.core.decoding import DecodingError, convert, decode
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import content_digest, new_identifier
 from samphirehall.core.log import log_decision
@@ -81,6 +82,9 @@
         """Return the object with a digest."""
 
 
+_manifest_decoder = msgspec.json.Decoder(Manifest)
+
+
 class ConfigurationConflictError(SamphireError):
     """Another version is in force than the change was based on; the message names it."""
 
@@ -90,12 +94,21 @@
     row = (await platform.read([POINTER_KEY])).get(POINTER_KEY)
     if row is None:
         return None, ABSENT
-    return msgspec.convert(row.value, Pointer), row.version
+    return convert_row(row, Pointer), row.version
 
 
 async def read_manifest(platform: ConfigurationStore, pointer: Pointer) -> Manifest:
-    """Return the manifest that a pointer refers to."""
-    return msgspec.json.decode(await platform.get_object(pointer.manifest), type=Manifest)
+    """Return the manifest that a pointer refers to.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        The platform did not return a manifest.
+    """
+    try:
+        return decode(await platform.get_object(pointer.manifest), _manifest_decoder)
+    except DecodingError as error:
+        raise PlatformUnavailableError(f"object {pointer.manifest}: {error}") from error
 
 
 async def fetch_configuration(
@@ -107,7 +120,10 @@
     parts = {}
     for name, digest in manifest.parts.items():
         part = known_parts.get(digest)
-        parts[name] = part or decode_part(name, await platform.get_object(digest))
+        try:
+            parts[name] = part or decode_part(name, await platform.get_object(digest))
+        except ValueError as error:
+            raise PlatformUnavailableError(f"object {digest}: {error}") from error
     return Configuration(pointer.version, parts)
 
 
@@ -261,7 +277,7 @@
     """Return the pointer of an accepted version, or None if it is unknown or deleted."""
     key = _history_key(version)
     row = (await platform.read([key])).get(key)
-    return None if row is None else msgspec.convert(row.value, Pointer)
+    return None if row is None else convert_row(row, Pointer)
 
 
 def _history_key(version: int) -> str:
@@ -286,4 +302,5 @@
     oldest = max(1, newest.version - limit + 1)
     keys = [_history_key(version) for version in range(newest.version, oldest - 1, -1)]
     rows = await platform.read(keys)
-    return [msgspec.convert(rows[key].value, Pointer) for key in keys if key in rows]
+    listed = [rows[key] for key in keys if key in rows]
+    return [pointer for _, pointer in readable_rows(listed, lambda value: convert(value, Pointer))]
--- a/samphirehall/forwarding/claims.py
+++ b/samphirehall/forwarding/claims.py
@@ -20,8 +20,9 @@
 import msgspec
 
 from samphirehall.backing import Row, Table
-from samphirehall.backing.table import ABSENT, NO_ERA
+from samphirehall.backing.table import ABSENT, NO_ERA, readable_rows
 from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.decoding import DecodingError, convert
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import new_identifier
 from samphirehall.core.log import log_decision
@@ -201,7 +202,7 @@
                         self._keep_own(row.key, claim, now=boot_seconds())
                         return ClaimRow(row_key, row.version, claim, won=True)
                 continue
-            current = msgspec.convert(row.value, Claim)
+            current = _decode_claim(row)
             if not _may_still_finish(current, fingerprint, now=wall_seconds()):
                 return ClaimRow(row_key, row.version, current, won=False)
             if boot_seconds() + poll_interval >= deadline:
@@ -258,8 +259,8 @@
         """
         shard = f"{self._random.randrange(16**digits):0{digits}x}"
         rows = await self._table.scan(CLAIM_KEY_PREFIX + shard, limit=MAX_CLEANUP_ROWS)
-        for row in rows:
-            if msgspec.convert(row.value, Claim).expires_at < now:
+        for row, claim in readable_rows(rows, lambda value: convert(value, Claim)):
+            if claim.expires_at < now:
                 self._group_commit.submit(row.key, row.version, None)
         if len(rows) == MAX_CLEANUP_ROWS:
             return min(MAX_SHARD_DIGITS, digits + 1)
@@ -401,8 +402,22 @@
     return f"{CLAIM_KEY_PREFIX}{digest}"
 
 
+def _decode_claim(row: Row) -> Claim:
+    """Decode a claim that another attempt has won.
+
+    Raises
+    ------
+    SamphireError
+        The row holds no claim, so it is unknown whether the request may run.
+    """
+    try:
+        return convert(row.value, Claim)
+    except DecodingError as error:
+        raise SamphireError(STORE_UNAVAILABLE, f"claim {row.key}: {error}") from error
+
+
 def _is_refused(row: Row) -> bool:
-    return msgspec.convert(row.value, Claim).state is ClaimState.REFUSED
+    return _decode_claim(row).state is ClaimState.REFUSED
 
 
 def is_overdue(claim: Claim, *, now: float) -> bool:
--- a/samphirehall/placement/drain.py
+++ b/samphirehall/placement/drain.py
@@ -6,7 +6,9 @@
 from starlette.requests import Request
 
 from samphirehall.backing import Table, Write
+from samphirehall.backing.table import readable_rows
 from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.decoding import convert
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import NOT_FOUND
 from samphirehall.node.context import ControlContext
@@ -33,7 +35,7 @@
         The platform did not answer.
     """
     rows = await table.scan(f"{DRAIN_KEY_PREFIX}{zone}/")
-    return [msgspec.convert(row.value, DrainRequest) for row in rows]
+    return [drain for _, drain in readable_rows(rows, lambda value: convert(value, DrainRequest))]
 
 
 async def delete_drain(table: Table, drain: DrainRequest) -> None:
--- a/samphirehall/usage/flusher.py
+++ b/samphirehall/usage/flusher.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write, convert_row, readable_rows
+from samphirehall.core.decoding import Unsigned
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.usage.counts import ZERO_COUNTS
 from samphirehall.usage.meter import window_start
@@ -20,6 +21,7 @@
 
 NEXT_WINDOW_KEY = "usage/next"
 WINDOW_END_MARGIN_SECONDS = 5.0
+MAX_READ_WINDOWS = 10_000  # by one flush; a fact of another host may name any window
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,13 +95,15 @@
     async def _read(self, source: Source, counted: set[int], *, now: float) -> _TableState:
         """Read all rows of the process from the first counted window to the next one to begin."""
         end = window_start(now, self._window_seconds) + 2 * self._window_seconds
-        windows = tuple(sorted(counted | {*range(min(counted), end, self._window_seconds)}))
+        first = max(min(counted), end - MAX_READ_WINDOWS * self._window_seconds)
+        windows = tuple(sorted(counted | {*range(first, end, self._window_seconds)}))
         keys = [NEXT_WINDOW_KEY]
         for window in windows:
             keys += [row_key(window, source), closed_key(window)]
         rows = await self._table.read(keys)
         next_row = rows.get(NEXT_WINDOW_KEY)
-        return _TableState(windows, rows, None if next_row is None else int(next_row.value))
+        next_window = None if next_row is None else convert_row(next_row, Unsigned)
+        return _TableState(windows, rows, next_window)
 
     async def _write(
         self, source: Source, table_state: _TableState, planned: dict[int, UsageRow]
@@ -127,11 +131,9 @@
 
 
 def _rows_by_window(table_state: _TableState, source: Source) -> dict[int, UsageRow]:
-    return {
-        window: decode_row(table_state.rows[row_key(window, source)].value)
-        for window in table_state.windows
-        if row_key(window, source) in table_state.rows
-    }
+    windows = {row_key(window, source): window for window in table_state.windows}
+    rows = [table_state.rows[key] for key in windows if key in table_state.rows]
+    return {windows[row.key]: decoded for row, decoded in readable_rows(rows, decode_row)}
 
 
 def _open_windows(table_state: _TableState) -> list[int]:
--- a/samphirehall/usage/operator.py
+++ b/samphirehall/usage/operator.py
@@ -5,14 +5,15 @@
 
 from starlette.requests import Request
 
-from samphirehall.backing.table import Table
+from samphirehall.backing.table import Table, convert_row
+from samphirehall.core.decoding import Unsigned, parse_unsigned
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST
 from samphirehall.core.types import UsageFigures
 from samphirehall.node.context import ControlContext
 from samphirehall.usage.flusher import NEXT_WINDOW_KEY
 from samphirehall.usage.reporter import REPORTED_BEFORE_KEY
-from samphirehall.usage.windows import decode_frozen, frozen_key
+from samphirehall.usage.windows import FrozenFigures, frozen_key
 
 DEFAULT_WINDOWS = 10
 MAX_WINDOWS = 1000
@@ -42,12 +43,13 @@
     progress = await table.read([NEXT_WINDOW_KEY, REPORTED_BEFORE_KEY])
     if NEXT_WINDOW_KEY not in progress:
         return []
-    end = int(progress[NEXT_WINDOW_KEY].value)
-    reported = int(progress[REPORTED_BEFORE_KEY].value) if REPORTED_BEFORE_KEY in progress else 0
+    end = convert_row(progress[NEXT_WINDOW_KEY], Unsigned)
+    reported_row = progress.get(REPORTED_BEFORE_KEY)
+    reported = 0 if reported_row is None else convert_row(reported_row, Unsigned)
     windows = range(end - window_seconds, end - (count + 1) * window_seconds, -window_seconds)
     rows = await table.read([frozen_key(window) for window in windows])
     return [
-        WindowView(window, window < reported, decode_frozen(rows[frozen_key(window)]))
+        WindowView(window, window < reported, convert_row(rows[frozen_key(window)], FrozenFigures))
         for window in windows
         if frozen_key(window) in rows
     ]
@@ -55,13 +57,14 @@
 
 async def _get_usage(context: ControlContext, request: Request) -> Any:
     windows = request.query_params.get("windows", str(DEFAULT_WINDOWS))
-    if not windows.isdecimal() or not 1 <= int(windows) <= MAX_WINDOWS:
+    count = parse_unsigned(windows, maximum=MAX_WINDOWS)
+    if not count:
         raise SamphireError(
             BAD_REQUEST, f"query parameter windows = {windows!r}: 1 to {MAX_WINDOWS} are allowed"
         )
     return await latest_windows(
         context.platform,
-        count=int(windows),
+        count=count,
         window_seconds=context.settings.usage.window_seconds,
     )
 
--- a/samphirehall/usage/reporter.py
+++ b/samphirehall/usage/reporter.py
@@ -9,8 +9,9 @@
 from samphirehall.authority.lease import LeaseGrant, LeaseLostError
 from samphirehall.authority.leases import Leases
 from samphirehall.backing.client import OrderAnswer, UsageReport
-from samphirehall.backing.table import ABSENT, Check, Table, Write
+from samphirehall.backing.table import ABSENT, Check, Row, Table, Write, convert_row
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import DecodingError, Unsigned, parse_unsigned
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import UsageFigures
@@ -19,6 +20,7 @@
 
 REPORTED_BEFORE_KEY = "usage/reported"
 MAX_CONCURRENT_POSTS = 8
+MAX_ODD_KEYS = 100  # of another writer, passed over before the first frozen window
 
 _log = logging.getLogger(__name__)
 
@@ -79,12 +81,15 @@
         if NEXT_WINDOW_KEY not in rows:
             return False
         reported = rows.get(REPORTED_BEFORE_KEY)
-        window = await self._first_frozen_window() if reported is None else int(reported.value)
-        if window is None or window >= int(rows[NEXT_WINDOW_KEY].value):
+        if reported is None:
+            window = await self._first_frozen_window()
+        else:
+            window = convert_row(reported, Unsigned)
+        if window is None or window >= convert_row(rows[NEXT_WINDOW_KEY], Unsigned):
             return False
         frozen = (await self._table.read([frozen_key(window)])).get(frozen_key(window))
         if frozen is not None:
-            await self.post_window(grant, window, decode_frozen(frozen))
+            await self._post_row(grant, window, frozen)
         version = ABSENT if reported is None else reported.version
         write = Write(REPORTED_BEFORE_KEY, window + self._window_seconds)
         result = await self._table.transact(
@@ -99,6 +104,15 @@
             )
         return result.committed
 
+    async def _post_row(self, grant: LeaseGrant, window: int, frozen: Row) -> None:
+        """Post the frozen figures in a row; leave out a window whose figures cannot be read."""
+        try:
+            figures = decode_frozen(frozen)
+        except DecodingError as error:
+            _log.error("usage-left-out", extra={"window": window, "reason": str(error)})
+            return
+        await self.post_window(grant, window, figures)
+
     async def post_window(
         self, grant: LeaseGrant, window: int, frozen: dict[str, UsageFigures]
     ) -> None:
@@ -137,5 +151,6 @@
     async def _first_frozen_window(self) -> int | None:
         """Return the first frozen window in the table, or None."""
         prefix = frozen_key(0).removesuffix("0")
-        rows = await self._table.scan(prefix, limit=1)
-        return int(rows[0].key.removeprefix(prefix)) if rows else None
+        rows = await self._table.scan(prefix, limit=MAX_ODD_KEYS + 1)
+        windows = (parse_unsigned(row.key.removeprefix(prefix)) for row in rows)
+        return next((window for window in windows if window is not None), None)
--- a/samphirehall/usage/rows.py
+++ b/samphirehall/usage/rows.py
@@ -9,10 +9,22 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
+from samphirehall.core.decoding import DecodingError, Unsigned, convert, parse_unsigned, shorten
 from samphirehall.usage.counts import ZERO_COUNTS, Cell, Counts, sum_counts
 
 ROWS_PREFIX = "usage/rows"
 
+_StoredCounts = tuple[Unsigned, Unsigned, Unsigned]
+
+
+class _StoredRow(msgspec.Struct):
+    """Value of a row."""
+
+    direct: dict[str, _StoredCounts]
+    late: dict[str, dict[str, _StoredCounts]]
+
 
 @dataclass(slots=True, frozen=True)
 class Source:
@@ -69,16 +81,30 @@
 
 
 def decode_row(value: Any) -> UsageRow:
-    """Decode a row from a JSON value."""
-    direct = {name: Counts(*counts) for name, counts in value["direct"].items()}
+    """Decode a row from a JSON value.
+
+    Raises
+    ------
+    DecodingError
+        The value is no row.
+    """
+    stored = convert(value, _StoredRow)
+    direct = {name: Counts(*counts) for name, counts in stored.direct.items()}
     late = {
-        Cell(int(window), customer): Counts(*counts)
-        for window, customers in value["late"].items()
+        Cell(_decode_window(digits), customer): Counts(*counts)
+        for digits, customers in stored.late.items()
         for customer, counts in customers.items()
     }
     return UsageRow(direct, late)
 
 
+def _decode_window(digits: str) -> int:
+    window = parse_unsigned(digits)
+    if window is None:
+        raise DecodingError(f"{shorten(digits)!r} is no window")
+    return window
+
+
 def recorded_counts(cell: Cell, rows: Mapping[int, UsageRow]) -> Counts:
     """Return the counts of a cell in the rows of one process, direct and late ones together."""
     window_row = rows.get(cell.window)
--- a/samphirehall/usage/windows.py
+++ b/samphirehall/usage/windows.py
@@ -11,7 +11,17 @@
 import msgspec
 
 from samphirehall.authority.lease import LeaseGrant, LeaseLostError
-from samphirehall.backing.table import ABSENT, NO_ERA, Check, Row, Table, Write
+from samphirehall.backing.table import (
+    ABSENT,
+    NO_ERA,
+    Check,
+    Row,
+    Table,
+    Write,
+    convert_row,
+    readable_rows,
+)
+from samphirehall.core.decoding import Unsigned, convert
 from samphirehall.core.log import log_decision
 from samphirehall.core.types import UsageFigures
 from samphirehall.usage.counts import ZERO_COUNTS, Counts, billed_figures
@@ -34,8 +44,14 @@
 
 
 def decode_frozen(row: Row) -> FrozenFigures:
-    """Decode the frozen figures of a row, by customer."""
-    return msgspec.convert(row.value, FrozenFigures)
+    """Decode the frozen figures of a row, by customer.
+
+    Raises
+    ------
+    DecodingError
+        The row holds no figures.
+    """
+    return convert(row.value, FrozenFigures)
 
 
 def sum_rows(rows: Iterable[UsageRow]) -> FrozenFigures:
@@ -92,8 +108,8 @@
         if next_row is None:
             await self._set_first_window(grant, now=now)
             return False
-        window = int(next_row.value)
-        stored_era = int(rows[ERA_KEY].value) if ERA_KEY in rows else NO_ERA
+        window = convert_row(next_row, Unsigned)
+        stored_era = convert_row(rows[ERA_KEY], Unsigned) if ERA_KEY in rows else NO_ERA
         if stored_era != self._table.era:
             await self._skip_windows(grant, next_row, now=now)
             return False
@@ -116,7 +132,7 @@
 
         They are closed, so that hosts flush what they still count into the next window.
         """
-        first = int(next_row.value)
+        first = convert_row(next_row, Unsigned)
         current = max(first, window_start(now, self._window_seconds))
         end = min(current, first + MAX_SKIPPED_WINDOWS * self._window_seconds)
         skipped = range(first, end, self._window_seconds)
@@ -148,7 +164,7 @@
 
     async def _sum_window(self, window: int) -> FrozenFigures:
         rows = await self._table.scan(f"{ROWS_PREFIX}/{window}/", limit=MAX_ROWS)
-        return sum_rows(decode_row(row.value) for row in rows)
+        return sum_rows(row for _, row in readable_rows(rows, decode_row))
 
     async def _freeze(
         self, grant: LeaseGrant, window: int, frozen: FrozenFigures, next_row: Row
