Keep the updates of a hub to half of its link

Cause: updates were paced by their number, 300 a second, and held the load of each engine in use and all changes of the list in the last second, whatever their size. Computed with 160 engines they have 5 KB for one zone, 14 KB for three, and 37 KB with 120 changes: 1.5 to 11 MB/s on links of 5 to 10 Mbit/s. The link filled up, datagrams were lost, all members found the hub silent at once, and the next hub went the same way: 60 claims by 29 hosts in 11 s. Ruled out: the processor (0.05 cores a host).

Updates over 800 bytes are compressed (14 KB become 7, 37 KB become 10), and a hub uses half of the link that the settings state. Loads wait for their turn; updates without them go on at the rate of the heartbeat, so that the hub is heard and changes of the list stay fast. They say that they acknowledge nothing, and members keep the last load. A host whose settings state no link is not limited. The hub logs the bytes sent each 5 s (hub-updates).

test_hub_of_many_members_and_engines_leaves_half_of_its_link_free fails without the limit (2.6 MB in 3 s, already compressed, where 1.0 MB are allowed).

--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -23,9 +23,10 @@
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
-from samphirehall.gateway.zone_hub import update_interval
+from samphirehall.gateway.zone_hub import SendBudget, update_interval
 from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
 from samphirehall.gateway.zone_messages import (
+    NOT_ACKNOWLEDGED,
     EncodedChanges,
     HubUpdate,
     MemberUpdate,
@@ -45,6 +46,8 @@
 HUB_HEARTBEAT_SECONDS = 0.15  # a quarter of the time after which a hub counts as silent
 MIN_HUB_INTERVAL_SECONDS = 0.015
 HUB_DATAGRAMS_PER_SECOND = 300.0  # of one hub to its members; at 39 members one each 130 ms
+HUB_LINK_SHARE = 0.5  # of the link of a hub, for its updates; requests and streams need the rest
+HUB_TRAFFIC_LOG_INTERVAL_SECONDS = 5.0
 DIRECTORY_WAIT_SECONDS = 1.5  # for the store at the start, before a host does without the list
 DIRECTORY_REFRESH_SECONDS = 10.0  # covers hubs and hosts whose datagrams were lost
 DIRECTORY_RETRY_SECONDS = 1.0
@@ -81,6 +84,8 @@
         Receives the usage counts of other hosts.
     progress : ReportProgress
         Receives the usage windows that are settled.
+    link_bytes_per_second : float
+        Bandwidth of the link of this host.
     """
 
     def __init__(
@@ -96,6 +101,8 @@
         usage: UsageCounter,
         peer_usage: PeerUsage,
         progress: ReportProgress,
+        *,
+        link_bytes_per_second: float = float("inf"),
     ) -> None:
         self._context = context
         self._directory = directory
@@ -107,6 +114,7 @@
         self._usage = usage
         self._peer_usage = peer_usage
         self._progress = progress
+        self._budget = SendBudget(HUB_LINK_SHARE * link_bytes_per_second)
         self._view = ZoneView(context.host, context.zone)
         self._updates = ZoneUpdates(
             context,
@@ -275,7 +283,8 @@
 
     async def _send_zone_updates(self, udp: DatagramSocket) -> None:
         """As the hub, send the state of all zones to the members when it changes."""
-        listed_at = others_at = directory_at = float("-inf")
+        listed_at = others_at = directory_at = logged_at = float("-inf")
+        budget = self._budget
         while True:
             await self._roles.acts_as_hub.wait()
             with anyio.move_on_after(HUB_HEARTBEAT_SECONDS):
@@ -284,7 +293,10 @@
             now = boot_seconds()
             members = self._view.members.live(now=now)
             update = self._updates.zone_update(now=now)
-            if now - others_at >= _interval(self._view.count_hosts(now=now)):
+            has_loads = budget.allows_large(now=now)
+            if not has_loads:
+                update.summary.clear_load()
+            elif now - others_at >= _interval(self._view.count_hosts(now=now)):
                 others_at = now
                 update.others = list(self._view.other_zones(now=now))
             if now - listed_at >= MEMBER_LIST_INTERVAL_SECONDS:
@@ -293,17 +305,35 @@
                 update.members = [own_entry, *names_by_address(members.items())]
             encoded = encode_message(update)
             for member in members.values():
-                udp.send(datagram(member.sequence, encoded), member.address)
+                # A member takes the load of an update only if it knows its own part of it.
+                acknowledged = member.sequence if has_loads else NOT_ACKNOWLEDGED
+                udp.send(datagram(acknowledged, encoded), member.address)
+            budget.spend(len(encoded) * len(members), now=now)
             if now - directory_at >= DIRECTORY_INTERVAL_SECONDS:
                 directory_at = now
-                self._send_to_listed(udp, encoded, members)
-            await anyio.sleep(_interval(len(members)))
-
-    def _send_to_listed(self, udp: DatagramSocket, encoded: bytes, members: Container[str]) -> None:
-        """Send an update to the hosts of the zone that are no members of this hub."""
-        for name, address in self._directory.hosts.items():
-            if name not in members:
-                udp.send(datagram(0, encoded), address)
+                budget.spend(self._send_to_listed(udp, update, members), now=now)
+            if now - logged_at >= HUB_TRAFFIC_LOG_INTERVAL_SECONDS:
+                logged_at = now
+                sent = {"members": len(members), "sent_bytes": budget.take_sent_bytes()}
+                _log.info("hub-updates", extra=sent)
+            shortest = _interval(len(members))
+            await anyio.sleep(
+                budget.pause(shortest=shortest, longest=HUB_HEARTBEAT_SECONDS, now=now)
+            )
+
+    def _send_to_listed(
+        self, udp: DatagramSocket, update: HubUpdate, members: Container[str]
+    ) -> int:
+        """Send an update to the hosts of the zone that are no members; return the bytes sent."""
+        update.summary.clear_load()
+        update.others = []
+        encoded = encode_message(update)
+        unheard = [
+            address for name, address in self._directory.hosts.items() if name not in members
+        ]
+        for address in unheard:
+            udp.send(datagram(NOT_ACKNOWLEDGED, encoded), address)
+        return len(encoded) * len(unheard)
 
     async def _send_cross_zone_updates(self, udp: DatagramSocket) -> None:
         """As the hub, send the state of the zone to the other hubs."""
@@ -499,4 +529,4 @@
 ) -> None:
     encoded = encode_message(message)
     for address in addresses:
-        udp.send(datagram(0, encoded), address)
+        udp.send(datagram(NOT_ACKNOWLEDGED, encoded), address)
--- a/samphirehall/gateway/zone_hub.py
+++ b/samphirehall/gateway/zone_hub.py
@@ -219,3 +219,38 @@
 def update_interval(receivers: int, *, datagrams_per_second: float, shortest: float) -> float:
     """Return the seconds between two updates so that a sender keeps to a rate of datagrams."""
     return max(shortest, receivers / datagrams_per_second)
+
+
+class SendBudget:
+    """Decides when a sender may send its next large messages, so that it keeps to a rate of bytes.
+
+    Small messages are sent at any time, and postpone the next large ones.
+
+    Parameters
+    ----------
+    bytes_per_second : float
+        Rate over all messages.
+    """
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._free_at = float("-inf")
+        self._sent_bytes = 0
+
+    def allows_large(self, *, now: float) -> bool:
+        """Return whether what was sent so far has used up no more than the rate."""
+        return now >= self._free_at
+
+    def spend(self, sent_bytes: int, *, now: float) -> None:
+        """Record what was sent."""
+        self._sent_bytes += sent_bytes
+        self._free_at = max(self._free_at, now) + sent_bytes / self._bytes_per_second
+
+    def take_sent_bytes(self) -> int:
+        """Return the bytes sent since the last call."""
+        sent, self._sent_bytes = self._sent_bytes, 0
+        return sent
+
+    def pause(self, *, shortest: float, longest: float, now: float) -> float:
+        """Return the seconds until the next message of any size, within two limits."""
+        return max(shortest, min(self._free_at - now, longest))
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -1,10 +1,12 @@
 """Datagrams that the hosts of an availability zone and their hub exchange.
 
-Encoded as msgpack arrays in the order of the fields. A datagram starts with the
-sequence number of the last update that the sender received from the receiver.
+Encoded as msgpack arrays in the order of the fields, and compressed if long. A datagram
+starts with the sequence number of the last update that the sender received from the
+receiver.
 """
 
 import struct
+import zlib
 from typing import Annotated
 
 import msgspec
@@ -12,7 +14,13 @@
 from samphirehall.gateway.endpoint_limits import LimitReport
 from samphirehall.gateway.rows import StoreVersion
 
+MIN_COMPRESSED_BYTES = 800  # a shorter message fits one packet
+MAX_MESSAGE_BYTES = 1024 * 1024  # after decompression
+COMPRESSION_LEVEL = 1
+
 _ACKNOWLEDGED = struct.Struct(">I")
+NOT_ACKNOWLEDGED = 0  # no update of the receiver, or none that the load includes
+_PLAIN, _COMPRESSED = b"\x00", b"\x01"
 _Unsigned = Annotated[int, msgspec.Meta(ge=0)]
 
 # Whether a usage window is closed, and its requests by customer.
@@ -133,6 +141,10 @@
     loads: dict[str, list[int]]
     demand: dict[str, float]
 
+    def clear_load(self) -> None:
+        """Leave out the load, which is most of the state of a zone with many endpoints."""
+        self.loads, self.demand = {}, {}
+
 
 class HubUpdate(msgspec.Struct, array_like=True, tag="hub"):
     """State of a zone, sent by its hub to its members and to other hubs.
@@ -193,7 +205,10 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message without its acknowledgement."""
-    return _encoder.encode(message)
+    encoded = _encoder.encode(message)
+    if len(encoded) < MIN_COMPRESSED_BYTES:
+        return _PLAIN + encoded
+    return _COMPRESSED + zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
 def datagram(acknowledged: int, encoded: bytes) -> bytes:
@@ -202,7 +217,7 @@
     Parameters
     ----------
     acknowledged : int
-        Sequence number of the last update received from the receiver; 0 without one.
+        Sequence number of the last update received from the receiver, or `NOT_ACKNOWLEDGED`.
     encoded : bytes
         See `encode_message`.
     """
@@ -221,6 +236,12 @@
         raise ValueError(f"datagram of {len(data)} bytes")
     (acknowledged,) = _ACKNOWLEDGED.unpack_from(data)
     try:
-        return acknowledged, _decoder.decode(data[_ACKNOWLEDGED.size :])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return acknowledged, _decoder.decode(_decompress(data[_ACKNOWLEDGED.size :]))
+    except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
         raise ValueError(str(error)) from error
+
+
+def _decompress(encoded: bytes) -> bytes:
+    if encoded[:1] != _COMPRESSED:
+        return encoded[1:]
+    return zlib.decompressobj().decompress(encoded[1:], MAX_MESSAGE_BYTES)
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -12,6 +12,7 @@
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # must match deploy/system.toml
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 SECONDS_PER_MILLISECOND = 1e-3
+BYTES_PER_MEGABIT = 125_000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +45,8 @@
         and length of the window in which both are counted.
     max_row_bytes : int
         Maximum size of a row's value.
+    link_bytes_per_second : float
+        Bandwidth of this host's link; infinite if it is not stated.
     first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -68,6 +71,7 @@
     retry_budget_slack: float
     retry_budget_window: float
     max_row_bytes: int
+    link_bytes_per_second: float
     first_start: bool
 
 
@@ -122,6 +126,7 @@
         retry_budget_slack=fields.number("bounds.retry_slack"),
         retry_budget_window=fields.number("bounds.budget_window_s"),
         max_row_bytes=fields.integer("platform.row_bytes"),
+        link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
     )
     if fields.problems:
@@ -166,6 +171,9 @@
             self._add_problem(name, value, "a number of at least 0")
         return number
 
+    def bandwidth(self, name: str) -> float:
+        return (self.number(name) or float("inf")) if name in self._values else float("inf")
+
     def integer(self, name: str, part: str | None = None) -> int:
         value = self.required(name) if part is None else part
         if not value.isdigit():
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -142,6 +142,7 @@
             self.usage,
             self.peer_usage,
             self.report_progress,
+            link_bytes_per_second=settings.link_bytes_per_second,
         )
         self.reports = UsageReports(
             self.store,
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -1,7 +1,10 @@
 """Exchange of loads, configurations, endpoints and usage between hosts and their hub."""
 
+import contextlib
+import itertools
 import json
 import logging
+import random
 
 import anyio
 import pytest
@@ -18,18 +21,20 @@
     fingerprint,
 )
 from samphirehall.gateway.datagrams import DatagramSocket
-from samphirehall.gateway.host_directory import HostDirectory
-from samphirehall.gateway.load import EndpointLoad
+from samphirehall.gateway.host_directory import HostDirectory, parse_address
+from samphirehall.gateway.load import MAX_LOAD_AGE_SECONDS, EndpointLoad
 from samphirehall.gateway.rows import RowChange, Rows, StoreVersion, Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
 from samphirehall.gateway.zone_exchange import ZoneExchange
+from samphirehall.gateway.zone_hub import HUB_TIMEOUT_SECONDS
 from samphirehall.gateway.zone_members import MEMBER_TIMEOUT_SECONDS
 from samphirehall.gateway.zone_messages import (
     MemberUpdate,
     News,
     datagram,
+    decode_datagram,
     encode_message,
 )
 from samphirehall.platform.documents import decode_endpoint
@@ -95,7 +100,7 @@
 class Host:
     """A host that exchanges real datagrams on loopback."""
 
-    def __init__(self, name, table, endpoints, *, zone="a"):
+    def __init__(self, name, table, endpoints, *, zone="a", link_bytes_per_second=float("inf")):
         self.context, _ = context()
         self.context.host, self.context.zone = name, zone
         self.agreed = AgreedTime()
@@ -130,6 +135,7 @@
             self.usage,
             self.peer_usage,
             self.progress,
+            link_bytes_per_second=link_bytes_per_second,
         )
         self.address = address
         self.scope = anyio.CancelScope()
@@ -426,6 +432,80 @@
             group.cancel_scope.cancel()
 
 
+class ManyMembers:
+    """Members of one zone that report the load of many engines, and what their hub sends them."""
+
+    COUNT = 30
+    ENGINES = 160
+    INTERVAL_SECONDS = 0.1
+
+    def __init__(self, hub):
+        self.hub = hub
+        self.address = free_address()
+        numbers = random.Random(1)
+        self.loads = {
+            f"i-{numbers.getrandbits(40):010x}": [numbers.randrange(60)]
+            + [numbers.randrange(20_000) for _ in range(3)]
+            + [0] * 7
+            for _ in range(self.ENGINES)
+        }
+        self.received = []  # time, length and whether it carries the load of the zone
+
+    async def send(self, udp):
+        for sequence in itertools.count(1):
+            for number in range(self.COUNT):
+                name = f"member-{number}"
+                loads = self.loads if number == 0 else {}
+                fields = (name, "a", self.address, f"{name}/1", sequence, 101.0, 1, None)
+                update = MemberUpdate(*fields, loads, {}, {}, News())
+                udp.send(datagram(0, encode_message(update)), parse_address(self.hub.address))
+            await anyio.sleep(self.INTERVAL_SECONDS)
+
+    async def receive(self, udp):
+        async for data in udp.receive():
+            _, update = decode_datagram(data)
+            has_loads = len(update.summary.loads) == self.ENGINES
+            self.received.append((boot_seconds(), len(data), has_loads))
+
+    async def run(self):
+        with contextlib.closing(DatagramSocket(self.address)) as udp:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.send, udp)
+                group.start_soon(self.receive, udp)
+
+
+class TestTraffic:
+    LINK_BYTES_PER_SECOND = 625_000.0
+    SECONDS = 3.0
+
+    async def test_hub_of_many_members_and_engines_leaves_half_of_its_link_free(self):
+        hub = Host(
+            "hub",
+            FaultyTable(),
+            EndpointTable(),
+            link_bytes_per_second=self.LINK_BYTES_PER_SECOND,
+        )
+        members = ManyMembers(hub)
+        async with anyio.create_task_group() as group:
+            group.start_soon(hub.run)
+            await until(lambda: hub.exchange.is_hub)
+            group.start_soon(members.run)
+            await until(lambda: any(has_loads for _, _, has_loads in members.received))
+            members.received.clear()
+            await anyio.sleep(self.SECONDS)
+            group.cancel_scope.cancel()
+        sent = sum(length for _, length, _ in members.received)
+        largest = members.COUNT * max(length for _, length, _ in members.received)
+        assert sent <= self.SECONDS * self.LINK_BYTES_PER_SECOND / 2 + largest
+        assert longest_gap([at for at, _, _ in members.received]) < HUB_TIMEOUT_SECONDS
+        with_loads = [at for at, _, has_loads in members.received if has_loads]
+        assert longest_gap(with_loads) < MAX_LOAD_AGE_SECONDS
+
+
+def longest_gap(times):
+    return max(later - earlier for earlier, later in itertools.pairwise(times))
+
+
 class TestCrashes:
     def tracker(self, *endpoints, confirmed=True):
         tracker = CrashTracker()
--- a/tests/gateway/test_zone_hub.py
+++ b/tests/gateway/test_zone_hub.py
@@ -14,6 +14,7 @@
     READ_SLOT_SECONDS,
     STORE_TIMEOUT_SECONDS,
     HubElection,
+    SendBudget,
     hub_should_read,
     may_hold_duty,
     member_should_read,
@@ -227,6 +228,24 @@
         assert len(candidates) == 2
 
 
+class TestSendBudget:
+    @pytest.mark.parametrize("large", [1_000, 50_000, 2_000_000])
+    def test_small_and_large_messages_keep_to_the_rate_together(self, large):
+        budget = SendBudget(300_000.0)
+        now = sent = 0.0
+        while now < 20.0:
+            size = large if budget.allows_large(now=now) else 500
+            budget.spend(size, now=now)
+            sent += size
+            now += budget.pause(shortest=0.01, longest=0.15, now=now)
+        assert sent <= 20.0 * 300_000.0 + large + 500
+
+    def test_small_messages_are_not_delayed_by_large_ones(self):
+        budget = SendBudget(1_000.0)
+        budget.spend(100_000, now=0.0)
+        assert budget.pause(shortest=0.01, longest=0.15, now=0.0) == 0.15
+
+
 class TestUpdateInterval:
     @pytest.mark.parametrize("receivers", [1, 7, 38, 195, 420])
     def test_datagrams_of_a_sender_stay_below_the_rate(self, receivers):
