Let a zone whose hosts start or resume at once choose its hub sooner

Cause: a host that had been suspended for over 0.4 s began to wait for a hub anew, 0.6 s and 0.2 s for each rank before it. Besides, followers of a hub that gave way to one of higher rank ignored that one until the other was silent.

A host that starts or resumes now listens for two heartbeats (0.3 s) before it counts as having heard nobody; the longer timeout is kept for a hub that was heard. Ranks claim 0.1 s apart, which is what a claim needs to be heard. Members follow the highest hub that they hear, as hubs did, so that hosts that hear the same hubs agree at once.

The two tests added to TestHubElection failed before.

--- a/samphirehall/gateway/zone_hub.py
+++ b/samphirehall/gateway/zone_hub.py
@@ -16,7 +16,8 @@
 
 HUB_TIMEOUT_SECONDS = 0.6  # four heartbeats of a hub
 GREETING_TIMEOUT_SECONDS = 0.2  # a hub answers a host that starts at once
-HUB_TAKEOVER_STEP_SECONDS = 0.2  # between candidates, so that the first is heard by the second
+RESUME_TIMEOUT_SECONDS = 0.3  # two heartbeats of a hub, after a suspension of this host
+HUB_TAKEOVER_STEP_SECONDS = 0.1  # between candidates, so that the first is heard by the second
 MAX_HUB_TAKEOVER_DELAY_SECONDS = 1.2  # keeps a host without a hub within the drain time
 PAUSE_SECONDS = 0.4  # a longer time between two decisions means that this host was suspended
 SILENT_HUB_MEMORY_SECONDS = 15.0  # a hub that fell silent is no candidate for this long
@@ -61,7 +62,8 @@
         self._zone = zone
         self._heard_hubs: dict[str, float] = {}
         self._silent_hubs: dict[str, float] = {}
-        self._without_hub_since = now
+        self._without_hub_since = float("-inf")
+        self._resumed_at = now
         self._decided_at = now
         self._hub: str | None = None
 
@@ -95,27 +97,21 @@
         now : float
             Boot clock in seconds.
         """
-        was_paused = now - self._decided_at > PAUSE_SECONDS
+        if now - self._decided_at > PAUSE_SECONDS:
+            self._resumed_at = now
         self._decided_at = now
         live = self._live_hubs(now)
         ranking = ranked({self._host, *hosts}, self._zone)
         if self.is_hub:
-            higher = [name for name in ranking[: ranking.index(self._host)] if name in live]
-            if not higher:
-                return HubDecision(self._host, "no hub of higher rank is heard")
-            return self._follow(higher[0], "a hub of higher rank is heard", now)
-        if self._hub in live:
-            return self._follow(self._hub, "still heard", now)
+            live.add(self._host)
         if live:
-            return self._follow(
-                next((name for name in ranking if name in live), min(live)), "heard", now
-            )
+            # Hosts that hear the same hubs follow the same one, also while two claim to be it.
+            highest = next((name for name in ranking if name in live), min(live))
+            return self._follow(highest, "of highest rank of the hubs heard", now)
         if self._hub is not None:
             self._silent_hubs[self._hub] = now
             self._without_hub_since = self._heard_hubs.get(self._hub, now)
             self._hub = None
-        if was_paused:
-            self._without_hub_since = now
         return self._without_hub(ranking, now)
 
     def _follow(self, name: str | None, reason: str, now: float) -> HubDecision:
@@ -131,7 +127,11 @@
         ]
         position = candidates.index(self._host)
         delay = min(position * HUB_TAKEOVER_STEP_SECONDS, MAX_HUB_TAKEOVER_DELAY_SECONDS)
-        if now - self._without_hub_since < HUB_TIMEOUT_SECONDS + delay:
+        heard_nobody_at = max(
+            self._without_hub_since + HUB_TIMEOUT_SECONDS,
+            self._resumed_at + RESUME_TIMEOUT_SECONDS,
+        )
+        if now < heard_nobody_at + delay:
             return HubDecision(None, "waiting for a hub")
         return self._follow(self._host, "no hub was heard", now)
 
--- a/tests/gateway/test_zone_hub.py
+++ b/tests/gateway/test_zone_hub.py
@@ -12,6 +12,7 @@
     HUB_TIMEOUT_SECONDS,
     MAX_HUB_TAKEOVER_DELAY_SECONDS,
     READ_SLOT_SECONDS,
+    RESUME_TIMEOUT_SECONDS,
     STORE_TIMEOUT_SECONDS,
     HubElection,
     SendBudget,
@@ -118,6 +119,24 @@
         zone.run(1.0)
         assert len(zone.hubs()) == 1
 
+    def test_followers_of_a_hub_that_gives_way_do_not_wait_until_it_is_silent(self):
+        names = [f"host-{number}" for number in range(8)]
+        higher, lower, *_, host = ranked(names, "a")
+        election = HubElection(host, "a", now=0.0)
+        election.record_hub(lower, now=0.1)
+        assert election.decide(names, now=0.1).hub == lower
+        for name in (lower, higher):
+            election.record_hub(name, now=0.2)
+        assert election.decide(names, now=0.2).hub == higher
+
+    def test_suspended_host_that_hears_nobody_waits_for_two_heartbeats_only(self):
+        zone = Zone(1)
+        zone.run(LONGEST_WITHOUT_HUB)
+        host = zone.elections["host-0"] = HubElection("host-0", "a", now=zone.now)
+        resumed_at = zone.now + 5.0
+        assert host.decide(zone.names, now=resumed_at).hub is None
+        assert host.decide(zone.names, now=resumed_at + RESUME_TIMEOUT_SECONDS).hub == "host-0"
+
     def test_suspended_host_does_not_become_hub_when_it_wakes(self):
         zone = Zone(6)
         zone.run(LONGEST_WITHOUT_HUB)
