--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -1,10 +1,12 @@
 """Datagrams that the hosts of an availability zone and their hub exchange.
 
-Encoded as msgpack arrays in the order of the fields. A datagram starts with the
-sequence number of the last update that the sender received from the receiver.
+Encoded as msgpack arrays in the order of the fields, and compressed if long. A datagram
+starts with the sequence number of the last update that the sender received from the
+receiver.
 """
 
 import struct
+import zlib
 from typing import Annotated
 
 import msgspec
@@ -22,7 +24,13 @@
 MAX_HOSTS = 100_000  # of one zone
 MAX_WINDOW = 10**WINDOW_KEY_DIGITS - 1
 
+MIN_COMPRESSED_BYTES = 800  # a shorter message fits one packet
+MAX_MESSAGE_BYTES = 1024 * 1024  # after decompression
+COMPRESSION_LEVEL = 1
+
 _ACKNOWLEDGED = struct.Struct(">I")
+NOT_ACKNOWLEDGED = 0  # no update of the receiver, or none that the load includes
+_PLAIN, _COMPRESSED = b"\x00", b"\x01"
 _Time = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]
 _Age = Annotated[float, msgspec.Meta(ge=-CLOCK_ROUNDING_SECONDS, le=MAX_AGE_SECONDS)]
 _Load = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOAD)]
@@ -151,6 +159,10 @@
     loads: dict[str, list[_Load]]
     demand: dict[str, _Demand]
 
+    def clear_load(self) -> None:
+        """Leave out the load, which is most of the state of a zone with many endpoints."""
+        self.loads, self.demand = {}, {}
+
 
 class HubUpdate(msgspec.Struct, array_like=True, tag="hub"):
     """State of a zone, sent by its hub to its members and to other hubs.
@@ -211,7 +223,10 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message without its acknowledgement."""
-    return _encoder.encode(message)
+    encoded = _encoder.encode(message)
+    if len(encoded) < MIN_COMPRESSED_BYTES:
+        return _PLAIN + encoded
+    return _COMPRESSED + zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
 def datagram(acknowledged: int, encoded: bytes) -> bytes:
@@ -220,7 +235,7 @@
     Parameters
     ----------
     acknowledged : int
-        Sequence number of the last update received from the receiver; 0 without one.
+        Sequence number of the last update received from the receiver, or `NOT_ACKNOWLEDGED`.
     encoded : bytes
         See `encode_message`.
     """
@@ -238,4 +253,13 @@
     if len(data) < _ACKNOWLEDGED.size:
         raise ValueError(f"datagram of {len(data)} bytes")
     (acknowledged,) = _ACKNOWLEDGED.unpack_from(data)
-    return acknowledged, decode(data[_ACKNOWLEDGED.size :], _decoder)
+    return acknowledged, decode(_decompress(data[_ACKNOWLEDGED.size :]), _decoder)
+
+
+def _decompress(encoded: bytes) -> bytes:
+    if encoded[:1] != _COMPRESSED:
+        return encoded[1:]
+    try:
+        return zlib.decompressobj().decompress(encoded[1:], MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -14,6 +14,7 @@
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 SECONDS_PER_MILLISECOND = 1e-3
 MAX_NUMBER = 1e12  # of any quantity, in the unit of its field
+BYTES_PER_MEGABIT = 125_000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,6 +47,8 @@
         and length of the window in which both are counted.
     max_row_bytes : int
         Maximum size of a row's value.
+    link_bytes_per_second : float
+        Bandwidth of this host's link; infinite if it is not stated.
     first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -70,6 +73,7 @@
     retry_budget_slack: float
     retry_budget_window: float
     max_row_bytes: int
+    link_bytes_per_second: float
     first_start: bool
 
 
@@ -124,6 +128,7 @@
         retry_budget_slack=fields.number("bounds.retry_slack"),
         retry_budget_window=fields.number("bounds.budget_window_s"),
         max_row_bytes=fields.integer("platform.row_bytes"),
+        link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
     )
     if fields.problems:
@@ -168,6 +173,9 @@
             self._add_problem(name, value, f"a number from 0 to {MAX_NUMBER:.0f}")
         return number
 
+    def bandwidth(self, name: str) -> float:
+        return (self.number(name) or float("inf")) if name in self._values else float("inf")
+
     def integer(self, name: str, part: str | None = None, *, maximum: int = int(MAX_NUMBER)) -> int:
         value = self.required(name) if part is None else part
         number = parse_unsigned(value, maximum=maximum)
--- a/tests/gateway/test_odd_datagrams.py
+++ b/tests/gateway/test_odd_datagrams.py
@@ -1,5 +1,7 @@
 """Datagrams and frames between hosts that hold anything."""
 
+import zlib
+
 import anyio
 import msgpack
 import msgspec
@@ -13,6 +15,7 @@
 from samphirehall.gateway.datagrams import DatagramSocket
 from samphirehall.gateway.rows import StoreVersion
 from samphirehall.gateway.zone_messages import (
+    MAX_MESSAGE_BYTES,
     EncodedChanges,
     HubUpdate,
     MemberUpdate,
@@ -82,9 +85,19 @@
     hub_update(blocked_parts=[(["p"], NAN)]),
     hub_update(summary=ZoneSummary("b", "h8", "127.0.0.1:9", 2**40, -1, {}, {})),
 ]
-ODD_DATAGRAMS = [b"", b"\0" * 4, b"\0" * 4 + b"\x91" * 60_000 + b"\x90", b"\0" * 4 + b"\xff"] + [
-    datagram(0, encode_message(update)) for update in ODD_UPDATES
-]
+PLAIN, COMPRESSED = b"\x00", b"\x01"
+NESTED = b"\x91" * 60_000 + b"\x90"
+
+ODD_DATAGRAMS = [
+    b"",
+    datagram(0, b""),
+    datagram(0, NESTED),
+    datagram(0, PLAIN + NESTED),
+    datagram(0, PLAIN + b"\xff"),
+    datagram(0, COMPRESSED + b"\xff"),
+    datagram(0, COMPRESSED + zlib.compress(NESTED)),
+    datagram(0, COMPRESSED + zlib.compress(b"\0" * 64 * MAX_MESSAGE_BYTES)),
+] + [datagram(0, encode_message(update)) for update in ODD_UPDATES]
 
 odd_fields = st.recursive(
     st.one_of(
@@ -104,9 +117,9 @@
 
 def with_field(message, index, value):
     """Return an encoded message in which one field has any value."""
-    fields = msgspec.msgpack.decode(encode_message(message))
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
     fields[1 + index % (len(fields) - 1)] = value
-    return datagram(0, msgspec.msgpack.encode(fields))
+    return datagram(0, PLAIN + msgspec.msgpack.encode(fields))
 
 
 @pytest.mark.parametrize("data", ODD_DATAGRAMS, ids=range(len(ODD_DATAGRAMS)))
--- a/tests/gateway/test_zone_hub.py
+++ b/tests/gateway/test_zone_hub.py
@@ -12,8 +12,10 @@
     HUB_TIMEOUT_SECONDS,
     MAX_HUB_TAKEOVER_DELAY_SECONDS,
     READ_SLOT_SECONDS,
+    RESUME_TIMEOUT_SECONDS,
     STORE_TIMEOUT_SECONDS,
     HubElection,
+    SendBudget,
     hub_should_read,
     may_hold_duty,
     member_should_read,
@@ -117,6 +119,24 @@
         zone.run(1.0)
         assert len(zone.hubs()) == 1
 
+    def test_followers_of_a_hub_that_gives_way_do_not_wait_until_it_is_silent(self):
+        names = [f"host-{number}" for number in range(8)]
+        higher, lower, *_, host = ranked(names, "a")
+        election = HubElection(host, "a", now=0.0)
+        election.record_hub(lower, now=0.1)
+        assert election.decide(names, now=0.1).hub == lower
+        for name in (lower, higher):
+            election.record_hub(name, now=0.2)
+        assert election.decide(names, now=0.2).hub == higher
+
+    def test_suspended_host_that_hears_nobody_waits_for_two_heartbeats_only(self):
+        zone = Zone(1)
+        zone.run(LONGEST_WITHOUT_HUB)
+        host = zone.elections["host-0"] = HubElection("host-0", "a", now=zone.now)
+        resumed_at = zone.now + 5.0
+        assert host.decide(zone.names, now=resumed_at).hub is None
+        assert host.decide(zone.names, now=resumed_at + RESUME_TIMEOUT_SECONDS).hub == "host-0"
+
     def test_suspended_host_does_not_become_hub_when_it_wakes(self):
         zone = Zone(6)
         zone.run(LONGEST_WITHOUT_HUB)
@@ -227,6 +247,24 @@
         assert len(candidates) == 2
 
 
+class TestSendBudget:
+    @pytest.mark.parametrize("large", [1_000, 50_000, 2_000_000])
+    def test_small_and_large_messages_keep_to_the_rate_together(self, large):
+        budget = SendBudget(300_000.0)
+        now = sent = 0.0
+        while now < 20.0:
+            size = large if budget.allows_large(now=now) else 500
+            budget.spend(size, now=now)
+            sent += size
+            now += budget.pause(shortest=0.01, longest=0.15, now=now)
+        assert sent <= 20.0 * 300_000.0 + large + 500
+
+    def test_small_messages_are_not_delayed_by_large_ones(self):
+        budget = SendBudget(1_000.0)
+        budget.spend(100_000, now=0.0)
+        assert budget.pause(shortest=0.01, longest=0.15, now=0.0) == 0.15
+
+
 class TestUpdateInterval:
     @pytest.mark.parametrize("receivers", [1, 7, 38, 195, 420])
     def test_datagrams_of_a_sender_stay_below_the_rate(self, receivers):
