--- a/samphirehall/forwarding/inbound.py
+++ b/samphirehall/forwarding/inbound.py
@@ -1,13 +1,14 @@
 """Parsing and validation of callers' requests: body, headers and query string."""
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import parse_qsl, urlencode
 
 import anyio
 import msgspec
 
 from samphirehall.core.connections import header
+from samphirehall.core.decoding import MAX_INTEGER, DecodingError, decode
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import KEY_PREFIX
 from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE
@@ -39,6 +40,9 @@
 )
 
 
+_Tokens = Annotated[int, msgspec.Meta(le=MAX_INTEGER)]
+
+
 class CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
@@ -49,8 +53,8 @@
     model: str
     messages: list[dict[str, Any]] | None = None
     prompt: str | list[str] | None = None
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: _Tokens | None = None
+    max_completion_tokens: _Tokens | None = None
     stream: bool = False
 
 
@@ -85,6 +89,7 @@
 _KNOWN_FIELDS = frozenset(ChatBody.__struct_fields__)
 _body_decoder = msgspec.json.Decoder(ChatBody)
 _raw_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_value_decoder = msgspec.json.Decoder()
 
 
 async def read_request_body(receive: Receive, *, max_bytes: int, timeout: float) -> bytes:
@@ -127,14 +132,14 @@
         The body is not a completion request.
     """
     try:
-        parsed = _body_decoder.decode(body)
-        raw_fields = _raw_decoder.decode(body)
+        parsed = decode(body, _body_decoder)
+        raw_fields = decode(body, _raw_decoder)
         sampling = {
-            name: msgspec.json.decode(value)
+            name: decode(value, _value_decoder)
             for name, value in raw_fields.items()
             if name not in _KNOWN_FIELDS
         }
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DecodingError as error:
         raise SamphireError(BAD_REQUEST, f"request body is invalid: {error}") from error
     max_tokens = parsed.max_completion_tokens or parsed.max_tokens
     if max_tokens is not None and max_tokens < 1:
