Refuse odd numbers of operators, and read logs past odd lines

A version of 5,000 digits, or a body nested deeply, was answered by the operators' interface as an internal error. A log line with a time of 400 digits, or nested deeply, ended the reading of logs.

--- a/samphirehall/core/decoding.py
+++ b/samphirehall/core/decoding.py
@@ -48,7 +48,7 @@
     return str(text)[:MAX_REASON_CHARACTERS]
 
 
-def decode(content: bytes | msgspec.Raw, decoder: Decoder[T]) -> T:
+def decode(content: bytes | str | msgspec.Raw, decoder: Decoder[T]) -> T:
     """Decode bytes.
 
     Raises
--- a/samphirehall/explain/lines.py
+++ b/samphirehall/explain/lines.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from samphirehall.core.decoding import decode
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST
 
@@ -88,7 +89,7 @@
 
 def _parse(text: str) -> LogLine | None:
     try:
-        fields = _decoder.decode(text)
+        fields = decode(text, _decoder)
         return LogLine(float(fields["time"]), fields["host"], fields["message"], fields)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         return None
--- a/samphirehall/forwarding/quarantine.py
+++ b/samphirehall/forwarding/quarantine.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from samphirehall.core.clock import boot_seconds
+from samphirehall.core.decoding import DecodingError, convert
 from samphirehall.core.rendezvous import is_chosen
 from samphirehall.node.facts import Fact, FactKind, FactStore
 from samphirehall.routing.part_quarantine import CRASH_LIFETIME_SECONDS, Group, PartQuarantine
@@ -279,8 +280,8 @@
         if fact.kind is not FactKind.SUSPECT_REQUEST:
             return
         try:
-            record = msgspec.convert(fact.value, SuspectRecord)
-        except msgspec.ValidationError:
+            record = convert(fact.value, SuspectRecord)
+        except DecodingError:
             return
         now = boot_seconds()
         if record.is_cleared_part:
--- a/samphirehall/node/operator_api.py
+++ b/samphirehall/node/operator_api.py
@@ -14,6 +14,7 @@
 from starlette.routing import Route
 
 from samphirehall.core.connections import header
+from samphirehall.core.decoding import DecodingError
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.identifiers import key_digest
 from samphirehall.core.registry import Registry
@@ -65,7 +66,7 @@
             return _refusal(error)
         except PlatformUnavailableError as error:
             return _refusal(SamphireError(PLATFORM_UNAVAILABLE, str(error)))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DecodingError as error:
             return _refusal(SamphireError(BAD_REQUEST, str(error)))
         except Exception:
             _log.exception("internal-error", extra={"path": path})
--- a/samphirehall/node/operator_configuration.py
+++ b/samphirehall/node/operator_configuration.py
@@ -21,6 +21,7 @@
 )
 from samphirehall.configuration.version import Configuration
 from samphirehall.core.clock import boot_seconds, wall_seconds
+from samphirehall.core.decoding import decode, parse_unsigned, shorten
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import BAD_REQUEST, NOT_FOUND, PLATFORM_UNAVAILABLE
@@ -80,7 +81,7 @@
 
 async def apply(context: ControlContext, request: Request) -> ApplyAnswer:
     """Apply documents and return the hosts on which they are in force after a bounded wait."""
-    body = msgspec.json.decode(await request.body(), type=ApplyRequest)
+    body = decode(await request.body(), msgspec.json.Decoder(ApplyRequest))
     deadline = boot_seconds() + IN_FORCE_TIMEOUT_SECONDS
     pointer = await apply_configuration(
         context.platform,
@@ -110,7 +111,7 @@
 
 async def withdraw_key(context: ControlContext, request: Request) -> WithdrawAnswer:
     """Refuse a key on every reachable host at once, then remove it from the configuration."""
-    body = msgspec.json.decode(await request.body(), type=WithdrawRequest)
+    body = decode(await request.body(), msgspec.json.Decoder(WithdrawRequest))
     now = boot_seconds()
     context.state.fact_store.publish(
         FactKind.KEY_WITHDRAWN, body.digest, None, lifetime=WITHDRAWN_FACT_LIFETIME_SECONDS, now=now
@@ -187,11 +188,13 @@
 
 
 async def _fetch_version(context: ControlContext, requested_version: str) -> Configuration:
-    if not requested_version.isdigit():
+    version = parse_unsigned(requested_version)
+    if version is None:
+        shown = shorten(requested_version)
         raise SamphireError(
-            BAD_REQUEST, f"version = {requested_version!r}: must be a whole number of at least 0"
+            BAD_REQUEST, f"version = {shown!r}: must be a whole number of at least 0"
         )
-    pointer = await read_version(context.platform, int(requested_version))
+    pointer = await read_version(context.platform, version)
     if pointer is None:
         raise SamphireError(NOT_FOUND, f"version {requested_version} is not in the history")
     return await fetch_configuration(context.platform, pointer, context.gate.newest_available)
--- a/tests/explain/test_lines.py
+++ b/tests/explain/test_lines.py
@@ -22,6 +22,13 @@
     def test_invalid_line_is_none(self, text):
         assert list(read_lines([text])) == [None]
 
+    @pytest.mark.parametrize(
+        "time", ["1" * 400, "1" * 5_000, "[" * 200_000 + "]" * 200_000], ids=["400", "5000", "deep"]
+    )
+    def test_odd_line_is_none_and_the_next_one_holds(self, time):
+        odd = '{"time":' + time + ',"host":"a","message":"m"}'
+        assert [line and line.event for line in read_lines([odd, LINE])] == [None, "start"]
+
     def test_line_without_an_object_is_skipped(self):
         assert not list(read_lines(["Traceback (most recent call last):\n", "\n"]))
 
