--- a/tests/gateway/test_zone_hub.py
+++ b/tests/gateway/test_zone_hub.py
@@ -311,3 +311,8 @@
             zone.run(20.0)
         assert [zone.longest_silence for zone in zones if zone.longest_silence > 2.0] == []
         assert all(len(zone.hubs()) == 1 for zone in zones)
+
+    def test_started_hosts_that_stand_still_in_turn_hear_their_hub_within_the_time_to_drain(self):
+        zone = StartingZone(36, seed=41)
+        zone.run(20.0)
+        assert zone.longest_silence <= 2.0
