Lose no event of a stream whose client pauses in reading

Cause: an event counted as received before it was written, and the limit went on while the write waited for the client. It expired, the write was cancelled, and another engine continued after the event that had never been sent. A refusal (status 4xx) was written under the limit in the same way.

The limit now stops before the head and each event are written and starts again after the write; the number of an event is kept only after its write, and a stream whose write was cut off is not continued. Ruled out in forwarding/ by reading the code: a stall while the caller is waited for ends as a caller that left and is continued nowhere.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -567,7 +567,7 @@
         async with send_request(context, request_state, decode_engine, dispatch) as response:
             if response.status != 200 or not context.wire_codec.is_signed(response.headers):
                 return await handle_failure_response(
-                    context.wire_codec, request_state, delivery, response
+                    context.wire_codec, request_state, delivery, response, limit
                 )
             hold_head = recording is not None
             await relay_stream(
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
+from anyio.lowlevel import checkpoint_if_cancelled
+
 from samphirehall.gateway.connections import IncompleteResponseError, Response
 from samphirehall.gateway.events import Event, EventSplitter
 from samphirehall.gateway.plain import (
@@ -99,11 +101,15 @@
     async for event in _received_events(response, delivery):
         restart_silence_limit(limit, request_state, gap_limit)
         await on_event()
+        if limit.expired:
+            await checkpoint_if_cancelled()
+        limit.stop()  # the time that the caller takes to read is no silence of the endpoint
         if not delivery.caller.started:
             await delivery.caller.start(200, _stream_headers(response))
         if continues and event.number is None:
             raise IncompleteResponseError("an event without a number in a continued stream")
         await _forward_event(delivery, event)
+        restart_silence_limit(limit, request_state, gap_limit)
     limit.stop()
     if delivery.splitter.remainder:
         raise IncompleteResponseError("the stream ended inside an event")
@@ -113,7 +119,11 @@
 
 
 async def handle_failure_response(
-    wire_codec: WireCodec, request_state: RequestState, delivery: Delivery, response: Response
+    wire_codec: WireCodec,
+    request_state: RequestState,
+    delivery: Delivery,
+    response: Response,
+    limit: SilenceLimit,
 ) -> SendOutcome:
     """Return the outcome of a response without a stream; forward it if it is final."""
     body = await response.read(max_bytes=MAX_ANSWER_BYTES)
@@ -129,6 +139,7 @@
         and not is_last_attempt
     ):
         return SendOutcome.FAILED
+    limit.stop()
     request_state.extra_log_fields["status"] = response.status
     await delivery.caller.start(response.status, answer_headers(response.status, response.headers))
     await delivery.caller.write(body)
@@ -149,14 +160,18 @@
 
 
 async def _forward_event(delivery: Delivery, event: Event) -> None:
-    """Forward an event unless the caller already has it."""
-    if event.number is None:
-        delivery.resumable = False
-    elif delivery.last_event_number is not None and event.number <= delivery.last_event_number:
+    """Forward an event unless the caller already has it.
+
+    A stream whose event was cut off on its way to the caller is not resumed.
+    """
+    last_number = delivery.last_event_number
+    if event.number is not None and last_number is not None and event.number <= last_number:
         return
-    else:
-        delivery.last_event_number = event.number
+    resumable, delivery.resumable = delivery.resumable and event.number is not None, False
     await delivery.caller.write(event.data)
+    delivery.resumable = resumable
+    if event.number is not None:
+        delivery.last_event_number = event.number
 
 
 def inter_event_gap_limit(latency_target: float, gap_target: float | None) -> float:
