Cut no running answer when the request behind it is refused

Callers saw: an answer that was cut, or no answer at all, when the next head on their connection came late, was too long or was not HTTP.

Cause: the refusal closed the connection while the answer was running. Now the answers before the refused request are finished, the last of them says Connection: close where its request is known to be the last, and the connection is closed after it. What arrives meanwhile is discarded rather than left unread, as a connection that is not read does not show that its client has left. A refused body behind a running answer is treated in the same way.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -77,6 +77,7 @@
         _head_timer: asyncio.TimerHandle | None = None
         _head_bytes = 0
         _in_head = True
+        _has_refused = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start to wait for the first head."""
@@ -96,6 +97,8 @@
 
         def data_received(self, data: bytes) -> None:
             """Parse received bytes and refuse a head that is too long."""
+            if self._has_refused:
+                return
             if self._in_head:
                 self._head_bytes += len(data)
             super().data_received(data)
@@ -130,6 +133,12 @@
             self._cancel_head_timer()
             super().on_headers_complete()
 
+        def on_response_complete(self) -> None:
+            """Start the next request, or close the connection if the one behind it was refused."""
+            if self._has_refused and not self.pipeline:
+                self.transport.close()
+            super().on_response_complete()
+
         def send_400_response(self, msg: str) -> None:
             """Refuse a request that is not valid HTTP."""
             self._refuse(BAD_REQUEST, msg)
@@ -151,12 +160,27 @@
             )
 
         def _refuse(self, result: Result, detail: str) -> None:
-            """Close the connection, after an error response if no other response is being sent."""
+            """Refuse a request and close the connection.
+
+            Requests before it are answered first, and it then gets no answer. What arrives
+            meanwhile is discarded, as a connection that is not read shows no disconnect.
+            """
             if self.transport.is_closing():
                 return
             if self.cycle is None or self.cycle.response_complete:
                 self.transport.write(_refusal(result, detail))
-            self.transport.close()
+                self.transport.close()
+                return
+            is_refused_one = self.cycle.more_body
+            if is_refused_one and not self.pipeline:
+                self.transport.close()
+                return
+            if is_refused_one:
+                self.pipeline.popleft()
+            else:
+                self.cycle.keep_alive = False
+            self._has_refused = True
+            self._cancel_head_timer()
 
     return CallerProtocol
 
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -6,7 +6,11 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.serving import serving
 from samphirehall.forwarding.answers import send_response
-from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
+from samphirehall.forwarding.caller_protocol import (
+    CONNECTION_SCOPE_KEY,
+    MAX_HEAD_BYTES,
+    caller_protocol,
+)
 from tests.support.ports import free_address
 
 pytestmark = pytest.mark.anyio
@@ -19,14 +23,19 @@
     await send_response(send, 200, [], b"ok")
 
 
-async def exchange(*pieces, pause=0.0, durations=None):
+async def answer_later(scope, receive, send):
+    await anyio.sleep(3 * HEAD_TIMEOUT_SECONDS)
+    await send_response(send, 200, [], b"ok")
+
+
+async def exchange(*pieces, pause=0.0, durations=None, app=answer_ok):
     """Send pieces with pauses between them and return all bytes received until the close."""
     address = free_address()
     protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)
     host, _, port = address.rpartition(":")
     received = b""
     async with (
-        serving(answer_ok, address, protocol=protocol),
+        serving(app, address, protocol=protocol),
         await anyio.connect_tcp(host, int(port)) as stream,
     ):
         began = boot_seconds()
@@ -67,3 +76,38 @@
     async def test_pipelined_requests_are_all_answered(self):
         last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
         assert (await exchange(REQUEST * 20 + last)).count(b"200 OK") == 21
+
+
+class TestRefusalBehindARunningAnswer:
+    @pytest.mark.parametrize(
+        "refused",
+        [
+            b"GET / HT",
+            b"GET / HTTP/1.1\r\nX-A: " + b"b" * (MAX_HEAD_BYTES + 1),
+            b"\x16\x03\x01 not HTTP\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk",
+        ],
+        ids=["late", "long", "invalid", "invalid-body"],
+    )
+    @pytest.mark.parametrize("count", [1, 2])
+    async def test_refused_request_cuts_no_answer_before_it(self, refused, count):
+        answer = await exchange(REQUEST * count, refused, pause=0.05, app=answer_later)
+        assert answer.count(b"200 OK") == count and answer.endswith(b"ok")
+
+    async def test_client_that_leaves_after_a_refused_request_is_noticed(self):
+        cancelled = anyio.Event()
+
+        async def wait(scope, receive, send):
+            with scope[CONNECTION_SCOPE_KEY].notify_on_close(cancelled.set):
+                await cancelled.wait()
+
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)
+        async with serving(wait, address, protocol=protocol):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(REQUEST + b"GET / HT")
+                await anyio.sleep(2 * HEAD_TIMEOUT_SECONDS)
+                assert not cancelled.is_set()
+            with anyio.fail_after(1):
+                await cancelled.wait()
