Refuse a status that cannot be sent, and drop the length of a chunked answer

Callers saw: no byte, with a status of an endpoint above 599; a cut answer or one without its body, with Content-Length beside chunks.

Cause: h11 accepts a status up to 999, uvicorn has no status line for it and by then counts the response as started. With both framings h11 reads the chunks, but the length was passed on and uvicorn held the body to it.

Such a status is now a broken response, before anything is sent: the request is repeated where it may be, else its outcome is unknown. In the two-process form it is a protocol error of the endpoint; lengths there are its own. The five cases failed before (received: nothing; a head without its body; a body without an end) and pass now, with the tests of gateway, forwarding and core.

--- a/samphirehall/core/connections.py
+++ b/samphirehall/core/connections.py
@@ -36,6 +36,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES),
 )
+MAX_STATUS = 599  # h11 accepts higher ones in a response, uvicorn cannot send them
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 NOT_WRITTEN_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
 TRANSPORT_ERRORS = (
--- a/samphirehall/forwarding/service_call.py
+++ b/samphirehall/forwarding/service_call.py
@@ -9,7 +9,7 @@
 from samphirehall.admission.authentication import Caller, is_key_valid
 from samphirehall.admission.key_validity import check_key_validity
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import header, holds_control_character, read_body
+from samphirehall.core.connections import MAX_STATUS, header, holds_control_character, read_body
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import DEADLINE_NOT_RUN, ENDPOINT_FAILED, KEY_UNKNOWN
@@ -140,6 +140,8 @@
             ) as response:
                 if is_answer_to(response.headers, call.request_id) is False:
                     raise httpcore.RemoteProtocolError("the answer to another request")
+                if response.status > MAX_STATUS:
+                    raise httpcore.RemoteProtocolError(f"status {response.status}")
                 body = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
                 content_type = header(response.headers, b"content-type") or DEFAULT_CONTENT_TYPE
                 if holds_control_character(content_type.encode("latin-1")):
--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -17,7 +17,7 @@
 import httpcore
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.connections import SOCKET_OPTIONS, CarriedIds
+from samphirehall.core.connections import MAX_STATUS, SOCKET_OPTIONS, CarriedIds
 from samphirehall.core.decoding import parse_unsigned
 from samphirehall.core.network import TcpBackend, TcpStream
 from samphirehall.gateway.types import Headers
@@ -138,6 +138,8 @@
                 )
             headers = list(response.headers)
             if matches is None or matches(headers):
+                if response.status_code > MAX_STATUS:
+                    raise IncompleteResponseError(f"status {response.status_code}")
                 self._update_idle_timeout(headers)
                 return Response(response.status_code, headers, self)
             await self._skip_stray_response()
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -65,10 +65,12 @@
 def answer_headers(status: int, headers: Headers) -> Headers:
     """Return the headers of an endpoint's answer to forward with its status.
 
-    The length of an answer without a body is left out, as uvicorn expects so many bytes.
+    The length of an answer without a body is left out, as uvicorn expects so many bytes,
+    and that of a chunked one, as the chunks may hold more or fewer.
     """
     kept = end_to_end_headers(headers)
-    if status in BODILESS_STATUSES:
+    is_chunked = any(name == b"transfer-encoding" for name, _ in headers)
+    if is_chunked or status in BODILESS_STATUSES:
         return [pair for pair in kept if pair[0] != b"content-length"]
     return kept
 
--- a/tests/forwarding/test_faulty_answers.py
+++ b/tests/forwarding/test_faulty_answers.py
@@ -108,6 +108,14 @@
     assert reply.body == b"lots" and reply.headers[b"content-type"] == b"application/json"
 
 
+async def test_status_that_cannot_be_sent_leaves_no_caller_without_an_answer():
+    async with ScriptedEndpoint(failing(600)).serving() as endpoint:
+        context = entry_context([endpoint], protocol=EndpointProtocol.SERVICE)
+        async with running_app(context) as app:
+            reply = await ask(app, "/services/stock/lots", method="GET")
+    assert reply.status == 502 and b"samphire-result" in reply.headers
+
+
 def failing(status):
     async def script(exchange, writer):
         writer.write(answer(status, ERROR_TEXT))
--- a/tests/gateway/test_relayed_headers.py
+++ b/tests/gateway/test_relayed_headers.py
@@ -41,3 +41,23 @@
     received = await ask(script)
     assert received.startswith(b"HTTP/1.1 %d" % status) and received.endswith(b"\r\n\r\n")
     assert not [record for record in caplog.records if record.message == "request-crashed"]
+
+
+@pytest.mark.parametrize("length", [1, 9])
+async def test_length_beside_chunks_loses_no_answer(length):
+    async def script(received, writer):
+        head = response_bytes(received, b"", length=length, extra=["Transfer-Encoding: chunked"])
+        writer.write(head + b"4\r\nokok\r\n0\r\n\r\n")
+
+    received = await ask(script)
+    assert received.startswith(b"HTTP/1.1 200") and b"okok" in received
+    assert received.endswith(b"\r\n0\r\n\r\n") and b"content-length" not in received
+
+
+@pytest.mark.parametrize("status", [600, 999])
+async def test_status_that_cannot_be_sent_leaves_no_client_without_an_answer(status):
+    async def script(received, writer):
+        writer.write(response_bytes(received, status=status))
+
+    received = await ask(script)
+    assert received.startswith(b"HTTP/1.1 502") and b"samphire-run: unknown" in received
