Leave the last answers and the exit more time in a stop

Requests sent just after 3.0 s of a stop were still taken whatever their deadline, as the open part was counted from a moment after the signal.

Running requests are now ended 0.6 s before the kill instead of 0.3 s, and the open part is 2.9 s from the moment at which the program notices the stop. Idle connections are closed at 3 s as before.

--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -63,8 +63,11 @@
 ENDPOINT_FEED_WAIT_SECONDS = 0.5
 LIST_MAX_AGE_SECONDS = 3.0  # of an endpoint list that is taken for the current one
 BALANCER_GRACE_SECONDS = 3.0  # two failed probes one second apart, and one second for the answer
+STOP_NOTICE_SECONDS = 0.1  # by which a stop may begin later than its signal was sent
 HAND_OVER_TIMEOUT_SECONDS = 1.0  # to save usage and release duties before running requests end
-EXIT_MARGIN_SECONDS = 0.3  # left for the exit before the platform kills the process
+EXIT_MARGIN_SECONDS = (
+    0.6  # left for the last answers and the exit before the platform kills the process
+)
 MIN_FINISH_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 FINAL_PUBLISH_SECONDS = 0.1  # for the last datagram to be sent; the sender checks every 50 ms
@@ -463,9 +466,8 @@
         Boot clock in seconds.
     """
     finish_by = now + stop_timeout - EXIT_MARGIN_SECONDS
-    return StopSchedule(
-        min(now + BALANCER_GRACE_SECONDS, finish_by - MIN_FINISH_SECONDS), finish_by
-    )
+    open_for = BALANCER_GRACE_SECONDS - STOP_NOTICE_SECONDS
+    return StopSchedule(min(now + open_for, finish_by - MIN_FINISH_SECONDS), finish_by)
 
 
 async def _drain(node: Node) -> None:
