Save the usage once more when runs began after it was handed over

Seen by the review: a run that begins in the last second of a stop, after the host has saved its usage, was counted only if one datagram reached the hub of the zone.

If anything was counted since, the host now writes its own rows at the end, with up to three calls in 0.2 s, as the hub may have written them meanwhile and the writes are conditional. The test failed before (no row) and passes now, with the tests of programs and usage.

--- a/samphirehall/gateway/usage_windows.py
+++ b/samphirehall/gateway/usage_windows.py
@@ -236,6 +236,12 @@
         self._rows = UsageRows()
         self._first_window = int((agreed_now() - lookback) / window_seconds)
         self._first_open_window = self._first_window
+        self._recorded = 0
+
+    @property
+    def recorded(self) -> int:
+        """Number of requests counted since the start."""
+        return self._recorded
 
     @property
     def process(self) -> str:
@@ -250,6 +256,7 @@
     def record(self, customer: str) -> None:
         """Count a request of a customer in the current window."""
         self._counts[self.window_now][customer] += 1
+        self._recorded += 1
 
     async def save(
         self, table: Table, received: Mapping[tuple[int, str], HostCounts] | None = None
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -71,6 +71,8 @@
 MIN_FINISH_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 FINAL_PUBLISH_SECONDS = 0.1  # for the last datagram to be sent; the sender checks every 50 ms
+FINAL_SAVE_TIMEOUT_SECONDS = 0.2
+MAX_FINAL_SAVES = 3  # the hub may write the same rows meanwhile
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
 
 _log = logging.getLogger(__name__)
@@ -481,6 +483,7 @@
         node.ingress.close_idle_connections()
         await _wait_until_idle(node)
     node.ingress.refusing = not node.ingress.open_requests
+    recorded = node.usage.recorded
     with anyio.move_on_after(HAND_OVER_TIMEOUT_SECONDS):
         await _hand_over(node)
     with anyio.move_on_after(schedule.finish_by - boot_seconds()):
@@ -490,6 +493,16 @@
         node.gateway.end_running_requests()
         node.exchange.publish_usage()
         await anyio.sleep(FINAL_PUBLISH_SECONDS)
+        if node.usage.recorded != recorded:
+            with anyio.move_on_after(FINAL_SAVE_TIMEOUT_SECONDS):
+                await _save_own_usage(node)
+
+
+async def _save_own_usage(node: Node) -> None:
+    """Save the counts of this host, whether or not its hub has received them."""
+    for _ in range(MAX_FINAL_SAVES):
+        if await node.usage.save(node.store):
+            return
 
 
 async def _hand_over(node: Node) -> None:
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -348,6 +348,26 @@
         (local,) = built_node._usage_by_process(built_node.usage.window_now).values()
         assert local.counts == {"acme": 1}
 
+    async def test_run_that_begins_after_the_hand_over_is_counted_without_its_hub(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr(node, "BALANCER_GRACE_SECONDS", 0.0)
+        path = tmp_path / "settings.conf"
+        async with platform_standin() as (store, _):
+            fields = {**SETTINGS, "platform.address": store.address, "bounds.grace_s": "2"}
+            path.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
+            built_node = node.Node(load_platform_settings(str(path)))
+            monkeypatch.setattr(built_node.exchange, "usage_to_store", lambda: None)
+            built_node.ingress.open_requests = 1
+            async with anyio.create_task_group() as group:
+                group.start_soon(node._drain, built_node)
+                await anyio.sleep(1.2)
+                built_node.usage.record("acme")
+                built_node.ingress.open_requests = 0
+            await built_node.store.aclose()
+            rows = store.product_rows().values()
+        assert [row["counts"] for row in rows if row["counts"]] == [{"acme": 1}]
+
 
 class TestEntries:
     def node_with_one_endpoint(self, tmp_path):
