--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -1,5 +1,6 @@
 """``samphire-node``: all services of one host on the users' platform, in one process."""
 
+import asyncio
 import logging
 import os
 import signal
@@ -368,8 +369,16 @@
                 await self.context.fleet.retired.pop().aclose()
 
 
-async def serve(settings: PlatformSettings) -> None:
-    """Serve until SIGTERM or SIGINT, then drain."""
+async def serve(settings: PlatformSettings, modified_at: int) -> None:
+    """Serve until SIGTERM or SIGINT, then drain.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings of the host.
+    modified_at : int
+        Modification time of their file in nanoseconds, from before it was read.
+    """
     node = Node(settings)
     async with AsyncExitStack() as stack:
         stack.push_async_callback(node.store.aclose)
@@ -384,7 +393,7 @@
         group.start_soon(node.save_usage_periodically)
         group.start_soon(node.quarantine_store.run)
         group.start_soon(node.streams.run)
-        group.start_soon(_follow_settings, node)
+        group.start_soon(_follow_settings, node, modified_at)
         _start_duties(group, node)
         await _listen(stack, node)
         _log.info("start", extra={"incarnation": node.incarnation, "zone": settings.zone})
@@ -431,11 +440,10 @@
         )
 
 
-async def _follow_settings(node: Node) -> None:
+async def _follow_settings(node: Node, last_modified: int) -> None:
     """Reload the settings on SIGHUP and when the modification time of the file changes."""
     async with anyio.create_task_group() as group:
         group.start_soon(_reload_on_signal, node)
-        last_modified = _settings_modified_at()
         while True:
             await anyio.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
             if _settings_modified_at() != last_modified:
@@ -444,9 +452,13 @@
 
 
 async def _reload_on_signal(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            node.reload("signal")
+    """Reload the settings on SIGHUP until cancelled; later ones are ignored as well."""
+    requested = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, requested.set)
+    while True:
+        await requested.wait()
+        requested.clear()
+        node.reload("signal")
 
 
 def _settings_modified_at() -> int:
@@ -526,9 +538,10 @@
     check : bool
         Check the settings and exit.
     """
+    modified_at = _settings_modified_at()
     settings = load_or_exit(settings_path(), load_platform_settings, check=check)
     configure_logging("info", host=settings.host, program="samphire-node", to_stdout=True)
-    run_daemon(lambda: serve(settings))
+    run_daemon(lambda: serve(settings, modified_at))
 
 
 def main() -> None:
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -83,7 +83,7 @@
     async def spawn(self):
         environment = {**os.environ, "SAMPHIREHALL_BOOT": str(self.settings)}
         self.process = await anyio.open_process(
-            [sys.executable, "-m", "samphirehall.programs.node"],
+            [sys.executable, "-m", "samphirehall.programs.start_node"],
             cwd=ROOT,
             env=environment,
             stdout=self.log.open("wb"),
@@ -211,6 +211,30 @@
         assert await system.ready()
 
 
+@pytest.mark.parametrize("delay", [0.15, 0.3, 0.5, 0.8])
+async def test_sighup_during_the_start_does_not_end_the_process(tmp_path, delay):
+    async with running_system(tmp_path) as system:
+        system.process.kill()
+        await system.process.wait()
+        await system.spawn()
+        await anyio.sleep(delay)
+        system.process.send_signal(signal.SIGHUP)
+        await system.wait_until(lambda: system.ready(), "ready")
+        assert system.process.returncode is None
+
+
+async def test_settings_that_change_while_the_host_starts_are_read(tmp_path, monkeypatch):
+    monkeypatch.setattr(node, "SETTINGS_CHECK_INTERVAL_SECONDS", 0.01)
+    path, reloads = tmp_path / "settings.conf", []
+    path.write_text("".join(f"{key}={value}\n" for key, value in SETTINGS.items()))
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    built_node = node.Node(load_platform_settings(str(path)))
+    monkeypatch.setattr(built_node, "reload", reloads.append)
+    with anyio.move_on_after(0.1):
+        await node._follow_settings(built_node, path.stat().st_mtime_ns - 1)
+    assert reloads == ["file has changed"]
+
+
 async def reloaded(system):
     return bool(system.log_entries("reload"))
 
