--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -1,5 +1,6 @@
 """``samphire-node``: all services of one host on the users' platform, in one process."""
 
+import asyncio
 import logging
 import os
 import signal
@@ -63,11 +64,16 @@
 ENDPOINT_FEED_WAIT_SECONDS = 0.5
 LIST_MAX_AGE_SECONDS = 3.0  # of an endpoint list that is taken for the current one
 BALANCER_GRACE_SECONDS = 3.0  # two failed probes one second apart, and one second for the answer
+STOP_NOTICE_SECONDS = 0.1  # by which a stop may begin later than its signal was sent
 HAND_OVER_TIMEOUT_SECONDS = 1.0  # to save usage and release duties before running requests end
-EXIT_MARGIN_SECONDS = 0.3  # left for the exit before the platform kills the process
+EXIT_MARGIN_SECONDS = (
+    0.6  # left for the last answers and the exit before the platform kills the process
+)
 MIN_FINISH_SECONDS = 2.5  # for running requests once new ones are refused; most take 1 to 2 s
 SETTINGS_CHECK_INTERVAL_SECONDS = 1.0
 FINAL_PUBLISH_SECONDS = 0.1  # for the last datagram to be sent; the sender checks every 50 ms
+FINAL_SAVE_TIMEOUT_SECONDS = 0.2
+MAX_FINAL_SAVES = 3  # the hub may write the same rows meanwhile
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
 
 _log = logging.getLogger(__name__)
@@ -364,8 +370,16 @@
                 await self.context.fleet.retired.pop().aclose()
 
 
-async def serve(settings: PlatformSettings) -> None:
-    """Serve until SIGTERM or SIGINT, then drain."""
+async def serve(settings: PlatformSettings, modified_at: int) -> None:
+    """Serve until SIGTERM or SIGINT, then drain.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings of the host.
+    modified_at : int
+        Modification time of their file in nanoseconds, from before it was read.
+    """
     node = Node(settings)
     async with AsyncExitStack() as stack:
         stack.push_async_callback(node.store.aclose)
@@ -380,7 +394,7 @@
         group.start_soon(node.save_usage_periodically)
         group.start_soon(node.quarantine_store.run)
         group.start_soon(node.streams.run)
-        group.start_soon(_follow_settings, node)
+        group.start_soon(_follow_settings, node, modified_at)
         _start_duties(group, node)
         await _listen(stack, node)
         _log.info("start", extra={"incarnation": node.incarnation, "zone": settings.zone})
@@ -427,11 +441,10 @@
         )
 
 
-async def _follow_settings(node: Node) -> None:
+async def _follow_settings(node: Node, last_modified: int) -> None:
     """Reload the settings on SIGHUP and when the modification time of the file changes."""
     async with anyio.create_task_group() as group:
         group.start_soon(_reload_on_signal, node)
-        last_modified = _settings_modified_at()
         while True:
             await anyio.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
             if _settings_modified_at() != last_modified:
@@ -440,9 +453,13 @@
 
 
 async def _reload_on_signal(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            node.reload("signal")
+    """Reload the settings on SIGHUP until cancelled; later ones are ignored as well."""
+    requested = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, requested.set)
+    while True:
+        await requested.wait()
+        requested.clear()
+        node.reload("signal")
 
 
 def _settings_modified_at() -> int:
@@ -464,9 +481,8 @@
         Boot clock in seconds.
     """
     finish_by = now + stop_timeout - EXIT_MARGIN_SECONDS
-    return StopSchedule(
-        min(now + BALANCER_GRACE_SECONDS, finish_by - MIN_FINISH_SECONDS), finish_by
-    )
+    open_for = BALANCER_GRACE_SECONDS - STOP_NOTICE_SECONDS
+    return StopSchedule(min(now + open_for, finish_by - MIN_FINISH_SECONDS), finish_by)
 
 
 async def _drain(node: Node) -> None:
@@ -480,6 +496,7 @@
         node.ingress.close_idle_connections()
         await _wait_until_idle(node)
     node.ingress.refusing = not node.ingress.open_requests
+    recorded = node.usage.recorded
     with anyio.move_on_after(HAND_OVER_TIMEOUT_SECONDS):
         await _hand_over(node)
     with anyio.move_on_after(schedule.finish_by - boot_seconds()):
@@ -489,6 +506,16 @@
         node.gateway.end_running_requests()
         node.exchange.publish_usage()
         await anyio.sleep(FINAL_PUBLISH_SECONDS)
+        if node.usage.recorded != recorded:
+            with anyio.move_on_after(FINAL_SAVE_TIMEOUT_SECONDS):
+                await _save_own_usage(node)
+
+
+async def _save_own_usage(node: Node) -> None:
+    """Save the counts of this host, whether or not its hub has received them."""
+    for _ in range(MAX_FINAL_SAVES):
+        if await node.usage.save(node.store):
+            return
 
 
 async def _hand_over(node: Node) -> None:
@@ -512,9 +539,10 @@
     check : bool
         Check the settings and exit.
     """
+    modified_at = _settings_modified_at()
     settings = load_or_exit(settings_path(), load_platform_settings, check=check)
     configure_logging("info", host=settings.host, program="samphire-node", to_stdout=True)
-    run_daemon(lambda: serve(settings))
+    run_daemon(lambda: serve(settings, modified_at))
 
 
 def main() -> None:
