Wait as long for the first event of a stream as between its events

A sound engine that was silent for 1.4 s before its first event was ended (the bound was three times the estimate + 1.0 s), and where the next engine refused, the caller got 3000. Callers wait as long before the first event as between events, so the bound is now never below the limit on a gap; for long prompts the estimate still sets it. Measured from the send.

test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event failed before, with and without the head of the response, and passes. tests/gateway passes.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -39,13 +39,14 @@
 from samphirehall.gateway.relay import (
     Delivery,
     handle_failure_response,
+    inter_event_gap_limit,
     relay_stream,
     restart_silence_limit,
 )
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
 from samphirehall.gateway.silence import silence_limit
 from samphirehall.gateway.stream_store import Recording
-from samphirehall.gateway.types import Prompt, PromptPart, Stage
+from samphirehall.gateway.types import Prompt, PromptPart, Route, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
 PREFILL_TIMEOUT_FACTOR = 2.0  # times the estimated first event that a separate prefill may take
@@ -548,12 +549,7 @@
             pending_prefill.enter_context(_count_pending_prefill(context, request_state, plan))
         else:
             context.record_cached_prompt(plan.decode.endpoint_id, _prompt_parts(request_state))
-        restart_silence_limit(
-            limit,
-            request_state,
-            plan.time_to_first_event * FIRST_EVENT_TIMEOUT_FACTOR
-            + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
-        )
+        restart_silence_limit(limit, request_state, _first_event_limit(request_state.route, plan))
 
         async def on_event() -> None:
             delivery.record_event(now=context.clock())
@@ -576,6 +572,14 @@
     return SendOutcome.ANSWERED
 
 
+def _first_event_limit(route: Route, plan: GenerationPlan) -> float:
+    """Return the seconds in which the first event has to come, never fewer than between events."""
+    return max(
+        plan.time_to_first_event * FIRST_EVENT_TIMEOUT_FACTOR + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
+        inter_event_gap_limit(route.latency_target, route.inter_event_gap_target),
+    )
+
+
 def _make_dispatch(
     context: GatewayContext,
     request_state: RequestState,
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -15,6 +15,7 @@
     WHOLE,
     chunk,
     generate,
+    refuse,
     remaining_events,
     serve,
     stream_head,
@@ -111,6 +112,25 @@
         assert other.received[0]["last-event-id"] == "2"
 
 
+    @pytest.mark.parametrize("after_head", [True, False])
+    async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
+        self, after_head
+    ):
+        async def late(received, writer):
+            if after_head:
+                await pausing_after(0, SHORT_GAP_SECONDS)(received, writer)
+            else:
+                await asyncio.sleep(SHORT_GAP_SECONDS)
+                await generate(received, writer)
+
+        async with scripted_endpoint(late) as silent, scripted_endpoint(refuse) as other:
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+        assert not other.received and not silent.aborted_requests
+
+
 def stream_request():
     return request("/chat/x", prompt=test_generation.prompt(shared=500))
 
