End a silent send only for an endpoint that is not in back-off

The candidates for a takeover include endpoints in back-off if there are no others, also those known to be unreachable. A silent run was ended for such an endpoint, and callers got a cut stream or 3000 where the silent endpoint went on. A takeover now needs an endpoint that is not in back-off. What is chosen for a request without a run is unchanged, as there an endpoint in back-off is better than none.

test_stream_of_a_silent_engine_is_not_cut_when_the_other_engine_is_unreachable and test_answer_of_a_silent_endpoint_is_not_lost_when_the_other_is_unreachable failed before (3000 for the latter) and pass. tests/gateway passes.

--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -189,6 +189,7 @@
         excluded: Iterable[str] = (),
         stage: Stage | None = None,
         software_version: str | None = None,
+        only_preferred: bool = False,
     ) -> list[EndpointState]:
         """Return the endpoints of a service that accept new requests.
 
@@ -210,6 +211,8 @@
             and (software_version is None or state.is_surely_of(software_version))
         ]
         preferred = [state for state in ready if state.backoff_until <= now]
+        if only_preferred:
+            return preferred
         if stage is Stage.PREFILL and not preferred:
             return [state for state in ready if state.unreachable_until <= now]
         return preferred or ready
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -180,7 +180,7 @@
     assert prompt is not None
     choice = request_state.extra_log_fields.get("choice")
     try:
-        plan = _next_plan(context, request_state, prompt)
+        plan = _next_plan(context, request_state, prompt, only_preferred=True)
     except SamphireError:
         return False
     finally:
@@ -192,7 +192,11 @@
 
 
 def _next_plan(
-    context: GatewayContext, request_state: RequestState, prompt: Prompt
+    context: GatewayContext,
+    request_state: RequestState,
+    prompt: Prompt,
+    *,
+    only_preferred: bool = False,
 ) -> GenerationPlan | None:
     """Return the plan with the earliest first event, all of whose engines are of one version."""
     if request_state.service.engine is None:
@@ -200,7 +204,10 @@
     version = request_state.stream_version
     if version is None:
         version = _begin_version(context, request_state)
-    engines = {stage: _candidates(context, request_state, stage, version) for stage in Stage}
+    engines = {
+        stage: _candidates(context, request_state, stage, version, only_preferred=only_preferred)
+        for stage in Stage
+    }
     decoders = engines[Stage.DECODE]
     allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
@@ -234,7 +241,12 @@
 
 
 def _candidates(
-    context: GatewayContext, request_state: RequestState, stage: Stage, version: str | None
+    context: GatewayContext,
+    request_state: RequestState,
+    stage: Stage,
+    version: str | None,
+    *,
+    only_preferred: bool = False,
 ) -> list[EndpointState]:
     """Return the engines of one stage, and of one software version if it is given."""
     return context.fleet.candidates(
@@ -243,6 +255,7 @@
         excluded=request_state.tried_endpoints,
         stage=stage,
         software_version=version,
+        only_preferred=only_preferred,
     )
 
 
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -208,7 +208,10 @@
 def _can_take_over(context: GatewayContext, request_state: RequestState) -> bool:
     """Return whether another endpoint can take the request; its repeat is reserved if so."""
     candidates = context.fleet.candidates(
-        request_state.service.name, now=context.clock(), excluded=request_state.tried_endpoints
+        request_state.service.name,
+        now=context.clock(),
+        excluded=request_state.tried_endpoints,
+        only_preferred=True,
     )
     return bool(within_limits(context, candidates)) and reserve_repeats(context, request_state, 1)
 
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -12,6 +12,7 @@
 from tests.gateway import test_generation, test_plain
 from tests.gateway.helpers import MODEL, RecordingCaller, engine, request, scripted_endpoint
 from tests.gateway.test_generation import (
+    UNREACHABLE,
     WHOLE,
     chunk,
     generate,
@@ -111,6 +112,13 @@
         assert caller.body == WHOLE and caller.complete
         assert other.received[0]["last-event-id"] == "2"
 
+    async def test_stream_of_a_silent_engine_is_not_cut_when_the_other_engine_is_unreachable(self):
+        async with scripted_endpoint(pausing_after(2)) as silent:
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=UNREACHABLE)
+            back_off(gateway, "d2")
+            caller = await serve(gateway)
+        assert caller.body == WHOLE and caller.complete
+        assert not silent.aborted_requests
 
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
@@ -131,6 +139,12 @@
         assert not other.received and not silent.aborted_requests
 
 
+def back_off(gateway, endpoint_id):
+    now = gateway.context.clock()
+    for _ in range(4):
+        gateway.context.fleet.endpoint(endpoint_id).record_failure(now=now, unreachable=True)
+
+
 def stream_request():
     return request("/chat/x", prompt=test_generation.prompt(shared=500))
 
@@ -149,6 +163,20 @@
         assert (caller.status, caller.body) == (200, b"body")
         assert len(one.received) + len(two.received) == 1
 
+    async def test_answer_of_a_silent_endpoint_is_not_lost_when_the_other_is_unreachable(self):
+        async def slow(received, writer):
+            await asyncio.sleep(0.4)
+            await test_plain.answered(received, writer)
+
+        async with scripted_endpoint(slow) as one:
+            gateway, _ = test_plain.gateway_with(one.address, UNREACHABLE.address)
+            for state in gateway.context.fleet.states():
+                if state.listed.address == UNREACHABLE.address:
+                    back_off(gateway, state.listed.endpoint_id)
+            caller = RecordingCaller()
+            await gateway.serve(request(), caller)
+        assert (caller.status, caller.body) == (200, b"body")
+
 
 @pytest.mark.parametrize(
     ("latency_target", "gap_target", "limit"), [(0.4, 0.15, 1.6), (0.6, None, 2.0), (0.5, 0.5, 3.6)]
