Reserve the limits of the engines together with the repeat of a takeover

A silent send was ended once another endpoint had a free send under the rate that it states, but that send was not taken. Streams that fell silent together all counted on the same one, and those that did not get it were cut (4001; a plain request 3000). The send is now counted together with the repeat, and the next attempt uses it.

test_streams_that_fall_silent_together_do_not_all_count_on_one_send (4001), test_requests_that_fall_silent_together_do_not_all_count_on_one_send (3000) and test_silent_stream_without_repeat_budget_makes_no_more_plans (9 plans instead of 1) failed before and pass. tests/gateway passes.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -148,6 +148,10 @@
             self.repeat_limits = limits
             self.repeat_budgets.clear()
 
+    def allows_repeats(self, service: str, sends: int) -> bool:
+        """Return whether the budget allows repeated sends to a service."""
+        return self.repeat_budget(service).allows(sends, hosts=self.live_hosts(), now=self.clock())
+
     def acquire_repeats(self, service: str, sends: int) -> bool:
         """Count repeated sends to a service if the budget allows them; return whether it does."""
         return self.repeat_budget(service).acquire(sends, hosts=self.live_hosts(), now=self.clock())
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Collection, Sequence
 
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
@@ -52,11 +52,27 @@
 
 
 def within_limits(
-    context: GatewayContext, candidates: Sequence[EndpointState]
+    context: GatewayContext, request_state: RequestState, candidates: Sequence[EndpointState]
 ) -> list[EndpointState]:
-    """Return the candidates to which this host may send a request now."""
+    """Return the candidates to which this host may send the request now."""
     now = context.clock()
-    return [state for state in candidates if context.limits.delay(state.listed, now=now) == 0]
+    return [
+        state
+        for state in candidates
+        if state.listed.endpoint_id in request_state.reserved_endpoints
+        or context.limits.delay(state.listed, now=now) == 0
+    ]
+
+
+def count_sends(
+    context: GatewayContext, request_state: RequestState, endpoint_ids: Collection[str]
+) -> None:
+    """Count the sends of an attempt against the limits of its endpoints, less the reserved ones."""
+    for endpoint_id in set(endpoint_ids) - request_state.reserved_endpoints:
+        endpoint = context.fleet.endpoint(endpoint_id)
+        if endpoint is not None:
+            context.limits.take(endpoint.listed, now=context.clock())
+    request_state.reserved_endpoints = set()
 
 
 def limit_error(context: GatewayContext, candidates: Sequence[EndpointState]) -> SamphireError:
@@ -75,11 +91,21 @@
     return context.acquire_repeats(request_state.service.name, needed)
 
 
-def reserve_repeats(context: GatewayContext, request_state: RequestState, sends: int) -> bool:
-    """Count the repeated sends of the next attempt while the present one still runs."""
+def reserve_attempt(
+    context: GatewayContext,
+    request_state: RequestState,
+    sends: int,
+    endpoint_ids: Collection[str],
+) -> bool:
+    """Count the repeated sends of the next attempt while the present one still runs.
+
+    They are counted against the repeat budget and against the limits of the endpoints.
+    """
     if not context.acquire_repeats(request_state.service.name, sends):
         return False
     request_state.reserved_repeats = sends
+    count_sends(context, request_state, endpoint_ids)
+    request_state.reserved_endpoints = set(endpoint_ids)
     return True
 
 
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -197,7 +197,8 @@
         endpoints that may have restarted since their last answer are excluded: they may be of
         another one before the endpoint list says so.
 
-        Endpoints in backoff are excluded as long as there are others. Unreachable prefill
+        Endpoints in backoff are excluded as long as there are others, or always if only preferred
+        endpoints are to be returned. Unreachable prefill
         engines are always excluded, because decode engines can prefill as well.
         """
         ready = [
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -25,10 +25,11 @@
     SEND_ERRORS,
     acquire_repeats,
     check_quarantine,
+    count_sends,
     is_in_quarantine,
     limit_error,
     outcome_from_error,
-    reserve_repeats,
+    reserve_attempt,
     send_request,
     update_crash_tracker,
     within_limits,
@@ -94,7 +95,7 @@
         if not acquire_repeats(context, request_state, repeats):
             request_state.extra_log_fields["stopped"] = "repeat budget spent"
             break
-        _count_sends(context, plan)
+        count_sends(context, request_state, plan.endpoint_ids)
         if await _run_plan(context, request_state, plan, delivery):
             return OK
         if not _may_retry(request_state, delivery):
@@ -154,14 +155,6 @@
         raise
 
 
-def _count_sends(context: GatewayContext, plan: GenerationPlan) -> None:
-    """Count the sends of a plan against the limits of its engines."""
-    for endpoint_id in {plan.prefill_engine.endpoint_id, plan.decode.endpoint_id}:
-        engine = context.fleet.endpoint(endpoint_id)
-        if engine is not None:
-            context.limits.take(engine.listed, now=context.clock())
-
-
 def _may_retry(request_state: RequestState, delivery: Delivery) -> bool:
     if not request_state.may_have_run:
         return True
@@ -173,7 +166,9 @@
 def _can_take_over(
     context: GatewayContext, request_state: RequestState, delivery: Delivery
 ) -> bool:
-    """Return whether another engine can go on with the stream; its repeats are reserved if so."""
+    """Return whether another engine can go on with the stream; its sends are reserved if so."""
+    if not context.allows_repeats(request_state.service.name, 1):
+        return False
     if not delivery.resumable or is_in_quarantine(context, request_state):
         return False
     prompt = request_state.request.prompt
@@ -188,7 +183,7 @@
     if plan is None:
         return False
     sends = 2 if plan.dedicated_prefill is not None and request_state.prefill_done else 1
-    return reserve_repeats(context, request_state, sends)
+    return reserve_attempt(context, request_state, sends, plan.endpoint_ids)
 
 
 def _next_plan(
@@ -209,7 +204,7 @@
         for stage in Stage
     }
     decoders = engines[Stage.DECODE]
-    allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
+    allowed = {stage: within_limits(context, request_state, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
         raise limit_error(context, decoders)
     remaining_target = request_state.route.latency_target - request_state.elapsed(
@@ -446,7 +441,7 @@
     assert prompt is not None
     views = [
         _engine_view(context, request_state, engine, prompt)
-        for engine in within_limits(context, candidates)
+        for engine in within_limits(context, request_state, candidates)
     ]
     if not views:
         return None
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -101,6 +101,11 @@
         """Engine that does the prefill."""
         return self.dedicated_prefill or self.decode
 
+    @property
+    def endpoint_ids(self) -> frozenset[str]:
+        """Engines to which requests are sent."""
+        return frozenset((self.prefill_engine.endpoint_id, self.decode.endpoint_id))
+
     @property
     def cost(self) -> float:
         """Seconds until the first event, with the failure penalty of the prefill engine."""
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -1,7 +1,7 @@
 """Requests to plain endpoints, with buffered answers and retries where they are safe."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from samphirehall.core.connections import holds_control_character
@@ -13,9 +13,10 @@
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
     acquire_repeats,
+    count_sends,
     limit_error,
     outcome_from_error,
-    reserve_repeats,
+    reserve_attempt,
     send_request,
     update_crash_tracker,
     within_limits,
@@ -125,21 +126,18 @@
     candidates = context.fleet.candidates(
         request_state.service.name, now=now, excluded=request_state.tried_endpoints
     )
-    allowed = within_limits(context, candidates)
+    allowed = within_limits(context, request_state, candidates)
     if candidates and not allowed and not request_state.may_have_run:
         raise limit_error(context, candidates)
-    candidates = allowed
-    open_requests = _open_requests_by_endpoint(context, candidates, now)
-    tie_breaker = context.random_source.random()
-    chosen = choose_plain_endpoint(
-        candidates, open_requests, zone=context.zone, tie_breaker=tie_breaker
-    )
+    reserved = request_state.reserved_endpoints
+    candidates = [state for state in allowed if state.listed.endpoint_id in reserved] or allowed
+    chosen, open_requests = _choose_endpoint(context, candidates)
     if chosen is None:
         return None
     if not acquire_repeats(context, request_state, request_state.count_repeated_sends()):
         request_state.extra_log_fields["stopped"] = "repeat budget spent"
         return None
-    context.limits.take(chosen.listed, now=now)
+    count_sends(context, request_state, (chosen.listed.endpoint_id,))
     request_state.extra_log_fields["choice"] = {
         "endpoint": chosen.listed.endpoint_id,
         "requests": open_requests,
@@ -148,6 +146,18 @@
     return chosen
 
 
+def _choose_endpoint(
+    context: GatewayContext, candidates: Sequence[EndpointState]
+) -> tuple[EndpointState | None, dict[str, int]]:
+    """Return the candidate for the next send, and the open requests of all candidates."""
+    open_requests = _open_requests_by_endpoint(context, candidates, context.clock())
+    tie_breaker = context.random_source.random()
+    chosen = choose_plain_endpoint(
+        candidates, open_requests, zone=context.zone, tie_breaker=tie_breaker
+    )
+    return chosen, open_requests
+
+
 def _open_requests_by_endpoint(
     context: GatewayContext, candidates: Iterable[EndpointState], now: float
 ) -> dict[str, int]:
@@ -206,14 +216,19 @@
 
 
 def _can_take_over(context: GatewayContext, request_state: RequestState) -> bool:
-    """Return whether another endpoint can take the request; its repeat is reserved if so."""
+    """Return whether another endpoint can take the request; its send is reserved if so."""
+    if not context.allows_repeats(request_state.service.name, 1):
+        return False
     candidates = context.fleet.candidates(
         request_state.service.name,
         now=context.clock(),
         excluded=request_state.tried_endpoints,
         only_preferred=True,
     )
-    return bool(within_limits(context, candidates)) and reserve_repeats(context, request_state, 1)
+    chosen, _ = _choose_endpoint(context, within_limits(context, request_state, candidates))
+    if chosen is None:
+        return False
+    return reserve_attempt(context, request_state, 1, (chosen.listed.endpoint_id,))
 
 
 def _answer_timeout(request_state: RequestState) -> float | None:
--- a/samphirehall/gateway/repeat_budget.py
+++ b/samphirehall/gateway/repeat_budget.py
@@ -48,6 +48,13 @@
         """Record a request of a caller."""
         self._requests.add(now)
 
+    def allows(self, count: int = 1, *, hosts: int, now: float) -> bool:
+        """Return whether the budget allows retries; see `acquire`."""
+        requests = self._requests.count(self._window, now=now)
+        repeats = self._repeats.count(self._window, now=now)
+        allowed = USABLE_FRACTION * (self._ratio * requests + self._slack / max(1, hosts))
+        return not count or repeats + count <= allowed
+
     def acquire(self, count: int = 1, *, hosts: int, now: float) -> bool:
         """Record retries if the budget allows them; return whether it does.
 
@@ -60,10 +67,7 @@
         now : float
             Boot clock in seconds.
         """
-        requests = self._requests.count(self._window, now=now)
-        repeats = self._repeats.count(self._window, now=now)
-        allowed = USABLE_FRACTION * (self._ratio * requests + self._slack / max(1, hosts))
-        if count and repeats + count > allowed:
+        if not self.allows(count, hosts=hosts, now=now):
             return False
         for _ in range(count):
             self._repeats.add(now)
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -80,6 +80,8 @@
         Sends that may have reached an endpoint, without the first successful separate prefill.
     reserved_repeats : int
         Repeated sends of the next attempt that the budget has already counted.
+    reserved_endpoints : set
+        Endpoints whose limits have already counted a send of the next attempt.
     prefill_done : bool
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
@@ -104,6 +106,7 @@
     sends: list[tuple[str, str, str]] = field(default_factory=list)
     delivered_sends: int = 0
     reserved_repeats: int = 0
+    reserved_endpoints: set[str] = field(default_factory=set)
     prefill_done: bool = False
     on_trial: bool = False
     stream_version: str | None = None
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -6,7 +6,9 @@
 import anyio
 import pytest
 
+from samphirehall.gateway import generation
 from samphirehall.gateway.context import RepeatLimits
+from samphirehall.gateway.generation_plan import plan_generation
 from samphirehall.gateway.relay import inter_event_gap_limit
 from samphirehall.gateway.silence import silence_limit
 from tests.gateway import test_generation, test_plain
@@ -120,6 +122,43 @@
         assert caller.body == WHOLE and caller.complete
         assert not silent.aborted_requests
 
+    async def test_streams_that_fall_silent_together_do_not_all_count_on_one_send(self):
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.loads._local["d2"].requests = 40
+            callers = [RecordingCaller() for _ in range(8)]
+            async with anyio.create_task_group() as group:
+                for number, caller in enumerate(callers):
+                    group.start_soon(gateway.serve, stream_request(f"r{number}"), caller)
+                await anyio.sleep(0.3)
+                allow_one_send(gateway, "d2")
+        assert all(caller.body == WHOLE and caller.complete for caller in callers)
+
+    async def test_silent_stream_without_repeat_budget_makes_no_more_plans(self, monkeypatch):
+        plans = []
+
+        def counted(*arguments, **options):
+            plans.append(arguments)
+            return plan_generation(*arguments, **options)
+
+        monkeypatch.setattr(generation, "plan_generation", counted)
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.set_repeat_limits(NO_REPEATS)
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(0.5)
+                before_silence = len(plans)
+        assert caller.complete and before_silence
+        assert len(plans) == before_silence
+
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
         self, after_head
@@ -145,8 +184,15 @@
         gateway.context.fleet.endpoint(endpoint_id).record_failure(now=now, unreachable=True)
 
 
-def stream_request():
-    return request("/chat/x", prompt=test_generation.prompt(shared=500))
+def allow_one_send(gateway, endpoint_id):
+    shared = gateway.context
+    now = shared.clock()
+    incarnation = shared.fleet.endpoint(endpoint_id).listed.incarnation
+    shared.limits.record(incarnation, 0.5, at=now, now=now)
+
+
+def stream_request(request_id="r1"):
+    return request("/chat/x", request_id=request_id, prompt=test_generation.prompt(shared=500))
 
 
 class TestPlainRequests:
@@ -177,6 +223,28 @@
             await gateway.serve(request(), caller)
         assert (caller.status, caller.body) == (200, b"body")
 
+    async def test_requests_that_fall_silent_together_do_not_all_count_on_one_send(self):
+        async def slow(received, writer):
+            await asyncio.sleep(0.4)
+            await test_plain.answered(received, writer)
+
+        async with scripted_endpoint(slow) as one, scripted_endpoint(slow) as two:
+            gateway, _ = test_plain.gateway_with(one.address, two.address)
+            limited = next(
+                state.listed.endpoint_id
+                for state in gateway.context.fleet.states()
+                if state.listed.address == two.address
+            )
+            gateway.context.loads._local[limited].requests = 80
+            callers = [RecordingCaller() for _ in range(6)]
+            async with anyio.create_task_group() as group:
+                for number, caller in enumerate(callers):
+                    group.start_soon(gateway.serve, request(request_id=f"r{number}"), caller)
+                await anyio.sleep(0.1)
+                allow_one_send(gateway, limited)
+        assert [caller.status for caller in callers] == [200] * 6
+        assert len(two.received) == 1
+
 
 @pytest.mark.parametrize(
     ("latency_target", "gap_target", "limit"), [(0.4, 0.15, 1.6), (0.6, None, 2.0), (0.5, 0.5, 3.6)]
