Read the sockets after a stall of the host before ending silent sends

Timers that expired while the event loop was stalled run before what has arrived meanwhile is read: with uvloop before the sockets are polled, with asyncio before the tasks that wait for them run. All streams of the host were then ended at once, although their engines had gone on. After the timer expires the loop now has a grace of 0.05 s to read its sockets. It begins again if its own timer is more than 0.1 s late. A send is ended only in the next pass of the loop, after tasks that were woken meanwhile.

test_stream_is_not_ended_for_a_silence_of_its_own_host (1.9 s) and test_bytes_that_arrived_during_a_stall_of_the_host_are_heard_first (0.12 and 0.6 s, with asyncio and uvloop) failed before and pass. tests/gateway passes.

--- a/samphirehall/gateway/silence.py
+++ b/samphirehall/gateway/silence.py
@@ -10,6 +10,8 @@
 from samphirehall.core.log import log_decision
 
 RECHECK_INTERVAL_SECONDS = 0.1  # while no other endpoint can take over
+GRACE_SECONDS = 0.05  # in which the event loop reads what arrived while it was stalled
+MAX_TIMER_DELAY_SECONDS = 0.1  # of a timer; after longer ones this host may have been deaf
 
 _log = logging.getLogger(__name__)
 
@@ -26,21 +28,31 @@
         timer expires and then periodically.
     """
 
-    __slots__ = ("_endpoint_id", "_may_end", "_request_id", "_timer", "expired", "scope")
+    __slots__ = (
+        "_due",
+        "_endpoint_id",
+        "_may_end",
+        "_request_id",
+        "_timer",
+        "_told",
+        "expired",
+        "scope",
+    )
 
     def __init__(self, request_id: str, endpoint_id: str, may_end: Callable[[], bool]) -> None:
         self._request_id = request_id
         self._endpoint_id = endpoint_id
         self._may_end = may_end
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._due = 0.0  # on the clock of the event loop
+        self._told = False
         self.scope = anyio.CancelScope()
         self.expired = False
 
     def restart(self, seconds: float) -> None:
         """Expire after this time, unless restarted or stopped before."""
-        self.stop()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._expire, True)
+        self._told = False
+        self._call_later(seconds, self._begin_grace)
 
     def stop(self) -> None:
         """Never expire."""
@@ -48,16 +60,34 @@
             self._timer.cancel()
             self._timer = None
 
-    def _expire(self, first: bool) -> None:
+    def _call_later(self, seconds: float, callback: Callable[[], None]) -> None:
+        self.stop()
+        loop = asyncio.get_running_loop()
+        self._due = loop.time() + seconds
+        self._timer = loop.call_at(self._due, callback)
+
+    def _begin_grace(self) -> None:
+        """Let the event loop read its sockets: timers may run before that."""
+        self._call_later(GRACE_SECONDS, self._end_grace)
+
+    def _end_grace(self) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._due > MAX_TIMER_DELAY_SECONDS:
+            self._begin_grace()
+        else:
+            # Tasks that were woken by what has been read run before.
+            self._timer = loop.call_soon(self._expire)
+
+    def _expire(self) -> None:
         if self._may_end():
             self._log_decision("another endpoint takes over")
             self.expired = True
             self.scope.cancel()
             return
-        if first:
+        if not self._told:
+            self._told = True
             self._log_decision("no other endpoint can take over, the send goes on")
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(RECHECK_INTERVAL_SECONDS, self._expire, False)
+        self._call_later(RECHECK_INTERVAL_SECONDS, self._end_grace)
 
     def _log_decision(self, reason: str) -> None:
         log_decision(
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import contextlib
+import socket
+import threading
+import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -14,6 +18,7 @@
 from tests.gateway import test_generation, test_plain
 from tests.gateway.helpers import MODEL, RecordingCaller, engine, request, scripted_endpoint
 from tests.gateway.test_generation import (
+    EVENTS,
     UNREACHABLE,
     WHOLE,
     chunk,
@@ -159,6 +164,19 @@
         assert caller.complete and before_silence
         assert len(plans) == before_silence
 
+    async def test_stream_is_not_ended_for_a_silence_of_its_own_host(self):
+        async with scripted_endpoint(refuse) as other:
+            sound = SimpleNamespace(address=serve_from_a_thread())
+            gateway, _ = test_generation.gateway_with(d1=sound, d2=other)
+            gateway.context.loads._local["d2"].requests = 40
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(0.2)
+                time.sleep(1.9)
+        assert caller.body == WHOLE and caller.complete
+        assert not other.received
+
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
         self, after_head
@@ -178,6 +196,24 @@
         assert not other.received and not silent.aborted_requests
 
 
+def serve_from_a_thread():
+    """Serve one stream with an event each half second beside the event loop; return the address."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def run():
+        with listener, listener.accept()[0] as connection:
+            connection.recv(65_536)
+            connection.sendall(stream_head({"x-request-id": "r1"}))
+            with contextlib.suppress(OSError):
+                for event in EVENTS:
+                    connection.sendall(chunk(event))
+                    time.sleep(0.5)
+                connection.sendall(b"0\r\n\r\n")
+
+    threading.Thread(target=run, daemon=True).start()
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
 def back_off(gateway, endpoint_id):
     now = gateway.context.clock()
     for _ in range(4):
@@ -275,3 +311,27 @@
             limit.stop()
             await anyio.sleep(0.15)
         assert not limit.expired
+
+
+class TestStalledHost:
+    @pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+    def anyio_backend(self, request):
+        return "asyncio", {"use_uvloop": request.param}
+
+    @pytest.mark.parametrize("stall", [0.12, 0.6])
+    async def test_bytes_that_arrived_during_a_stall_of_the_host_are_heard_first(self, stall):
+        ours, theirs = socket.socketpair()
+
+        def stall_while_a_byte_arrives():
+            time.sleep(0.05)
+            theirs.send(b"x")
+            time.sleep(stall - 0.05)
+
+        reader, writer = await asyncio.open_connection(sock=ours)
+        with theirs, silence_limit("r1", "e1", lambda: True) as limit:
+            limit.restart(0.1)
+            asyncio.get_running_loop().call_soon(stall_while_a_byte_arrives)
+            await reader.readexactly(1)
+            limit.stop()
+        writer.close()
+        assert not limit.expired
