--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -189,6 +189,7 @@
         excluded: Iterable[str] = (),
         stage: Stage | None = None,
         software_version: str | None = None,
+        only_preferred: bool = False,
     ) -> list[EndpointState]:
         """Return the endpoints of a service that accept new requests.
 
@@ -196,7 +197,8 @@
         endpoints that may have restarted since their last answer are excluded: they may be of
         another one before the endpoint list says so.
 
-        Endpoints in backoff are excluded as long as there are others. Unreachable prefill
+        Endpoints in backoff are excluded as long as there are others, or always if only preferred
+        endpoints are to be returned. Unreachable prefill
         engines are always excluded, because decode engines can prefill as well.
         """
         ready = [
@@ -210,6 +212,8 @@
             and (software_version is None or state.is_surely_of(software_version))
         ]
         preferred = [state for state in ready if state.backoff_until <= now]
+        if only_preferred:
+            return preferred
         if stage is Stage.PREFILL and not preferred:
             return [state for state in ready if state.unreachable_until <= now]
         return preferred or ready
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -25,10 +25,11 @@
     SEND_ERRORS,
     acquire_repeats,
     check_quarantine,
+    count_sends,
     is_in_quarantine,
     limit_error,
     outcome_from_error,
-    reserve_repeats,
+    reserve_attempt,
     send_request,
     update_crash_tracker,
     within_limits,
@@ -39,13 +40,14 @@
 from samphirehall.gateway.relay import (
     Delivery,
     handle_failure_response,
+    inter_event_gap_limit,
     relay_stream,
     restart_silence_limit,
 )
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
 from samphirehall.gateway.silence import silence_limit
 from samphirehall.gateway.stream_store import Recording
-from samphirehall.gateway.types import Prompt, PromptPart, Stage
+from samphirehall.gateway.types import Prompt, PromptPart, Route, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
 PREFILL_TIMEOUT_FACTOR = 2.0  # times the estimated first event that a separate prefill may take
@@ -93,7 +95,7 @@
         if not acquire_repeats(context, request_state, repeats):
             request_state.extra_log_fields["stopped"] = "repeat budget spent"
             break
-        _count_sends(context, plan)
+        count_sends(context, request_state, plan.endpoint_ids)
         if await _run_plan(context, request_state, plan, delivery):
             return OK
         if not _may_retry(request_state, delivery):
@@ -153,14 +155,6 @@
         raise
 
 
-def _count_sends(context: GatewayContext, plan: GenerationPlan) -> None:
-    """Count the sends of a plan against the limits of its engines."""
-    for endpoint_id in {plan.prefill_engine.endpoint_id, plan.decode.endpoint_id}:
-        engine = context.fleet.endpoint(endpoint_id)
-        if engine is not None:
-            context.limits.take(engine.listed, now=context.clock())
-
-
 def _may_retry(request_state: RequestState, delivery: Delivery) -> bool:
     if not request_state.may_have_run:
         return True
@@ -172,14 +166,16 @@
 def _can_take_over(
     context: GatewayContext, request_state: RequestState, delivery: Delivery
 ) -> bool:
-    """Return whether another engine can go on with the stream; its repeats are reserved if so."""
+    """Return whether another engine can go on with the stream; its sends are reserved if so."""
+    if not context.allows_repeats(request_state.service.name, 1):
+        return False
     if not delivery.resumable or is_in_quarantine(context, request_state):
         return False
     prompt = request_state.request.prompt
     assert prompt is not None
     choice = request_state.extra_log_fields.get("choice")
     try:
-        plan = _next_plan(context, request_state, prompt)
+        plan = _next_plan(context, request_state, prompt, only_preferred=True)
     except SamphireError:
         return False
     finally:
@@ -187,11 +183,15 @@
     if plan is None:
         return False
     sends = 2 if plan.dedicated_prefill is not None and request_state.prefill_done else 1
-    return reserve_repeats(context, request_state, sends)
+    return reserve_attempt(context, request_state, sends, plan.endpoint_ids)
 
 
 def _next_plan(
-    context: GatewayContext, request_state: RequestState, prompt: Prompt
+    context: GatewayContext,
+    request_state: RequestState,
+    prompt: Prompt,
+    *,
+    only_preferred: bool = False,
 ) -> GenerationPlan | None:
     """Return the plan with the earliest first event, all of whose engines are of one version."""
     if request_state.service.engine is None:
@@ -199,9 +199,12 @@
     version = request_state.stream_version
     if version is None:
         version = _begin_version(context, request_state)
-    engines = {stage: _candidates(context, request_state, stage, version) for stage in Stage}
+    engines = {
+        stage: _candidates(context, request_state, stage, version, only_preferred=only_preferred)
+        for stage in Stage
+    }
     decoders = engines[Stage.DECODE]
-    allowed = {stage: within_limits(context, engines[stage]) for stage in Stage}
+    allowed = {stage: within_limits(context, request_state, engines[stage]) for stage in Stage}
     if decoders and not allowed[Stage.DECODE] and not request_state.may_have_run:
         raise limit_error(context, decoders)
     remaining_target = request_state.route.latency_target - request_state.elapsed(
@@ -233,7 +236,12 @@
 
 
 def _candidates(
-    context: GatewayContext, request_state: RequestState, stage: Stage, version: str | None
+    context: GatewayContext,
+    request_state: RequestState,
+    stage: Stage,
+    version: str | None,
+    *,
+    only_preferred: bool = False,
 ) -> list[EndpointState]:
     """Return the engines of one stage, and of one software version if it is given."""
     return context.fleet.candidates(
@@ -242,6 +250,7 @@
         excluded=request_state.tried_endpoints,
         stage=stage,
         software_version=version,
+        only_preferred=only_preferred,
     )
 
 
@@ -432,7 +441,7 @@
     assert prompt is not None
     views = [
         _engine_view(context, request_state, engine, prompt)
-        for engine in within_limits(context, candidates)
+        for engine in within_limits(context, request_state, candidates)
     ]
     if not views:
         return None
@@ -548,12 +557,7 @@
             pending_prefill.enter_context(_count_pending_prefill(context, request_state, plan))
         else:
             context.record_cached_prompt(plan.decode.endpoint_id, _prompt_parts(request_state))
-        restart_silence_limit(
-            limit,
-            request_state,
-            plan.time_to_first_event * FIRST_EVENT_TIMEOUT_FACTOR
-            + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
-        )
+        restart_silence_limit(limit, request_state, _first_event_limit(request_state.route, plan))
 
         async def on_event() -> None:
             delivery.record_event(now=context.clock())
@@ -573,6 +577,14 @@
     return SendOutcome.ANSWERED
 
 
+def _first_event_limit(route: Route, plan: GenerationPlan) -> float:
+    """Return the seconds in which the first event has to come, never fewer than between events."""
+    return max(
+        plan.time_to_first_event * FIRST_EVENT_TIMEOUT_FACTOR + FIRST_EVENT_TIMEOUT_SLACK_SECONDS,
+        inter_event_gap_limit(route.latency_target, route.inter_event_gap_target),
+    )
+
+
 def _make_dispatch(
     context: GatewayContext,
     request_state: RequestState,
