Bound what rows of streams and base versions may hold

A row of another writer could name a base version of any length, or a time that no clock reaches. The bounds are those of the other rows; the time since 1970 is one type now.

--- a/samphirehall/core/decoding.py
+++ b/samphirehall/core/decoding.py
@@ -14,6 +14,7 @@
 MAX_INTEGER = 2**63 - 1  # the largest that every encoding between hosts can carry
 MAX_NAME_CHARACTERS = 200  # the platform's limit for names is 200 bytes
 MAX_PORT = 65_535
+MAX_UNIX_SECONDS = 253_402_300_799.0  # the end of the year 9999
 
 T = TypeVar("T")
 T_co = TypeVar("T_co", covariant=True)
@@ -29,6 +30,8 @@
     ),
 ]
 
+UnixTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]  # in seconds
+
 Address = tuple[str, int]
 
 
--- a/samphirehall/gateway/quarantine_store.py
+++ b/samphirehall/gateway/quarantine_store.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from samphirehall.backing.table import NO_ERA, Table, Write
-from samphirehall.core.decoding import DecodingError, convert
+from samphirehall.core.decoding import DecodingError, UnixTime, convert
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import RejectionLog, log_decision
 from samphirehall.routing.part_quarantine import Group, PartQuarantine
@@ -23,7 +23,6 @@
 MAX_ROWS = 256
 MAX_PARTS = 4096  # of one group
 MAX_PART_CHARACTERS = 1024  # of the identifier of a part
-MAX_UNIX_SECONDS = 253_402_300_799.0  # the end of the year 9999
 
 _log = logging.getLogger(__name__)
 _rejections = RejectionLog(_log, "quarantine-unreadable")
@@ -35,7 +34,7 @@
     """Value of a row; `last_crash` is in seconds since 1970."""
 
     parts: Annotated[list[_Part], msgspec.Meta(min_length=1, max_length=MAX_PARTS)]
-    last_crash: Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]
+    last_crash: UnixTime
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirehall/gateway/stream_store.py
+++ b/samphirehall/gateway/stream_store.py
@@ -7,11 +7,13 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import anyio
 import msgspec
 
 from samphirehall.backing.table import ABSENT, Check, Row, Table, Write
+from samphirehall.core.decoding import DecodingError, UnixTime, Unsigned, convert
 from samphirehall.core.errors import PlatformUnavailableError, SamphireError
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import STREAM_UNKNOWN
@@ -37,20 +39,23 @@
 BASE_MOVE_SECONDS = 3.0  # without an engine of the base version, before the base moves
 CLEANUP_INTERVAL_SECONDS = 30.0  # between two removals of ended rows by a hub
 UNKNOWN_RETRY_AFTER_SECONDS = 0.2  # another host may know the version
+MAX_TEXT_CHARACTERS = 200  # of a name or a software version
+
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS)]
 
 _log = logging.getLogger(__name__)
 
 
 class _StoredBase(msgspec.Struct):
-    version: str
-    era: int
-    moved_at: float
-    former: str | None
-    confirmed_at: float
+    version: _Text
+    era: Unsigned
+    moved_at: UnixTime
+    former: _Text | None
+    confirmed_at: UnixTime
 
 
 class _StoredStreams(msgspec.Struct):
-    streams: list[tuple[str, str, str, float]]
+    streams: list[tuple[_Text, _Text, _Text, UnixTime]]
 
 
 @dataclass(slots=True)
@@ -263,7 +268,7 @@
                     scan.bases[row.key.removeprefix(BASE_PREFIX)] = _decode_base(row)
                     continue
                 streams = _decode_streams(row)
-            except msgspec.ValidationError as error:
+            except DecodingError as error:
                 scan.is_complete = False
                 _log.warning("streams-unreadable", extra={"key": row.key, "reason": str(error)})
                 continue
@@ -355,7 +360,7 @@
         if row is not None:
             try:
                 stored = _decode_base(row)
-            except msgspec.ValidationError as error:
+            except DecodingError as error:
                 _log.warning("streams-unreadable", extra={"key": row.key, "reason": str(error)})
         if self._is_hub() and self._list_is_current():
             base = self.versions.next_base(
@@ -435,10 +440,10 @@
 
 
 def _decode_base(row: Row) -> BaseVersion:
-    found = msgspec.convert(row.value, _StoredBase)
+    found = convert(row.value, _StoredBase)
     return BaseVersion(found.version, found.era, found.moved_at, found.former, found.confirmed_at)
 
 
 def _decode_streams(row: Row) -> dict[str, Stream]:
-    found = msgspec.convert(row.value, _StoredStreams)
+    found = convert(row.value, _StoredStreams)
     return {key: Stream(service, version, ends) for key, service, version, ends in found.streams}
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -11,12 +11,11 @@
 
 import msgspec
 
-from samphirehall.core.decoding import Name, Unsigned, decode
+from samphirehall.core.decoding import Name, UnixTime, Unsigned, decode
 from samphirehall.gateway.rows import StoreVersion
 from samphirehall.gateway.usage_windows import WINDOW_KEY_DIGITS, Count
 
 MAX_SEQUENCE = 2**32 - 1  # an acknowledgement has 32 bits
-MAX_UNIX_SECONDS = 253_402_300_799.0  # the end of the year 9999
 MAX_AGE_SECONDS = 1e10
 CLOCK_ROUNDING_SECONDS = 1.0  # a difference of two clock readings may be slightly negative
 MAX_LOAD = 10**15  # requests or tokens, of a host or a zone; sums over all fit 64 bits
@@ -31,7 +30,6 @@
 _ACKNOWLEDGED = struct.Struct(">I")
 NOT_ACKNOWLEDGED = 0  # no update of the receiver, or none that the load includes
 _PLAIN, _COMPRESSED = b"\x00", b"\x01"
-_Time = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_SECONDS)]
 _Age = Annotated[float, msgspec.Meta(ge=-CLOCK_ROUNDING_SECONDS, le=MAX_AGE_SECONDS)]
 _Load = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOAD)]
 _Demand = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
@@ -124,7 +122,7 @@
     address: str
     process: str
     sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
-    wall_time: _Time
+    wall_time: UnixTime
     configuration_version: Unsigned
     store_age: _Age | None
     loads: dict[str, list[_Load]]
@@ -200,7 +198,7 @@
     """
 
     summary: ZoneSummary
-    agreed_time: _Time
+    agreed_time: UnixTime
     configuration_version: Unsigned
     store_age: _Age
     reader: str | None
--- a/tests/gateway/test_stream_store.py
+++ b/tests/gateway/test_stream_store.py
@@ -242,6 +242,28 @@
         world.streams.append((V1, world.now))
         assert await world.take_up(1, len(world.streams) - 1) is None
 
+    @pytest.mark.parametrize("name", [BASE_PREFIX + "other", f"{BEGUN_PREFIX}host-9/1"])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            [],
+            {"streams": [["k", "model", V1, 1e300]]},
+            {"streams": [["k" * 1000, "model", V1, 0.0]]},
+            {"version": V1, "era": 10**40, "moved_at": 0, "former": None, "confirmed_at": 0},
+            {"version": V1, "era": 0, "moved_at": -1, "former": None, "confirmed_at": 0},
+            {"version": V1 * 1000, "era": 0, "moved_at": 0, "former": None, "confirmed_at": 0},
+        ],
+        ids=range(7),
+    )
+    async def test_rows_out_of_range_hide_no_record(self, name, value):
+        world = World(engines=(V1, V2))
+        await world.advance(10.0)
+        recorded = await world.begin(0, V2)
+        await world.table.transact([], [Write(name, value if value is not None else 0)])
+        assert await world.take_up(1, recorded) == V2
+        await world.advance(40.0)
+
 
 class TestEnds:
     async def test_ended_streams_leave_the_store(self):
