Answer requests that wait behind another when a host stops

Callers saw: of two whole requests sent on one connection, only the first was answered during a stop; the second was read, and the connection closed.

Cause: each answer of a stopping host says Connection: close. Now only the last one on its connection does. The test failed before (one answer of two) and passes now, with the tests of forwarding and of the ingress.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -19,6 +19,11 @@
     """Do nothing, as another server owns the connection."""
 
 
+def _has_no_requests() -> bool:
+    """Return that no request is known to wait, as another server owns the connection."""
+    return False
+
+
 class CallerConnection:
     """Connection of a caller, with callbacks for when it closes.
 
@@ -26,12 +31,19 @@
     ----------
     close : callable
         Closes the connection, even while a response is being sent.
+    has_requests : callable
+        Returns whether requests that have been read wait for the present response to end.
     """
 
-    __slots__ = ("_callbacks", "_closed", "close")
+    __slots__ = ("_callbacks", "_closed", "close", "has_requests")
 
-    def __init__(self, close: Callable[[], None] = _do_nothing) -> None:
+    def __init__(
+        self,
+        close: Callable[[], None] = _do_nothing,
+        has_requests: Callable[[], bool] = _has_no_requests,
+    ) -> None:
         self.close = close
+        self.has_requests = has_requests
         self._closed = False
         self._callbacks: list[Callable[[], None]] = []
 
@@ -82,7 +94,7 @@
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start to wait for the first head."""
             super().connection_made(transport)
-            self._caller = CallerConnection(transport.close)
+            self._caller = CallerConnection(transport.close, lambda: bool(self.pipeline))
             self.expect_first_head()
 
         def expect_first_head(self) -> None:
--- a/samphirehall/gateway/ingress.py
+++ b/samphirehall/gateway/ingress.py
@@ -25,6 +25,7 @@
 )
 from samphirehall.forwarding.caller_protocol import (
     TARGET_SCOPE_KEY,
+    CallerConnection,
     caller_connection,
     caller_protocol,
 )
@@ -51,7 +52,7 @@
     limits : callable
         Returns the limits in force.
     stopping : bool
-        Whether each response closes its connection.
+        Whether each response closes its connection, unless requests wait behind it.
     refusing : bool
         Whether all new requests are refused because the host is about to exit.
     open_requests : int
@@ -83,8 +84,9 @@
         Id of the request, for the log; empty until it has been read.
     """
 
-    def __init__(self, send: Send, state: IngressState) -> None:
+    def __init__(self, send: Send, state: IngressState, connection: CallerConnection) -> None:
         self._send = send
+        self._connection = connection
         self._state = state
         self._started = False
         self.complete = False
@@ -98,7 +100,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
         self._started = True
-        closing = [CONNECTION_CLOSE_HEADER] if self._state.stopping else []
+        closes = self._state.stopping and not self._connection.has_requests()
+        closing = [CONNECTION_CLOSE_HEADER] if closes else []
         await send_head(self._send, status, [*headers, *closing])
 
     async def write(self, data: bytes) -> None:
@@ -140,7 +143,7 @@
         if scope["type"] != "http":
             return
         connection = caller_connection(scope)
-        caller = AsgiCaller(send, state)
+        caller = AsgiCaller(send, state, connection)
         state.open_requests += 1
         try:
             with (
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -184,6 +184,20 @@
             assert await read_all(idle) == b""
             assert b"200 OK" in await read_all(busy)
 
+    async def test_request_that_waits_behind_another_is_answered(self):
+        async def slow(request, caller):
+            await anyio.sleep(0.1)
+            await answer(request, caller)
+
+        ingress = Ingress(slow)
+        async with ingress.serving, await ingress.connect() as stream:
+            await stream.send(GET + GET.replace(b"r1", b"r2"))
+            await anyio.sleep(0.03)
+            ingress.state.stopping = True
+            ingress.state.close_idle_connections()
+            received = await read_all(stream)
+        assert received.count(b"200 OK") == 2 and received.count(b"connection: close") == 1
+
     async def test_requests_during_shutdown_are_refused_as_not_run(self, caplog):
         ingress = Ingress(answer)
         async with ingress.serving, await ingress.connect() as stream:
