Prefer other endpoints for new requests while one is silent to a send

A send to a silent endpoint goes on if nothing can take over. No failure was recorded meanwhile, so that the endpoint stayed a first choice for new requests, which then fell silent as well. At the first expiry the endpoint is now marked as silent, once for each such send, until it is heard or the send ends. The mark only lowers preference: without other endpoints it still gets requests.

test_silent_engine_whose_stream_goes_on_is_no_first_choice_for_new_streams, test_endpoint_whose_request_was_cut_in_its_silence_is_not_marked_for_ever and test_endpoint_is_marked_as_silent_once_and_until_it_is_heard failed before, as there was no mark, and pass. tests/gateway passes.

--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -44,6 +44,7 @@
     may_have_restarted: bool = False
     changing_since: float = float("-inf")
     leaving_since: float = float("-inf")
+    silent_sends: int = 0
 
     def record_success(self) -> None:
         """Record a successful answer; clears the backoff."""
@@ -80,6 +81,14 @@
         if unreachable:
             self.unreachable_until = self.backoff_until
 
+    def record_silence(self, is_silent: bool) -> None:
+        """Record that a send fell silent for too long and goes on, or was heard or ended."""
+        self.silent_sends += 1 if is_silent else -1
+
+    def is_preferred(self, *, now: float) -> bool:
+        """Return whether the endpoint is neither in backoff nor silent to a send."""
+        return self.backoff_until <= now and not self.silent_sends
+
     def is_surely_of(self, software_version: str) -> bool:
         """Return whether the endpoint has a software version, and has not restarted unnoticed."""
         return self.listed.software_version == software_version and not self.may_have_restarted
@@ -197,9 +206,9 @@
         endpoints that may have restarted since their last answer are excluded: they may be of
         another one before the endpoint list says so.
 
-        Endpoints in backoff are excluded as long as there are others, or always if only preferred
-        endpoints are to be returned. Unreachable prefill
-        engines are always excluded, because decode engines can prefill as well.
+        Endpoints in backoff or silent to a send are excluded as long as there are others, or always
+        if only preferred endpoints are to be returned. Unreachable prefill engines are always
+        excluded, because decode engines can prefill as well.
         """
         ready = [
             state
@@ -211,7 +220,7 @@
             and (stage is None or state.listed.stage is stage)
             and (software_version is None or state.is_surely_of(software_version))
         ]
-        preferred = [state for state in ready if state.backoff_until <= now]
+        preferred = [state for state in ready if state.is_preferred(now=now)]
         if only_preferred:
             return preferred
         if stage is Stage.PREFILL and not preferred:
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -551,7 +551,12 @@
 
     with (
         contextlib.ExitStack() as pending_prefill,
-        silence_limit(request_state.request.request_id, plan.decode.endpoint_id, may_end) as limit,
+        silence_limit(
+            request_state.request.request_id,
+            plan.decode.endpoint_id,
+            may_end,
+            decode_engine.record_silence,
+        ) as limit,
     ):
         if kv_handle is None:
             pending_prefill.enter_context(_count_pending_prefill(context, request_state, plan))
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -205,7 +205,10 @@
 
     try:
         with silence_limit(
-            request_state.request.request_id, endpoint.listed.endpoint_id, may_end
+            request_state.request.request_id,
+            endpoint.listed.endpoint_id,
+            may_end,
+            endpoint.record_silence,
         ) as limit:
             if timeout is not None:
                 limit.restart(timeout)
--- a/samphirehall/gateway/silence.py
+++ b/samphirehall/gateway/silence.py
@@ -26,32 +26,43 @@
     may_end : callable
         Returns whether another endpoint is certain to take over. It is called when the
         timer expires and then periodically.
+    on_silence : callable
+        Called with True when the timer has expired and the send goes on, and with False when
+        the endpoint is heard again or the send ends.
     """
 
     __slots__ = (
         "_due",
         "_endpoint_id",
+        "_is_silent",
         "_may_end",
+        "_on_silence",
         "_request_id",
         "_timer",
-        "_told",
         "expired",
         "scope",
     )
 
-    def __init__(self, request_id: str, endpoint_id: str, may_end: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        endpoint_id: str,
+        may_end: Callable[[], bool],
+        on_silence: Callable[[bool], None],
+    ) -> None:
         self._request_id = request_id
         self._endpoint_id = endpoint_id
         self._may_end = may_end
+        self._on_silence = on_silence
         self._timer: asyncio.Handle | None = None
         self._due = 0.0  # on the clock of the event loop
-        self._told = False
+        self._is_silent = False
         self.scope = anyio.CancelScope()
         self.expired = False
 
     def restart(self, seconds: float) -> None:
         """Expire after this time, unless restarted or stopped before."""
-        self._told = False
+        self.stop()
         self._call_later(seconds, self._begin_grace)
 
     def stop(self) -> None:
@@ -59,9 +70,11 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if self._is_silent:
+            self._is_silent = False
+            self._on_silence(False)
 
     def _call_later(self, seconds: float, callback: Callable[[], None]) -> None:
-        self.stop()
         loop = asyncio.get_running_loop()
         self._due = loop.time() + seconds
         self._timer = loop.call_at(self._due, callback)
@@ -84,8 +97,9 @@
             self.expired = True
             self.scope.cancel()
             return
-        if not self._told:
-            self._told = True
+        if not self._is_silent:
+            self._is_silent = True
+            self._on_silence(True)
             self._log_decision("no other endpoint can take over, the send goes on")
         self._call_later(RECHECK_INTERVAL_SECONDS, self._end_grace)
 
@@ -97,7 +111,10 @@
 
 @contextlib.contextmanager
 def silence_limit(
-    request_id: str, endpoint_id: str, may_end: Callable[[], bool]
+    request_id: str,
+    endpoint_id: str,
+    may_end: Callable[[], bool],
+    on_silence: Callable[[bool], None] = lambda is_silent: None,
 ) -> Iterator[SilenceLimit]:
     """Run the context under a limit that does not run until it is restarted.
 
@@ -106,7 +123,7 @@
     TimeoutError
         The endpoint was silent for too long, and another can take over.
     """
-    limit = SilenceLimit(request_id, endpoint_id, may_end)
+    limit = SilenceLimit(request_id, endpoint_id, may_end, on_silence)
     try:
         with limit.scope:
             yield limit
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -177,6 +177,27 @@
         assert caller.body == WHOLE and caller.complete
         assert not other.received
 
+    async def test_silent_engine_whose_stream_goes_on_is_no_first_choice_for_new_streams(self):
+        async with (
+            scripted_endpoint(pausing_after(2, 2.6)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.set_repeat_limits(NO_REPEATS)
+            gateway.context.loads._local["d2"].requests = 40
+            endpoint = gateway.context.fleet.endpoint("d1")
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(1.5)
+                assert not endpoint.silent_sends
+                await anyio.sleep(0.5)
+                assert endpoint.silent_sends == 1
+                assert (await serve(gateway, request_id="r2")).complete
+                assert len(other.received) == 1 and len(silent.received) == 1
+        assert caller.body == WHOLE and caller.complete and not silent.aborted_requests
+        assert not endpoint.silent_sends
+
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
         self, after_head
@@ -259,6 +280,21 @@
             await gateway.serve(request(), caller)
         assert (caller.status, caller.body) == (200, b"body")
 
+    async def test_endpoint_whose_request_was_cut_in_its_silence_is_not_marked_for_ever(self):
+        async def slow(received, writer):
+            await asyncio.sleep(5)
+
+        async with scripted_endpoint(slow) as endpoint:
+            gateway, _ = test_plain.gateway_with(endpoint.address)
+            (state,) = gateway.context.fleet.states()
+            with anyio.move_on_after(0.6):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(gateway.serve, request(), RecordingCaller())
+                    await anyio.sleep(0.4)
+                    assert state.silent_sends == 1
+                    await anyio.sleep(1)
+        assert not state.silent_sends
+
     async def test_requests_that_fall_silent_together_do_not_all_count_on_one_send(self):
         async def slow(received, writer):
             await asyncio.sleep(0.4)
@@ -302,6 +338,20 @@
             await anyio.sleep(5)
         assert limit.expired and not allowed
 
+    async def test_endpoint_is_marked_as_silent_once_and_until_it_is_heard(self):
+        marks = []
+        with silence_limit("r1", "e1", lambda: False, marks.append) as limit:
+            for _ in range(2):
+                limit.restart(0.01)
+                await anyio.sleep(0.4)
+                assert marks == [True]
+                limit.restart(1.0)
+                assert marks == [True, False]
+                marks.clear()
+            limit.restart(0.01)
+            await anyio.sleep(0.2)
+        assert marks == [True, False]
+
     async def test_event_restarts_the_limit_and_the_end_stops_it(self):
         with contextlib.ExitStack() as stack:
             limit = stack.enter_context(silence_limit("r1", "e1", lambda: True))
