End a silent prefill of a stream that has begun only for another engine

A separate prefill was ended at its timeout without asking whether another engine can take over. A stream that went on elsewhere by way of such a prefill was cut (4001) when no repeat was left, although the prefill was only late (1.3 s). It now has the same limit on silence as other sends once the request may have run. Before that its timeout is unchanged: a refusal as not run is then true.

test_stream_that_goes_on_elsewhere_is_not_cut_by_a_silent_prefill failed before and passes. tests/gateway passes.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -374,7 +374,7 @@
     recording = _begin_stream(context, request_state, plan)
     if plan.dedicated_prefill is None:
         return await _decode(context, request_state, plan, delivery, None, recording)
-    kv_handle = await _prefill(context, request_state, plan)
+    kv_handle = await _prefill(context, request_state, plan, delivery)
     if kv_handle is None:
         return False
     try:
@@ -454,9 +454,12 @@
 
 
 async def _prefill(
-    context: GatewayContext, request_state: RequestState, plan: GenerationPlan
+    context: GatewayContext, request_state: RequestState, plan: GenerationPlan, delivery: Delivery
 ) -> KvHandle | None:
-    """Prefill on the separate engine of the plan; return the KV handle, or None on failure."""
+    """Prefill on the separate engine of the plan; return the KV handle, or None on failure.
+
+    A silent prefill of a request that may have run ends only if another engine can take over.
+    """
     prefill_engine = context.fleet.endpoint(plan.prefill_engine.endpoint_id)
     if prefill_engine is None:
         return None
@@ -464,8 +467,18 @@
     started = context.clock()
     outcome = SendOutcome.CUT
     timeout = plan.time_to_first_event * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_SECONDS
+
+    def may_end() -> bool:
+        return not request_state.may_have_run or _can_take_over(context, request_state, delivery)
+
+    endpoint_id = plan.prefill_engine.endpoint_id
+    request_state.tried_endpoints.add(endpoint_id)
+    silence = silence_limit(
+        request_state.request.request_id, endpoint_id, may_end, prefill_engine.record_silence
+    )
     try:
-        with anyio.fail_after(timeout), _count_pending_prefill(context, request_state, plan):
+        with silence as limit, _count_pending_prefill(context, request_state, plan):
+            limit.restart(timeout)
             async with send_request(context, request_state, prefill_engine, dispatch) as response:
                 body = await response.read(max_bytes=MAX_HANDLE_BYTES)
         outcome = SendOutcome.NOT_RUN
@@ -473,19 +486,18 @@
             outcome = SendOutcome.ANSWERED
             prefill_engine.record_success()
             _record_prefill_rate(context, request_state, plan, context.clock() - started)
-            return KvHandle(
-                prefill_engine.listed.address, context.wire_codec.decode_kv_handle(body)
-            )
+            kv_handle_id = context.wire_codec.decode_kv_handle(body)
+            request_state.tried_endpoints.discard(endpoint_id)
+            return KvHandle(prefill_engine.listed.address, kv_handle_id)
     except SEND_ERRORS as error:
         outcome = outcome_from_error(error)
     finally:
-        request_state.record_send(plan.prefill_engine.endpoint_id, PREFILL_PURPOSE, outcome)
+        request_state.record_send(endpoint_id, PREFILL_PURPOSE, outcome)
     prefill_engine.record_failure(
         now=context.clock(),
         unreachable=outcome is SendOutcome.NOT_SENT,
         disconnected=outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN),
     )
-    request_state.tried_endpoints.add(plan.prefill_engine.endpoint_id)
     return None
 
 
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -15,6 +15,7 @@
 from samphirehall.gateway.generation_plan import plan_generation
 from samphirehall.gateway.relay import inter_event_gap_limit
 from samphirehall.gateway.silence import silence_limit
+from samphirehall.gateway.types import Stage
 from tests.gateway import test_generation, test_plain
 from tests.gateway.helpers import MODEL, RecordingCaller, engine, request, scripted_endpoint
 from tests.gateway.test_generation import (
@@ -23,6 +24,7 @@
     WHOLE,
     chunk,
     generate,
+    read_prompt,
     refuse,
     remaining_events,
     serve,
@@ -198,6 +200,30 @@
         assert caller.body == WHOLE and caller.complete and not silent.aborted_requests
         assert not endpoint.silent_sends
 
+    async def test_stream_that_goes_on_elsewhere_is_not_cut_by_a_silent_prefill(self):
+        async def read_late(received, writer):
+            await asyncio.sleep(1.3)
+            await read_prompt(received, writer)
+
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(read_late) as prefill,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent)
+            shared = gateway.context
+            shared.set_repeat_limits(RepeatLimits(0.0, 1.5, 10.0))
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                whole = request("/chat/x", prompt=test_generation.prompt(8000))
+                group.start_soon(gateway.serve, whole, caller)
+                await anyio.sleep(0.3)
+                shared.fleet.update(engine("p1", Stage.PREFILL, address=prefill.address), MODEL)
+                shared.fleet.update(engine("d2", address=other.address), MODEL)
+                shared.loads._local["d2"].requests = 3
+        assert caller.body == WHOLE and caller.complete
+        assert len(prefill.received) == 1 and other.received[0]["last-event-id"] == "2"
+
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
         self, after_head
