--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -15,6 +15,7 @@
 from samphirehall.gateway.generation_plan import plan_generation
 from samphirehall.gateway.relay import inter_event_gap_limit
 from samphirehall.gateway.silence import silence_limit
+from samphirehall.gateway.types import Stage
 from tests.gateway import test_generation, test_plain
 from tests.gateway.helpers import MODEL, RecordingCaller, engine, request, scripted_endpoint
 from tests.gateway.test_generation import (
@@ -23,6 +24,7 @@
     WHOLE,
     chunk,
     generate,
+    read_prompt,
     refuse,
     remaining_events,
     serve,
@@ -177,6 +179,51 @@
         assert caller.body == WHOLE and caller.complete
         assert not other.received
 
+    async def test_silent_engine_whose_stream_goes_on_is_no_first_choice_for_new_streams(self):
+        async with (
+            scripted_endpoint(pausing_after(2, 2.6)) as silent,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent, d2=other)
+            gateway.context.set_repeat_limits(NO_REPEATS)
+            gateway.context.loads._local["d2"].requests = 40
+            endpoint = gateway.context.fleet.endpoint("d1")
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(gateway.serve, stream_request(), caller)
+                await anyio.sleep(1.5)
+                assert not endpoint.silent_sends
+                await anyio.sleep(0.5)
+                assert endpoint.silent_sends == 1
+                assert (await serve(gateway, request_id="r2")).complete
+                assert len(other.received) == 1 and len(silent.received) == 1
+        assert caller.body == WHOLE and caller.complete and not silent.aborted_requests
+        assert not endpoint.silent_sends
+
+    async def test_stream_that_goes_on_elsewhere_is_not_cut_by_a_silent_prefill(self):
+        async def read_late(received, writer):
+            await asyncio.sleep(1.3)
+            await read_prompt(received, writer)
+
+        async with (
+            scripted_endpoint(pausing_after(2)) as silent,
+            scripted_endpoint(read_late) as prefill,
+            scripted_endpoint(generate) as other,
+        ):
+            gateway, _ = test_generation.gateway_with(d1=silent)
+            shared = gateway.context
+            shared.set_repeat_limits(RepeatLimits(0.0, 1.5, 10.0))
+            caller = RecordingCaller()
+            async with anyio.create_task_group() as group:
+                whole = request("/chat/x", prompt=test_generation.prompt(8000))
+                group.start_soon(gateway.serve, whole, caller)
+                await anyio.sleep(0.3)
+                shared.fleet.update(engine("p1", Stage.PREFILL, address=prefill.address), MODEL)
+                shared.fleet.update(engine("d2", address=other.address), MODEL)
+                shared.loads._local["d2"].requests = 3
+        assert caller.body == WHOLE and caller.complete
+        assert len(prefill.received) == 1 and other.received[0]["last-event-id"] == "2"
+
     @pytest.mark.parametrize("after_head", [True, False])
     async def test_sound_engine_is_not_ended_for_a_silence_of_a_second_or_so_before_its_first_event(
         self, after_head
@@ -259,6 +306,21 @@
             await gateway.serve(request(), caller)
         assert (caller.status, caller.body) == (200, b"body")
 
+    async def test_endpoint_whose_request_was_cut_in_its_silence_is_not_marked_for_ever(self):
+        async def slow(received, writer):
+            await asyncio.sleep(5)
+
+        async with scripted_endpoint(slow) as endpoint:
+            gateway, _ = test_plain.gateway_with(endpoint.address)
+            (state,) = gateway.context.fleet.states()
+            with anyio.move_on_after(0.6):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(gateway.serve, request(), RecordingCaller())
+                    await anyio.sleep(0.4)
+                    assert state.silent_sends == 1
+                    await anyio.sleep(1)
+        assert not state.silent_sends
+
     async def test_requests_that_fall_silent_together_do_not_all_count_on_one_send(self):
         async def slow(received, writer):
             await asyncio.sleep(0.4)
@@ -302,6 +364,20 @@
             await anyio.sleep(5)
         assert limit.expired and not allowed
 
+    async def test_endpoint_is_marked_as_silent_once_and_until_it_is_heard(self):
+        marks = []
+        with silence_limit("r1", "e1", lambda: False, marks.append) as limit:
+            for _ in range(2):
+                limit.restart(0.01)
+                await anyio.sleep(0.4)
+                assert marks == [True]
+                limit.restart(1.0)
+                assert marks == [True, False]
+                marks.clear()
+            limit.restart(0.01)
+            await anyio.sleep(0.2)
+        assert marks == [True, False]
+
     async def test_event_restarts_the_limit_and_the_end_stops_it(self):
         with contextlib.ExitStack() as stack:
             limit = stack.enter_context(silence_limit("r1", "e1", lambda: True))
