--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from samphirehall.gateway import generation
+from samphirehall.gateway import generation_choice
 from samphirehall.gateway.context import RepeatLimits
 from samphirehall.gateway.generation_plan import plan_generation
 from samphirehall.gateway.relay import inter_event_gap_limit
@@ -151,7 +151,7 @@
             plans.append(arguments)
             return plan_generation(*arguments, **options)
 
-        monkeypatch.setattr(generation, "plan_generation", counted)
+        monkeypatch.setattr(generation_choice, "plan_generation", counted)
         async with (
             scripted_endpoint(pausing_after(2)) as silent,
             scripted_endpoint(generate) as other,
