--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,7 +25,7 @@
 READS_PER_SECOND = 10
 STREAMS_PER_SECOND = 1
 MIN_REQUESTS = 8
-PIECE = b"20\r\n" + b"x" * 32 + b"\r\n"  # one chunk of the endless body
+PIECE = b"41\r\n" + b"x" * 65 + b"\r\n"  # a chunk of 65 bytes, as the sheet says of a piece
 
 
 def begin_stream(headers, instance):
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,10 +25,12 @@
 
 
 def free_port(host="127.0.0.1"):
-    """Return a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free at present and that no outgoing connection is given."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return port
 
 
 class Record:
