--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -484,10 +484,10 @@
 
 
 @contextlib.asynccontextmanager
-async def platform():
+async def platform(store=None):
     """Serve a store with a configuration, and the duty calls."""
     folder = Path(tempfile.mkdtemp(prefix="review-"))
-    store, duties = Store(), Duties()
+    store, duties = store or Store(), Duties()
     await store.start()
     await duties.start()
     store.put("op", "config", CONFIGURATION)
