--- a/review/standins/system.py
+++ b/review/system.py
@@ -18,7 +18,7 @@
 import time
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 RUN = ["python3", "-m", "samphirehall.programs.start_node"]  # as in deploy/system.toml
 HEARTBEAT_SECONDS = 1.2
 HEAD_LIMIT_BYTES = 1 << 20
