The close of a client is noticed however much it has sent (GONE)

Cause: a close is learned only by reading, and uvicorn pauses reading until the answer ends, for a long body and for a request that waits. Ruled out by a test with both lengths: a lost cancellation (bodies of 65,536 bytes were noticed), a repeat of its own.

Change: forwarding/caller_input.py decides when to read on: always once a body is whole, and behind a waiting request up to 64 KiB that the parser is not given; beyond that the socket is asked each 0.1 s whether the client has hung up. Input is parsed in turns. A connection that is shut down closes once all that has arrived is answered.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -9,6 +9,12 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
 from samphirehall.forwarding.answers import JSON, Scope, error_body, result_headers
+from samphirehall.forwarding.caller_input import (
+    TURN_BYTES,
+    InputControl,
+    UnparsedInput,
+    may_read,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 CONNECTION_SCOPE_KEY = "samphire.connection"
@@ -90,11 +96,15 @@
         _head_bytes = 0
         _in_head = True
         _has_refused = False
+        _is_ending = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start to wait for the first head."""
             super().connection_made(transport)
-            self._caller = CallerConnection(transport.close, lambda: bool(self.pipeline))
+            self._unparsed = UnparsedInput()
+            self._input = InputControl(transport, self._reads_on)
+            self.flow = self._input
+            self._caller = CallerConnection(transport.close, self._has_requests)
             self.expect_first_head()
 
         def expect_first_head(self) -> None:
@@ -104,20 +114,21 @@
         def connection_lost(self, exc: Exception | None) -> None:
             """Cancel the head timeout and report the connection as closed."""
             self._cancel_head_timer()
+            self._input.stop_checking()
+            self._unparsed.clear()
             super().connection_lost(exc)
             self._caller.mark_closed()
 
         def data_received(self, data: bytes) -> None:
-            """Parse received bytes and refuse a head that is too long."""
-            if self._has_refused:
-                return
-            if self._in_head:
-                self._head_bytes += len(data)
-            super().data_received(data)
-            if self._in_head and self._head_bytes > self.max_head_bytes():
-                self._refuse(
-                    TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
-                )
+            """Parse received bytes, except those behind a request that waits for another one."""
+            if self._takes_input():
+                self._unparsed.add(data)
+                self._parse()
+
+        def shutdown(self) -> None:
+            """Close the connection once all requests that have arrived are answered."""
+            self._is_ending = True
+            self._close_if_done()
 
         def head_seconds(self) -> float:
             """Return the seconds in which a head must arrive."""
@@ -145,16 +156,71 @@
             self._cancel_head_timer()
             super().on_headers_complete()
 
+        def on_message_complete(self) -> None:
+            """Read on once a body is whole, however long, so that a close is noticed."""
+            super().on_message_complete()
+            self._input.update()
+
         def on_response_complete(self) -> None:
             """Start the next request, or close the connection if the one behind it was refused."""
             if self._has_refused and not self.pipeline:
                 self.transport.close()
             super().on_response_complete()
+            self._parse_soon()
+            self._close_if_done()
 
         def send_400_response(self, msg: str) -> None:
             """Refuse a request that is not valid HTTP."""
             self._refuse(BAD_REQUEST, msg)
 
+        def _takes_input(self) -> bool:
+            return not self._has_refused and not self.transport.is_closing()
+
+        def _has_requests(self) -> bool:
+            return bool(self.pipeline) or bool(self._unparsed)
+
+        def _reads_on(self) -> bool:
+            cycle = self.cycle
+            takes_body = cycle is not None and cycle.more_body and not cycle.response_complete
+            return may_read(len(self._unparsed), len(cycle.body) if takes_body else 0)
+
+        def _parse_soon(self) -> None:
+            if self._unparsed:
+                self.loop.call_soon(self._parse)
+
+        def _parse(self) -> None:
+            """Parse until a request waits for another one, or the turn is over."""
+            if self.parser is None:  # the connection is lost
+                return
+            left = TURN_BYTES
+            while self._unparsed and not self.pipeline and left > 0:
+                piece = self._unparsed.take()
+                left -= len(piece)
+                self._parse_piece(piece)
+                if not self._takes_input():
+                    self._unparsed.clear()
+                    return
+            if not self.pipeline:
+                self._parse_soon()
+            self._close_if_done()
+            self._input.update()
+
+        def _close_if_done(self) -> None:
+            """Close a connection that is being shut down, unless requests are unanswered."""
+            is_idle = self.cycle is None or self.cycle.response_complete
+            if self._is_ending and is_idle and not self._has_requests():
+                self.transport.close()
+
+        def _parse_piece(self, piece: bytes) -> None:
+            """Parse a piece, and refuse a head that is too long."""
+            if self._in_head:
+                self._head_bytes += len(piece)
+            super().data_received(piece)
+            if self._in_head and self._head_bytes > self.max_head_bytes():
+                self._refuse(
+                    TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
+                )
+
         def _expect_head(self) -> None:
             self._in_head = True
             if self._head_timer is None:
