--- a/samphirehall/gateway/endpoint_counts.py
+++ b/samphirehall/gateway/endpoint_counts.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from samphirehall.gateway.types import EngineLimits, ListedEndpoint, Service, Stage
@@ -167,8 +167,8 @@
     """Return one engine whose stage should change, and the new stage, or None.
 
     A changing engine is unavailable for seconds. It changes only if its new stage
-    lacks an engine and its old stage can spare one; an engine that is alone in its
-    stage within its zone is not changed.
+    lacks an engine and its old stage can spare one, as can its software version; an engine
+    that is alone in its stage within its zone is not changed.
 
     Parameters
     ----------
@@ -184,7 +184,13 @@
         len(prefill_engines) < demand.prefill_engines
         and len(decode_engines) - 1 >= demand.decode_engines
     ):
-        return _choose_spare_engine(decode_engines, Stage.PREFILL)
+        versions = Counter(engine.software_version for engine in decode_engines)
+        spare = [
+            engine
+            for engine in decode_engines
+            if len(versions) == 1 or versions[engine.software_version] > MIN_DECODE_ENGINES
+        ]
+        return _choose_spare_engine(spare, Stage.PREFILL)
     if (
         len(decode_engines) < demand.decode_engines
         and len(prefill_engines) - 1 >= demand.prefill_engines
@@ -193,12 +199,51 @@
     return None
 
 
+def missing_decode_engine(
+    engines: Iterable[ListedEndpoint],
+    *,
+    unreachable: Container[str] = (),
+    unwilling: Container[str] = (),
+) -> tuple[str, Stage] | None:
+    """Return a prefill engine that should decode, as its software version lacks decode engines.
+
+    A stream can only go on at its version. A version of three engines or more has two decode
+    engines, so that streams outlast the loss of one; a smaller one has one.
+
+    Parameters
+    ----------
+    engines : iterable of ListedEndpoint
+        Ready engines of one service.
+    unreachable : container of str
+        Ids of engines that refuse connections at present.
+    unwilling : container of str
+        Ids of engines that refused to change their stage.
+    """
+    versions: dict[str, list[ListedEndpoint]] = {}
+    for engine in sorted(engines, key=lambda engine: engine.endpoint_id):
+        if engine.endpoint_id not in unreachable:
+            versions.setdefault(engine.software_version, []).append(engine)
+    for members in versions.values():
+        prefill_engines = [engine for engine in members if engine.stage is Stage.PREFILL]
+        decode_count = len(members) - len(prefill_engines)
+        is_spare = len(prefill_engines) > 1 or decode_count == 0
+        willing = [engine for engine in prefill_engines if engine.endpoint_id not in unwilling]
+        if is_spare and decode_count < MIN_DECODE_ENGINES and willing:
+            return _in_largest_zone(willing).endpoint_id, Stage.DECODE
+    return None
+
+
+def _in_largest_zone(engines: Sequence[ListedEndpoint]) -> ListedEndpoint:
+    """Return an engine of the zone with the most engines."""
+    (zone, _), *_ = Counter(engine.zone for engine in engines).most_common(1)
+    return next(engine for engine in engines if engine.zone == zone)
+
+
 def _choose_spare_engine(
     engines: Sequence[ListedEndpoint], new_stage: Stage
 ) -> tuple[str, Stage] | None:
     """Return an engine of the zone with the most engines, or None if no zone has two."""
     zones = Counter(engine.zone for engine in engines)
-    zone, count = zones.most_common(1)[0]
-    if count < 2:
+    if max(zones.values(), default=0) < 2:
         return None
-    return next(engine.endpoint_id for engine in engines if engine.zone == zone), new_stage
+    return _in_largest_zone(engines).endpoint_id, new_stage
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -188,6 +188,7 @@
             parts=crash.parts,
         )
         if await endpoint.connections.refuses_connections():
+            endpoint.record_refusal()
             context.crashes.confirm(endpoint_id, now=context.clock())
     elif outcome is SendOutcome.NOT_SENT:
         context.crashes.confirm(endpoint_id, now=now)
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -81,6 +81,10 @@
         if unreachable:
             self.unreachable_until = self.backoff_until
 
+    def record_refusal(self) -> None:
+        """Record that the endpoint refuses connections, until its backoff ends."""
+        self.unreachable_until = self.backoff_until
+
     def record_silence(self, is_silent: bool) -> None:
         """Record that a send fell silent for too long and goes on, or was heard or ended."""
         self.silent_sends += 1 if is_silent else -1
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -31,7 +31,11 @@
     update_crash_tracker,
 )
 from samphirehall.gateway.fleet import EndpointState
-from samphirehall.gateway.generation_choice import next_plan, with_ready_decode_engine
+from samphirehall.gateway.generation_choice import (
+    may_gain_decode_engine,
+    next_plan,
+    with_ready_decode_engine,
+)
 from samphirehall.gateway.generation_plan import GenerationPlan
 from samphirehall.gateway.plain import no_answer_error
 from samphirehall.gateway.relay import (
@@ -44,7 +48,7 @@
 from samphirehall.gateway.request_state import PREFILL_PURPOSE, Caller, RequestState, SendOutcome
 from samphirehall.gateway.silence import silence_limit
 from samphirehall.gateway.stream_store import Recording
-from samphirehall.gateway.types import PromptPart, Route
+from samphirehall.gateway.types import Prompt, PromptPart, Route
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 
 PREFILL_TIMEOUT_FACTOR = 2.0  # times the estimated first event that a separate prefill may take
@@ -52,6 +56,8 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0  # times the estimate, for a resumable stream
 FIRST_EVENT_TIMEOUT_SLACK_SECONDS = 1.0
 MAX_HANDLE_BYTES = 65_536  # the answer to a prefill holds a handle and two numbers
+ENGINE_CHECK_SECONDS = 0.05  # while a stream waits for an engine of its version
+STAGE_RETRY_AFTER_SECONDS = 1.0  # a stage change takes seconds
 RELEASE_TIMEOUT_SECONDS = 0.3  # the engine expires the KV handle itself soon after
 
 _log = logging.getLogger(__name__)
@@ -76,7 +82,7 @@
     delivery = Delivery(caller, request_state.request.resume_after)
     if request_state.takes_up:
         await _find_stream_version(context, request_state)
-    while (plan := next_plan(context, request_state, prompt)) is not None:
+    while (plan := await _await_plan(context, request_state, prompt)) is not None:
         _check_quarantine_again(context, request_state, delivery)
         if not request_state.sends:
             context.prefill_demand(request_state.service.name).record(
@@ -102,6 +108,30 @@
     raise no_answer_error(request_state)
 
 
+async def _await_plan(
+    context: GatewayContext, request_state: RequestState, prompt: Prompt
+) -> GenerationPlan | None:
+    """Return the next plan; for a stream that is taken up, wait for an engine of its version.
+
+    It waits as long as such an engine serves that may decode before long, and the caller waits.
+    """
+    route = request_state.route
+    patience = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
+    while True:
+        plan = next_plan(context, request_state, prompt)
+        now = context.clock()
+        may_wait = (
+            request_state.takes_up
+            and request_state.elapsed(now=now) < patience
+            and request_state.remaining_time(now=now) > 0
+            and may_gain_decode_engine(context, request_state)
+        )
+        if plan is not None or not may_wait:
+            return plan
+        request_state.extra_log_fields["waited"] = round(request_state.elapsed(now=now), 4)
+        await anyio.sleep(ENGINE_CHECK_SECONDS)
+
+
 async def _find_stream_version(context: GatewayContext, request_state: RequestState) -> None:
     """Find the software version at which a stream that the caller takes up has to go on.
 
@@ -128,8 +158,13 @@
     service = request_state.service.name
     if not context.fleet.versions.of_service(service):
         return no_answer_error(request_state)
-    detail = f"no engine of version {request_state.stream_version} of service {service}"
-    return SamphireError(STREAM_VERSION_GONE, detail)
+    version = request_state.stream_version
+    if may_gain_decode_engine(context, request_state):
+        detail = f"no engine of version {version} of service {service} decodes at present"
+        return SamphireError(STREAM_VERSION_GONE, detail, retry_after=STAGE_RETRY_AFTER_SECONDS)
+    return SamphireError(
+        STREAM_VERSION_GONE, f"no engine of version {version} of service {service}"
+    )
 
 
 def _check_quarantine_again(
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -4,7 +4,9 @@
 together.
 """
 
-from collections.abc import Mapping, Sequence
+import itertools
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from samphirehall.gateway.context import GatewayContext
@@ -44,11 +46,14 @@
         now=context.clock()
     )
     versions = {engine.listed.software_version for engine in allowed[Stage.DECODE]}
+    groups = [versions]
+    if request_state.route.resumable and request_state.stream_version is None:
+        groups = [lasting_versions(decoders) & versions, versions]
     plan = None
-    for width in (1, WIDE_CHOICE_FACTOR):
+    for group, width in itertools.product(groups, (1, WIDE_CHOICE_FACTOR)):
         plans = [
             _version_plan(context, request_state, prompt, engines, allowed, version, width)
-            for version in sorted(versions)
+            for version in sorted(group)
         ]
         found = [plan for plan in plans if plan is not None]
         plan = min(found, key=lambda plan: plan.cost, default=None)
@@ -59,6 +64,25 @@
     return plan
 
 
+def lasting_versions(decoders: Iterable[EndpointState]) -> set[str]:
+    """Return the versions at which a stream that begins can go on if its engine is lost."""
+    counts = Counter(engine.listed.software_version for engine in decoders)
+    return {version for version, count in counts.items() if count > 1}
+
+
+def may_gain_decode_engine(context: GatewayContext, request_state: RequestState) -> bool:
+    """Return whether an engine of the stream's version serves, and may decode before long."""
+    service, version = request_state.service.name, request_state.stream_version
+    return version is not None and any(
+        state.listed.service == service
+        and state.listed.ready
+        and state.is_surely_of(version)
+        and (state.listed.stage is Stage.PREFILL or state.is_changing(now=context.clock()))
+        and state.listed.endpoint_id not in request_state.tried_endpoints
+        for state in context.fleet.states()
+    )
+
+
 def _begin_version(context: GatewayContext, request_state: RequestState) -> str | None:
     """Return the version at which a stream has to begin; None if any will do."""
     if context.streams is None or not request_state.route.resumable:
--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 import anyio
@@ -19,13 +19,17 @@
     desired_counts,
     desired_stage_change,
     measure_demand,
+    missing_decode_engine,
     supply_by_zone,
 )
 from samphirehall.gateway.fleet import STAGE_CHANGE_TIMEOUT_SECONDS
 from samphirehall.gateway.types import GatewayConfiguration, ListedEndpoint, Service, Stage
+from samphirehall.routing.stream_versions import STREAM_LIFETIME_SECONDS
 
 CHECK_INTERVAL_SECONDS = 0.5  # short compared with the startup time of an endpoint
-REFUSED_RETRY_SECONDS = 3.0  # before a refused kind is ordered again
+REFUSED_RETRY_SECONDS = (
+    3.0  # before a refused kind, or a refused change of an engine, is tried again
+)
 RESEND_INTERVAL_SECONDS = 2.0  # if endpoints are missing; the platform may cut orders
 STAGE_CHANGE_DELAY_SECONDS = 2.0  # a change must stay due, and follow the previous one, this long
 PEAK_DEMAND_WINDOW_SECONDS = 6.0  # counts follow the peak in it; bursts last seconds
@@ -72,6 +76,8 @@
         self._recent_demand: dict[str, deque[tuple[float, EngineDemand]]] = {}
         self._ordered_stages: dict[str, tuple[Stage, float]] = {}
         self._pending_stage_change: dict[str, tuple[Stage | None, float]] = {}
+        self._decoded_at: dict[tuple[str, str], float] = {}
+        self._stage_refused_at: dict[str, float] = {}
 
     def reset(self) -> None:
         """Discard the record of orders; another host may have sent different ones since."""
@@ -174,37 +180,88 @@
     async def _update_stages(
         self, service: Service, listed: list[ListedEndpoint], demand: EngineDemand, *, now: float
     ) -> None:
-        """Order one stage change if it has been due for `STAGE_CHANGE_DELAY_SECONDS`."""
+        """Order one stage change if it is due."""
         engines = {
             endpoint.endpoint_id: self._with_ordered_stage(endpoint, now=now)
             for endpoint in listed
             if endpoint.service == service.name and endpoint.ready and endpoint.stage
         }
-        change = desired_stage_change(engines.values(), demand)
-        stage = change[1] if change else None
-        if stage is not self._pending_stage_change.get(service.name, (None, 0.0))[0]:
-            self._pending_stage_change[service.name] = stage, now
-        if (
-            change is None
-            or now - self._pending_stage_change[service.name][1] < STAGE_CHANGE_DELAY_SECONDS
-        ):
+        unreachable = self._unreachable(engines, now=now)
+        self._record_decode_engines(engines.values(), unreachable, now=now)
+        change = missing_decode_engine(
+            engines.values(), unreachable=unreachable, unwilling=self._unwilling(now=now)
+        )
+        is_urgent = change is not None and self._has_lost_decode_engines(
+            engines[change[0]], now=now
+        )
+        change = change or desired_stage_change(engines.values(), demand)
+        due_since = self._due_since(service.name, change[1] if change else None, now=now)
+        if change is None or not (is_urgent or now - due_since >= STAGE_CHANGE_DELAY_SECONDS):
             return
-        endpoint_id, new_stage = change
         self._pending_stage_change[service.name] = None, now
-        accepted = await self._calls.order_stage(engines[endpoint_id], new_stage)
+        await self._send_stage_change(engines[change[0]], change[1], demand, now=now)
+
+    def _unreachable(self, endpoint_ids: Iterable[str], *, now: float) -> set[str]:
+        """Return the endpoints to which this host cannot connect at present."""
+        states = (self._context.fleet.endpoint(endpoint_id) for endpoint_id in endpoint_ids)
+        return {
+            state.listed.endpoint_id
+            for state in states
+            if state is not None and state.unreachable_until > now
+        }
+
+    def _unwilling(self, *, now: float) -> set[str]:
+        """Return the engines that have refused a stage change lately, or did not answer."""
+        self._stage_refused_at = {
+            name: at
+            for name, at in self._stage_refused_at.items()
+            if now - at < REFUSED_RETRY_SECONDS
+        }
+        return set(self._stage_refused_at)
+
+    def _record_decode_engines(
+        self, engines: Iterable[ListedEndpoint], unreachable: Container[str], *, now: float
+    ) -> None:
+        """Record the software versions that have a decode engine now; forget former ones."""
+        self._decoded_at = {
+            key: at for key, at in self._decoded_at.items() if now - at <= STREAM_LIFETIME_SECONDS
+        }
+        for engine in engines:
+            if engine.stage is Stage.DECODE and engine.endpoint_id not in unreachable:
+                self._decoded_at[engine.service, engine.software_version] = now
+
+    def _has_lost_decode_engines(self, engine: ListedEndpoint, *, now: float) -> bool:
+        """Return whether streams may live at the version of an engine, and none decodes there."""
+        return self._decoded_at.get((engine.service, engine.software_version), now) < now
+
+    def _due_since(self, service: str, stage: Stage | None, *, now: float) -> float:
+        """Record the stage change that is due; return since when one to this stage has been."""
+        pending, since = self._pending_stage_change.get(service, (None, now))
+        if stage is not pending:
+            since = now
+            self._pending_stage_change[service] = stage, now
+        return since
+
+    async def _send_stage_change(
+        self, engine: ListedEndpoint, stage: Stage, demand: EngineDemand, *, now: float
+    ) -> None:
+        accepted = await self._calls.order_stage(engine, stage)
         log_decision(
             _log,
             "stage-ordered",
             "accepted" if accepted else "refused",
-            endpoint=endpoint_id,
-            zone=engines[endpoint_id].zone,
-            stage=new_stage.value,
+            endpoint=engine.endpoint_id,
+            zone=engine.zone,
+            stage=stage.value,
+            software_version=engine.software_version,
             reading=round(demand.prefill_load, 2),
             generating=round(demand.decode_load, 2),
         )
         if accepted:
-            self._ordered_stages[endpoint_id] = new_stage, now
-            self._context.record_stage_change(endpoint_id, now=now)
+            self._ordered_stages[engine.endpoint_id] = stage, now
+            self._context.record_stage_change(engine.endpoint_id, now=now)
+        else:
+            self._stage_refused_at[engine.endpoint_id] = now
 
     def _with_ordered_stage(self, endpoint: ListedEndpoint, *, now: float) -> ListedEndpoint:
         """Return an engine with the stage last ordered, while its entry may not show it yet."""
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -317,6 +317,7 @@
     def __init__(self):
         self.counts, self.stages, self.refusing_zones = [], [], set()
         self.error = None
+        self.accepts_stages = True
 
     async def order_count(self, order):
         if self.error is not None:
@@ -326,7 +327,7 @@
 
     async def order_stage(self, member, stage):
         self.stages.append((member.endpoint_id, stage))
-        return True
+        return self.accepts_stages
 
 
 def scaling_with(*members):
--- /dev/null
+++ b/tests/gateway/test_versions_without_decoders.py
@@ -0,0 +1,154 @@
+"""Software versions whose decode engines leave or crash while other engines of them serve."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from samphirehall.core.clock import boot_seconds
+from samphirehall.core.results import STREAM_VERSION_GONE, RunState
+from samphirehall.gateway.endpoint_counts import (
+    EngineDemand,
+    desired_stage_change,
+    missing_decode_engine,
+)
+from samphirehall.gateway.generation_choice import lasting_versions
+from samphirehall.gateway.scaling import STAGE_CHANGE_DELAY_SECONDS
+from samphirehall.gateway.types import Stage
+from tests.gateway.helpers import configuration, engine
+from tests.gateway.test_duties import scaling_with
+from tests.gateway.test_stream_versions import NEW, OLD, Engine, Host, begin, engines, versions
+from tests.support.table import FaultyTable
+
+pytestmark = pytest.mark.anyio
+
+PATIENCE_SECONDS = 2.0  # callers abandon a stream without an event after this
+
+
+def of_version(version, decode, prefill, zone="a"):
+    """Return ready engines of one version."""
+    members = [engine(f"{version}-d{n}", Stage.DECODE, zone=zone) for n in range(decode)]
+    members += [engine(f"{version}-p{n}", Stage.PREFILL, zone=zone) for n in range(prefill)]
+    return [replace(member, software_version=version) for member in members]
+
+
+class TestStages:
+    @pytest.mark.parametrize(
+        ("decode", "prefill", "changes"),
+        [(0, 1, True), (0, 3, True), (1, 2, True), (1, 1, False), (2, 3, False), (1, 0, False)],
+    )
+    def test_version_without_enough_decode_engines_gets_one(self, decode, prefill, changes):
+        others = of_version(NEW, 4, 2)
+        change = missing_decode_engine([*of_version(OLD, decode, prefill), *others])
+        assert (change is not None) is changes
+        if change is not None:
+            assert change[0].startswith(f"{OLD}-p") and change[1] is Stage.DECODE
+
+    def test_decode_engine_that_refuses_connections_does_not_count(self):
+        members = of_version(OLD, 1, 1)
+        assert missing_decode_engine(members, unreachable={f"{OLD}-d0"}) == (
+            f"{OLD}-p0",
+            Stage.DECODE,
+        )
+
+    @pytest.mark.parametrize("new_decode", [2, 3, 6])
+    def test_change_to_prefill_leaves_each_version_its_decode_engines(self, new_decode):
+        members = [*of_version(OLD, 2, 1), *of_version(NEW, new_decode, 0)]
+        change = desired_stage_change(members, EngineDemand(6.0, 0.1))
+        assert (change is not None) is (new_decode > 2)
+        if change is not None:
+            assert change[0].startswith(f"{NEW}-")
+
+    # Guards against LOST: no engine decodes for a version of which engines serve.
+    async def test_version_that_loses_its_last_decode_engine_gets_one_at_once(self):
+        shared, calls, scaling = scaling_with(*of_version(OLD, 2, 2), *of_version(NEW, 4, 2))
+        await scaling.step(configuration(), now=0.0)
+        for name in (f"{OLD}-d0", f"{OLD}-d1"):
+            shared.fleet.remove(name)
+        await scaling.step(configuration(), now=0.5)
+        assert calls.stages == [(f"{OLD}-p0", Stage.DECODE)]
+        await scaling.step(configuration(), now=1.0)
+        assert len(calls.stages) == 1
+
+    async def test_engine_that_refuses_the_change_is_passed_over(self):
+        shared, calls, scaling = scaling_with(*of_version(OLD, 1, 2), *of_version(NEW, 4, 2))
+        calls.accepts_stages = False
+        await scaling.step(configuration(), now=0.0)
+        shared.fleet.remove(f"{OLD}-d0")
+        for step in range(3):
+            await scaling.step(configuration(), now=0.5 + step / 2)
+        assert [name for name, _ in calls.stages] == [f"{OLD}-p0", f"{OLD}-p1"]
+
+    async def test_version_that_never_decoded_gets_an_engine_after_the_delay(self):
+        _, calls, scaling = scaling_with(*of_version(OLD, 4, 2), *of_version(NEW, 0, 1))
+        await scaling.step(configuration(), now=0.0)
+        await scaling.step(configuration(), now=STAGE_CHANGE_DELAY_SECONDS / 2)
+        assert calls.stages == []
+        await scaling.step(configuration(), now=STAGE_CHANGE_DELAY_SECONDS)
+        assert calls.stages == [(f"{NEW}-p0", Stage.DECODE)]
+
+
+class TestBegin:
+    def test_version_with_one_decode_engine_does_not_last(self):
+        shared, _, _ = scaling_with(*of_version(OLD, 1, 0), *of_version(NEW, 2, 0))
+        assert lasting_versions(shared.fleet.states()) == {NEW}
+
+    @pytest.mark.parametrize("others", [1, 2])
+    async def test_stream_begins_where_a_second_engine_can_go_on_with_it(self, others):
+        scripts = {"d1": Engine(OLD)} | {f"e{n}": Engine(NEW) for n in range(others)}
+        async with engines(**scripts) as running, Host(FaultyTable()) as host:
+            host.list("d1", running["d1"], OLD)
+            for number in range(others):
+                host.list(f"e{number}", running[f"e{number}"], NEW, requests=20)
+            await host.context.streams.follow_bases()
+            caller, error = await host.serve("r1")
+        assert error is None and versions(caller) == {NEW if others > 1 else OLD}
+
+
+class TestTakeUp:
+    # Guards against LOST: a take-up that is refused while an engine of its version serves.
+    async def test_take_up_waits_for_an_engine_of_its_version_to_decode(self):
+        async with (
+            engines(begins=Engine(OLD, events=2), p1=Engine(OLD), e1=Engine(NEW)) as running,
+            Host(FaultyTable()) as host,
+        ):
+            await begin(host, running)
+            host.list("p1", running["p1"], OLD)
+            host.list("e1", running["e1"], NEW)
+
+            async def change_stage():
+                await anyio.sleep(0.3)
+                running["p1"].received.clear()
+                host.remove("p1")
+                host.list("f1", running["p1"], OLD)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(change_stage)
+                caller, error = await host.serve("r2", resumes="first", after=2)
+        assert error is None and caller.complete and versions(caller) == {OLD}
+
+    async def test_take_up_is_refused_before_its_caller_abandons_it(self):
+        async with (
+            engines(begins=Engine(OLD, events=2), p1=Engine(OLD), e1=Engine(NEW)) as running,
+            Host(FaultyTable()) as host,
+        ):
+            await begin(host, running)
+            host.list("p1", running["p1"], OLD)
+            host.list("e1", running["e1"], NEW)
+            started = boot_seconds()
+            caller, error = await host.serve("r2", resumes="first", after=2)
+            assert boot_seconds() - started < PATIENCE_SECONDS
+        assert error.result is STREAM_VERSION_GONE and error.result.run is RunState.NOT_RUN
+        assert error.retry_after is not None and not caller.started
+
+    async def test_take_up_is_refused_at_once_if_no_engine_of_its_version_serves(self):
+        async with (
+            engines(begins=Engine(OLD, events=2), e1=Engine(NEW)) as running,
+            Host(FaultyTable()) as host,
+        ):
+            await begin(host, running)
+            host.list("e1", running["e1"], NEW)
+            started = boot_seconds()
+            _, error = await host.serve("r2", resumes="first", after=2)
+            assert boot_seconds() - started < 0.2
+        assert error.result is STREAM_VERSION_GONE and error.retry_after is None
