A request that has arrived is not closed with its idle connection (LOST)

What callers saw: a request on a kept connection got neither an answer nor a refusal, if the process had stood still or been busy past the idle timeout when it arrived.

Cause: the idle timeout and the stop close a connection without looking at its socket, and uvloop runs due timers before it reads. Ruled out by reading: limits, routes and keys that change half way, as each request takes them once.

--- a/samphirehall/forwarding/caller_input.py
+++ b/samphirehall/forwarding/caller_input.py
@@ -68,6 +68,13 @@
     return any(events & HANGUP_EVENTS for _, events in poll.poll(0))
 
 
+def has_input(descriptor: int) -> bool:
+    """Return whether received bytes of a socket wait to be read."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class InputControl(FlowControl):
     """Flow control that pauses reading by a function of the connection's state.
 
@@ -105,6 +112,10 @@
             super().pause_reading()
             self._check_later()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether the caller has sent bytes that the event loop has not read yet."""
+        return not self._transport.is_closing() and self._asks_socket(has_input)
+
     def stop_checking(self) -> None:
         """Ask no more whether the caller has hung up."""
         if self._check is not None:
@@ -118,8 +129,12 @@
     def _check_hangup(self) -> None:
         if self._transport.is_closing():
             return
-        with contextlib.suppress(OSError):  # the socket is being closed
-            if has_hung_up(self._transport.get_extra_info("socket").fileno()):
-                self._transport.abort()
-                return
+        if self._asks_socket(has_hung_up):
+            self._transport.abort()
+            return
         self._check_later()
+
+    def _asks_socket(self, question: Callable[[int], bool]) -> bool:
+        with contextlib.suppress(OSError):  # the socket is being closed
+            return question(self._transport.get_extra_info("socket").fileno())
+        return False
--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -17,6 +17,7 @@
 )
 
 MAX_HEAD_BYTES = 64 * 1024
+UNREAD_GRACE_SECONDS = 0.05  # in which the event loop reads what has arrived
 CONNECTION_SCOPE_KEY = "samphire.connection"
 TARGET_SCOPE_KEY = "samphire.target"
 
@@ -173,6 +174,18 @@
             """Refuse a request that is not valid HTTP."""
             self._refuse(BAD_REQUEST, msg)
 
+        def timeout_keep_alive_handler(self) -> None:
+            """Close an idle connection, unless a request has arrived on it.
+
+            After a stall of the process, the event loop runs its timers before it reads.
+            """
+            if self._input.has_unread_bytes():
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    UNREAD_GRACE_SECONDS, self.timeout_keep_alive_handler
+                )
+                return
+            super().timeout_keep_alive_handler()
+
         def _takes_input(self) -> bool:
             return not self._has_refused and not self.transport.is_closing()
 
@@ -208,7 +221,11 @@
         def _close_if_done(self) -> None:
             """Close a connection that is being shut down, unless requests are unanswered."""
             is_idle = self.cycle is None or self.cycle.response_complete
-            if self._is_ending and is_idle and not self._has_requests():
+            if not self._is_ending or not is_idle or self._has_requests():
+                return
+            if self._input.has_unread_bytes():
+                self.loop.call_later(UNREAD_GRACE_SECONDS, self._close_if_done)
+            else:
                 self.transport.close()
 
         def _parse_piece(self, piece: bytes) -> None:
--- a/samphirehall/gateway/ingress.py
+++ b/samphirehall/gateway/ingress.py
@@ -231,8 +231,9 @@
 
         def expect_first_head(self) -> None:
             """Apply the idle timeout, not the head timeout, to a new connection."""
+            self.timeout_keep_alive = state.limits().idle_timeout
             self.timeout_keep_alive_task = self.loop.call_later(
-                state.limits().idle_timeout, self.timeout_keep_alive_handler
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
             )
 
         def on_response_complete(self) -> None:
