A version gets a decode engine only when it has none

Cause: the second decode engine that each version of three engines or more was given took prefill engines that were needed.

--- a/samphirehall/gateway/endpoint_counts.py
+++ b/samphirehall/gateway/endpoint_counts.py
@@ -205,10 +205,9 @@
     unreachable: Container[str] = (),
     unwilling: Container[str] = (),
 ) -> tuple[str, Stage] | None:
-    """Return a prefill engine that should decode, as its software version lacks decode engines.
+    """Return a prefill engine that should decode, as no engine of its software version does.
 
-    A stream can only go on at its version. A version of three engines or more has two decode
-    engines, so that streams outlast the loss of one; a smaller one has one.
+    A stream can only go on at its version, and prompt memory can only be used there.
 
     Parameters
     ----------
@@ -225,10 +224,8 @@
             versions.setdefault(engine.software_version, []).append(engine)
     for members in versions.values():
         prefill_engines = [engine for engine in members if engine.stage is Stage.PREFILL]
-        decode_count = len(members) - len(prefill_engines)
-        is_spare = len(prefill_engines) > 1 or decode_count == 0
         willing = [engine for engine in prefill_engines if engine.endpoint_id not in unwilling]
-        if is_spare and decode_count < MIN_DECODE_ENGINES and willing:
+        if len(prefill_engines) == len(members) and willing:
             return _in_largest_zone(willing).endpoint_id, Stage.DECODE
     return None
 
