A host out of step does not take its version for the only one (ORDER)

What callers saw: a stream that had begun at a new software version through another host went on at an old one, at a host that was cut off or had stood still while the new engines joined; the answer was 200 and whole.

Cause: what a host lists was taken for all there is, for 3 s after the store's last answer and again while it remembered its zones, checked once a second. Ruled out by reading: a scan that is answered from an old read.

Change: each host knows until when its endpoint list holds all that any host knows (gateway/list_knowledge.py), from the feed, from its hub, or from all others having known no more; time in which it stood still does not count. A single version counts once that is later than the arrival of the take-up, for which it waits a second at most.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -145,7 +145,9 @@
         raise SamphireError(STREAM_UNKNOWN, "no versions of streams are known")
     request_state.extra_log_fields["resumes"] = request.resumes
     lifetime = max(request_state.route.timeout, request.timeout or 0.0)
-    found = await context.streams.origin(request.resumes, service, lifetime)
+    found = await context.streams.origin(
+        request.resumes, service, lifetime, arrived=request.received_at
+    )
     request_state.extra_log_fields["origin"] = found.reason
     request_state.extra_log_fields["stream_version"] = found.version
     if found.service != service:
--- a/samphirehall/gateway/rows.py
+++ b/samphirehall/gateway/rows.py
@@ -299,6 +299,24 @@
     return Rows(rows, copy.version)
 
 
+def complete_until(started: float, ended: float, wait: float, *, has_changes: bool) -> float:
+    """Return until when the answer of a call to the feed holds all changes of its table.
+
+    A feed without changes answers at the end of its wait, and the rest of the time may have passed
+    on the way, or while this host stood still. A feed with changes may have answered at once.
+
+    Parameters
+    ----------
+    started, ended : float
+        Boot clock in seconds of the call and of its answer.
+    wait : float
+        Seconds for which the store waits for changes.
+    has_changes : bool
+        Whether the answer holds any.
+    """
+    return started if has_changes else min(ended, started + wait)
+
+
 class Switch:
     """Something that this host does or does not do at present, such as reading the store."""
 
@@ -354,6 +372,8 @@
         Whether the last call succeeded.
     last_response_at : float
         Boot clock in seconds of the last response.
+    complete_until : float
+        Boot clock in seconds until which the replica surely holds all changes of the table.
     snapshot_received : Event
         Set after the first snapshot from the store.
     """
@@ -381,6 +401,7 @@
         self.replica = TableReplica(on_change, is_relevant)
         self.available = True
         self.last_response_at = float("-inf")
+        self.complete_until = float("-inf")
         self.snapshot_received = anyio.Event()
 
     @property
@@ -423,9 +444,13 @@
     async def _read(self) -> None:
         after = self.replica.position
         if self.replica.has_snapshot and not self._history_gone:
+            started = boot_seconds()
             changes = await self._source.changes(self._table, after=after, wait=self._feed_wait)
             if changes.version.era == after.era:
                 self.replica.apply_changes(changes, now=boot_seconds())
+                self.complete_until = complete_until(
+                    started, boot_seconds(), self._feed_wait, has_changes=bool(changes.rows)
+                )
                 self._has_just_read_all = False
                 self._remove_unconfirmed()
                 return
@@ -433,12 +458,14 @@
         await self._read_all()
 
     async def _read_all(self) -> None:
+        started = boot_seconds()
         snapshot = await self._source.snapshot(self._table)
         self._history_gone, self._has_just_read_all = False, True
         before = self.replica.position
         restored = self.replica.has_snapshot and snapshot.version.era > before.era
         rows = self._restore(self.replica, snapshot) if restored else snapshot
         ignored = self.replica.apply_snapshot(rows, now=boot_seconds())
+        self.complete_until = started
         log_decision(
             _log,
             "table-read",
--- a/samphirehall/gateway/stream_store.py
+++ b/samphirehall/gateway/stream_store.py
@@ -34,6 +34,8 @@
 WRITE_INTERVAL_SECONDS = 0.02  # between two writes of one host
 WRITE_RETRY_SECONDS = 0.25
 SCAN_INTERVAL_SECONDS = 0.25  # between two scans of one host, however many take-ups there are
+LIST_WAIT_SECONDS = 1.0  # for word that the endpoint list is whole; hubs are heard more often
+LIST_CHECK_SECONDS = 0.02
 BASE_CHECK_SECONDS = 1.0  # while a base version is unknown or may have moved, and at hubs
 BASE_REFRESH_SECONDS = 8.0  # otherwise; well below the age up to which a base version holds
 BASE_MOVE_SECONDS = 3.0  # without an engine of the base version, before the base moves
@@ -92,6 +94,9 @@
         Return whether this host is the hub of its zone, and whether its endpoint list is current.
     list_era : callable
         Returns the era of the store that the endpoint list knows.
+    list_complete_until : callable
+        Returns the boot clock in seconds until which this host's endpoint list holds all that any
+        host knows.
     clock, agreed_time : callable
         Boot clock in seconds, and the seconds since 1970 that all hosts agree on.
 
@@ -112,6 +117,7 @@
         is_hub: Callable[[], bool],
         list_is_current: Callable[[], bool],
         list_era: Callable[[], int],
+        list_complete_until: Callable[[], float],
         clock: Callable[[], float],
         agreed_time: Callable[[], float],
     ) -> None:
@@ -121,6 +127,7 @@
         self._is_hub = is_hub
         self._list_is_current = list_is_current
         self._list_era = list_era
+        self._list_complete_until = list_complete_until
         self._clock = clock
         self._agreed_time = agreed_time
         self._row_version: int | None = ABSENT
@@ -197,7 +204,9 @@
             raise _unknown("no base version is known, and the store does not answer")
         return base.version if base else None
 
-    async def origin(self, request_id: str | None, service: str, lifetime: float) -> Origin:
+    async def origin(
+        self, request_id: str | None, service: str, lifetime: float, *, arrived: float
+    ) -> Origin:
         """Return the service and software version of a stream.
 
         Parameters
@@ -208,6 +217,8 @@
             Service of the request that takes it up.
         lifetime : float
             Longest time in seconds that callers of its route wait.
+        arrived : float
+            Boot clock in seconds at which the request arrived.
 
         Raises
         ------
@@ -227,11 +238,25 @@
             found = await self._stored_origin(key, service, lifetime)
         if found.version is not None:
             return found
-        version = self._fleet.versions.only_version(service, lifetime, now=self._clock())
+        version = await self._only_version(service, lifetime, arrived)
         if version is not None:
             return Origin(version, "single version", service)
         raise _unknown(found.reason)
 
+    async def _only_version(self, service: str, lifetime: float, arrived: float) -> str | None:
+        """Return the version of a service if no host can have begun the stream at another.
+
+        The endpoint list has to be as new as the request that takes the stream up: what was
+        listed since may have begun it.
+        """
+        versions = self._fleet.versions
+        with anyio.move_on_after(LIST_WAIT_SECONDS):
+            while versions.only_version(service, lifetime, now=self._clock()) is not None:
+                if self._list_complete_until() >= arrived:
+                    return versions.only_version(service, lifetime, now=self._clock())
+                await anyio.sleep(LIST_CHECK_SECONDS)
+        return None
+
     async def _stored_origin(self, key: str, service: str, lifetime: float) -> Origin:
         """Return the origin of a stream according to the store."""
         try:
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -20,6 +20,7 @@
 from samphirehall.gateway.crashes import Crash, PartCrash
 from samphirehall.gateway.datagrams import DatagramSocket
 from samphirehall.gateway.host_directory import HostDirectory
+from samphirehall.gateway.list_knowledge import ListKnowledge, StandstillMeter
 from samphirehall.gateway.load import decode_loads, subtract_loads
 from samphirehall.gateway.rows import Switch, TableFollower
 from samphirehall.gateway.types import PromptPart
@@ -28,6 +29,7 @@
 from samphirehall.gateway.zone_hub import SendBudget, update_interval
 from samphirehall.gateway.zone_members import NO_WINDOW, names_by_address
 from samphirehall.gateway.zone_messages import (
+    MAX_AGE_SECONDS,
     NOT_ACKNOWLEDGED,
     EncodedChanges,
     HubUpdate,
@@ -135,6 +137,8 @@
         self._rejections = RejectionLog(_log, "peer-unreadable")
         self._zone_processes: set[str] = set()
         self._usage_is_stored = True
+        self._list = ListKnowledge()
+        self._standstill = StandstillMeter(now=boot_seconds())
         self._changed = anyio.Event()
         self._zone_changed = anyio.Event()
         self._cross_zone_changed = anyio.Event()
@@ -172,6 +176,22 @@
         """Return the seconds since the store last confirmed the endpoint list to any host heard."""
         return now - max(self._view.contact.at, self._endpoints.last_response_at)
 
+    def list_complete_until(self, *, now: float) -> float:
+        """Return until when the endpoint list of this host holds all that any host knows."""
+        reading = self._endpoints.reading
+        read_until = self._endpoints.complete_until if reading else float("-inf")
+        return self._list.complete_until(
+            read_until, self._list_sources(now) if self.is_hub else None
+        )
+
+    def _list_sources(self, now: float) -> frozenset[str] | None:
+        """Return the zones and hosts that may know of endpoints; None if some are not heard."""
+        others = {other.zone for other in self._view.other_zones(now=now)}
+        zones = {state.listed.zone for state in self._context.fleet.states()}
+        if not zones | set(self._directory.hubs) <= {self._context.zone, *others}:
+            return None
+        return frozenset(others) | frozenset(self._view.members.live(now=now))
+
     def live_hosts(self, *, now: float) -> list[str]:
         """Return the names of the live hosts of this zone, including this one."""
         return self._view.live_hosts(is_hub=self.is_hub, now=now)
@@ -240,11 +260,12 @@
             await self._directory.wait_until_loaded()
         if self.hub is None:
             # All listed hosts are told, so that the hub among them answers at once.
-            greeting = self._updates.member_update(now=boot_seconds())
+            greeting = self._member_update(now=boot_seconds())
             _send_to_all(udp, list(self._directory.hosts.values()), greeting)
             self._roles.start(now=boot_seconds())
         while True:
             now = boot_seconds()
+            self._standstill.tick(now=now)
             self._choose_hub(now)
             self._roles.choose_reader(now=now)
             for name, silent in self._view.members.remove_silent(now=now):
@@ -261,6 +282,16 @@
 
     # Sending
 
+    def _member_update(self, *, now: float) -> MemberUpdate:
+        update = self._updates.member_update(now=now)
+        update.list_age = self._list_age(now) if self._endpoints.reading else None
+        return update
+
+    def _list_age(self, now: float) -> float | None:
+        """Return the seconds since the endpoint list surely held all; None if that is unknown."""
+        age = now - self.list_complete_until(now=now)
+        return age if age <= MAX_AGE_SECONDS else None
+
     def _record_change(self) -> None:
         self._changed.set()
 
@@ -278,7 +309,7 @@
                 self._updates.queue_own_news(is_hub=True)
                 self._record_zone_change()
             elif self.hub in self._directory.hosts:
-                update = self._updates.member_update(now=boot_seconds())
+                update = self._member_update(now=boot_seconds())
                 _send_to_all(udp, [self._directory.hosts[self.hub]], update)
                 if self._updates.has_unsent_usage:
                     self._record_change()
@@ -296,6 +327,7 @@
             now = boot_seconds()
             members = self._view.members.live(now=now)
             update = self._updates.zone_update(now=now)
+            update.list_age = self._list_age(now)
             has_loads = budget.allows_large(now=now)
             if not has_loads:
                 update.summary.clear_load()
@@ -347,6 +379,7 @@
             self._cross_zone_changed = anyio.Event()
             now = boot_seconds()
             update = self._updates.cross_zone_update(now=now)
+            update.list_age = self._list_age(now)
             if not self._usage_is_stored:
                 update.usage = self._updates.unstored_usage()
             _send_to_all(udp, [address for _, address in self._directory.hubs.values()], update)
@@ -393,7 +426,8 @@
         self._apply_news(update.news, now)
         self._updates.pass_on(update.news)
         self._context.limits.receive(update.limits, now=now)
-        self._take_endpoints(update.changes, update.store_age, update.host, address, now)
+        is_known = self._take_endpoints(update.changes, update.store_age, update.host, address, now)
+        self._record_list(update.host, update.list_age, is_known, now)
         if update.configuration_version > self._configuration_version():
             self._catch_up.request(address)
         self._record_zone_change()
@@ -435,7 +469,8 @@
             self._record_zone(other, now)
         view.count_hosts(now=now)
         self._apply_news(update.news, now)
-        self._take_endpoints(update.changes, None, summary.hub, address, now)
+        is_known = self._take_endpoints(update.changes, None, summary.hub, address, now)
+        self._record_list(None, update.list_age, is_known, now)
 
     def _apply_other_hub(self, update: HubUpdate, address: Address, now: float) -> None:
         summary = update.summary
@@ -456,7 +491,8 @@
         self._updates.zone_news.add(update.news)
         # The age that a zone without a reader states is an echo of another zone's.
         store_age = update.store_age if update.reads else None
-        self._take_endpoints(update.changes, store_age, summary.hub, address, now)
+        is_known = self._take_endpoints(update.changes, store_age, summary.hub, address, now)
+        self._record_list(summary.zone, update.list_age, is_known, now)
         self._zone_changed.set()
 
     def _receive_zone_load(self, summary: ZoneSummary, acknowledged: int, now: float) -> None:
@@ -487,19 +523,33 @@
         sender: str,
         address: Address,
         now: float,
-    ) -> None:
+    ) -> bool:
         """Apply changes of the endpoint list; fetch the list if some are missing.
 
-        `store_age` is that of a sender from which this hub may learn what the store says.
+        `store_age` is that of a sender from which this hub may learn what the store says. Whether
+        this host knows all that the sender does is returned.
         """
         if store_age is not None and now - store_age > self._view.contact.at:
             self._view.contact = StoreContact(now - store_age, sender)
         if changes is None:
-            return
+            return True
         replica = self._endpoints.replica
         is_behind = not replica.has_snapshot or changes.position > replica.position
         if not replica.apply_change_set(decode_changes(changes), now=now) and is_behind:
             self._catch_up.request(address)
+        return replica.has_snapshot and changes.position <= replica.position
+
+    def _record_list(
+        self, source: str | None, list_age: float | None, is_known: bool, now: float
+    ) -> None:
+        """Record until when another host knew that its list is whole, if this host has it all."""
+        if not is_known:
+            return
+        sent_at = now - self._standstill.delay(now=now)
+        if list_age is not None:
+            self._list.record_told(sent_at - list_age)
+        if source is not None:
+            self._list.record_agreement(source, sent_at)
 
     def _apply_news(self, news: News, now: float) -> None:
         fleet = self._context.fleet
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -115,6 +115,9 @@
         Limits that endpoints state; see `LimitReport`.
     settled_window : int
         Latest usage window known to be settled; -1 if unknown. See `ReportProgress`.
+    list_age : float or None
+        Seconds since the endpoint list of this host surely held all changes, while it reads the
+        store.
     """
 
     host: Name
@@ -132,6 +135,7 @@
     changes: EncodedChanges | None = None
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
+    list_age: _Age | None = None
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -195,6 +199,8 @@
         Limits that endpoints state; see `LimitReport`.
     settled_window : int
         See `MemberUpdate`.
+    list_age : float or None
+        Seconds since the endpoint list of the sender surely held all that any host knew.
     """
 
     summary: ZoneSummary
@@ -211,6 +217,7 @@
     blocked_parts: list[tuple[list[str], _Age]] = []
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
+    list_age: _Age | None = None
 
 
 Message = MemberUpdate | HubUpdate
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -179,6 +179,7 @@
             is_hub=lambda: self.exchange.is_hub,
             list_is_current=self._list_is_current,
             list_era=lambda: self.endpoints.replica.position.era,
+            list_complete_until=lambda: self.exchange.list_complete_until(now=boot_seconds()),
             clock=boot_seconds,
             agreed_time=self.agreed_now,
         )
--- a/tests/gateway/test_stream_store.py
+++ b/tests/gateway/test_stream_store.py
@@ -80,6 +80,7 @@
             is_hub=lambda: index == 0,
             list_is_current=lambda: True,
             list_era=lambda: table.era,
+            list_complete_until=lambda: self.now,
             clock=lambda: self.now,
             agreed_time=lambda: 1e9 + self.now + offset,
         )
@@ -165,7 +166,9 @@
         """Return the version at which a host lets a stream go on, or None if it refuses it."""
         self.now += after
         try:
-            found = await self.hosts[index].origin(f"r{number}", "model", lifetime)
+            found = await self.hosts[index].origin(
+                f"r{number}", "model", lifetime, arrived=self.now
+            )
         except SamphireError as error:
             assert error.result is STREAM_UNKNOWN
             return None
@@ -352,7 +355,7 @@
 
         async def take_up(number):
             with pytest.raises(SamphireError):
-                await store.origin(f"unknown-{number}", "other", 20.0)
+                await store.origin(f"unknown-{number}", "other", 20.0, arrived=world.now)
 
         async with anyio.create_task_group() as group:
             for number in range(500):
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -66,6 +66,7 @@
 
     def __init__(self, table, name="host-a"):
         self.context, _ = context()
+        self.list_complete_until = None  # None: until now
         self.context.streams = StreamStore(
             table,
             self.context.fleet,
@@ -73,6 +74,7 @@
             is_hub=lambda: True,
             list_is_current=lambda: True,
             list_era=lambda: NO_ERA,
+            list_complete_until=lambda: self.list_complete_until or boot_seconds(),
             clock=boot_seconds,
             agreed_time=wall_seconds,
         )
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -582,3 +582,38 @@
             assert boot_seconds() - began < 0.6
             assert {host.exchange.hub for host in hosts} == {hub.context.host}
             group.cancel_scope.cancel()
+
+
+class TestListKnowledge:
+    async def test_hosts_in_touch_know_their_list_to_be_whole_without_the_store(self):
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            here, _ = await start(group, "abc", table=table, endpoints=endpoints)
+            there, _ = await start(group, "xyz", table=table, endpoints=endpoints, zone="b")
+            hosts = [*here, *there]
+            await until(lambda: sum(host.endpoints.reading for host in hosts) == 1)
+            endpoints.refused = set("abcxyz")
+            await anyio.sleep(0.5)
+            moment = boot_seconds()
+            await until(lambda: all(_whole_until(host) >= moment for host in hosts), 2.0)
+            group.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("is_hub", [True, False])
+    async def test_host_that_hears_nobody_does_not_know_its_list_to_be_whole(self, is_hub):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcd")
+            hub, members = hub_and_members(hosts)
+            left = hub if is_hub else members[0]
+            await until(lambda: _whole_until(left) > float("-inf"))
+            endpoints.refused = {left.context.host}
+            for host in hosts:
+                if host is not left:
+                    host.scope.cancel()
+            moment = boot_seconds()
+            await anyio.sleep(2.0)
+            assert _whole_until(left) <= moment + 0.1
+            group.cancel_scope.cancel()
+
+
+def _whole_until(host):
+    return host.exchange.list_complete_until(now=boot_seconds())
