A body is not run as a request because its head offers another protocol (UNASKED)

Cause: the parser takes a message with an offer to have no body, signals the end of the protocol, and reads on as a new message; the signal was ignored. Ruled out: that only the rest of the piece is lost (both forms are tested).

Change: the head is parsed once more without the offer, in both forms of the host. CONNECT, which does the same to the parser, is refused; no route can serve it.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -4,11 +4,18 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
-from samphirehall.forwarding.answers import JSON, Scope, error_body, result_headers
+from samphirehall.forwarding.answers import (
+    JSON,
+    Headers,
+    Scope,
+    error_body,
+    result_headers,
+)
 from samphirehall.forwarding.caller_input import (
     TURN_BYTES,
     InputControl,
@@ -98,6 +105,7 @@
         _in_head = True
         _has_refused = False
         _is_ending = False
+        _offers_upgrade = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start to wait for the first head."""
@@ -155,12 +163,16 @@
             self._in_head = False
             self._head_bytes = 0
             self._cancel_head_timer()
+            if self.parser.should_upgrade():
+                self._offers_upgrade = True
+                return
             super().on_headers_complete()
 
         def on_message_complete(self) -> None:
             """Read on once a body is whole, however long, so that a close is noticed."""
-            super().on_message_complete()
-            self._input.update()
+            if not self._offers_upgrade:
+                super().on_message_complete()
+                self._input.update()
 
         def on_response_complete(self) -> None:
             """Start the next request, or close the connection if the one behind it was refused."""
@@ -228,11 +240,37 @@
             else:
                 self.transport.close()
 
+        def _feed(self, data: bytes) -> None:
+            """Give received bytes to the parser."""
+            self._unset_keepalive_if_required()
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                self._ignore_upgrade(data[offer.args[0] :])
+            except httptools.HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+
+        def _ignore_upgrade(self, rest: bytes) -> None:
+            """Parse the head of a request once more, without its offer to change the protocol.
+
+            The parser takes a request with such an offer to have no body.
+            """
+            self._offers_upgrade = False
+            if self.parser.get_method() == b"CONNECT":
+                self._refuse(BAD_REQUEST, "CONNECT is not supported")
+                return
+            head = head_without_upgrade(
+                self.parser.get_method(), self.url, self.parser.get_http_version(), self.headers
+            )
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            self._feed(head + rest)
+
         def _parse_piece(self, piece: bytes) -> None:
             """Parse a piece, and refuse a head that is too long."""
             if self._in_head:
                 self._head_bytes += len(piece)
-            super().data_received(piece)
+            self._feed(piece)
             if self._in_head and self._head_bytes > self.max_head_bytes():
                 self._refuse(
                     TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
@@ -280,6 +318,28 @@
     return CallerProtocol
 
 
+def head_without_upgrade(method: bytes, target: bytes, version: str, headers: Headers) -> bytes:
+    """Return the head of a request without its offer to change the protocol.
+
+    Parameters
+    ----------
+    method, target : bytes
+        Of the request line.
+    version : str
+        Version of HTTP.
+    headers : list of pairs of bytes
+        Names in lower case, and values.
+    """
+    lines = [b"%b %b HTTP/%b" % (method, target, version.encode())]
+    for name, value in headers:
+        if name == b"connection":
+            tokens = [token.strip() for token in value.split(b",")]
+            value = b", ".join(token for token in tokens if token.lower() != b"upgrade")
+        if name != b"upgrade" and (value or name != b"connection"):
+            lines.append(name + b": " + value)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def _refusal(result: Result, detail: str) -> bytes:
     body = error_body(SamphireError(result, detail), "")
     headers = [
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -78,6 +78,51 @@
         assert (await exchange(REQUEST * 20 + last)).count(b"200 OK") == 21
 
 
+OFFERS = {
+    "h2c": b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n",
+    "websocket": b"Connection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n",
+    "twice": b"Connection: Upgrade\r\nUpgrade: a\r\nUpgrade: b\r\n",
+}
+BODIES = {
+    "length": (b"Content-Length: %d\r\n" % len(REQUEST), REQUEST),
+    "chunks": (
+        b"Transfer-Encoding: chunked\r\n",
+        b"%x\r\n%b\r\n0\r\n\r\n" % (len(REQUEST), REQUEST),
+    ),
+}
+
+
+class TestUpgrade:
+    # Guards against UNASKED: a body that is run as a request, as its head offers another protocol.
+    @pytest.mark.parametrize("is_split", [False, True])
+    @pytest.mark.parametrize("framing", BODIES)
+    @pytest.mark.parametrize("offer", OFFERS)
+    async def test_offer_is_ignored_and_the_body_is_whole(self, offer, framing, is_split):
+        bodies = []
+
+        async def record(scope, receive, send):
+            body = b""
+            while True:
+                message = await receive()
+                body += message["body"]
+                if not message["more_body"]:
+                    break
+            bodies.append((scope["method"], scope["path"], body))
+            await send_response(send, 200, [], b"ok")
+
+        header, body = BODIES[framing]
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\n" + OFFERS[offer] + header + b"\r\n"
+        last = b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        pieces = [head, body, last] if is_split else [head + body + last]
+        answer = await exchange(*pieces, pause=0.02, app=record)
+        assert bodies == [("POST", "/a", REQUEST), ("GET", "/b", b"")]
+        assert answer.count(b"200 OK") == 2
+
+    async def test_connect_is_refused(self):
+        answer = await exchange(b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n")
+        assert b"samphire-result: 2000" in answer and b"200 OK" not in answer
+
+
 class TestRefusalBehindARunningAnswer:
     @pytest.mark.parametrize(
         "refused",
