--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -49,6 +49,8 @@
         Boot clock in seconds.
     zone_hosts, live_zones : callable
         Return the live hosts of this zone, and the zones with live hosts.
+    store_age : callable
+        Returns the seconds since the store last answered any host that is heard.
     fleet, loads, crashes : Fleet, LoadTracker, CrashTracker
         Endpoints, their loads and their crashes.
     prefill_rates : dict
@@ -80,6 +82,7 @@
     clock: Callable[[], float]
     zone_hosts: Callable[[], Sequence[str]] = tuple
     live_zones: Callable[[], Sequence[str]] = tuple
+    store_age: Callable[[], float] = float  # 0.0 without a store
     fleet: Fleet = field(default_factory=Fleet)
     loads: LoadTracker = field(default_factory=LoadTracker)
     crashes: CrashTracker = field(default_factory=CrashTracker)
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -19,6 +19,7 @@
 from samphirehall.gateway.admission import decide_admission
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
 from samphirehall.gateway.context import GatewayContext
+from samphirehall.gateway.engine_identity import is_listed_process
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
     acquire_repeats,
@@ -83,6 +84,8 @@
     if request_state.takes_up:
         await _find_stream_version(context, request_state)
     while (plan := await _await_plan(context, request_state, prompt)) is not None:
+        if not await _confirm_engines(context, request_state, plan):
+            continue
         _check_quarantine_again(context, request_state, delivery)
         if not request_state.sends:
             context.prefill_demand(request_state.service.name).record(
@@ -132,6 +135,23 @@
         await anyio.sleep(ENGINE_CHECK_SECONDS)
 
 
+async def _confirm_engines(
+    context: GatewayContext, request_state: RequestState, plan: GenerationPlan
+) -> bool:
+    """Return whether a stream that has begun may go on at the engines of a plan.
+
+    One that may have started again with another software version is not tried for this stream.
+    """
+    if request_state.stream_version is None:
+        return True
+    for endpoint_id in plan.endpoint_ids:
+        endpoint = context.fleet.endpoint(endpoint_id)
+        if endpoint is None or not await is_listed_process(context, endpoint):
+            request_state.tried_endpoints.add(endpoint_id)
+            return False
+    return True
+
+
 async def _find_stream_version(context: GatewayContext, request_state: RequestState) -> None:
     """Find the software version at which a stream that the caller takes up has to go on.
 
@@ -251,6 +271,10 @@
         current_plan = with_ready_decode_engine(context, request_state, plan)
         if current_plan is None:
             return False
+        if current_plan is not plan and not await _confirm_engines(
+            context, request_state, current_plan
+        ):
+            return False
         return await _decode(context, request_state, current_plan, delivery, kv_handle, recording)
     finally:
         if delivery.first_event_at is None:
--- a/samphirehall/gateway/wire_codec.py
+++ b/samphirehall/gateway/wire_codec.py
@@ -77,6 +77,11 @@
     endpoint_limit : callable
         Returns the requests per second that an endpoint takes from all hosts together, as
         response headers state them; None without a limit.
+    report_call : callable
+        Returns method and target of the call that asks an engine for its state.
+    decode_started_at : callable
+        Returns when the process that answered such a call has started, in milliseconds since 1970;
+        None if it does not say.
     """
 
     request_headers: Callable[[Request, Dispatch], Headers]
@@ -86,3 +91,5 @@
     decode_kv_handle: Callable[[bytes], str]
     kv_release_call: Callable[[str], tuple[str, bytes]]
     endpoint_limit: Callable[[Headers], float | None]
+    report_call: Callable[[], tuple[str, bytes]]
+    decode_started_at: Callable[[bytes], int | None]
--- a/samphirehall/platform/wire.py
+++ b/samphirehall/platform/wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from samphirehall.core.decoding import decode, parse_unsigned
+from samphirehall.core.decoding import Unsigned, decode, parse_unsigned
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import RejectionLog
 from samphirehall.core.results import BAD_REQUEST
@@ -84,6 +84,15 @@
 _prefill_answer_decoder = msgspec.json.Decoder(_PrefillAnswer)
 
 
+class _Report(msgspec.Struct):
+    """What an engine says of itself, reduced to the fields that are used."""
+
+    born: Unsigned | None = None
+
+
+_report_decoder = msgspec.json.Decoder(_Report)
+
+
 def decode_request(
     method: str, target: bytes, headers: Headers, body: bytes, now: float
 ) -> Request:
@@ -236,6 +245,22 @@
     return "DELETE", f"/kv-handle/{handle}".encode()
 
 
+def report_call() -> tuple[str, bytes]:
+    """Return the method and target of the call that asks an engine for its state."""
+    return "GET", b"/report"
+
+
+def decode_started_at(body: bytes) -> int | None:
+    """Decode when the engine that sent a report has started; None if it does not say.
+
+    Raises
+    ------
+    ValueError
+        The body is no report.
+    """
+    return decode(body, _report_decoder).born
+
+
 def endpoint_limit(headers: Headers) -> float | None:
     """Return the requests per second that an endpoint takes from all hosts; None without a limit.
 
@@ -263,4 +288,6 @@
     decode_kv_handle,
     kv_release_call,
     endpoint_limit,
+    report_call,
+    decode_started_at,
 )
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -116,6 +116,7 @@
             clock=boot_seconds,
             zone_hosts=lambda: self.exchange.live_hosts(now=boot_seconds()),
             live_zones=lambda: self.exchange.live_zones(now=boot_seconds()),
+            store_age=lambda: self.exchange.store_age(now=boot_seconds()),
         )
         self.gateway = Gateway(self.context, self.metrics.observe_request)
         self._listed: dict[str, ListedEndpoint | None] = {}
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -92,10 +92,10 @@
         self._running.cancel_scope.cancel()
         return await self._running.__aexit__(*exc_info)
 
-    def list(self, name, endpoint, version, *, requests=0):
+    def list(self, name, endpoint, version, *, requests=0, born=0):
         """List an engine; a name with a leading p prefills."""
         entry = {"service": "model", "address": endpoint.address, "zone": "a", "slots": 64}
-        entry |= {"state": "ready", "version": version}
+        entry |= {"state": "ready", "version": version, "born": born}
         entry["stage"] = "prefill" if name.startswith("p") else "decode"
         listed = documents.decode_endpoint(name, json.dumps(entry).encode())
         self.context.fleet.update(listed, MODEL, now=boot_seconds())
