--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -27,9 +27,7 @@
 from samphirehall.routing.stream_versions import STREAM_LIFETIME_SECONDS
 
 CHECK_INTERVAL_SECONDS = 0.5  # short compared with the startup time of an endpoint
-REFUSED_RETRY_SECONDS = (
-    3.0  # before a refused kind, or a refused change of an engine, is tried again
-)
+REFUSED_RETRY_SECONDS = 3.0  # before what was refused is ordered again
 RESEND_INTERVAL_SECONDS = 2.0  # if endpoints are missing; the platform may cut orders
 STAGE_CHANGE_DELAY_SECONDS = 2.0  # a change must stay due, and follow the previous one, this long
 PEAK_DEMAND_WINDOW_SECONDS = 6.0  # counts follow the peak in it; bursts last seconds
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -526,8 +526,12 @@
     ) -> bool:
         """Apply changes of the endpoint list; fetch the list if some are missing.
 
-        `store_age` is that of a sender from which this hub may learn what the store says. Whether
-        this host knows all that the sender does is returned.
+        `store_age` is that of a sender from which this hub may learn what the store says.
+
+        Returns
+        -------
+        bool
+            Whether this host now knows all that the sender does.
         """
         if store_age is not None and now - store_age > self._view.contact.at:
             self._view.contact = StoreContact(now - store_age, sender)
