Tests never get the same free address twice

Of 500 addresses taken at once, some were equal (the new test, which failed before).

Ports now come from demo.ports, as those of the demonstration do: below the range of outgoing connections, each handed out once in a process, in blocks that a process claims. Ruled out: a server of an earlier test that still listened; the port is in the range of outgoing connections and the test itself had started no server on it.

--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -1,10 +1,8 @@
 """Unused loopback addresses."""
 
-import socket
+from demo.ports import free_ports
 
 
 def free_address() -> str:
-    """Return a loopback address, HOST:PORT, whose port is currently unused."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address, HOST:PORT, that no other caller gets."""
+    return f"127.0.0.1:{free_ports(1)[0]}"
