A stopped process that is told to stop again ends with status 0

Cause: the interpreter restores the default actions of signals before the process ends. Ruled out: a drain cut short (the log has its last line), and the closing of the event loop (signals after it did nothing). Stop signals and SIGHUP are now blocked once a stop has begun.

--- a/samphirehall/programs/running.py
+++ b/samphirehall/programs/running.py
@@ -13,6 +13,8 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.settings.loading import SettingsError
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 T = TypeVar("T")
 
 
@@ -58,9 +60,11 @@
 
 
 async def wait_for_stop() -> None:
-    """Wait for SIGTERM or SIGINT; further ones are ignored until the event loop closes."""
+    """Wait for SIGTERM or SIGINT; further ones, and SIGHUP, are ignored until the process ended."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
+    # The interpreter restores the default actions before it ends, which would end it with a signal.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
