An answer waits for an engine of its version before it is cut (LOST)

What callers saw: a stream whose decode engine crashes while no other engine of its version decodes was cut at once. Its take-up waited 1.6 s and was refused; a stage change takes 3 s.

Cause: only a take-up waited for a stage change, not the answer that broke. Ruled out: waiting longer in the take-up, as the caller abandons a stream after a gap of 2 s. Now both wait: the answer, as long as its caller allows between events, and then the take-up.

TestAnswer in tests/gateway/test_versions_without_decoders.py: two of two failed before.

--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -83,7 +83,7 @@
     delivery = Delivery(caller, request_state.request.resume_after)
     if request_state.takes_up:
         await _find_stream_version(context, request_state)
-    while (plan := await _await_plan(context, request_state, prompt)) is not None:
+    while (plan := await _await_plan(context, request_state, prompt, delivery)) is not None:
         if not await _confirm_engines(context, request_state, plan):
             continue
         _check_quarantine_again(context, request_state, delivery)
@@ -112,26 +112,26 @@
 
 
 async def _await_plan(
-    context: GatewayContext, request_state: RequestState, prompt: Prompt
+    context: GatewayContext, request_state: RequestState, prompt: Prompt, delivery: Delivery
 ) -> GenerationPlan | None:
-    """Return the next plan; for a stream that is taken up, wait for an engine of its version.
+    """Return the next plan; for a stream that has begun, wait for an engine of its version.
 
     It waits as long as such an engine serves that may decode before long, and the caller waits.
     """
     route = request_state.route
     patience = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
+    heard_at = delivery.last_event_at or request_state.request.received_at
     while True:
         plan = next_plan(context, request_state, prompt)
         now = context.clock()
         may_wait = (
-            request_state.takes_up
-            and request_state.elapsed(now=now) < patience
+            now - heard_at < patience
             and request_state.remaining_time(now=now) > 0
             and may_gain_decode_engine(context, request_state)
         )
         if plan is not None or not may_wait:
             return plan
-        request_state.extra_log_fields["waited"] = round(request_state.elapsed(now=now), 4)
+        request_state.extra_log_fields["waited"] = round(now - heard_at, 4)
         await anyio.sleep(ENGINE_CHECK_SECONDS)
 
 
--- a/tests/gateway/test_versions_without_decoders.py
+++ b/tests/gateway/test_versions_without_decoders.py
@@ -6,7 +6,7 @@
 import pytest
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.results import STREAM_VERSION_GONE, RunState
+from samphirehall.core.results import STREAM_CUT, STREAM_VERSION_GONE, RunState
 from samphirehall.gateway.endpoint_counts import (
     EngineDemand,
     desired_stage_change,
@@ -105,6 +105,42 @@
         assert error is None and versions(caller) == {NEW if others > 1 else OLD}
 
 
+class TestAnswer:
+    """A stream whose engine is lost while no other engine of its version decodes."""
+
+    async def serve(self, *, change_after):
+        """Serve a stream that breaks after two events; return caller, error, seconds, engines."""
+        scripts = {"d1": Engine(OLD, events=2), "p1": Engine(OLD), "e1": Engine(NEW)}
+        async with engines(**scripts) as running, Host(FaultyTable()) as host:
+            host.list("d1", running["d1"], OLD)
+            host.list("p1", running["p1"], OLD)
+            host.list("e1", running["e1"], NEW, requests=200)
+
+            async def change_stage():
+                await anyio.sleep(change_after)
+                host.remove("d1")
+                host.list("f1", running["p1"], OLD)
+
+            started = boot_seconds()
+            async with anyio.create_task_group() as group:
+                group.start_soon(change_stage)
+                caller, error = await host.serve("r1")
+                seconds = boot_seconds() - started
+                group.cancel_scope.cancel()
+        return caller, error, seconds, running
+
+    # Guards against LOST: an answer that is cut, and whose take-up comes before the stage change.
+    async def test_answer_goes_on_once_an_engine_of_its_version_decodes(self):
+        caller, error, _, running = await self.serve(change_after=0.4)
+        assert error is None and caller.complete and versions(caller) == {OLD}
+        assert not running["e1"].received
+
+    async def test_answer_is_cut_before_its_caller_abandons_it(self):
+        caller, error, seconds, _ = await self.serve(change_after=10.0)
+        assert error.result is STREAM_CUT and versions(caller) == {OLD}
+        assert 1.0 < seconds < PATIENCE_SECONDS
+
+
 class TestTakeUp:
     # Guards against LOST: a take-up that is refused while an engine of its version serves.
     async def test_take_up_waits_for_an_engine_of_its_version_to_decode(self):
