A stage change is ordered, and waited for, in time for the callers of broken streams (LOST)

Cause: the change takes 3 s from the order. The order waited for the next check of the holder (0.4 s after the crash), or for the one after it if the first engine asked had crashed as well; and answer and take-up each gave up 0.4 s before their caller, which is the time to resume elsewhere, not the time of a refusal. Take-ups ended 0.1 to 0.2 s too early.

Now the holder's next step is due when an engine refuses connections, or the order; both waits last until 0.15 s before the caller abandons the stream.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+import anyio
+
 from samphirehall.core.rendezvous import is_chosen
 from samphirehall.gateway.crashes import CrashTracker
 from samphirehall.gateway.demand import DemandMeter
@@ -71,6 +73,8 @@
     ----------
     limits : EndpointLimits
         Rates that endpoints take from all hosts together.
+    endpoint_lost : Event
+        Set when an endpoint refuses connections; who waits for it replaces it.
     """
 
     host: str
@@ -97,6 +101,7 @@
     unpublished_stage_changes: list[str] = field(default_factory=list)
     streams: StreamStore | None = None
     limits: EndpointLimits = field(init=False)
+    endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.limits = EndpointLimits(self._host_share)
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -189,8 +189,10 @@
         )
         if await endpoint.connections.refuses_connections():
             endpoint.record_refusal()
+            context.endpoint_lost.set()
             context.crashes.confirm(endpoint_id, now=context.clock())
     elif outcome is SendOutcome.NOT_SENT:
+        context.endpoint_lost.set()
         context.crashes.confirm(endpoint_id, now=now)
     elif outcome is SendOutcome.ANSWERED:
         context.crashes.clear(request_state.fingerprint, request_state.shared_part_ids, now=now)
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -41,6 +41,7 @@
 from samphirehall.gateway.plain import no_answer_error
 from samphirehall.gateway.relay import (
     Delivery,
+    abandoned_gap,
     handle_failure_response,
     inter_event_gap_limit,
     relay_stream,
@@ -57,6 +58,7 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0  # times the estimate, for a resumable stream
 FIRST_EVENT_TIMEOUT_SLACK_SECONDS = 1.0
 MAX_HANDLE_BYTES = 65_536  # the answer to a prefill holds a handle and two numbers
+REFUSAL_SECONDS = 0.15  # to end an answer or refuse a request before its caller abandons it
 ENGINE_CHECK_SECONDS = 0.05  # while a stream waits for an engine of its version
 STAGE_RETRY_AFTER_SECONDS = 1.0  # a stage change takes seconds
 RELEASE_TIMEOUT_SECONDS = 0.3  # the engine expires the KV handle itself soon after
@@ -119,7 +121,8 @@
     It waits as long as such an engine serves that may decode before long, and the caller waits.
     """
     route = request_state.route
-    patience = inter_event_gap_limit(route.latency_target, route.inter_event_gap_target)
+    gap = abandoned_gap(route.latency_target, route.inter_event_gap_target)
+    patience = gap - REFUSAL_SECONDS
     heard_at = delivery.last_event_at or request_state.request.received_at
     while True:
         plan = next_plan(context, request_state, prompt)
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -183,12 +183,16 @@
 
     Sound engines are silent for over a second at times, so this is as late as callers allow.
     """
-    abandoned_gap = max(
+    return abandoned_gap(latency_target, gap_target) - RESUME_SECONDS
+
+
+def abandoned_gap(latency_target: float, gap_target: float | None) -> float:
+    """Return the seconds of silence after which callers abandon a stream."""
+    return max(
         MIN_ABANDONED_GAP_SECONDS,
         ABANDONED_GAP_LATENCY_FACTOR * latency_target,
         ABANDONED_GAP_TARGET_FACTOR * (gap_target or 0.0),
     )
-    return abandoned_gap - RESUME_SECONDS
 
 
 def _stream_headers(response: Response) -> Headers:
--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -27,6 +27,7 @@
 from samphirehall.routing.stream_versions import STREAM_LIFETIME_SECONDS
 
 CHECK_INTERVAL_SECONDS = 0.5  # short compared with the startup time of an endpoint
+MIN_CHECK_INTERVAL_SECONDS = 0.1  # after an endpoint is lost; many may be at the same moment
 REFUSED_RETRY_SECONDS = 3.0  # before what was refused is ordered again
 RESEND_INTERVAL_SECONDS = 2.0  # if endpoints are missing; the platform may cut orders
 STAGE_CHANGE_DELAY_SECONDS = 2.0  # a change must stay due, and follow the previous one, this long
@@ -83,6 +84,13 @@
         self._refused_at.clear()
         self._pending_stage_change.clear()
 
+    async def wait(self) -> None:
+        """Wait until the next step, which is due at once if an endpoint is lost."""
+        await anyio.sleep(MIN_CHECK_INTERVAL_SECONDS)
+        with anyio.move_on_after(CHECK_INTERVAL_SECONDS - MIN_CHECK_INTERVAL_SECONDS):
+            await self._context.endpoint_lost.wait()
+        self._context.endpoint_lost = anyio.Event()
+
     async def step(self, configuration: GatewayConfiguration, *, now: float) -> None:
         """Measure demand and send the orders that are due.
 
@@ -197,7 +205,9 @@
         if change is None or not (is_urgent or now - due_since >= STAGE_CHANGE_DELAY_SECONDS):
             return
         self._pending_stage_change[service.name] = None, now
-        await self._send_stage_change(engines[change[0]], change[1], demand, now=now)
+        accepted = await self._send_stage_change(engines[change[0]], change[1], demand, now=now)
+        if is_urgent and not accepted:
+            self._context.endpoint_lost.set()  # another engine is asked at once
 
     def _unreachable(self, endpoint_ids: Iterable[str], *, now: float) -> set[str]:
         """Return the endpoints to which this host cannot connect at present."""
@@ -242,7 +252,8 @@
 
     async def _send_stage_change(
         self, engine: ListedEndpoint, stage: Stage, demand: EngineDemand, *, now: float
-    ) -> None:
+    ) -> bool:
+        """Order a stage change; return whether the engine accepts it."""
         accepted = await self._calls.order_stage(engine, stage)
         log_decision(
             _log,
@@ -260,6 +271,7 @@
             self._context.record_stage_change(engine.endpoint_id, now=now)
         else:
             self._stage_refused_at[engine.endpoint_id] = now
+        return accepted
 
     def _with_ordered_stage(self, endpoint: ListedEndpoint, *, now: float) -> ListedEndpoint:
         """Return an engine with the stage last ordered, while its entry may not show it yet."""
@@ -291,7 +303,7 @@
         Returns the configuration in force.
     """
     while True:
-        await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        await scaling.wait()
         now = boot_seconds()
         current = configuration()
         if not may_act(now) or current is None:
--- a/tests/gateway/test_versions_without_decoders.py
+++ b/tests/gateway/test_versions_without_decoders.py
@@ -13,10 +13,15 @@
     missing_decode_engine,
 )
 from samphirehall.gateway.generation_choice import lasting_versions
-from samphirehall.gateway.scaling import STAGE_CHANGE_DELAY_SECONDS
+from samphirehall.gateway.scaling import (
+    STAGE_CHANGE_DELAY_SECONDS,
+    EndpointScaler,
+    ScalingCalls,
+)
+from samphirehall.gateway.scaling import scale_forever as keep_scaling
 from samphirehall.gateway.types import Stage
 from tests.gateway.helpers import configuration, engine
-from tests.gateway.test_duties import scaling_with
+from tests.gateway.test_duties import CallRecorder, scaling_with
 from tests.gateway.test_stream_versions import NEW, OLD, Engine, Host, begin, engines, versions
 from tests.support.table import FaultyTable
 
@@ -70,6 +75,31 @@
         await scaling.step(configuration(), now=1.0)
         assert len(calls.stages) == 1
 
+    # Guards against LOST: an order that comes when callers have nearly given up waiting.
+    async def test_order_does_not_wait_for_the_next_check_when_an_engine_is_lost(self, monkeypatch):
+        monkeypatch.setattr("samphirehall.gateway.scaling.CHECK_INTERVAL_SECONDS", 30.0)
+        async with (
+            engines(d1=Engine(OLD, events=2), e1=Engine(NEW)) as running,
+            Host(FaultyTable()) as host,
+        ):
+            host.list("d1", running["d1"], OLD)
+            host.list("p1", running["e1"], OLD)
+            host.list("e1", running["e1"], NEW, requests=200)
+            calls = CallRecorder()
+            scaling = EndpointScaler(
+                host.context, ScalingCalls(calls.order_count, calls.order_stage)
+            )
+            await scaling.step(configuration(), now=boot_seconds())
+            running["d1"].refuse()
+            async with anyio.create_task_group() as group:
+                group.start_soon(host.serve, "r1")
+                with anyio.move_on_after(1.0):
+                    await keep_scaling(
+                        scaling, may_act=lambda now: True, configuration=configuration
+                    )
+                group.cancel_scope.cancel()
+        assert calls.stages == [("p1", Stage.DECODE)]
+
     async def test_engine_that_refuses_the_change_is_passed_over(self):
         shared, calls, scaling = scaling_with(*of_version(OLD, 1, 2), *of_version(NEW, 4, 2))
         calls.accepts_stages = False
