--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -46,6 +46,11 @@
     leaving_since: float = float("-inf")
     silent_sends: int = 0
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether it could not be connected to, and has answered nothing since."""
+        return self.unreachable_until > 0.0
+
     def record_success(self) -> None:
         """Record a successful answer; clears the backoff."""
         self.may_have_restarted = False
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -71,15 +71,29 @@
 
 
 def may_gain_decode_engine(context: GatewayContext, request_state: RequestState) -> bool:
-    """Return whether an engine of the stream's version serves, and may decode before long."""
+    """Return whether no engine of the stream's version decodes, and one may before long.
+
+    While one does, stages are not changed for the stream, also if that engine has just failed it.
+    """
     service, version = request_state.service.name, request_state.stream_version
-    return version is not None and any(
-        state.listed.service == service
+    members = [
+        state
+        for state in context.fleet.states()
+        if state.listed.service == service
         and state.listed.ready
-        and state.is_surely_of(version)
-        and (state.listed.stage is Stage.PREFILL or state.is_changing(now=context.clock()))
+        and state.listed.software_version == version
+    ]
+    now = context.clock()
+    decoders = [
+        state
+        for state in members
+        if state.listed.stage is Stage.DECODE and not state.is_changing(now=now)
+    ]
+    return all(state.is_unreachable for state in decoders) and any(
+        state.is_surely_of(str(version))
+        and (state.listed.stage is Stage.PREFILL or state.is_changing(now=now))
         and state.listed.endpoint_id not in request_state.tried_endpoints
-        for state in context.fleet.states()
+        for state in members
     )
 
 
--- a/tests/gateway/test_versions_without_decoders.py
+++ b/tests/gateway/test_versions_without_decoders.py
@@ -136,11 +136,18 @@
 
 
 class TestAnswer:
-    """A stream whose engine is lost while no other engine of its version decodes."""
+    """A stream that breaks while no other engine of its version decodes."""
 
-    async def serve(self, *, change_after):
+    async def serve(self, *, change_after, crashes=True):
         """Serve a stream that breaks after two events; return caller, error, seconds, engines."""
-        scripts = {"d1": Engine(OLD, events=2), "p1": Engine(OLD), "e1": Engine(NEW)}
+        breaks = Engine(OLD, events=2)
+
+        async def first(received, writer):
+            if crashes:
+                running["d1"].refuse()
+            await breaks(received, writer)
+
+        scripts = {"d1": first, "p1": Engine(OLD), "e1": Engine(NEW)}
         async with engines(**scripts) as running, Host(FaultyTable()) as host:
             host.list("d1", running["d1"], OLD)
             host.list("p1", running["p1"], OLD)
@@ -170,6 +177,10 @@
         assert error.result is STREAM_CUT and versions(caller) == {OLD}
         assert 1.0 < seconds < PATIENCE_SECONDS
 
+    async def test_answer_is_cut_at_once_if_its_engine_still_takes_connections(self):
+        _, error, seconds, _ = await self.serve(change_after=10.0, crashes=False)
+        assert error.result is STREAM_CUT and seconds < 0.5
+
 
 class TestTakeUp:
     # Guards against LOST: a take-up that is refused while an engine of its version serves.
