Signals at the end of a stop are ignored in all threads of a process

Cause: the signals were blocked in the main thread only, and the event loop has worker threads. They are ignored now; the interpreter and the closing loop leave that as it is.

tests/programs/test_running.py has worker threads now: three of three failed on the code before.

--- a/samphirehall/programs/running.py
+++ b/samphirehall/programs/running.py
@@ -66,5 +66,7 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
-    # The interpreter restores the default actions before it ends, which would end it with a signal.
-    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+    # Closing the loop and the interpreter restores the default actions before the process ends.
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/programs/test_running.py
+++ b/tests/programs/test_running.py
@@ -11,6 +11,7 @@
 from samphirehall.programs.running import run_daemon, wait_for_stop
 
 async def main():
+    await asyncio.get_running_loop().getaddrinfo("localhost", 80)  # starts threads of the loop
     asyncio.get_running_loop().call_later(0.05, lambda: print("serving", flush=True))
     await wait_for_stop()
     print("stopping", flush=True)
