Engines that crash at one moment all count as lost while that is found out (LOST)

What callers saw: of three decode engines that crashed together, 14 answers were cut at once, as the first engine was known to be gone and the next one was still being asked whether it takes connections.

--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -187,7 +187,12 @@
             endpoint=crash.endpoint,
             parts=crash.parts,
         )
-        if await endpoint.connections.refuses_connections():
+        endpoint.connection_checks += 1
+        try:
+            refuses = await endpoint.connections.refuses_connections()
+        finally:
+            endpoint.connection_checks -= 1
+        if refuses:
             endpoint.record_refusal()
             context.endpoint_lost.set()
             context.crashes.confirm(endpoint_id, now=context.clock())
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -45,11 +45,15 @@
     changing_since: float = float("-inf")
     leaving_since: float = float("-inf")
     silent_sends: int = 0
+    connection_checks: int = 0
 
     @property
-    def is_unreachable(self) -> bool:
-        """Whether it could not be connected to, and has answered nothing since."""
-        return self.unreachable_until > 0.0
+    def is_lost(self) -> bool:
+        """Whether it could not be connected to, and has answered nothing since.
+
+        It counts as lost while this is being found out, after a connection to it broke.
+        """
+        return self.unreachable_until > 0.0 or self.connection_checks > 0
 
     def record_success(self) -> None:
         """Record a successful answer; clears the backoff."""
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -89,7 +89,7 @@
         for state in members
         if state.listed.stage is Stage.DECODE and not state.is_changing(now=now)
     ]
-    return all(state.is_unreachable for state in decoders) and any(
+    return all(state.is_lost for state in decoders) and any(
         state.is_surely_of(str(version))
         and (state.listed.stage is Stage.PREFILL or state.is_changing(now=now))
         and state.listed.endpoint_id not in request_state.tried_endpoints
--- a/tests/gateway/test_versions_without_decoders.py
+++ b/tests/gateway/test_versions_without_decoders.py
@@ -1,6 +1,7 @@
 """Software versions whose decode engines leave or crash while other engines of them serve."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -12,7 +13,7 @@
     desired_stage_change,
     missing_decode_engine,
 )
-from samphirehall.gateway.generation_choice import lasting_versions
+from samphirehall.gateway.generation_choice import lasting_versions, may_gain_decode_engine
 from samphirehall.gateway.scaling import (
     STAGE_CHANGE_DELAY_SECONDS,
     EndpointScaler,
@@ -20,7 +21,7 @@
 )
 from samphirehall.gateway.scaling import scale_forever as keep_scaling
 from samphirehall.gateway.types import Stage
-from tests.gateway.helpers import configuration, engine
+from tests.gateway.helpers import MODEL, configuration, engine
 from tests.gateway.test_duties import CallRecorder, scaling_with
 from tests.gateway.test_stream_versions import NEW, OLD, Engine, Host, begin, engines, versions
 from tests.support.table import FaultyTable
@@ -177,6 +178,23 @@
         assert error.result is STREAM_CUT and versions(caller) == {OLD}
         assert 1.0 < seconds < PATIENCE_SECONDS
 
+    # Guards against LOST: an answer that is cut before all crashes of one moment are known.
+    async def test_answer_waits_while_another_engine_may_have_crashed_as_well(self):
+        scripts = {"d1": Engine(OLD, events=2), "d2": Engine(OLD), "p1": Engine(OLD)}
+        async with engines(**scripts) as running, Host(FaultyTable()) as host:
+            for name, endpoint in running.items():
+                host.list(name, endpoint, OLD)
+            context, state = host.context, SimpleNamespace(stream_version=OLD)
+            state.service, state.tried_endpoints = MODEL, set()
+            lost, checked = (context.fleet.endpoint(name) for name in ("d1", "d2"))
+            lost.record_failure(now=boot_seconds(), unreachable=True)
+            assert not may_gain_decode_engine(context, state)
+            checked.record_failure(now=boot_seconds(), disconnected=True)
+            checked.connection_checks += 1
+            assert may_gain_decode_engine(context, state)
+            checked.connection_checks -= 1
+            assert not may_gain_decode_engine(context, state)
+
     async def test_answer_is_cut_at_once_if_its_engine_still_takes_connections(self):
         _, error, seconds, _ = await self.serve(change_after=10.0, crashes=False)
         assert error.result is STREAM_CUT and seconds < 0.5
