Hedge late requests of idempotent plain routes

The first attempt of a late request goes on while a second one runs at another endpoint. The first usable answer wins and the other attempt is cancelled; an error answer or a broken connection does not end the other attempt. A hedge counts within max_attempts, the repeat budget (of which it leaves one repeat) and the limit that its endpoint states. It is refused without a free slot, for a suspect request and near the deadline.

The silence limit sees both attempts: one of a pair is taken over only if both are silent. A cancelled send has the outcome 'cancelled', which is no failure of its endpoint and no crash. A first attempt that loses raises the failure rate that the choice of endpoints reads, as a hung endpoint would look idle otherwise.

The request's log line says where and when the hedge went and which attempt won, or why there was none; metrics count both.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -17,6 +17,7 @@
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
+from samphirehall.scheduling.hedging import Hedging
 
 DECODE_PREFILL_SPEED_FRACTION = 0.5  # of a prefill engine's, as stated by the platform
 INITIAL_KV_TRANSFER_OVERHEAD_SECONDS = 0.05  # until measured
@@ -68,6 +69,8 @@
         Engines that were ordered to change their stage, not yet sent to peers.
     streams : StreamStore or None
         Software versions of streams; without it, callers take up no stream.
+    hedging : Hedging or None
+        Answer times and limit of hedged requests; None while hedging is off.
 
     Attributes
     ----------
@@ -100,6 +103,7 @@
     pending_cache_updates: list[tuple[str, tuple[PromptPart, ...]]] = field(default_factory=list)
     unpublished_stage_changes: list[str] = field(default_factory=list)
     streams: StreamStore | None = None
+    hedging: Hedging | None = None
     limits: EndpointLimits = field(init=False)
     endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
@@ -156,6 +160,14 @@
             self.repeat_limits = limits
             self.repeat_budgets.clear()
 
+    def set_hedging_share(self, max_share: float) -> None:
+        """Apply the largest share of hedged requests; 0 turns hedging off.
+
+        Answer times and counts are reset if the share changed.
+        """
+        if max_share != (self.hedging.max_share if self.hedging else 0.0):
+            self.hedging = Hedging(max_share) if max_share else None
+
     def allows_repeats(self, service: str, sends: int) -> bool:
         """Return whether the budget allows repeated sends to a service."""
         return self.repeat_budget(service).allows(sends, hosts=self.live_hosts(), now=self.clock())
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -152,6 +152,8 @@
         if not takes_request(self.stop_schedule, deadline, now=self.context.clock()):
             raise stopping_error()
         self.context.repeat_budget(service_name).record_request(now=request.received_at)
+        if self.context.hedging is not None:
+            self.context.hedging.record_request(service_name)
         return RequestState(
             request,
             route,
--- a/samphirehall/gateway/metrics.py
+++ b/samphirehall/gateway/metrics.py
@@ -90,6 +90,12 @@
             "Resumable streams: new ones and those taken up by callers, and whether they ran.",
             ("kind", "outcome"),
         )
+        self._hedges = _Counter(
+            "hedges", "Hedges by service and whether they won.", ("service", "won")
+        )
+        self._refused_hedges = _Counter(
+            "hedges_refused", "Late requests that were not hedged.", ("service", "reason")
+        )
         self._request_seconds = _Histogram(
             "request_seconds",
             "Seconds from receipt of the whole request to the end of its response.",
@@ -136,10 +142,11 @@
             self._customer_requests.increment(request_state.customer_name, result.run.value)
         for endpoint_id, purpose, outcome in request_state.sends:
             self._sends.increment(purpose, outcome)
-            if outcome != SendOutcome.ANSWERED:
+            if outcome not in (SendOutcome.ANSWERED, SendOutcome.CANCELLED):
                 self._failed_endpoints.add(endpoint_id)
                 self._endpoint_failures.increment(endpoint_id)
         self._observe_stream(request_state)
+        self._observe_hedge(request_state)
         if request_state.route.resumable:
             has_events = "first_event_after" in request_state.extra_log_fields
             self._streams.increment(
@@ -147,6 +154,16 @@
                 "went-on" if has_events else "refused",
             )
 
+    def _observe_hedge(self, request_state: RequestState) -> None:
+        hedge = request_state.extra_log_fields.get("hedge")
+        if hedge is None:
+            return
+        service = request_state.service.name
+        if request_state.hedged:
+            self._hedges.increment(service, hedge["won"])
+        else:
+            self._refused_hedges.increment(service, hedge["refused"])
+
     def _observe_stream(self, request_state: RequestState) -> None:
         route, notes = request_state.route.name, request_state.extra_log_fields
         wait = notes.get("choice", {}).get("wait")
@@ -171,6 +188,8 @@
             self._customer_requests,
             self._sends,
             self._streams,
+            self._hedges,
+            self._refused_hedges,
             self._request_seconds,
             self._first_event_seconds,
             self._wait_seconds,
--- a/samphirehall/gateway/plain.py
+++ b/samphirehall/gateway/plain.py
@@ -22,9 +22,10 @@
     within_limits,
 )
 from samphirehall.gateway.fleet import EndpointState, choose_plain_endpoint
+from samphirehall.gateway.hedged_send import Attempt, send_hedged
 from samphirehall.gateway.request_state import Caller, RequestState, SendOutcome
 from samphirehall.gateway.silence import silence_limit
-from samphirehall.gateway.types import Headers
+from samphirehall.gateway.types import Headers, RequestKind
 from samphirehall.gateway.wire_codec import Dispatch
 
 # Answers are buffered, so that a failed attempt can be retried; bounds the memory of each request.
@@ -86,7 +87,7 @@
     """
     last_answer: BufferedAnswer | None = None
     while (endpoint := _next_endpoint(context, request_state)) is not None:
-        answer = await _send(context, request_state, endpoint)
+        answer = await _attempt(context, request_state, endpoint)
         if answer is not None and _is_final(request_state, answer):
             await _forward_answer(request_state, caller, answer)
             return OK
@@ -167,10 +168,30 @@
     return {name: context.loads.total_load(name, now=now).requests for name in ids}
 
 
-async def _send(
+async def _attempt(
     context: GatewayContext, request_state: RequestState, endpoint: EndpointState
 ) -> BufferedAnswer | None:
-    """Make one attempt; return the answer, or None if there is none to forward."""
+    """Make one attempt, with a hedge if it is late; return the answer to forward, if any."""
+    if context.hedging is None or request_state.route.kind is not RequestKind.IDEMPOTENT:
+        return await _send(context, request_state, endpoint, Attempt())
+    return await send_hedged(
+        context,
+        request_state,
+        endpoint,
+        context.hedging,
+        send=lambda state, attempt: _send(context, request_state, state, attempt),
+        is_final=lambda answer: _is_final(request_state, answer),
+        choose=lambda candidates: _choose_endpoint(context, candidates)[0],
+    )
+
+
+async def _send(
+    context: GatewayContext,
+    request_state: RequestState,
+    endpoint: EndpointState,
+    attempt: Attempt[BufferedAnswer],
+) -> BufferedAnswer | None:
+    """Send the request once; return the answer, or None if there is none to forward."""
     endpoint_id = endpoint.listed.endpoint_id
     request_state.tried_endpoints.add(endpoint_id)
     outcome, answer = SendOutcome.CUT, None
@@ -178,6 +199,14 @@
         with context.loads.track_request(endpoint_id):
             outcome, answer = await _exchange(context, request_state, endpoint)
     finally:
+        if outcome is SendOutcome.CUT and attempt.superseded:
+            outcome = SendOutcome.CANCELLED
+            request_state.runs += 1
+            if not attempt.is_hedge:
+                # Else an endpoint that hangs is no worse a choice than others: its requests
+                # are hedged before they time out, and leave it idle.
+                endpoint.record_error_answer()
+        attempt.outcome = outcome
         request_state.record_send(endpoint_id, "run", outcome)
     if outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN, SendOutcome.SILENT):
         endpoint.record_failure(now=context.clock(), unreachable=outcome is SendOutcome.NOT_SENT)
@@ -202,15 +231,23 @@
     dispatch = Dispatch(endpoint.listed, request_state.customer_name, None, remaining)
     timeout = _answer_timeout(request_state)
 
+    is_marked = False
+
     def may_end() -> bool:
-        return _can_take_over(context, request_state)
+        return _can_take_over(context, request_state, request_state.silent_sends - is_marked)
+
+    def mark_silent(is_silent: bool) -> None:
+        nonlocal is_marked
+        is_marked = is_silent
+        request_state.silent_sends += 1 if is_silent else -1
+        endpoint.record_silence(is_silent)
 
     try:
         with silence_limit(
             request_state.request.request_id,
             endpoint.listed.endpoint_id,
             may_end,
-            endpoint.record_silence,
+            mark_silent,
         ) as limit:
             if timeout is not None:
                 limit.restart(timeout)
@@ -220,8 +257,20 @@
         return outcome_from_error(error), None
 
 
-def _can_take_over(context: GatewayContext, request_state: RequestState) -> bool:
-    """Return whether another endpoint can take the request; its send is reserved if so."""
+def _can_take_over(
+    context: GatewayContext, request_state: RequestState, other_silent_sends: int
+) -> bool:
+    """Return whether another endpoint can take the request; its send is reserved if so.
+
+    Of a hedged request, the other attempt has taken over already unless it is silent as well.
+    """
+    running = 2 if request_state.pair_running else 1
+    if running - 1 > other_silent_sends:
+        return False
+    if request_state.runs + running >= request_state.route.max_attempts:
+        return False
+    if request_state.reserved_repeats:
+        return True  # for the other attempt of the pair, which has ended in its silence
     if not context.allows_repeats(request_state.service.name, 1):
         return False
     candidates = context.fleet.candidates(
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -38,7 +38,8 @@
     `NOT_RUN`: the endpoint stated that it did not run the request. `BROKEN`: the
     connection ended before the whole response. `SILENT`: the send timed out.
     `FAILED`: the response is an error or cannot be used. `CUT`: this host ended the
-    send because the deadline passed or the client disconnected.
+    send because the deadline passed or the client disconnected. `CANCELLED`: this host
+    ended the send because the other attempt of a hedged request was answered first.
     """
 
     ANSWERED = "answered"
@@ -48,6 +49,7 @@
     SILENT = "silent"
     FAILED = "failed"
     CUT = "cut"
+    CANCELLED = "cancelled"
 
 
 @dataclass(slots=True)
@@ -82,6 +84,12 @@
         Repeated sends of the next attempt that the budget has already counted.
     reserved_endpoints : set
         Endpoints whose limits have already counted a send of the next attempt.
+    hedged : bool
+        Whether a hedge was started for the request.
+    pair_running : bool
+        Whether a first attempt and its hedge are both under way.
+    silent_sends : int
+        Sends under way whose endpoint has been silent for too long.
     prefill_done : bool
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
@@ -107,6 +115,9 @@
     delivered_sends: int = 0
     reserved_repeats: int = 0
     reserved_endpoints: set[str] = field(default_factory=set)
+    hedged: bool = False
+    pair_running: bool = False
+    silent_sends: int = 0
     prefill_done: bool = False
     on_trial: bool = False
     stream_version: str | None = None
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -58,6 +58,26 @@
         assert value("samphire_streams_total", {"kind": "new", "outcome": "went-on"}) == 1
         assert value("samphire_streams_total", {"kind": "taken-up", "outcome": "refused"}) == 1
 
+    def test_hedges_are_counted_by_winner_and_refusals_by_reason(self, registry, metrics):
+        for won in ("first", "hedge", "hedge"):
+            state = request_state(hedge={"endpoint": "e2", "after": 0.1, "won": won})
+            state.hedged = True
+            metrics.observe_request(state, OK, 0.2)
+        metrics.observe_request(request_state(hedge={"refused": "share"}), OK, 0.2)
+        value = registry.get_sample_value
+        for won, count in [("first", 1), ("hedge", 2)]:
+            assert value("samphire_hedges_total", {"service": "desk", "won": won}) == count
+        labels = {"service": "desk", "reason": "share"}
+        assert value("samphire_hedges_refused_total", labels) == 1
+
+    # Guards against alerts on endpoints whose requests this host cancelled itself.
+    def test_cancelled_loser_is_no_failure_of_its_endpoint(self, registry, metrics):
+        metrics.observe_request(request_state(("e1", "run", SendOutcome.CANCELLED)), OK, 0.2)
+        value = registry.get_sample_value
+        assert value("samphire_endpoint_failures_total", {"endpoint": "e1"}) is None
+        labels = {"purpose": "run", "outcome": "cancelled"}
+        assert value("samphire_sends_total", labels) == 1
+
     def test_failures_are_counted_by_endpoint_until_it_is_unlisted(self, registry, metrics):
         sends = [("e1", "run", SendOutcome.NOT_SENT), ("e2", "run", SendOutcome.NOT_RUN)]
         metrics.observe_request(request_state(*sends), NO_ENDPOINT, 0.01)
@@ -82,7 +102,7 @@
     def test_host_that_is_not_scraped_does_not_import_the_client_library(self):
         code = (
             "import sys; import samphirehall.programs.node; "
-            "print([name for name in ('prometheus_client', 'fire') if name in sys.modules])"
+            "print([name for name in ('prometheus_client', 'fire', 'hdrh') if name in sys.modules])"
         )
         printed = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
         assert printed.stdout == b"[]\n"
