Add the setting hedging.max_share

Hedging is off unless the settings file or SAMPHIREHALL_HEDGING_MAX_SHARE gives a share over 0; the key of the file overrides the variable. A changed file is followed at run time, an invalid share leaves the last one in force.

--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -8,6 +8,7 @@
 from samphirehall.settings.loading import SettingsError, SettingsProblem, valid_address
 
 PATH_VARIABLE = "SAMPHIREHALL_BOOT"
+HEDGING_VARIABLE = "SAMPHIREHALL_HEDGING_MAX_SHARE"  # overridden by the key of the settings file
 DEFAULT_PATH = "/etc/samphirehall/settings.conf"
 READINESS_PATH = "/ready"  # polled by the load balancer
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # must match deploy/system.toml
@@ -51,6 +52,8 @@
         Bandwidth of this host's link; infinite if it is not stated.
     first_start : bool
         Whether the whole system starts for the first time.
+    hedging_max_share : float
+        Hedged requests of a service over all hosts as a fraction of its requests; 0 for none.
     """
 
     host: str
@@ -75,6 +78,7 @@
     max_row_bytes: int
     link_bytes_per_second: float
     first_start: bool
+    hedging_max_share: float = 0.0
 
 
 def settings_path() -> str:
@@ -130,6 +134,7 @@
         max_row_bytes=fields.integer("platform.row_bytes"),
         link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
+        hedging_max_share=fields.share("hedging.max_share", HEDGING_VARIABLE),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
@@ -176,6 +181,20 @@
     def bandwidth(self, name: str) -> float:
         return (self.number(name) or float("inf")) if name in self._values else float("inf")
 
+    def share(self, name: str, variable: str) -> float:
+        """Return a number from 0 to 1 from the file, or else from the environment; 0 if unset."""
+        source, value = name, self._values.get(name, "")
+        if not value:
+            source, value = variable, os.environ.get(variable, "")
+        try:
+            share = float(value or 0)
+        except ValueError:
+            share = -1.0
+        if not 0 <= share <= 1:
+            self._add_problem(source, value, "a number from 0 to 1")
+            return 0.0
+        return share
+
     def integer(self, name: str, part: str | None = None, *, maximum: int = int(MAX_NUMBER)) -> int:
         value = self.required(name) if part is None else part
         number = parse_unsigned(value, maximum=maximum)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -118,6 +118,7 @@
             live_zones=lambda: self.exchange.live_zones(now=boot_seconds()),
             store_age=lambda: self.exchange.store_age(now=boot_seconds()),
         )
+        self.context.set_hedging_share(settings.hedging_max_share)
         self.gateway = Gateway(self.context, self.metrics.observe_request)
         self._listed: dict[str, ListedEndpoint | None] = {}
         reading = Switch()
@@ -352,6 +353,7 @@
             settings.retry_budget_ratio, settings.retry_budget_slack, settings.retry_budget_window
         )
         self.context.set_repeat_limits(limits)
+        self.context.set_hedging_share(settings.hedging_max_share)
         self.settings = settings
         _log.info("reload", extra={"reason": reason})
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,7 +8,7 @@
 from samphirehall.gateway.types import RequestKind, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
 from samphirehall.platform import documents, wire
-from samphirehall.platform.settings import SettingsError, parse_settings
+from samphirehall.platform.settings import HEDGING_VARIABLE, SettingsError, parse_settings
 from tests.gateway.helpers import listed
 
 SETTINGS = {
@@ -96,6 +96,39 @@
             parse_settings(settings_text(**{"bounds.lease_ms": number}), file="f")
         assert [problem.key for problem in caught.value.problems] == ["bounds.lease_ms"]
 
+    # Guards against hedging that is on without being asked for, and against an environment
+    # that overrides the file.
+    @pytest.mark.parametrize(
+        ("in_file", "in_environment", "share"),
+        [
+            (None, None, 0.0),
+            ("0.05", None, 0.05),
+            (None, "0.1", 0.1),
+            ("0.05", "0.1", 0.05),
+            ("0", "0.1", 0.0),
+            ("1", "7", 1.0),
+        ],
+    )
+    def test_hedging_share_of_the_file_overrides_the_environment(
+        self, monkeypatch, in_file, in_environment, share
+    ):
+        monkeypatch.delenv(HEDGING_VARIABLE, raising=False)
+        if in_environment is not None:
+            monkeypatch.setenv(HEDGING_VARIABLE, in_environment)
+        text = settings_text(**{"hedging.max_share": in_file})
+        assert parse_settings(text, file="f").hedging_max_share == share
+
+    @pytest.mark.parametrize("share", ["1.01", "-0.1", "nan", "x", "inf"])
+    def test_hedging_share_must_be_from_0_to_1(self, monkeypatch, share):
+        monkeypatch.delenv(HEDGING_VARIABLE, raising=False)
+        with pytest.raises(SettingsError) as caught:
+            parse_settings(settings_text(**{"hedging.max_share": share}), file="f")
+        assert [problem.key for problem in caught.value.problems] == ["hedging.max_share"]
+        monkeypatch.setenv(HEDGING_VARIABLE, share)
+        with pytest.raises(SettingsError) as caught:
+            parse_settings(settings_text(), file="f")
+        assert [problem.key for problem in caught.value.problems] == [HEDGING_VARIABLE]
+
 
 class TestConfiguration:
     def test_names_and_units_are_converted(self):
--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -14,7 +14,11 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.results import SETTINGS_INVALID
 from samphirehall.gateway.rows import RowChange, Rows, StoreVersion
-from samphirehall.platform.settings import PATH_VARIABLE, load_platform_settings
+from samphirehall.platform.settings import (
+    HEDGING_VARIABLE,
+    PATH_VARIABLE,
+    load_platform_settings,
+)
 from samphirehall.programs import node
 from tests.gateway.helpers import response_bytes, scripted_endpoint
 from tests.gateway.test_generation import generate
@@ -235,6 +239,27 @@
     assert reloads == ["file has changed"]
 
 
+# Guards against a share that is changed in the file and not followed until a restart.
+async def test_hedging_follows_the_settings(tmp_path, monkeypatch):
+    path = tmp_path / "settings.conf"
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    monkeypatch.delenv(HEDGING_VARIABLE, raising=False)
+
+    def write(share):
+        values = SETTINGS | {"hedging.max_share": share}
+        path.write_text("".join(f"{key}={value}\n" for key, value in values.items()))
+
+    write("0.05")
+    built_node = node.Node(load_platform_settings(str(path)))
+    assert built_node.context.hedging.max_share == 0.05
+    write("2")
+    built_node.reload("test")
+    assert built_node.context.hedging.max_share == 0.05
+    write("0")
+    built_node.reload("test")
+    assert built_node.context.hedging is None
+
+
 async def reloaded(system):
     return bool(system.log_entries("reload"))
 
