--- a/tests/gateway/test_hedged_requests.py
+++ b/tests/gateway/test_hedged_requests.py
@@ -397,6 +397,18 @@
             assert not first.aborted_requests and not third.received
         assert not gateway.context.fleet.endpoint("e0").silent_sends
 
+    # Guards against a late answer that is lost although its hedge has just begun.
+    async def test_silent_attempt_is_not_taken_over_before_its_hedge_is_silent(self):
+        async with (
+            scripted_endpoint(answering(0.29, body=b"first")) as first,
+            scripted_endpoint(answering(NEVER)) as hedge,
+            scripted_endpoint(answering()) as third,
+        ):
+            addresses = (first.address, hedge.address, third.address)
+            gateway, _ = gateway_with(*addresses, max_attempts=3)
+            assert (await serve(gateway)).body == b"first"
+            assert not third.received
+
     async def test_pair_that_is_silent_is_taken_over_by_a_third_endpoint(self, entries):
         async with (
             scripted_endpoint(answering(NEVER)) as one,
