--- a/samphirehall/admission/authentication.py
+++ b/samphirehall/admission/authentication.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from samphirehall.configuration.documents import ANY_NAME, CustomerPart, RoutePart
+from samphirehall.configuration.documents import CustomerPart, RoutePart, may_use
 from samphirehall.configuration.version import Configuration
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import key_digest
@@ -82,13 +82,6 @@
     return customer, part
 
 
-def may_use(part: CustomerPart, route_name: str, route: RoutePart) -> bool:
-    """Return whether a customer may use a route and the model behind it."""
-    if ANY_NAME not in part.routes and route_name not in part.routes:
-        return False
-    return route.kind != "model" or ANY_NAME in part.models or route.target in part.models
-
-
 def is_key_valid(configuration: Configuration, caller: Caller) -> bool:
     """Return whether the caller's key still belongs to its customer."""
     if not caller.key_digest:
--- a/samphirehall/configuration/documents.py
+++ b/samphirehall/configuration/documents.py
@@ -240,6 +240,13 @@
             )
 
 
+def may_use(part: CustomerPart, route_name: str, route: RoutePart) -> bool:
+    """Return whether a customer may use a route and the model behind it."""
+    if ANY_NAME not in part.routes and route_name not in part.routes:
+        return False
+    return route.kind != "model" or ANY_NAME in part.models or route.target in part.models
+
+
 def resolve_part_type(name: str) -> type:
     """Return the class of the part with a name such as ``"customers/coop"``."""
     section = name.partition("/")[0]
--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -5,7 +5,8 @@
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from samphirehall.admission.authentication import customer_with_key, may_use
+from samphirehall.admission.authentication import customer_with_key
+from samphirehall.configuration.documents import may_use
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.identifiers import key_digest, new_identifier
