Warn of entries without effect in samphirectl config check

A configuration could be valid and still hold names that match nothing, routes that nobody may use, or limits that contradict each other. Errors come from the validation that the hosts use. config diff and the check share one comparison.

--- a/samphirehall/programs/ctl.py
+++ b/samphirehall/programs/ctl.py
@@ -5,7 +5,6 @@
 import os
 import re
 import sys
-from collections.abc import Iterable
 from typing import Any
 
 import anyio
@@ -13,10 +12,10 @@
 import msgspec
 from fire.decorators import SetParseFns
 
+from samphirehall.configuration.check import Change, CheckReport, check_files, compare_parts
 from samphirehall.configuration.documents import (
     ConfigurationError,
     check_documents,
-    encode_part,
     read_documents,
 )
 from samphirehall.core.connections import TRANSPORT_ERRORS, ConnectionPool, read_body
@@ -42,6 +41,8 @@
 TOKEN_VARIABLE = "SAMPHIRE_OPERATOR_TOKEN"
 DIGEST_PATTERN = r"[0-9a-f]{64}"
 DEFAULT_ADDRESS = "127.0.0.1:7001"
+IN_FORCE = "in-force"  # what `config check --against` compares with
+EXIT_ERRORS, EXIT_WARNINGS = 1, 2  # of `config check`
 
 
 class ControlClient:
@@ -106,25 +107,38 @@
     def __init__(self, client: ControlClient) -> None:
         self._client = client
 
-    def check(self, *files: str) -> str:
-        """Check TOML files without applying them."""
-        parts = check_documents(read_documents(_paths(files)))
-        return f"ok: {len(parts)} parts"
+    def check(self, *files: str, against: str = "", json: bool = False) -> None:
+        """Check TOML files without applying them, and print what is wrong with them.
+
+        The exit status is 1 with errors, 2 with warnings only, and 0 otherwise.
+
+        Parameters
+        ----------
+        *files : str
+            TOML files that together are the whole configuration.
+        against : str, optional
+            ``in-force`` to print what applying the files would change as well.
+        json : bool
+            Print the result as JSON.
+        """
+        if against not in ("", IN_FORCE):
+            sys.exit(f"--against={against}: only {IN_FORCE!r} is known")  # status 1
+        report = check_files(_paths(files))
+        version, changes = None, None
+        if against and not report.errors:
+            configuration = self._client.call("GET", "/configuration")
+            version = configuration["version"]
+            changes = compare_parts(configuration["parts"], report.parts)
+        print((_report_json if json else _report_text)(report, version, changes))
+        if report.errors or report.warnings:
+            sys.exit(EXIT_ERRORS if report.errors else EXIT_WARNINGS)
 
     def diff(self, *files: str) -> str:
         """Show what applying the files would change."""
         parts = check_documents(read_documents(_paths(files)))
         configuration = self._client.call("GET", "/configuration")
-        current = configuration["parts"]
-        new = {name: json.loads(encode_part(part)) for name, part in parts.items()}
-        lines = [f"against version {configuration['version']}:"]
-        lines += [
-            f"+ {name} {json.dumps(new[name])}" for name in sorted(new.keys() - current.keys())
-        ]
-        lines += [f"- {name}" for name in sorted(current.keys() - new.keys())]
-        for name in sorted(new.keys() & current.keys()):
-            lines += _changed_keys(name, current[name], new[name])
-        return "\n".join(lines)
+        changes = compare_parts(configuration["parts"], parts)
+        return "\n".join([f"against version {configuration['version']}:", *map(str, changes)])
 
     def apply(self, *files: str, base: int | None = None, author: str = "") -> str:
         """Apply all files as one configuration, or refuse all of them.
@@ -310,10 +324,22 @@
     return json.dumps(value, indent=2)
 
 
-def _changed_keys(name: str, current: dict[str, Any], new: dict[str, Any]) -> Iterable[str]:
-    for key in sorted(current.keys() | new.keys()):
-        if current.get(key) != new.get(key):
-            yield f"~ {name}.{key}: {json.dumps(current.get(key))} -> {json.dumps(new.get(key))}"
+def _report_text(report: CheckReport, version: int | None, changes: list[Change] | None) -> str:
+    lines = [f"error: {problem}" for problem in report.errors]
+    lines += [f"warning: {problem}" for problem in report.warnings]
+    if not report.errors:
+        lines.append(f"ok: {len(report.parts)} parts, {len(report.warnings)} warnings")
+    if changes is not None:
+        lines += [f"against version {version}:", *(map(str, changes) if changes else ["no change"])]
+    return "\n".join(lines)
+
+
+def _report_json(report: CheckReport, version: int | None, changes: list[Change] | None) -> str:
+    result: dict[str, Any] = {"errors": report.errors, "warnings": report.warnings}
+    if changes is not None:
+        result |= {"against": version, "changes": changes}
+    # Values of a TOML file may be dates, which are shown as text.
+    return _dump(msgspec.to_builtins(result, enc_hook=str))
 
 
 def split_control(arguments: list[str]) -> tuple[str, list[str]]:
