--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -42,6 +42,12 @@
 # Whether a usage window is closed, and its requests by customer.
 EncodedCounts = tuple[bool, dict[str, Count]]
 
+# Served and refused tokens per second by service and customer.
+EncodedShares = dict[str, dict[Name, tuple[_Load, _Load]]]
+
+# Fields at the end of an update that are left out while they are empty.
+_OMITTED_IF_EMPTY = frozenset({"shares"})
+
 
 class News(msgspec.Struct, array_like=True):
     """What happened since the previous datagram.
@@ -118,6 +124,8 @@
     list_age : float or None
         Seconds since the endpoint list of this host surely held all changes, while it reads the
         store.
+    shares : dict
+        Work that this host served and refused; see `ShareExchange`.
     """
 
     host: Name
@@ -136,6 +144,7 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    shares: EncodedShares = {}
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -201,6 +210,9 @@
         See `MemberUpdate`.
     list_age : float or None
         Seconds since the endpoint list of the sender surely held all that any host knew.
+    shares : dict
+        Work served and refused, of all zones for members and of this zone for other hubs; see
+        `ShareExchange`.
     """
 
     summary: ZoneSummary
@@ -218,6 +230,7 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    shares: EncodedShares = {}
 
 
 Message = MemberUpdate | HubUpdate
@@ -228,12 +241,20 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message without its acknowledgement."""
-    encoded = _encoder.encode(message)
+    encoded = _encoder.encode(_without_empty_end(message))
     if len(encoded) < MIN_COMPRESSED_BYTES:
         return _PLAIN + encoded
     return _COMPRESSED + zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
+def _without_empty_end(message: Message) -> list[object]:
+    """Return the tag and the fields of a message, without the optional ones at its end."""
+    fields = list(message.__struct_fields__)
+    while fields[-1] in _OMITTED_IF_EMPTY and not getattr(message, fields[-1]):
+        fields.pop()
+    return [message.__struct_config__.tag, *(getattr(message, name) for name in fields)]
+
+
 def datagram(acknowledged: int, encoded: bytes) -> bytes:
     """Return the datagram that carries an encoded message.
 
