--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -17,6 +17,7 @@
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
+from samphirehall.scheduling.fair_shares import FairShareTable
 
 DECODE_PREFILL_SPEED_FRACTION = 0.5  # of a prefill engine's, as stated by the platform
 INITIAL_KV_TRANSFER_OVERHEAD_SECONDS = 0.05  # until measured
@@ -68,6 +69,8 @@
         Engines that were ordered to change their stage, not yet sent to peers.
     streams : StreamStore or None
         Software versions of streams; without it, callers take up no stream.
+    fair_shares : FairShareTable or None
+        Work by service and customer; without it, customers are admitted alike.
 
     Attributes
     ----------
@@ -100,6 +103,7 @@
     pending_cache_updates: list[tuple[str, tuple[PromptPart, ...]]] = field(default_factory=list)
     unpublished_stage_changes: list[str] = field(default_factory=list)
     streams: StreamStore | None = None
+    fair_shares: FairShareTable | None = None
     limits: EndpointLimits = field(init=False)
     endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -17,6 +17,12 @@
     Result,
 )
 from samphirehall.gateway.admission import decide_admission
+from samphirehall.gateway.admission_shares import (
+    random_numbers,
+    record_refused,
+    record_served,
+    request_share,
+)
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.engine_identity import is_listed_process
@@ -253,9 +259,13 @@
         remaining_latency_target=latency_target - request_state.elapsed(now=now),
         latency_target=latency_target,
         time_to_deadline=request_state.remaining_time(now=now),
+        total_queue_wait=plan.total_queue_wait,
+        share=request_share(context, request_state, now=now),
+        **random_numbers(context),
     )
     request_state.extra_log_fields["admission"] = decision.reason
     if not decision.admit:
+        record_refused(context, request_state, plan.uncached_tokens, now=now)
         raise SamphireError(OVERLOADED, decision.reason, retry_after=decision.retry_after)
 
 
@@ -380,6 +390,7 @@
     if decode_engine is None:
         return False
     outcome, is_engine_at_fault = SendOutcome.CUT, True
+    events_before = delivery.events
     request_state.tried_endpoints.add(plan.decode.endpoint_id)
     try:
         with context.loads.track_request(plan.decode.endpoint_id):
@@ -393,6 +404,8 @@
         _log.warning("stream-not-stored", extra={"request": request_state.request.request_id})
     finally:
         request_state.record_send(plan.decode.endpoint_id, "generate", outcome)
+        events = delivery.events - events_before
+        record_served(context, request_state, events, now=context.clock())
         request_state.extra_log_fields["longest_pause"] = round(delivery.longest_gap, 4)
     if outcome not in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
         request_state.runs += 1
@@ -527,6 +540,7 @@
     request_state.extra_log_fields["first_event_after"] = round(request_state.elapsed(now=now), 4)
     if request_state.customer_name is not None:
         context.record_start(request_state.customer_name)
+    record_served(context, request_state, plan.uncached_tokens, now=now)
     if kv_handle is None:
         _record_prefill_rate(context, request_state, plan, now - started)
     else:
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -101,6 +101,12 @@
         """Engine that does the prefill."""
         return self.dedicated_prefill or self.decode
 
+    @property
+    def total_queue_wait(self) -> float:
+        """Seconds until the prefill engine has done all prefill that waits, of any rank."""
+        engine = self.prefill_engine
+        return engine.pending_prefill_tokens / engine.prefill_tokens_per_second
+
     @property
     def endpoint_ids(self) -> frozenset[str]:
         """Engines to which requests are sent."""
--- a/samphirehall/gateway/relay.py
+++ b/samphirehall/gateway/relay.py
@@ -45,6 +45,8 @@
         Longest gap in seconds between two events.
     splitter : EventSplitter
         Splitter of the response that is being relayed.
+    events : int
+        Events received from engines.
     """
 
     caller: Caller
@@ -54,12 +56,14 @@
     last_event_at: float | None = None
     longest_gap: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    events: int = 0
 
     def record_event(self, *, now: float) -> None:
         """Record the arrival of an event and update the longest gap."""
         if self.last_event_at is not None:
             self.longest_gap = max(self.longest_gap, now - self.last_event_at)
         self.last_event_at = now
+        self.events += 1
 
 
 async def relay_stream(
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -23,6 +23,7 @@
 from samphirehall.gateway.list_knowledge import ListKnowledge, StandstillMeter
 from samphirehall.gateway.load import decode_loads, subtract_loads
 from samphirehall.gateway.rows import Switch, TableFollower
+from samphirehall.gateway.share_exchange import ShareExchange
 from samphirehall.gateway.types import PromptPart
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
@@ -134,6 +135,7 @@
         self._roles = ZoneRoles(
             context, directory, endpoints, reading, self._view, now=boot_seconds()
         )
+        self._shares = ShareExchange(context.fair_shares)
         self._rejections = RejectionLog(_log, "peer-unreadable")
         self._zone_processes: set[str] = set()
         self._usage_is_stored = True
@@ -285,6 +287,7 @@
     def _member_update(self, *, now: float) -> MemberUpdate:
         update = self._updates.member_update(now=now)
         update.list_age = self._list_age(now) if self._endpoints.reading else None
+        update.shares = self._shares.for_hub(now=now)
         return update
 
     def _list_age(self, now: float) -> float | None:
@@ -329,6 +332,8 @@
             update = self._updates.zone_update(now=now)
             update.list_age = self._list_age(now)
             has_loads = budget.allows_large(now=now)
+            if has_loads:
+                update.shares = self._shares.for_members(now=now)
             if not has_loads:
                 update.summary.clear_load()
             elif now - others_at >= _interval(self._view.count_hosts(now=now)):
@@ -361,7 +366,7 @@
     ) -> int:
         """Send an update to the hosts of the zone that are no members; return the bytes sent."""
         update.summary.clear_load()
-        update.others = []
+        update.others, update.shares = [], {}
         encoded = encode_message(update)
         unheard = [
             address for name, address in self._directory.hosts.items() if name not in members
@@ -380,6 +385,7 @@
             now = boot_seconds()
             update = self._updates.cross_zone_update(now=now)
             update.list_age = self._list_age(now)
+            update.shares = self._shares.for_zones(now=now)
             if not self._usage_is_stored:
                 update.usage = self._updates.unstored_usage()
             _send_to_all(udp, [address for _, address in self._directory.hubs.values()], update)
@@ -420,6 +426,7 @@
         )
         loads = decode_loads(update.loads)
         self._context.loads.receive(update.host, loads, update.demand, now=now)
+        self._shares.receive_member(update.host, update.shares, now=now)
         self._zone_processes.add(update.process)
         for window, counts in update.usage.items():
             self._peer_usage.receive(update.process, window, HostCounts(*counts))
@@ -465,6 +472,7 @@
         if update.members:
             view.listed_members = [name for name, _ in update.members]
         self._receive_zone_load(summary, acknowledged, now)
+        self._shares.receive_hub(update.shares, now=now)
         for other in update.others:
             self._record_zone(other, now)
         view.count_hosts(now=now)
@@ -478,6 +486,7 @@
         if not self.is_hub:
             return
         self._record_zone(summary, now)
+        self._shares.receive_zone(summary.zone, update.shares, now=now)
         contact_at = now - update.store_age if update.reads else None
         self._view.record_reader(summary.zone, summary.hub, contact_at)
         self._view.count_hosts(now=now)
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -11,6 +11,7 @@
 DEFAULT_PATH = "/etc/samphirehall/settings.conf"
 READINESS_PATH = "/ready"  # polled by the load balancer
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # must match deploy/system.toml
+PRESSURE_CONTRACT = "pressure"  # fair shares by customer while engines do not keep up
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 SECONDS_PER_MILLISECOND = 1e-3
 MAX_NUMBER = 1e12  # of any quantity, in the unit of its field
@@ -51,6 +52,8 @@
         Bandwidth of this host's link; infinite if it is not stated.
     first_start : bool
         Whether the whole system starts for the first time.
+    contracts : frozenset of str
+        Names of what the deployment asks for beyond the common.
     """
 
     host: str
@@ -75,6 +78,7 @@
     max_row_bytes: int
     link_bytes_per_second: float
     first_start: bool
+    contracts: frozenset[str]
 
 
 def settings_path() -> str:
@@ -130,6 +134,7 @@
         max_row_bytes=fields.integer("platform.row_bytes"),
         link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
+        contracts=frozenset(name.strip() for name in fields.optional("contracts").split(",")),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -43,6 +43,7 @@
 from samphirehall.platform.settings import (
     METRICS_PATH,
     METRICS_PORT,
+    PRESSURE_CONTRACT,
     READINESS_PATH,
     SCALING_DUTY,
     USAGE_DUTY,
@@ -56,6 +57,7 @@
     run_daemon,
     wait_for_stop,
 )
+from samphirehall.scheduling.fair_shares import FairShareTable
 from samphirehall.settings.loading import SettingsError
 
 # Entries change several times a second; a draining endpoint must be noticed within two seconds.
@@ -118,6 +120,9 @@
             live_zones=lambda: self.exchange.live_zones(now=boot_seconds()),
             store_age=lambda: self.exchange.store_age(now=boot_seconds()),
         )
+        self.fair_shares = FairShareTable()
+        if PRESSURE_CONTRACT in settings.contracts:
+            self.context.fair_shares = self.fair_shares
         self.gateway = Gateway(self.context, self.metrics.observe_request)
         self._listed: dict[str, ListedEndpoint | None] = {}
         reading = Switch()
@@ -230,6 +235,11 @@
             "Parts of prompts that have crashed engines and are refused.",
             lambda: self.context.crashes.parts.blocked_count,
         )
+        gauge(
+            "services_short",
+            "Services that refuse work and are admitted to by fair shares.",
+            lambda: self.fair_shares.short_count(now=boot_seconds()),
+        )
         gauge("log_lines_dropped", "Log lines left out since the start.", dropped_line_count)
         gauge("store_era", "Times that the store came back from a copy.", lambda: self.store.era)
         gauge(
--- a/samphirehall/scheduling/fair_shares.py
+++ b/samphirehall/scheduling/fair_shares.py
@@ -23,6 +23,7 @@
 OVERUSE_EXPONENT = 2.0  # of the use, by which the bound falls above the share
 # Hosts admit somewhat more of the excess than the share, as engines would idle by any error below.
 EXCESS_MARGIN = 1.15
+MIN_USE = 1e-3  # keeps a quotient finite
 # Fractions of its share in use between which a customer's urgent work stops to overtake other work.
 # If it stops later, the other work gets less than half of its share.
 FULL_OVERTAKING_USE, NO_OVERTAKING_USE = 0.8, 1.1
@@ -67,8 +68,12 @@
 
     @property
     def admitted_fraction(self) -> float:
-        """Fraction of the customer's requests that fit its share."""
-        return min(1.0, EXCESS_MARGIN * self.fair / max(self.fair, self.demand))
+        """Fraction of the customer's requests that fit its share.
+
+        The fraction grows to all of them while the customer uses little of its share.
+        """
+        fitting = EXCESS_MARGIN * self.fair / max(self.fair, self.demand)
+        return min(1.0, fitting / max(self.use, MIN_USE))
 
     @property
     def urgency(self) -> float:
@@ -155,18 +160,23 @@
                 works[customer].add(-work.served, -work.refused)
         return self._rates(works, now)
 
-    def share(self, customer: str, *, now: float) -> CustomerShare | None:
-        """Return the share of a customer, or None while the service keeps up with the demand."""
+    def fair_rate(self, *, now: float) -> float | None:
+        """Return the fair share in tokens per second; None while all demand is met."""
         scale = self._scale(now)
         if now - self._fair_at >= COMPUTATION_INTERVAL_SECONDS:
             self._fair_at = now
             level = _fair_level(self._total.values())
             self._fair = None if level is None else level / scale / DECAY_SECONDS
-        if self._fair is None:
+        return self._fair
+
+    def share(self, customer: str, *, now: float) -> CustomerShare | None:
+        """Return the share of a customer, or None while the service keeps up with the demand."""
+        scale, fair = self._scale(now), self.fair_rate(now=now)
+        if fair is None:
             return None
         work = self._total.get(customer, _Work())
         served, refused = (tokens / scale / DECAY_SECONDS for tokens in (work.served, work.refused))
-        return CustomerShare(served, served + refused, self._fair)
+        return CustomerShare(served, served + refused, fair)
 
     def _record(self, customer: str, served: float, refused: float, now: float) -> None:
         scale = self._scale(now)
@@ -211,6 +221,10 @@
         """Services with work."""
         return self._services
 
+    def short_count(self, *, now: float) -> int:
+        """Return the number of services that do not keep up with their demand."""
+        return sum(shares.fair_rate(now=now) is not None for shares in self._services.values())
+
     def of(self, service: str) -> FairShares:
         """Return the fair shares of a service that the configuration names."""
         return self._services.setdefault(service, FairShares())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -83,6 +83,13 @@
         assert (settings.min_peer_port, settings.max_peer_port) == (7780, 7795)
         assert settings.duties == ("usage_report", "autoscale")
 
+    @pytest.mark.parametrize(
+        ("text", "names"), [("pressure", {"pressure"}), ("a, pressure,b", {"a", "pressure", "b"})]
+    )
+    def test_contracts_are_a_list_of_names(self, text, names):
+        assert parse_settings(settings_text(contracts=text), file="f").contracts == names
+        assert "pressure" not in parse_settings(settings_text(), file="f").contracts
+
     def test_every_problem_is_listed(self):
         text = settings_text(**{"node": None, "platform.address": "nowhere", "bounds.grace_s": "x"})
         with pytest.raises(SettingsError) as caught:
