--- a/samphirehall/gateway/metrics.py
+++ b/samphirehall/gateway/metrics.py
@@ -85,6 +85,11 @@
         self._sends = _Counter(
             "sends", "Sends to endpoints by purpose and outcome.", ("purpose", "outcome")
         )
+        self._admissions = _Counter(
+            "admissions",
+            "Decisions on whether requests are sent to engines, by reason.",
+            ("reason",),
+        )
         self._streams = _Counter(
             "streams",
             "Resumable streams: new ones and those taken up by callers, and whether they ran.",
@@ -149,6 +154,8 @@
 
     def _observe_stream(self, request_state: RequestState) -> None:
         route, notes = request_state.route.name, request_state.extra_log_fields
+        if "admission" in notes:
+            self._admissions.increment(notes["admission"])
         wait = notes.get("choice", {}).get("wait")
         if wait is not None:
             self._wait_seconds.observe(wait)
@@ -170,6 +177,7 @@
             self._requests,
             self._customer_requests,
             self._sends,
+            self._admissions,
             self._streams,
             self._request_seconds,
             self._first_event_seconds,
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -48,6 +48,12 @@
         assert registry.get_sample_value("samphire_wait_seconds_sum") == 0.3
         assert registry.get_sample_value("samphire_longest_pause_seconds_sum") == 0.2
 
+    def test_admissions_are_counted_by_reason(self, registry, metrics):
+        refused = request_state(admission="above its fair share")
+        metrics.observe_request(refused, NO_ENDPOINT, 0.01)
+        labels = {"reason": "above its fair share"}
+        assert registry.get_sample_value("samphire_admissions_total", labels) == 1
+
     def test_streams_are_counted_by_kind_and_outcome(self, registry, metrics):
         chat = next(route for route in ROUTES if route.resumable)
         for resumes, notes in [(None, {"first_event_after": 0.1}), ("r0", {})]:
