--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -17,6 +17,7 @@
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
+from samphirehall.scheduling.fair_shares import FairShareTable
 from samphirehall.scheduling.hedging import Hedging
 
 DECODE_PREFILL_SPEED_FRACTION = 0.5  # of a prefill engine's, as stated by the platform
@@ -71,6 +72,8 @@
         Software versions of streams; without it, callers take up no stream.
     hedging : Hedging or None
         Answer times and limit of hedged requests; None while hedging is off.
+    fair_shares : FairShareTable or None
+        Work by service and customer; without it, customers are admitted alike.
 
     Attributes
     ----------
@@ -104,6 +107,7 @@
     unpublished_stage_changes: list[str] = field(default_factory=list)
     streams: StreamStore | None = None
     hedging: Hedging | None = None
+    fair_shares: FairShareTable | None = None
     limits: EndpointLimits = field(init=False)
     endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -12,6 +12,7 @@
 DEFAULT_PATH = "/etc/samphirehall/settings.conf"
 READINESS_PATH = "/ready"  # polled by the load balancer
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"  # must match deploy/system.toml
+PRESSURE_CONTRACT = "pressure"  # fair shares by customer while engines do not keep up
 USAGE_DUTY, SCALING_DUTY = "usage_report", "autoscale"
 SECONDS_PER_MILLISECOND = 1e-3
 MAX_NUMBER = 1e12  # of any quantity, in the unit of its field
@@ -54,6 +55,8 @@
         Whether the whole system starts for the first time.
     hedging_max_share : float
         Hedged requests of a service over all hosts as a fraction of its requests; 0 for none.
+    contracts : frozenset of str
+        Names of what the deployment asks for beyond the common.
     """
 
     host: str
@@ -79,6 +82,7 @@
     link_bytes_per_second: float
     first_start: bool
     hedging_max_share: float = 0.0
+    contracts: frozenset[str] = frozenset()
 
 
 def settings_path() -> str:
@@ -135,6 +139,7 @@
         link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
         hedging_max_share=fields.share("hedging.max_share", HEDGING_VARIABLE),
+        contracts=frozenset(name.strip() for name in fields.optional("contracts").split(",")),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
