--- a/samphirehall/admission/token_bucket.py
+++ b/samphirehall/admission/token_bucket.py
@@ -38,6 +38,17 @@
         self._level -= units
         return True
 
+    def take_overdrawn(self, units: float, *, now: float) -> bool:
+        """Take units if the level is not below zero, however many; return whether it was not."""
+        if self.level(now=now) < 0:
+            return False
+        self._level -= units
+        return True
+
+    def set_rate(self, rate: float, burst: float) -> None:
+        """Replace the rate and the maximum level; the level stays."""
+        self._rate, self._burst = rate, burst
+
     def adjust(self, units: float, *, now: float) -> None:
         """Remove further units, or return some if `units` is negative."""
         self._level = min(self._burst, self.level(now=now) - units)
@@ -45,4 +56,6 @@
     def seconds_until(self, units: float, *, now: float) -> float:
         """Return the seconds until `take` of as many units would succeed."""
         missing_units = min(units, self._burst) - self.level(now=now)
-        return max(0.0, missing_units / self._rate)
+        if missing_units <= 0:
+            return 0.0
+        return missing_units / self._rate if self._rate > 0 else float("inf")
