Exchange counters and levels of quotas between hosts

Members send the counters that their hub may not know, hubs send levels to members and the counters of their zone to other hubs. A message without quotas is encoded as before.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -13,6 +13,7 @@
 from samphirehall.gateway.fleet import Fleet
 from samphirehall.gateway.load import LoadTracker
 from samphirehall.gateway.prefill_rate import PrefillRate, RunningAverage
+from samphirehall.gateway.quota_exchange import HostQuotas
 from samphirehall.gateway.repeat_budget import RepeatBudget
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
@@ -73,6 +74,8 @@
     ----------
     limits : EndpointLimits
         Rates that endpoints take from all hosts together.
+    quotas : HostQuotas
+        Limits of customers over all hosts.
     endpoint_lost : Event
         Set when an endpoint refuses connections; who waits for it replaces it.
     """
@@ -101,10 +104,12 @@
     unpublished_stage_changes: list[str] = field(default_factory=list)
     streams: StreamStore | None = None
     limits: EndpointLimits = field(init=False)
+    quotas: HostQuotas = field(init=False)
     endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.limits = EndpointLimits(self._host_share)
+        self.quotas = HostQuotas(self.host, self.random_source, self.clock)
 
     def owns(self, subject: str) -> bool:
         """Return whether this host, of all live ones, is in charge of a subject."""
--- a/samphirehall/gateway/types.py
+++ b/samphirehall/gateway/types.py
@@ -7,6 +7,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from samphirehall.admission.quota import Quota
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -249,10 +251,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Customer:
-    """Customer that keys belong to; `priority` overrides that of the route."""
+    """Customer that keys belong to; `priority` overrides that of the route.
+
+    `quota` limits the requests of the customer over all hosts; None for no limit.
+    """
 
     name: str
     priority: int | None = None
+    quota: Quota | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -144,6 +144,7 @@
         self._cross_zone_changed = anyio.Event()
         context.loads.on_change = self._record_change
         context.limits.on_change = self._record_change
+        context.quotas.on_change = self._record_change
 
     @property
     def is_hub(self) -> bool:
@@ -172,6 +173,10 @@
         """
         return max(self._view.most_hosts, len(self._directory.hosts) + 1)
 
+    def _listed_hosts(self) -> int:
+        """Return about how many hosts are listed in all zones."""
+        return (len(self._directory.hosts) + 1) * (len(self._directory.hubs) + 1)
+
     def store_age(self, *, now: float) -> float:
         """Return the seconds since the store last confirmed the endpoint list to any host heard."""
         return now - max(self._view.contact.at, self._endpoints.last_response_at)
@@ -276,6 +281,8 @@
         if not self._roles.choose_hub(now=now):
             return
         self._updates.forget_sent()
+        self._context.quotas.listed_hosts = self._listed_hosts()
+        self._context.quotas.set_role(is_hub=self.is_hub, now=now)
         if self.is_hub:
             self._agreed_time.stop_following()
         self._record_change()
@@ -329,6 +336,7 @@
             update = self._updates.zone_update(now=now)
             update.list_age = self._list_age(now)
             has_loads = budget.allows_large(now=now)
+            update.quotas = self._context.quotas.state_for_members(has_load=has_loads, now=now)
             if not has_loads:
                 update.summary.clear_load()
             elif now - others_at >= _interval(self._view.count_hosts(now=now)):
@@ -341,7 +349,9 @@
             encoded = encode_message(update)
             for member in members.values():
                 # A member takes the load of an update only if it knows its own part of it.
-                acknowledged = member.sequence if has_loads else NOT_ACKNOWLEDGED
+                # Quotas need the acknowledgement always, and say whether the load is left out.
+                is_told = has_loads or update.quotas is not None
+                acknowledged = member.sequence if is_told else NOT_ACKNOWLEDGED
                 udp.send(datagram(acknowledged, encoded), member.address)
             budget.spend(len(encoded) * len(members), now=now)
             if now - directory_at >= DIRECTORY_INTERVAL_SECONDS:
@@ -361,7 +371,7 @@
     ) -> int:
         """Send an update to the hosts of the zone that are no members; return the bytes sent."""
         update.summary.clear_load()
-        update.others = []
+        update.others, update.quotas = [], None
         encoded = encode_message(update)
         unheard = [
             address for name, address in self._directory.hosts.items() if name not in members
@@ -380,6 +390,7 @@
             now = boot_seconds()
             update = self._updates.cross_zone_update(now=now)
             update.list_age = self._list_age(now)
+            update.quotas = self._context.quotas.state_for_hubs(now=now)
             if not self._usage_is_stored:
                 update.usage = self._updates.unstored_usage()
             _send_to_all(udp, [address for _, address in self._directory.hubs.values()], update)
@@ -420,6 +431,7 @@
         )
         loads = decode_loads(update.loads)
         self._context.loads.receive(update.host, loads, update.demand, now=now)
+        self._context.quotas.receive_member(update.host, update.process, update.quotas, now=now)
         self._zone_processes.add(update.process)
         for window, counts in update.usage.items():
             self._peer_usage.receive(update.process, window, HostCounts(*counts))
@@ -464,7 +476,10 @@
             self._directory.add_host(name, member_address)
         if update.members:
             view.listed_members = [name for name, _ in update.members]
-        self._receive_zone_load(summary, acknowledged, now)
+        delay = self._standstill.delay(now=now)
+        self._context.quotas.receive_hub(update.quotas, acknowledged, delay=delay, now=now)
+        if update.quotas is None or update.quotas.has_load:
+            self._receive_zone_load(summary, acknowledged, now)
         for other in update.others:
             self._record_zone(other, now)
         view.count_hosts(now=now)
@@ -478,6 +493,7 @@
         if not self.is_hub:
             return
         self._record_zone(summary, now)
+        self._context.quotas.receive_zone(zone_source(summary.zone), update.quotas, now=now)
         contact_at = now - update.store_age if update.reads else None
         self._view.record_reader(summary.zone, summary.hub, contact_at)
         self._view.count_hosts(now=now)
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -39,6 +39,15 @@
 # As `LimitReport`.
 _Limit = tuple[str, Annotated[float, msgspec.Meta(ge=-1, le=MAX_RATE)], _Age]
 
+_Units = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_Level = Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=MAX_RATE)]
+# Customer, units granted, those of them not counted by any hub, and units asked for per second;
+# as `SourceCount`.
+EncodedQuotaCount = tuple[Name, _Units, _Units, _Units]
+# Customer, level of the common bucket, units asked for per second at all hosts, and units granted
+# in the zone.
+EncodedQuotaLevel = tuple[Name, _Level, _Units, _Units]
+
 # Whether a usage window is closed, and its requests by customer.
 EncodedCounts = tuple[bool, dict[str, Count]]
 
@@ -84,6 +93,34 @@
     changes: list[EncodedChange] = []
 
 
+class HubQuotas(msgspec.Struct, array_like=True):
+    """What a hub knows of the grants against customers' quotas.
+
+    Parameters
+    ----------
+    epoch : str
+        Time for which the sender is the hub; its counters start at zero with each.
+    hosts : int
+        Number of heard hosts of the zone.
+    heard, known : int
+        Hosts of all zones that share the common buckets, and all hosts of the last minute.
+    counts : list
+        Grants of the zone, for other hubs.
+    levels : list
+        Levels of the common buckets, for members; one that is not listed is full.
+    has_load : bool
+        Whether the update holds the load of the zone.
+    """
+
+    epoch: str
+    hosts: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    heard: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    known: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    counts: list[EncodedQuotaCount] = []
+    levels: list[EncodedQuotaLevel] = []
+    has_load: bool = True
+
+
 class MemberUpdate(msgspec.Struct, array_like=True, tag="member"):
     """State of one host, sent to its hub.
 
@@ -118,6 +155,8 @@
     list_age : float or None
         Seconds since the endpoint list of this host surely held all changes, while it reads the
         store.
+    quotas : list or None
+        Grants against customers' quotas that the hub may not know; None without quotas.
     """
 
     host: Name
@@ -136,6 +175,7 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    quotas: list[EncodedQuotaCount] | None = None
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -201,6 +241,8 @@
         See `MemberUpdate`.
     list_age : float or None
         Seconds since the endpoint list of the sender surely held all that any host knew.
+    quotas : HubQuotas or None
+        Grants against customers' quotas; None without quotas.
     """
 
     summary: ZoneSummary
@@ -218,22 +260,32 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    quotas: HubQuotas | None = None
 
 
 Message = MemberUpdate | HubUpdate
 
+_OPTIONAL_FIELDS = 1  # `quotas`
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
 def encode_message(message: Message) -> bytes:
     """Encode a message without its acknowledgement."""
-    encoded = _encoder.encode(message)
+    encoded = _encode_fields(message)
     if len(encoded) < MIN_COMPRESSED_BYTES:
         return _PLAIN + encoded
     return _COMPRESSED + zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
+def _encode_fields(message: Message) -> bytes:
+    """Encode a message without the fields at its end that are optional and hold nothing."""
+    if message.quotas is not None:
+        return _encoder.encode(message)
+    fields = msgspec.structs.astuple(message)
+    return _encoder.encode((message.__struct_config__.tag, *fields[:-_OPTIONAL_FIELDS]))
+
+
 def datagram(acknowledged: int, encoded: bytes) -> bytes:
     """Return the datagram that carries an encoded message.
 
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -191,6 +191,7 @@
             encode_changes(self._endpoints.replica.recent_changes(now=now)) if reads else None,
             self._context.limits.reports(self._own_limits, now=now),
             self._progress.settled_window,
+            quotas=self._context.quotas.member_counts(self._sequence, now=now),
         )
 
     def zone_update(self, *, now: float) -> HubUpdate:
