--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -22,6 +22,7 @@
 from samphirehall.gateway.exchange import check_quarantine
 from samphirehall.gateway.generation import run_generation
 from samphirehall.gateway.plain import run_plain
+from samphirehall.gateway.quota_admission import charged_to_quota, is_limited
 from samphirehall.gateway.request_state import Caller, RequestState, log_refusal
 from samphirehall.gateway.routes import RouteTable, choose_service, request_rank
 from samphirehall.gateway.types import CallerLimits, GatewayConfiguration, Request
@@ -92,6 +93,7 @@
             routes=len(configuration.routes),
         )
         self._routes = RouteTable(configuration)
+        self.context.quotas.set_customers((configuration.customers_by_key or {}).values())
         return True
 
     def end_running_requests(self) -> None:
@@ -117,7 +119,11 @@
             log_refusal(request.request_id, error, version=self.version, seconds=seconds)
             raise
         try:
-            result = await self._run(request_state, caller)
+            if is_limited(request_state):
+                async with charged_to_quota(self.context.quotas, request_state, self.context.clock):
+                    result = await self._run(request_state, caller)
+            else:
+                result = await self._run(request_state, caller)
         except SamphireError as error:
             self._finish(request_state, error.result, error.detail)
             raise
--- a/samphirehall/gateway/metrics.py
+++ b/samphirehall/gateway/metrics.py
@@ -82,6 +82,11 @@
             "Requests by customer and whether they ran.",
             ("customer", "run"),
         )
+        self._quota_decisions = _Counter(
+            "quota_decisions",
+            "Requests that waited for other hosts' quota counts or were refused, by regime.",
+            ("verdict", "regime"),
+        )
         self._sends = _Counter(
             "sends", "Sends to endpoints by purpose and outcome.", ("purpose", "outcome")
         )
@@ -134,6 +139,9 @@
         self._request_seconds.observe(seconds, route)
         if request_state.customer_name is not None:
             self._customer_requests.increment(request_state.customer_name, result.run.value)
+        quota = request_state.extra_log_fields.get("quota")
+        if quota is not None:
+            self._quota_decisions.increment(quota["verdict"], quota["regime"])
         for endpoint_id, purpose, outcome in request_state.sends:
             self._sends.increment(purpose, outcome)
             if outcome != SendOutcome.ANSWERED:
@@ -169,6 +177,7 @@
         for metric in (
             self._requests,
             self._customer_requests,
+            self._quota_decisions,
             self._sends,
             self._streams,
             self._request_seconds,
--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from samphirehall.admission.quota import Quota
 from samphirehall.core.decoding import (
     DecodingError,
     Name,
@@ -36,6 +37,8 @@
 MAX_UNIX_MILLISECONDS = 253_402_300_799_999  # the end of the year 9999
 MAX_AMOUNT = 1e15  # of any quantity in a configuration, in the unit of its field
 MAX_SOFTWARE_VERSION_LENGTH = 100
+TOKEN_UNIT = "token_stream"
+DEFAULT_BURST_SECONDS = 1.0  # of the rate, for a customer without a burst
 
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -106,6 +109,10 @@
     name: Name
     api_keys: list[str] = []
     priority: Unsigned | None = None
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
+    unit: str = ""
+    plain_tokens: _Amount = 0.0
 
 
 class _Configuration(msgspec.Struct):
@@ -138,7 +145,8 @@
     Raises
     ------
     ValueError
-        The document is not valid JSON, or has a missing or wrong field or a number out of range.
+        The document is not valid JSON, has a missing or wrong field or a number out of range, or
+        a customer's burst is below one request.
     """
     try:
         document = decode(content, _configuration_decoder)
@@ -208,11 +216,32 @@
         return None
     customers = {}
     for tenant in tenants:
-        customer = Customer(tenant.name, tenant.priority)
+        customer = Customer(tenant.name, tenant.priority, _convert_quota(tenant))
         customers.update(dict.fromkeys(tenant.api_keys, customer))
     return customers
 
 
+def _convert_quota(tenant: _Tenant) -> Quota | None:
+    """Return the quota of a customer; None without a rate.
+
+    Raises
+    ------
+    ValueError
+        The burst is below one request.
+    """
+    counts_tokens = tenant.unit == TOKEN_UNIT
+    smallest = max(1.0, tenant.plain_tokens) if counts_tokens else 1.0
+    if tenant.burst and tenant.burst < smallest:
+        raise ValueError(
+            f"configuration: burst {tenant.burst:g} of customer {tenant.name!r} is below one "
+            f"request, which counts for {smallest:g}"
+        )
+    if not tenant.rate_per_s:
+        return None
+    burst = tenant.burst or max(smallest, tenant.rate_per_s * DEFAULT_BURST_SECONDS)
+    return Quota(tenant.rate_per_s, burst, counts_tokens, tenant.plain_tokens)
+
+
 def decode_endpoint(endpoint_id: str, content: bytes) -> ListedEndpoint | None:
     """Decode a row of the endpoint list; log a warning and return None if it is invalid."""
     try:
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -45,6 +45,9 @@
     retry_budget_ratio, retry_budget_slack, retry_budget_window : float
         Retry budget of all hosts together: fraction of the requests, fixed number added to it,
         and length of the window in which both are counted.
+    quota_window, quota_overrun, quota_slack : float
+        Permitted excess over customers' quotas of all hosts together: in each window of these
+        seconds a fraction of the quota, and a number of units added to it.
     max_row_bytes : int
         Maximum size of a row's value.
     link_bytes_per_second : float
@@ -72,6 +75,9 @@
     retry_budget_ratio: float
     retry_budget_slack: float
     retry_budget_window: float
+    quota_window: float
+    quota_overrun: float
+    quota_slack: float
     max_row_bytes: int
     link_bytes_per_second: float
     first_start: bool
@@ -127,6 +133,9 @@
         retry_budget_ratio=fields.number("bounds.budget_ratio"),
         retry_budget_slack=fields.number("bounds.retry_slack"),
         retry_budget_window=fields.number("bounds.budget_window_s"),
+        quota_window=fields.number("bounds.quota_window_s", default=8.0),
+        quota_overrun=fields.number("bounds.quota_overrun", default=0.1),
+        quota_slack=fields.number("bounds.quota_slack", default=0.0),
         max_row_bytes=fields.integer("platform.row_bytes"),
         link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
@@ -163,7 +172,9 @@
             self._add_problem(name, value, "an IP number and a port from 1 to 65535")
         return value
 
-    def number(self, name: str) -> float:
+    def number(self, name: str, *, default: float | None = None) -> float:
+        if default is not None and name not in self._values:
+            return default
         value = self.required(name)
         try:
             number = float(value or 0)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -10,6 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from samphirehall.admission.quota import QuotaBounds
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
@@ -118,6 +119,7 @@
             live_zones=lambda: self.exchange.live_zones(now=boot_seconds()),
             store_age=lambda: self.exchange.store_age(now=boot_seconds()),
         )
+        self.context.quotas.set_bounds(_quota_bounds(settings))
         self.gateway = Gateway(self.context, self.metrics.observe_request)
         self._listed: dict[str, ListedEndpoint | None] = {}
         reading = Switch()
@@ -352,6 +354,7 @@
             settings.retry_budget_ratio, settings.retry_budget_slack, settings.retry_budget_window
         )
         self.context.set_repeat_limits(limits)
+        self.context.quotas.set_bounds(_quota_bounds(settings))
         self.settings = settings
         _log.info("reload", extra={"reason": reason})
 
@@ -533,6 +536,10 @@
         await anyio.sleep(IDLE_CHECK_INTERVAL_SECONDS)
 
 
+def _quota_bounds(settings: PlatformSettings) -> QuotaBounds:
+    return QuotaBounds(settings.quota_window, settings.quota_overrun, settings.quota_slack)
+
+
 def run(check: bool = False) -> None:
     """Run this host with the settings file that the platform has written.
 
