--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -171,6 +171,11 @@
         self._rate = rate + units / DEMAND_DECAY_SECONDS
         self._updated_at = now
 
+    def withdraw(self, units: float, *, now: float) -> None:
+        """Leave out a request that was granted but did not run."""
+        self._rate = max(0.0, self.rate(now=now) - units / DEMAND_DECAY_SECONDS)
+        self._updated_at = now
+
 
 class ShareBucket:
     """Bucket that one host fills at its share of a rate.
@@ -297,6 +302,7 @@
         if self._regime is Regime.ALONE:
             self.acknowledged -= units
         self.granted -= units
+        self.demand.withdraw(units, now=now)
         if self._bucket is not None:
             self._bucket.give_back(units, now=now)
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from samphirehall.admission.quota import Quota
 from samphirehall.core.errors import SamphireError
 from samphirehall.gateway.types import RequestKind, Stage
 from samphirehall.gateway.wire_codec import Dispatch, KvHandle
@@ -83,6 +84,14 @@
         assert (settings.min_peer_port, settings.max_peer_port) == (7780, 7795)
         assert settings.duties == ("usage_report", "autoscale")
 
+    def test_quota_bounds_have_defaults(self):
+        for changes, expected in (
+            ({}, (8.0, 0.1, 0.0)),
+            ({"bounds.quota_window_s": "5", "bounds.quota_slack": "190000"}, (5.0, 0.1, 190_000.0)),
+        ):
+            made = parse_settings(settings_text(**changes), file="f")
+            assert (made.quota_window, made.quota_overrun, made.quota_slack) == expected
+
     def test_every_problem_is_listed(self):
         text = settings_text(**{"node": None, "platform.address": "nowhere", "bounds.grace_s": "x"})
         with pytest.raises(SettingsError) as caught:
@@ -127,6 +136,50 @@
             documents.decode_configuration(content)
 
 
+class TestQuotas:
+    @pytest.mark.parametrize(
+        ("fields", "quota"),
+        [
+            ({}, None),
+            ({"rate_per_s": 0, "burst": 5}, None),
+            ({"rate_per_s": 50, "burst": 100}, Quota(50.0, 100.0)),
+            ({"rate_per_s": 0.5}, Quota(0.5, 1.0)),
+            (
+                {"rate_per_s": 9e5, "burst": 9e5, "unit": "token_stream", "plain_tokens": 1460},
+                Quota(9e5, 9e5, True, 1460.0),
+            ),
+        ],
+    )
+    def test_quota_is_decoded(self, fields, quota):
+        assert self.decoded(**fields).customers_by_key["k1"].quota == quota
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"rate_per_s": -1},
+            {"rate_per_s": 1, "burst": -1},
+            {"rate_per_s": "x"},
+            {"rate_per_s": 1e300},
+            {"rate_per_s": 10, "burst": 0.5},
+            {"rate_per_s": 10, "burst": 1459, "unit": "token_stream", "plain_tokens": 1460},
+        ],
+    )
+    def test_bad_quota_refuses_the_document(self, fields):
+        with pytest.raises(ValueError, match="configuration"):
+            self.decoded(**fields)
+
+    @pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity"])
+    def test_number_that_is_none_refuses_the_document(self, number):
+        content = json.dumps({**CONFIGURATION, "tenants": [{"name": "a", "burst": 77}]})
+        with pytest.raises(ValueError, match="configuration"):
+            documents.decode_configuration(content.replace("77", number).encode())
+
+    def decoded(self, **fields):
+        tenant = {**CONFIGURATION["tenants"][0], **fields}
+        content = json.dumps({**CONFIGURATION, "tenants": [tenant]}).encode()
+        return documents.decode_configuration(content)
+
+
 class TestEndpoints:
     def test_valid_entry_is_decoded(self):
         entry = {**ENTRY, "stage": "decode", "spot": True, "born": 12}
