Replace the even division of limits of the product's own entry

CustomerLimits uses the decision and the ledger of the quotas, and hosts publish their counts each half second as facts of a new kind. A customer whose requests come at few hosts gets its whole rate, and a changed number of hosts no longer refills the buckets.

--- a/samphirehall/admission/controller.py
+++ b/samphirehall/admission/controller.py
@@ -146,7 +146,7 @@
         self._rules = rules
         self._concurrency_limit = concurrency_limit
         self._host_count = host_count
-        self._customer_limits = CustomerLimits()
+        self.customer_limits = CustomerLimits(now=now)
         self._model_queues: dict[str, _ModelQueue] = {}
         self._open_requests = 0
 
@@ -179,7 +179,7 @@
             )
         customer, part = request.caller.customer, request.caller.part
         tokens = request.prompt_tokens + request.output_tokens
-        self._customer_limits.acquire(customer, part, tokens, hosts=self._host_count(now), now=now)
+        self.customer_limits.acquire(customer, part, tokens, hosts=self._host_count(now), now=now)
         self._open_requests += 1
         ticket = Ticket(
             request, self._weighted_work(request.prompt_tokens, request.output_tokens), now
@@ -192,7 +192,7 @@
                 yield ticket
         finally:
             self._open_requests -= 1
-            self._customer_limits.release(
+            self.customer_limits.release(
                 customer, excess_tokens=_tokens_above_estimate(ticket), now=boot_seconds()
             )
 
--- /dev/null
+++ b/samphirehall/admission/limit_counts.py
@@ -0,0 +1,76 @@
+"""Exchange of the counts of customers' limits between the hosts of the product's own entry."""
+
+from typing import Annotated
+
+import msgspec
+
+from samphirehall.admission.limits import CustomerLimits
+from samphirehall.admission.quota_ledger import SourceCount
+from samphirehall.configuration.version import Configuration
+from samphirehall.core.decoding import Name, convert
+from samphirehall.node.facts import Fact, FactKind
+from samphirehall.node.state import NodeState
+
+FACT_LIFETIME_SECONDS = 3.0
+FACT_KEY = "limits"
+MAX_CUSTOMERS = 64  # of one fact, those with most demand
+MIN_DEMAND = 0.01  # units per second; a customer with a smaller demand is left out
+
+_Number = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+_Counts = list[tuple[Name, _Number, _Number, _Number]]
+
+
+class LimitCounts:
+    """Publishes the counts of this host, and takes those of the others into account.
+
+    Parameters
+    ----------
+    state : NodeState
+        State with the facts that hosts exchange.
+    limits : CustomerLimits
+        Limits of this host.
+    """
+
+    def __init__(self, state: NodeState, limits: CustomerLimits) -> None:
+        self._state = state
+        self._limits = limits
+        self._now = 0.0
+        self._checked: Configuration | None = None
+        self._is_limited = False
+        state.fact_store.subscribe(self._apply_fact)
+
+    def publish(self, *, now: float) -> int:
+        """Publish the counts of the customers with demand; return their number.
+
+        A host without any publishes as well, as only hosts that are heard share the whole rates.
+        """
+        self._now = now
+        if not self._has_limits():
+            return 0
+        counts = [each for each in self._limits.counts(now=now) if each[1].demand >= MIN_DEMAND]
+        counts.sort(key=lambda each: each[1].demand, reverse=True)
+        value = [
+            (name, round(count.granted, 3), round(count.uncounted, 3), round(count.demand, 3))
+            for name, count in counts[:MAX_CUSTOMERS]
+        ]
+        self._state.fact_store.publish(
+            FactKind.LIMIT_COUNTS, FACT_KEY, value, lifetime=FACT_LIFETIME_SECONDS, now=now
+        )
+        return len(value)
+
+    def _has_limits(self) -> bool:
+        """Return whether the configuration limits the rate of any customer."""
+        configuration = self._state.configuration
+        if configuration is not self._checked:
+            self._checked = configuration
+            self._is_limited = any(
+                part.requests_per_second is not None or part.tokens_per_second is not None
+                for part in configuration.customers().values()
+            )
+        return self._is_limited
+
+    def _apply_fact(self, fact: Fact) -> None:
+        if fact.kind is not FactKind.LIMIT_COUNTS or fact.owner == self._state.fact_store.owner:
+            return
+        counts = [(name, SourceCount(*rest)) for name, *rest in convert(fact.value, _Counts)]
+        self._limits.receive(fact.owner, str(fact.incarnation), counts, now=self._now)
--- a/samphirehall/admission/limits.py
+++ b/samphirehall/admission/limits.py
@@ -1,34 +1,44 @@
 """Per-customer limits of requests and tokens per second and of requests in flight."""
 
 import math
-from dataclasses import dataclass
+import random
+from collections.abc import Iterable, Iterator
 
-from samphirehall.admission.token_bucket import TokenBucket
+from samphirehall.admission.quota import HostQuota, Quota, QuotaBounds, QuotaKnowledge, Verdict
+from samphirehall.admission.quota_ledger import QuotaLedger, SourceCount
 from samphirehall.configuration.documents import CustomerPart
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import LIMIT_REACHED
 
 BURST_SECONDS = 2.0
 IN_FLIGHT_RETRY_AFTER_SECONDS = 1.0
-
-
-@dataclass(slots=True)
-class _Buckets:
-    part: CustomerPart
-    hosts: int
-    requests: TokenBucket | None
-    tokens: TokenBucket | None
+HOST_STALE_SECONDS = 3.0  # six rounds of published counts
+REQUESTS, TOKENS = "requests", "tokens"
 
 
 class CustomerLimits:
-    """Enforces this host's even part of the limits of each customer.
+    """Enforces the limits of each customer over all hosts together.
+
+    Every host keeps the common level itself, from its own grants and the published counts of the
+    others. Hosts whose counts are not heard are left their equal part.
 
-    If a customer's configuration or the number of hosts changes, its token
-    buckets are replaced by full ones.
+    Parameters
+    ----------
+    now : float
+        Boot clock in seconds.
+    random_source : Random
+        Source of the dither of the host's own buckets.
     """
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, _Buckets] = {}
+    def __init__(self, *, now: float, random_source: random.Random | None = None) -> None:
+        self._random = random_source or random.Random()
+        self._bounds = QuotaBounds()
+        self._quotas: dict[str, Quota] = {}
+        self._hosts: dict[str, HostQuota] = {}
+        self._published: dict[str, float] = {}
+        self._ledger = QuotaLedger(
+            self._bounds, stale_seconds=HOST_STALE_SECONDS, starts_full=True, now=now
+        )
         self._in_flight: dict[str, int] = {}
 
     def acquire(
@@ -61,15 +71,17 @@
             )
             detail += f"{part.max_in_flight} over {hosts} hosts"
             raise SamphireError(LIMIT_REACHED, detail, retry_after=IN_FLIGHT_RETRY_AFTER_SECONDS)
-        buckets = self._get_buckets(customer, part, hosts, now)
-        if buckets.requests is not None and not buckets.requests.take(1.0, now=now):
-            wait_seconds = buckets.requests.seconds_until(1.0, now=now)
-            raise self._rate_error(customer, "requests", part.requests_per_second, wait_seconds)
-        if buckets.tokens is not None and not buckets.tokens.take(tokens, now=now):
-            if buckets.requests is not None:
-                buckets.requests.adjust(-1.0, now=now)
-            wait_seconds = buckets.tokens.seconds_until(tokens, now=now)
-            raise self._rate_error(customer, "tokens", part.tokens_per_second, wait_seconds)
+        requests, used = _name(REQUESTS, customer), _name(TOKENS, customer)
+        rates = {requests: part.requests_per_second, used: part.tokens_per_second}
+        if any(rate is not None or name in self._quotas for name, rate in rates.items()):
+            self._set_rates(rates, now)
+            self._ledger.record_known(hosts, now=now)
+            self._take(requests, 1.0, now)
+            try:
+                self._take(used, tokens, now)
+            except SamphireError:
+                self._adjust(requests, -1.0, now)
+                raise
         self._in_flight[customer] = in_flight + 1
 
     def release(self, customer: str, *, excess_tokens: float, now: float) -> None:
@@ -83,30 +95,72 @@
             self._in_flight[customer] = in_flight
         else:
             del self._in_flight[customer]
-        buckets = self._buckets.get(customer)
-        if buckets is not None and buckets.tokens is not None:
-            buckets.tokens.adjust(excess_tokens, now=now)
-
-    def _get_buckets(self, customer: str, part: CustomerPart, hosts: int, now: float) -> _Buckets:
-        buckets = self._buckets.get(customer)
-        if buckets is None or buckets.part != part or buckets.hosts != hosts:
-            buckets = self._buckets[customer] = _Buckets(
-                part,
-                hosts,
-                _make_bucket(part.requests_per_second, hosts, now),
-                _make_bucket(part.tokens_per_second, hosts, now),
-            )
-        return buckets
-
-    def _rate_error(
-        self, customer: str, unit: str, rate: float | None, wait_seconds: float
-    ) -> SamphireError:
-        detail = f"customer {customer!r} exceeds its limit of {rate} {unit} per second"
-        return SamphireError(LIMIT_REACHED, detail, retry_after=max(0.1, wait_seconds))
-
+        self._adjust(_name(TOKENS, customer), excess_tokens, now)
+
+    def counts(self, *, now: float) -> Iterator[tuple[str, SourceCount]]:
+        """Yield the counts of this host for the other ones."""
+        for name, host_quota in self._hosts.items():
+            granted, demand = max(0.0, host_quota.granted), host_quota.demand.rate(now=now)
+            uncounted = max(0.0, granted - self._published.get(name, 0.0))
+            self._published[name] = granted
+            yield name, SourceCount(granted, uncounted, demand)
+
+    def receive(
+        self, host: str, epoch: str, counts: Iterable[tuple[str, SourceCount]], *, now: float
+    ) -> None:
+        """Receive the counts of another host; `epoch` is the incarnation of its process."""
+        self._ledger.record(host, epoch, counts, now=now)
+
+    def _set_rates(self, rates: dict[str, float | None], now: float) -> None:
+        quotas = dict(self._quotas)
+        for name, rate in rates.items():
+            if rate is None:
+                quotas.pop(name, None)
+                continue
+            quota = quotas[name] = Quota(rate, max(1.0, rate * BURST_SECONDS))
+            host_quota = self._hosts.setdefault(name, HostQuota(quota, self._bounds, self._random))
+            host_quota.quota = quota
+        if quotas != self._quotas:
+            self._quotas = quotas
+            self._ledger.set_quotas(quotas, now=now)
+
+    def _take(self, name: str, units: float, now: float) -> None:
+        """Charge units to one limit, if it exists.
+
+        A request for more units than this host's part of the burst needs a full bucket, and leaves
+        it overdrawn.
 
-def _make_bucket(rate: float | None, hosts: int, now: float) -> TokenBucket | None:
-    if rate is None:
-        return None
-    host_rate = rate / hosts
-    return TokenBucket(host_rate, max(1.0, host_rate * BURST_SECONDS), now=now)
+        Raises
+        ------
+        SamphireError
+            The limit is reached.
+        """
+        quota = self._quotas.get(name)
+        if quota is None:
+            return
+        host_quota = self._hosts[name]
+        level = self._ledger.level(name, now=now)
+        demand = self._ledger.demand(name, now=now) + host_quota.demand.rate(now=now)
+        knowledge = QuotaKnowledge(level, demand, *self._ledger.hosts, 0.0)
+        needed = min(units, quota.burst * knowledge.part)
+        host_quota.demand.record(units, now=now)
+        decision = host_quota.decide(needed, knowledge, now=now, waited=True)
+        if decision.verdict is not Verdict.GRANT:
+            unit, _, customer = name.partition("/")
+            detail = f"customer {customer!r} exceeds its limit of {quota.rate} {unit} per second"
+            raise SamphireError(LIMIT_REACHED, detail, retry_after=decision.retry_after)
+        host_quota.granted += units - needed
+        host_quota.acknowledged = host_quota.granted
+        self._ledger.charge(name, units, now=now)
+
+    def _adjust(self, name: str, units: float, now: float) -> None:
+        """Correct what was charged to a limit, if it exists."""
+        if name in self._quotas:
+            host_quota = self._hosts[name]
+            host_quota.granted += units
+            host_quota.acknowledged = host_quota.granted
+            self._ledger.charge(name, units, now=now)
+
+
+def _name(unit: str, customer: str) -> str:
+    return f"{unit}/{customer}"
--- a/samphirehall/admission/quota_ledger.py
+++ b/samphirehall/admission/quota_ledger.py
@@ -43,13 +43,9 @@
     heard_at: float
     hosts: int
     is_zone: bool
+    stale_seconds: float  # silence after which the source no longer counts as heard
     counts: dict[str, SourceCount] = field(default_factory=dict)
 
-    @property
-    def stale_seconds(self) -> float:
-        """Silence after which the source no longer counts as heard."""
-        return ZONE_STALE_SECONDS if self.is_zone else STALE_SECONDS
-
 
 class LargestCount:
     """Largest of the counts recorded within a time."""
@@ -111,12 +107,26 @@
     ----------
     bounds : QuotaBounds
         Permitted excess.
+    stale_seconds : float
+        Silence after which a member no longer counts as heard.
+    starts_full : bool
+        Whether a new quota starts with a full bucket; otherwise it starts at the level from which
+        requests are granted freely, so that hosts that restart together gain no burst.
     now : float
         Boot clock in seconds.
     """
 
-    def __init__(self, bounds: QuotaBounds, *, now: float) -> None:
+    def __init__(
+        self,
+        bounds: QuotaBounds,
+        *,
+        stale_seconds: float = STALE_SECONDS,
+        starts_full: bool = False,
+        now: float,
+    ) -> None:
         self.bounds = bounds
+        self._stale_seconds = stale_seconds
+        self._starts_full = starts_full
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, CommonBucket] = {}
         self._sources: dict[str, _Source] = {}
@@ -133,15 +143,11 @@
         return self._hosts
 
     def set_quotas(self, quotas: Mapping[str, Quota], *, now: float) -> None:
-        """Apply the quotas of a configuration.
-
-        A new one starts at the level from which requests are granted freely: hosts that restart
-        together gain no burst, and a caller below its limit is not refused.
-        """
+        """Apply the quotas of a configuration."""
         part = self._part(now)
         for name, quota in quotas.items():
             if name not in self._buckets:
-                level = self.bounds.free_level(quota)
+                level = quota.burst if self._starts_full else self.bounds.free_level(quota)
                 self._buckets[name] = CommonBucket(quota, level, now=now)
             elif self._quotas[name] != quota:
                 self._buckets[name].level(part, now=now)
@@ -206,10 +212,11 @@
             Boot clock in seconds.
         """
         source = self._sources.get(name)
+        stale = ZONE_STALE_SECONDS if is_zone else self._stale_seconds
         silent = 0.0 if source is None else now - source.heard_at
         continues = source is not None and (source.epoch == epoch or is_zone)
         if source is None or not continues:
-            source = self._sources[name] = _Source(epoch, now, hosts, is_zone)
+            source = self._sources[name] = _Source(epoch, now, hosts, is_zone, stale)
         is_same = source.epoch == epoch
         source.epoch, source.heard_at, source.hosts = epoch, now, hosts
         part = self._part(now)
--- a/samphirehall/forwarding/admission_tasks.py
+++ b/samphirehall/forwarding/admission_tasks.py
@@ -3,12 +3,14 @@
 import anyio
 
 from samphirehall.admission.demand import publish_demand
+from samphirehall.admission.limit_counts import LimitCounts
 from samphirehall.admission.served import ServedWorkTracker
 from samphirehall.core.clock import boot_seconds
 from samphirehall.forwarding.context import EntryContext
 
 ADMISSION_INTERVAL_SECONDS = 0.02
 PUBLISH_INTERVAL_SECONDS = 1.0
+LIMITS_INTERVAL_SECONDS = 0.5  # bounds what hosts grant before they know of each other
 
 
 async def run_admission(context: EntryContext) -> None:
@@ -19,11 +21,15 @@
         lambda customer: _customer_weight(context, customer),
     )
     context.admission.on_served = served_work.record
-    published_at = boot_seconds()
+    limit_counts = LimitCounts(context.state, context.admission.customer_limits)
+    published_at = limits_at = boot_seconds()
     while True:
         await anyio.sleep(ADMISSION_INTERVAL_SECONDS)
         now = boot_seconds()
         context.admission.admit_waiting(now=now)
+        if now - limits_at >= LIMITS_INTERVAL_SECONDS:
+            limits_at = now
+            limit_counts.publish(now=now)
         if now - published_at >= PUBLISH_INTERVAL_SECONDS:
             published_at = now
             served_work.publish(now=now)
--- a/samphirehall/node/facts.py
+++ b/samphirehall/node/facts.py
@@ -33,6 +33,7 @@
     DEMAND = 8
     USAGE = 9
     USAGE_RECORDED = 10
+    LIMIT_COUNTS = 11
 
     @property
     def is_host_local(self) -> bool:
@@ -40,7 +41,7 @@
 
         `USAGE` is also sent to one peer, which mirrors it.
         """
-        return self >= FactKind.USAGE
+        return self in (FactKind.USAGE, FactKind.USAGE_RECORDED)
 
     @property
     def is_reconciled(self) -> bool:
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from samphirehall.admission.quota import Quota, Verdict
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway.agreed_time import AgreedTime
@@ -32,7 +33,7 @@
     TableFollower,
     TableReplica,
 )
-from samphirehall.gateway.types import PromptPart
+from samphirehall.gateway.types import Customer, PromptPart
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import HostCounts, PeerUsage, UsageCounter
 from samphirehall.gateway.zone_exchange import ZoneExchange
@@ -617,3 +618,31 @@
 
 def _whole_until(host):
     return host.exchange.list_complete_until(now=boot_seconds())
+
+
+class TestQuotas:
+    async def test_grants_of_a_member_reach_the_hosts_of_all_zones(self):
+        """Guards against counters and levels that are filled in but not sent or not applied."""
+        customer = Customer("acme", None, Quota(10.0, 100.0))
+        async with anyio.create_task_group() as group:
+            table, endpoints = FaultyTable(), EndpointTable()
+            here, _ = await start(group, "abc", table=table, endpoints=endpoints)
+            there, _ = await start(group, "xyz", table=table, endpoints=endpoints, zone="b")
+            hosts = [*here, *there]
+            for host in hosts:
+                host.context.quotas.set_customers([customer])
+
+            def knowledge():
+                return [host.context.quotas.knowledge("acme") for host in hosts]
+
+            await until(lambda: all(each.in_touch and each.heard == 6 for each in knowledge()))
+            await anyio.sleep(3.0)
+            before = min(each.level for each in knowledge())
+            _, members = hub_and_members(here)
+            quotas = members[0].context.quotas
+            quotas.offer(customer, 25.0)
+            assert quotas.decide(customer, 25.0, waited=True).verdict is Verdict.GRANT
+            await until(lambda: all(each.level < before - 10 for each in knowledge()), 1.0)
+            assert all(each.demand > 5 for each in knowledge())
+            await until(lambda: quotas._customers["acme"].outstanding == 0, 1.0)
+            group.cancel_scope.cancel()
