Treat a host that its hub does not hear as out of touch

A member that heard its hub but was not heard went on granting from the common level, uncharged. It now counts as out of touch once its acknowledgements age. Sums over the sources of a hub are kept for 20 ms, so that a decision costs the same with 30 and 300 hosts (9 and 9 us at a member, 25 and 13 us at a hub).

--- a/samphirehall/admission/quota_ledger.py
+++ b/samphirehall/admission/quota_ledger.py
@@ -5,7 +5,7 @@
 which of its grants nobody has counted yet, so that none is counted twice.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -14,6 +14,7 @@
 KNOWN_HOSTS_SECONDS = 60.0  # a host that is not heard for longer has ended
 NEW_HUB_SECONDS = 1.0  # in which a new hub hears its members and the other zones
 ZONE_STALE_SECONDS = 0.55  # two updates between hubs of 79 hosts
+SUM_SECONDS = 0.02  # for which sums over all sources hold, so that a request costs no sum
 # A zone silent for longer has been left out of the common bucket while it granted.
 LEFT_OUT_SECONDS = 2.0
 
@@ -130,6 +131,9 @@
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, CommonBucket] = {}
         self._sources: dict[str, _Source] = {}
+        self._summed_at = float("-inf")
+        self._demands: dict[str, float] = {}  # at members and zones, as of then
+        self._member_demands: dict[str, float] = {}
         self._told_heard = 1
         self._told_demands: dict[str, float] = {}
         self._told_until = now
@@ -170,6 +174,7 @@
         the first members that it hears would take the shares of all.
         """
         self._sources.clear()
+        self._summed_at = float("-inf")
         self._told_heard, known = hosts
         self._told_demands = dict(demands)
         self._told_until = now + NEW_HUB_SECONDS
@@ -181,8 +186,8 @@
 
     def record_known(self, hosts: int, *, now: float) -> None:
         """Record the number of all hosts that another host knows, or that are listed."""
-        self._known.record(hosts, now=now)
-        self._part(now)
+        known = self._known.record(hosts, now=now)
+        self._hosts = self._hosts[0], max(known, self._hosts[0])
 
     def record(
         self,
@@ -218,6 +223,8 @@
         if source is None or not continues:
             source = self._sources[name] = _Source(epoch, now, hosts, is_zone, stale)
         is_same = source.epoch == epoch
+        if source.hosts != hosts or silent >= source.stale_seconds or not continues:
+            self._summed_at = float("-inf")
         source.epoch, source.heard_at, source.hosts = epoch, now, hosts
         part = self._part(now)
         charged = {}
@@ -253,12 +260,11 @@
 
     def demand(self, customer: str, *, members_only: bool = False, now: float) -> float:
         """Return the demand of a customer at the members, and at other zones, that are heard."""
-        total = sum(
-            source.counts[customer].demand
-            for source in self._live(now)
-            if customer in source.counts and not (members_only and source.is_zone)
-        )
-        if members_only or now >= self._told_until:
+        self._sum(now)
+        if members_only:
+            return self._member_demands.get(customer, 0.0)
+        total = self._demands.get(customer, 0.0)
+        if now >= self._told_until:
             return total
         return max(total, self._told_demands.get(customer, 0.0))
 
@@ -273,8 +279,23 @@
 
     def _part(self, now: float) -> float:
         """Return the part of all hosts that share the common bucket."""
-        heard = 1 + sum(source.hosts for source in self._live(now))
+        self._sum(now)
+        return self._hosts[0] / self._hosts[1]
+
+    def _sum(self, now: float) -> None:
+        """Add up the hosts and the demand of all sources that are heard, unless done lately."""
+        if 0 <= now - self._summed_at < SUM_SECONDS:
+            return
+        self._summed_at = now
+        heard, members = 1, defaultdict[str, float](float)
+        zones = defaultdict[str, float](float)
+        for source in self._live(now):
+            heard += source.hosts
+            sums = zones if source.is_zone else members
+            for customer, count in source.counts.items():
+                sums[customer] += count.demand
         if now < self._told_until:
             heard = max(heard, self._told_heard)
         self._hosts = heard, self._known.record(heard, now=now)
-        return self._hosts[0] / self._hosts[1]
+        self._member_demands = dict(members)
+        self._demands = {name: members[name] + zones[name] for name in {*members, *zones}}
--- a/samphirehall/gateway/quota_exchange.py
+++ b/samphirehall/gateway/quota_exchange.py
@@ -32,6 +32,8 @@
 
 RECENT_SECONDS = 0.6  # for which a zone has no hub if its hub ends
 MAX_UNACKNOWLEDGED = 64  # updates of this host whose counters are remembered
+# Age of an acknowledged update that is normal: a heartbeat, an interval of the hub and two ways.
+ACKNOWLEDGEMENT_SECONDS = 0.7
 SHORT_NUMBER = 1000  # from which a fraction of a unit does not matter
 MIN_DEMAND = 1e-3  # units per second; a smaller demand is not sent
 
@@ -96,7 +98,8 @@
         self._epoch = ""
         self._zone_counts: dict[str, _ZoneCount] = {}
         self._hub_state: _HubState | None = None
-        self._sent: OrderedDict[int, dict[str, tuple[float, float]]] = OrderedDict()
+        self._sent: OrderedDict[int, tuple[float, dict[str, tuple[float, float]]]] = OrderedDict()
+        self._acknowledged_at = float("-inf")  # when the latest acknowledged update was sent
         self._acknowledged: dict[str, tuple[float, float]] = {}
         self._updated = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
@@ -135,6 +138,7 @@
         self._acknowledged.clear()
         if self._ledger is not None:
             self._hub_state = self._own_state(self._ledger, now)
+            self._acknowledged_at = now
         self._ledger, self._zone_counts = None, {}
         if not is_hub:
             return
@@ -190,7 +194,10 @@
             return QuotaKnowledge(0.0, own_demand, 1, max(1, self.listed_hosts), float("inf"))
         _, demand, _ = state.levels.get(name, (0.0, 0.0, 0.0))
         level = self._told_level(state, name, now)
-        return QuotaKnowledge(level, demand, state.heard, state.known, now - state.sent_at)
+        # A hub that does not hear this host leaves it out, so the host is on its own as well.
+        unheard = now - self._acknowledged_at - ACKNOWLEDGEMENT_SECONDS
+        age = max(now - state.sent_at, unheard)
+        return QuotaKnowledge(level, demand, state.heard, state.known, age)
 
     async def wait_for_update(self, seconds: float) -> None:
         """Wait until the hub's next update arrives, but no longer than some seconds."""
@@ -230,9 +237,8 @@
             granted, demand = host_quota.granted, _rounded_up(host_quota.demand.rate(now=now))
             if (granted, demand) != self._acknowledged.get(name, (0.0, 0.0)):
                 counts.append((name, _short(granted), _short(host_quota.outstanding), demand))
-        self._sent[sequence] = {
-            name: (self._customers[name].granted, demand) for name, _, _, demand in counts
-        }
+        included = {name: (self._customers[name].granted, demand) for name, _, _, demand in counts}
+        self._sent[sequence] = now, included
         while len(self._sent) > MAX_UNACKNOWLEDGED:
             self._sent.popitem(last=False)
         return counts
@@ -305,8 +311,9 @@
         levels = {name: (level, demand, granted) for name, level, demand, granted in quotas.levels}
         known = max(quotas.heard, quotas.known)
         self._hub_state = _HubState(levels, quotas.heard, known, now, now - delay)
-        included = self._sent.get(acknowledged)
-        if included is not None:
+        sent = self._sent.get(acknowledged)
+        if sent is not None:
+            self._acknowledged_at, included = sent
             self._acknowledged.update(included)
             for name, (granted, _) in included.items():
                 if name in self._customers:
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -120,8 +120,9 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(serve, gateway)
                 await anyio.sleep(0.005)
-                now = gateway.context.clock()
-                gateway.context.quotas.receive_hub(state, 0, delay=0.0, now=now)
+                now, quotas = gateway.context.clock(), gateway.context.quotas
+                assert quotas.member_counts(1, now=now)
+                quotas.receive_hub(state, 1, delay=0.0, now=now)
             assert len(endpoint.received) == 1
 
 
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -39,7 +39,7 @@
         self.random, self.now, self.numbers, self.loss = random.Random(seed), 0.0, count(), loss
         self.customer, self.quota, self.listed = Customer("c", None, quota), quota, hosts
         self.events, self.granted, self.refused, self.offered = [], [], [], 0
-        self.cut_zones, self.silent_hosts = set(), set()
+        self.cut_zones, self.silent_hosts, self.unheard_hosts = set(), set(), set()
         self.hosts = [_Host(self, f"h{number}", number % 3) for number in range(hosts)]
         self.hubs = {}
         for zone in range(3):
@@ -76,7 +76,7 @@
     def member(self, name):
         host = self.host(name)
         hub = self.hubs[host.zone]
-        if host is hub or host.frozen or name in self.silent_hosts:
+        if host is hub or host.frozen:
             return
         host.sequence += 1
         sequence, counts = host.sequence, host.quotas.member_counts(host.sequence, now=self.now)
@@ -86,7 +86,8 @@
                 hub.heard_sequence[host.process] = sequence
                 hub.quotas.receive_member(host.name, host.process, counts, now=self.now)
 
-        self.send(receive)
+        if name not in self.silent_hosts | self.unheard_hosts:
+            self.send(receive)
 
     def to_members(self, zone):
         hub = self.hubs[zone]
@@ -285,6 +286,14 @@
         # Requests of up to 17,000 tokens take a silent host's part of the small quota 22 s.
         assert model.goodput(11, 16) > (0.4 if quota is LARGE else 0.25)
 
+    def test_hosts_that_their_hub_does_not_hear(self):
+        model = surge(fleet())
+        hubs = [hub.name for hub in model.hubs.values()]
+        unheard = [host.name for host in model.hosts[::2] if host.name not in hubs]
+        model.at(7.0, lambda: model.unheard_hosts.update(unheard))
+        model.run(18)
+        assert model.worst_window() <= 1
+
     @QUOTAS
     def test_half_of_the_hosts_frozen(self, quota):
         model = surge(fleet(quota))
