--- a/samphirehall/platform/documents.py
+++ b/samphirehall/platform/documents.py
@@ -109,10 +109,10 @@
     name: Name
     api_keys: list[str] = []
     priority: Unsigned | None = None
-    rate_per_s: _Amount = 0.0
-    burst: _Amount = 0.0
-    unit: str = ""
-    plain_tokens: _Amount = 0.0
+    rate_per_s: _Amount | None = None
+    burst: _Amount | None = None
+    unit: str | None = None
+    plain_tokens: _Amount | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -230,7 +230,8 @@
         The burst is below one request.
     """
     counts_tokens = tenant.unit == TOKEN_UNIT
-    smallest = max(1.0, tenant.plain_tokens) if counts_tokens else 1.0
+    plain_tokens = tenant.plain_tokens or 0.0
+    smallest = max(1.0, plain_tokens) if counts_tokens else 1.0
     if tenant.burst and tenant.burst < smallest:
         raise ValueError(
             f"configuration: burst {tenant.burst:g} of customer {tenant.name!r} is below one "
@@ -239,7 +240,7 @@
     if not tenant.rate_per_s:
         return None
     burst = tenant.burst or max(smallest, tenant.rate_per_s * DEFAULT_BURST_SECONDS)
-    return Quota(tenant.rate_per_s, burst, counts_tokens, tenant.plain_tokens)
+    return Quota(tenant.rate_per_s, burst, counts_tokens, plain_tokens)
 
 
 def decode_endpoint(endpoint_id: str, content: bytes) -> ListedEndpoint | None:
