--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -39,14 +39,23 @@
 # As `LimitReport`.
 _Limit = tuple[str, Annotated[float, msgspec.Meta(ge=-1, le=MAX_RATE)], _Age]
 
+_Units = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+_Level = Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=MAX_RATE)]
+# Customer, units granted, those of them not counted by any hub, and units asked for per second;
+# as `SourceCount`.
+EncodedQuotaCount = tuple[Name, _Units, _Units, _Units]
+# Customer, level of the common bucket, units asked for per second at all hosts, and units granted
+# in the zone.
+EncodedQuotaLevel = tuple[Name, _Level, _Units, _Units]
+
 # Whether a usage window is closed, and its requests by customer.
 EncodedCounts = tuple[bool, dict[str, Count]]
 
 # Served and refused tokens per second by service and customer.
 EncodedShares = dict[str, dict[Name, tuple[_Load, _Load]]]
 
-# Fields at the end of an update that are left out while they are empty.
-_OMITTED_IF_EMPTY = frozenset({"shares"})
+# Fields at the end of an update, and the values at which they are left out.
+_OPTIONAL: dict[str, object] = {"shares": {}, "quotas": None}
 
 
 class News(msgspec.Struct, array_like=True):
@@ -90,6 +99,34 @@
     changes: list[EncodedChange] = []
 
 
+class HubQuotas(msgspec.Struct, array_like=True):
+    """What a hub knows of the grants against customers' quotas.
+
+    Parameters
+    ----------
+    epoch : str
+        Time for which the sender is the hub; its counters start at zero with each.
+    hosts : int
+        Number of heard hosts of the zone.
+    heard, known : int
+        Hosts of all zones that share the common buckets, and all hosts of the last minute.
+    counts : list
+        Grants of the zone, for other hubs.
+    levels : list
+        Levels of the common buckets, for members; one that is not listed is full.
+    has_load : bool
+        Whether the update holds the load of the zone.
+    """
+
+    epoch: str
+    hosts: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    heard: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    known: Annotated[int, msgspec.Meta(ge=1, le=MAX_HOSTS)]
+    counts: list[EncodedQuotaCount] = []
+    levels: list[EncodedQuotaLevel] = []
+    has_load: bool = True
+
+
 class MemberUpdate(msgspec.Struct, array_like=True, tag="member"):
     """State of one host, sent to its hub.
 
@@ -126,6 +163,8 @@
         store.
     shares : dict
         Work that this host served and refused; see `ShareExchange`.
+    quotas : list or None
+        Grants against customers' quotas that the hub may not know; None without quotas.
     """
 
     host: Name
@@ -145,6 +184,7 @@
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
     shares: EncodedShares = {}
+    quotas: list[EncodedQuotaCount] | None = None
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -213,6 +253,8 @@
     shares : dict
         Work served and refused, of all zones for members and of this zone for other hubs; see
         `ShareExchange`.
+    quotas : HubQuotas or None
+        Grants against customers' quotas; None without quotas.
     """
 
     summary: ZoneSummary
@@ -231,6 +273,7 @@
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
     shares: EncodedShares = {}
+    quotas: HubQuotas | None = None
 
 
 Message = MemberUpdate | HubUpdate
@@ -250,7 +293,7 @@
 def _without_empty_end(message: Message) -> list[object]:
     """Return the tag and the fields of a message, without the optional ones at its end."""
     fields = list(message.__struct_fields__)
-    while fields[-1] in _OMITTED_IF_EMPTY and not getattr(message, fields[-1]):
+    while fields[-1] in _OPTIONAL and getattr(message, fields[-1]) == _OPTIONAL[fields[-1]]:
         fields.pop()
     return [message.__struct_config__.tag, *(getattr(message, name) for name in fields)]
 
