--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -123,12 +123,12 @@
 
 
 @asynccontextmanager
-async def running_system(tmp_path):
+async def running_system(tmp_path, make=System):
     async with AsyncExitStack() as stack:
         store, duties = await stack.enter_async_context(platform_standin())
         plain = await stack.enter_async_context(scripted_endpoint(answer_with_customer))
         engine = await stack.enter_async_context(scripted_endpoint(generate))
-        system = System(tmp_path, store, duties, plain, engine)
+        system = make(tmp_path, store, duties, plain, engine)
         store.put("op", "config", DOCUMENT)
         system.list_endpoint("t1", "t", plain)
         system.list_endpoint("s1", "s", engine, stage="decode")
