--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -5,17 +5,11 @@
 from contextlib import contextmanager
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
-from samphirehall.forwarding.answers import (
-    JSON,
-    Headers,
-    Scope,
-    error_body,
-    result_headers,
-)
+from samphirehall.forwarding.answers import Scope
+from samphirehall.forwarding.caller_heads import head_without_upgrade, refusal
 from samphirehall.forwarding.caller_input import (
     TURN_BYTES,
     InputControl,
@@ -311,7 +305,7 @@
             if self.transport.is_closing():
                 return
             if self.cycle is None or self.cycle.response_complete:
-                self.transport.write(_refusal(result, detail))
+                self.transport.write(refusal(result, detail))
                 self.transport.close()
                 return
             is_refused_one = self.cycle.more_body
@@ -326,36 +320,3 @@
             self._cancel_head_timer()
 
     return CallerProtocol
-
-
-def head_without_upgrade(method: bytes, target: bytes, version: str, headers: Headers) -> bytes:
-    """Return the head of a request without its offer to change the protocol.
-
-    Parameters
-    ----------
-    method, target : bytes
-        Of the request line.
-    version : str
-        Version of HTTP.
-    headers : list of pairs of bytes
-        Names in lower case, and values.
-    """
-    lines = [b"%b %b HTTP/%b" % (method, target, version.encode())]
-    for name, value in headers:
-        if name == b"connection":
-            tokens = [token.strip() for token in value.split(b",")]
-            value = b", ".join(token for token in tokens if token.lower() != b"upgrade")
-        if name != b"upgrade" and (value or name != b"connection"):
-            lines.append(name + b": " + value)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def _refusal(result: Result, detail: str) -> bytes:
-    body = error_body(SamphireError(result, detail), "")
-    headers = [
-        *result_headers(result, "", JSON),
-        (b"content-length", str(len(body)).encode()),
-        (b"connection", b"close"),
-    ]
-    lines = [name + b": " + value + b"\r\n" for name, value in headers]
-    return b"".join([STATUS_LINE[result.http_status], *lines, b"\r\n", body])
