Drop trailers, and bound the bytes of a request that are no head and no body

Cause: httptools reports each trailer field through on_header, which appended it to the headers of the request that was already being served, without end; chunk extensions, chunk sizes with leading zeros and empty lines between requests were read without end as well. Change: fields outside a head are dropped; bytes since the last byte of a body count against the limit of a head, and the request is refused or its connection closed. A refused body whose request has been answered closes the connection without a second answer.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -100,6 +100,8 @@
         _head_timer: asyncio.TimerHandle | None = None
         _head_bytes = 0
         _in_head = True
+        _in_body = False
+        _framing_bytes = 0  # received since the last byte of a body or the end of a request
         _has_refused = False
         _is_ending = False
         _offers_upgrade = False
@@ -156,19 +158,33 @@
             super().on_url(url)
             self.scope[TARGET_SCOPE_KEY] = self.url  # type: ignore[literal-required]
 
+        def on_header(self, name: bytes, value: bytes) -> None:
+            """Add a header, but no trailer: it would grow the headers of a request without end."""
+            if self._in_head:
+                super().on_header(name, value)
+
+        def on_body(self, body: bytes) -> None:
+            """Reset the count of bytes that belong to no body."""
+            self._framing_bytes = 0
+            super().on_body(body)
+
         def on_headers_complete(self) -> None:
             """Cancel the head timeout and reset the size count."""
             self._in_head = False
+            self._framing_bytes = 0
             self._head_bytes = 0
             self._cancel_head_timer()
             if self.parser.should_upgrade():
                 self._offers_upgrade = True
                 return
+            self._in_body = True
             super().on_headers_complete()
 
         def on_message_complete(self) -> None:
             """Read on once a body is whole, however long, so that a close is noticed."""
             if not self._offers_upgrade:
+                self._in_body = False
+                self._framing_bytes = 0
                 super().on_message_complete()
                 self._input.update()
 
@@ -268,11 +284,18 @@
             """Parse a piece, and refuse a head that is too long."""
             if self._in_head:
                 self._head_bytes += len(piece)
+            else:
+                self._framing_bytes += len(piece)
             self._feed(piece)
             if self._in_head and self._head_bytes > self.max_head_bytes():
                 self._refuse(
                     TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
                 )
+            elif not self._in_head and self._framing_bytes > self.max_head_bytes():
+                self._refuse(
+                    TOO_LARGE,
+                    f"over {self.max_head_bytes()} bytes belong to no head and no body",
+                )
 
         def _expect_head(self) -> None:
             self._in_head = True
@@ -304,6 +327,9 @@
             """
             if self.transport.is_closing():
                 return
+            if self._in_body and self.cycle.response_complete:
+                self.transport.close()  # a second answer would be taken for the next request's
+                return
             if self.cycle is None or self.cycle.response_complete:
                 self.transport.write(refusal(result, detail))
                 self.transport.close()
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -157,6 +157,46 @@
         assert b"samphire-result: 2000" in answer and b"200 OK" not in answer
 
 
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "trailers": (b"1\r\nx\r\n0\r\n", b"a:b\r\n"),
+    "trailer name": (b"1\r\nx\r\n0\r\n", b"a"),
+    "chunk extension": (b"1;", b"a"),
+    "chunk size": (b"", b"0"),
+}
+
+
+class TestFraming:
+    # Guards against memory that grows, and connections that stay, by bytes that are no body.
+    @pytest.mark.parametrize("kind", ENDLESS)
+    async def test_endless_framing_closes_the_connection(self, kind):
+        begin, more = ENDLESS[kind]
+        headers = []
+
+        async def wait_for_body(scope, receive, send):
+            headers.append(scope["headers"])
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        await exchange(CHUNKED + begin, more * (2 * MAX_HEAD_BYTES), app=wait_for_body)
+        assert len(headers) == 1 and len(headers[0]) == 2
+
+    @pytest.mark.parametrize("app", [answer_ok, answer_later])
+    async def test_short_trailers_are_dropped_and_the_connection_stays(self, app):
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        body = b"1;a=b\r\nx\r\n" * 10_000 + b"0\r\nHost: other\r\n\r\n"
+        assert (await exchange(CHUNKED + body + last, app=app)).count(b"200 OK") == 2
+
+    async def test_endless_trailers_behind_an_answer_add_no_second_answer(self):
+        trailers = b"1\r\nx\r\n0\r\n" + b"a:b\r\n" * MAX_HEAD_BYTES
+        answer = await exchange(CHUNKED, trailers, pause=0.02)
+        assert answer.count(b"HTTP/1.1") == 1
+
+    async def test_empty_lines_without_end_close_the_connection(self):
+        answer = await exchange(REQUEST, b"\r\n" * MAX_HEAD_BYTES, pause=0.02)
+        assert answer.count(b"200 OK") == 1
+
+
 class TestRefusalBehindARunningAnswer:
     @pytest.mark.parametrize(
         "refused",
