Serve readiness checks and metrics by the project's protocol class

Cause: both ports were served by uvicorn's own class, which parses a whole read (up to 256 KB, 11,000 requests) at once and bounds neither heads nor trailers. Change: they use caller_protocol, as the port of callers does.

--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -14,6 +14,7 @@
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
 from samphirehall.core.stopping import StopSchedule
+from samphirehall.forwarding.caller_protocol import caller_protocol
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
@@ -75,6 +76,7 @@
 FINAL_SAVE_TIMEOUT_SECONDS = 0.2
 MAX_FINAL_SAVES = 3  # the hub may write the same rows meanwhile
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
+OPERATOR_HEAD_TIMEOUT_SECONDS = 10.0  # of readiness checks and scrapes
 
 _log = logging.getLogger(__name__)
 
@@ -414,14 +416,20 @@
     )
     await _serve_metrics(stack, node)
     readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
-    await stack.enter_async_context(serving(readiness, node.settings.readiness_listen_address))
+    protocol = caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS)
+    await stack.enter_async_context(
+        serving(readiness, node.settings.readiness_listen_address, protocol=protocol)
+    )
 
 
 async def _serve_metrics(stack: AsyncExitStack, node: Node) -> None:
     """Serve metrics; a host whose metrics port is in use still serves requests."""
     address = f"{node.settings.ip}:{METRICS_PORT}"
     try:
-        await stack.enter_async_context(serving(node.metrics.app(METRICS_PATH), address))
+        protocol = caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS)
+        await stack.enter_async_context(
+            serving(node.metrics.app(METRICS_PATH), address, protocol=protocol)
+        )
     except OSError as error:
         extra = {"address": address, "reason": os.strerror(error.errno or 0)}
         _log.warning("metrics-unavailable", extra=extra)
