Limit the connections of a listener and the bytes that they hold together

Cause: nothing but the descriptors and the memory of the process bounded how many clients connect, nor the sum of what their connections hold (heads, bodies, requests sent ahead, unread responses); each connection alone may hold half a megabyte and more. Change: ConnectionLimits counts both. Over a limit, unused connections and those that send ahead and do not read make room; a request that runs is answered first. Ports for readiness and metrics have a sixteenth each.

--- a/samphirehall/forwarding/app.py
+++ b/samphirehall/forwarding/app.py
@@ -27,7 +27,7 @@
     send_error,
     send_response,
 )
-from samphirehall.forwarding.caller_protocol import caller_connection
+from samphirehall.forwarding.caller_connection import caller_connection
 from samphirehall.forwarding.completion_answer import serve_completion
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import CallerDisconnectedError, bearer_key
--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -1,14 +1,12 @@
 """HTTP protocol of uvicorn with limits on the time and size of a request head."""
 
 import asyncio
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
-from samphirehall.forwarding.answers import Scope
+from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, OVERLOADED, TOO_LARGE, Result
+from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY, CallerConnection
 from samphirehall.forwarding.caller_heads import head_without_upgrade, refusal
 from samphirehall.forwarding.caller_input import (
     PIECE_COST_BYTES,
@@ -17,72 +15,22 @@
     UnparsedInput,
     may_read,
 )
+from samphirehall.forwarding.connection_limits import (
+    HEADER_BYTES,
+    ConnectionLimits,
+    Held,
+    RefusalReason,
+    limits_of_process,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 UNREAD_GRACE_SECONDS = 0.05  # in which the event loop reads what has arrived
-CONNECTION_SCOPE_KEY = "samphire.connection"
 TARGET_SCOPE_KEY = "samphire.target"
 
 
-def _do_nothing() -> None:
-    """Do nothing, as another server owns the connection."""
-
-
-def _has_no_requests() -> bool:
-    """Return that no request is known to wait, as another server owns the connection."""
-    return False
-
-
-class CallerConnection:
-    """Connection of a caller, with callbacks for when it closes.
-
-    Parameters
-    ----------
-    close : callable
-        Closes the connection, even while a response is being sent.
-    has_requests : callable
-        Returns whether requests that have been read wait for the present response to end.
-    """
-
-    __slots__ = ("_callbacks", "_closed", "close", "has_requests")
-
-    def __init__(
-        self,
-        close: Callable[[], None] = _do_nothing,
-        has_requests: Callable[[], bool] = _has_no_requests,
-    ) -> None:
-        self.close = close
-        self.has_requests = has_requests
-        self._closed = False
-        self._callbacks: list[Callable[[], None]] = []
-
-    def mark_closed(self) -> None:
-        """Record that the connection closed and run the callbacks."""
-        self._closed = True
-        for callback in self._callbacks:
-            callback()
-
-    @contextmanager
-    def notify_on_close(self, on_close: Callable[[], None]) -> Iterator[None]:
-        """Call `on_close` if the connection closes inside the context or has closed before it."""
-        self._callbacks.append(on_close)
-        try:
-            if self._closed:
-                on_close()
-            yield
-        finally:
-            self._callbacks.remove(on_close)
-
-
-def caller_connection(scope: Scope) -> CallerConnection:
-    """Return the connection of a request.
-
-    Under another server the connection is unknown and never reported as closed.
-    """
-    return scope.get(CONNECTION_SCOPE_KEY) or CallerConnection()
-
-
-def caller_protocol(*, head_timeout: float) -> type[HttpToolsProtocol]:
+def caller_protocol(
+    *, head_timeout: float, limits: ConnectionLimits | None = None
+) -> type[HttpToolsProtocol]:
     """Return the uvicorn protocol class for connections of callers.
 
     Parameters
@@ -90,7 +38,10 @@
     head_timeout : float
         Seconds in which the head of a request must arrive, counted from its first byte;
         for the first request, from the opening of the connection.
+    limits : ConnectionLimits, optional
+        Limits on all connections together; by default those of the process.
     """
+    shared_limits = limits or limits_of_process()
 
     class CallerProtocol(HttpToolsProtocol):
         """Refuses a request whose head is late or too long, and notices a caller that closes.
@@ -106,6 +57,7 @@
         _has_refused = False
         _is_ending = False
         _offers_upgrade = False
+        _request_bytes = 0  # of requests that have no whole response
         _head_is_overdue = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -115,7 +67,11 @@
             self._input = InputControl(transport, self._reads_on)
             self.flow = self._input
             self._caller = CallerConnection(transport.close, self._has_requests)
-            self.expect_first_head()
+            if shared_limits.admit(self):
+                self.expect_first_head()
+            else:
+                detail = f"{shared_limits.max_connections} connections are open"
+                self._refuse(RefusalReason.TOO_MANY, OVERLOADED, detail)
 
         def expect_first_head(self) -> None:
             """Start the timeout of the first head when the connection opens."""
@@ -126,6 +82,7 @@
             self._cancel_head_timer()
             self._input.stop_checking()
             self._unparsed.clear()
+            shared_limits.remove(self)
             super().connection_lost(exc)
             self._caller.mark_closed()
 
@@ -140,6 +97,22 @@
             self._is_ending = True
             self._close_if_done()
 
+        def has_unread_bytes(self) -> bool:
+            """Return whether received bytes wait to be read."""
+            return self._input.has_unread_bytes()
+
+        def close_for_room(self, reason: RefusalReason) -> None:
+            """Close the connection, once requests that have been read are answered.
+
+            A caller that does not read its responses has them no longer.
+            """
+            self._unparsed.clear()
+            if self.flow.write_paused or reason == RefusalReason.UNUSED:
+                shared_limits.record(reason, self._client_name(), "closed to make room")
+                self.transport.abort()
+            else:
+                self._refuse(reason, OVERLOADED, "connections of callers hold too many bytes")
+
         def head_seconds(self) -> float:
             """Return the seconds in which a head must arrive."""
             return head_timeout
@@ -151,6 +124,7 @@
         def on_message_begin(self) -> None:
             """Start the head timeout, unless it already runs."""
             super().on_message_begin()
+            shared_limits.mark_used(self)
             self.scope[CONNECTION_SCOPE_KEY] = self._caller  # type: ignore[literal-required]
             self._expect_head()
 
@@ -162,11 +136,14 @@
         def on_header(self, name: bytes, value: bytes) -> None:
             """Add a header, but no trailer: it would grow the headers of a request without end."""
             if self._in_head:
+                self._request_bytes += HEADER_BYTES + len(name) + len(value)
                 super().on_header(name, value)
 
         def on_body(self, body: bytes) -> None:
             """Reset the count of bytes that belong to no body."""
             self._framing_bytes = 0
+            if not self.cycle.response_complete:
+                self._request_bytes += len(body)
             super().on_body(body)
 
         def on_headers_complete(self) -> None:
@@ -194,6 +171,9 @@
             if self._has_refused and not self.pipeline:
                 self.transport.close()
             super().on_response_complete()
+            if self.cycle.response_complete:  # else a request behind this one runs now
+                self._request_bytes = 0
+            self._update_held()
             self._parse_soon()
             self._close_if_done()
 
@@ -201,16 +181,18 @@
             """Stop to parse and read requests whose responses the caller would not read."""
             super().pause_writing()
             self._input.update()
+            self.loop.call_soon(self._update_held)  # closes no connection inside its own write
 
         def resume_writing(self) -> None:
             """Parse and read on."""
             super().resume_writing()
             self._input.update()
+            self._update_held()
             self._parse_soon()
 
         def send_400_response(self, msg: str) -> None:
             """Refuse a request that is not valid HTTP."""
-            self._refuse(BAD_REQUEST, msg)
+            self._refuse(RefusalReason.INVALID, BAD_REQUEST, msg)
 
         def timeout_keep_alive_handler(self) -> None:
             """Close an idle connection, unless a request has arrived on it.
@@ -241,6 +223,24 @@
             takes_body = cycle is not None and cycle.more_body and not cycle.response_complete
             return may_read(len(self._unparsed), len(cycle.body) if takes_body else 0)
 
+        def _client_name(self) -> str:
+            return self.client[0] if self.client else ""
+
+        def _update_held(self) -> None:
+            """Tell the limits what this connection holds."""
+            if self._has_refused or self.transport.is_closing():
+                return
+            unread = self.transport.get_write_buffer_size() if self.flow.write_paused else 0
+            unparsed = len(self._unparsed)
+            is_busy = self.cycle is not None and not self.cycle.response_complete
+            unread_ahead = unread if self._has_requests() else 0
+            ahead = (unparsed if is_busy else 0) + unread_ahead
+            unfinished = self._request_bytes if self._in_head or self._in_body else 0
+            held = unparsed + unread + self._request_bytes
+            shared_limits.update(
+                self, Held(held, ahead, unparsed + unread + unfinished, unread_ahead)
+            )
+
         def _parse_soon(self) -> None:
             if self._unparsed:
                 self.loop.call_soon(self._parse)
@@ -261,6 +261,7 @@
                 self._parse_soon()
             self._close_if_done()
             self._input.update()
+            self._update_held()
 
         def _close_if_done(self) -> None:
             """Close a connection that is being shut down, unless requests are unanswered."""
@@ -289,7 +290,7 @@
             """
             self._offers_upgrade = False
             if self.parser.get_method() == b"CONNECT":
-                self._refuse(BAD_REQUEST, "CONNECT is not supported")
+                self._refuse(RefusalReason.INVALID, BAD_REQUEST, "CONNECT is not supported")
                 return
             head = head_without_upgrade(
                 self.parser.get_method(), self.url, self.parser.get_http_version(), self.headers
@@ -307,10 +308,13 @@
             self._feed(piece)
             if self._in_head and self._head_bytes > self.max_head_bytes():
                 self._refuse(
-                    TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
+                    RefusalReason.LONG_HEAD,
+                    TOO_LARGE,
+                    f"request head is longer than {self.max_head_bytes()} bytes",
                 )
             elif not self._in_head and self._framing_bytes > self.max_head_bytes():
                 self._refuse(
+                    RefusalReason.FRAMING,
                     TOO_LARGE,
                     f"over {self.max_head_bytes()} bytes belong to no head and no body",
                 )
@@ -334,10 +338,12 @@
                 self._head_timer = self.loop.call_later(UNREAD_GRACE_SECONDS, self._on_head_timeout)
                 return
             self._refuse(
-                CALL_TIMEOUT, f"request head did not arrive within {self.head_seconds()} s"
+                RefusalReason.LATE_HEAD,
+                CALL_TIMEOUT,
+                f"request head did not arrive within {self.head_seconds()} s",
             )
 
-        def _refuse(self, result: Result, detail: str) -> None:
+        def _refuse(self, reason: RefusalReason, result: Result, detail: str) -> None:
             """Refuse a request and close the connection.
 
             Requests before it are answered first, and it then gets no answer. What arrives
@@ -345,6 +351,8 @@
             """
             if self.transport.is_closing():
                 return
+            shared_limits.record(reason, self._client_name(), detail)
+            shared_limits.retire(self)
             if self._in_body and self.cycle.response_complete:
                 self.transport.close()  # a second answer would be taken for the next request's
                 return
--- a/samphirehall/forwarding/completion_answer.py
+++ b/samphirehall/forwarding/completion_answer.py
@@ -28,7 +28,7 @@
     send_head,
     send_response,
 )
-from samphirehall.forwarding.caller_protocol import caller_connection
+from samphirehall.forwarding.caller_connection import caller_connection
 from samphirehall.forwarding.completion import run_completion
 from samphirehall.forwarding.completion_run import CompletionRun
 from samphirehall.forwarding.context import EntryContext
--- a/samphirehall/forwarding/service_answer.py
+++ b/samphirehall/forwarding/service_answer.py
@@ -30,7 +30,7 @@
     result_headers,
     send_response,
 )
-from samphirehall.forwarding.caller_protocol import caller_connection
+from samphirehall.forwarding.caller_connection import caller_connection
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.inbound import (
     CallerDisconnectedError,
--- a/samphirehall/gateway/ingress.py
+++ b/samphirehall/gateway/ingress.py
@@ -23,12 +23,9 @@
     send_body,
     send_head,
 )
-from samphirehall.forwarding.caller_protocol import (
-    TARGET_SCOPE_KEY,
-    CallerConnection,
-    caller_connection,
-    caller_protocol,
-)
+from samphirehall.forwarding.caller_connection import CallerConnection, caller_connection
+from samphirehall.forwarding.caller_protocol import TARGET_SCOPE_KEY, caller_protocol
+from samphirehall.forwarding.connection_limits import ConnectionLimits
 from samphirehall.forwarding.inbound import CallerDisconnectedError, read_request_body
 from samphirehall.gateway.gateway import stopping_error
 from samphirehall.gateway.request_state import Caller, log_refusal
@@ -59,6 +56,8 @@
         Requests whose response is not complete.
     connections : WeakSet
         Open client connections.
+    connection_limits : ConnectionLimits or None
+        Limits on all connections together; None for those of the process.
     """
 
     limits: Callable[[], CallerLimits]
@@ -66,6 +65,7 @@
     refusing: bool = False
     open_requests: int = 0
     connections: WeakSet[HttpToolsProtocol] = field(default_factory=WeakSet)
+    connection_limits: ConnectionLimits | None = None
 
     def close_idle_connections(self) -> None:
         """Close idle connections now, and each busy one after its response."""
@@ -211,7 +211,9 @@
 
 def ingress_protocol(state: IngressState) -> type[HttpToolsProtocol]:
     """Return the protocol class of client connections, which applies the limits in force."""
-    base: Any = caller_protocol(head_timeout=state.limits().head_timeout)
+    base: Any = caller_protocol(
+        head_timeout=state.limits().head_timeout, limits=state.connection_limits
+    )
 
     class IngressProtocol(base):
         """Applies limits that may change while connections are open."""
--- a/samphirehall/gateway/metrics.py
+++ b/samphirehall/gateway/metrics.py
@@ -114,6 +114,11 @@
         self._endpoint_failures = _Counter(
             "endpoint_failures", "Unanswered sends by listed endpoint.", ("endpoint",)
         )
+        self._connections_refused = _Counter(
+            "connections_refused",
+            "Connections of clients that were refused or closed, by port and reason.",
+            ("port", "reason"),
+        )
         self._failed_endpoints: set[str] = set()
         self._gauges: list[tuple[str, str, ReadValue]] = []
 
@@ -121,6 +126,10 @@
         """Record the duration of a call to the store."""
         self._store_call_seconds.observe(seconds, kind, str(answered).lower())
 
+    def observe_refused_connection(self, port: str, reason: str) -> None:
+        """Record that a connection was refused or closed for what its client sent."""
+        self._connections_refused.increment(port, reason)
+
     def remove_unlisted_endpoints(self, listed: Container[str]) -> None:
         """Remove the series of unlisted endpoints, which bounds the number of label values."""
         for endpoint_id in [name for name in self._failed_endpoints if name not in listed]:
@@ -177,6 +186,7 @@
             self._longest_gap_seconds,
             self._store_call_seconds,
             self._endpoint_failures,
+            self._connections_refused,
         ):
             yield metric.family()
         for name, help_text, read in self._gauges:
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -51,6 +51,9 @@
         Bandwidth of this host's link; infinite if it is not stated.
     first_start : bool
         Whether the whole system starts for the first time.
+    max_client_connections, max_client_bytes : int
+        Connections of clients that may be open at once, and bytes that they may hold together;
+        0 for limits that follow from those of the process.
     """
 
     host: str
@@ -75,6 +78,8 @@
     max_row_bytes: int
     link_bytes_per_second: float
     first_start: bool
+    max_client_connections: int = 0
+    max_client_bytes: int = 0
 
 
 def settings_path() -> str:
@@ -130,6 +135,12 @@
         max_row_bytes=fields.integer("platform.row_bytes"),
         link_bytes_per_second=fields.bandwidth("limits.link_mbps") * BYTES_PER_MEGABIT,
         first_start=fields.optional("bootstrap") == "true",
+        max_client_connections=fields.integer(
+            "limits.client_connections", fields.optional("limits.client_connections") or "0"
+        ),
+        max_client_bytes=fields.integer(
+            "limits.client_bytes", fields.optional("limits.client_bytes") or "0"
+        ),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
--- a/samphirehall/programs/entry.py
+++ b/samphirehall/programs/entry.py
@@ -19,6 +19,7 @@
 from samphirehall.forwarding.app import EntryApp
 from samphirehall.forwarding.caller_protocol import caller_protocol
 from samphirehall.forwarding.claims import ClaimStore
+from samphirehall.forwarding.connection_limits import limits_of_process
 from samphirehall.forwarding.context import EntryContext
 from samphirehall.forwarding.metrics import EntryMetrics
 from samphirehall.forwarding.quarantine import Quarantine
@@ -117,7 +118,10 @@
     return serving(
         EntryApp(context),
         limits.listen,
-        protocol=caller_protocol(head_timeout=limits.head_timeout_seconds),
+        protocol=caller_protocol(
+            head_timeout=limits.head_timeout_seconds,
+            limits=limits_of_process(max_body_bytes=lambda: limits.max_body_bytes),
+        ),
         shutdown_timeout=FINISH_TIMEOUT_SECONDS,
     )
 
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -6,15 +6,18 @@
 import signal
 import sys
 from contextlib import AsyncExitStack
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
 from samphirehall.core.stopping import StopSchedule
 from samphirehall.forwarding.caller_protocol import caller_protocol
+from samphirehall.forwarding.connection_limits import limits_of_process
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
@@ -77,6 +80,7 @@
 MAX_FINAL_SAVES = 3  # the hub may write the same rows meanwhile
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
 OPERATOR_HEAD_TIMEOUT_SECONDS = 10.0  # of readiness checks and scrapes
+OPERATOR_SHARE = 1 / 16  # of the limits on connections, for readiness checks and for scrapes
 
 _log = logging.getLogger(__name__)
 
@@ -189,7 +193,15 @@
         self.streams = self.context.streams
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
-        self.ingress = IngressState(lambda: self.gateway.limits)
+        self.ingress = IngressState(
+            lambda: self.gateway.limits,
+            connection_limits=limits_of_process(
+                max_connections=settings.max_client_connections,
+                max_buffered_bytes=settings.max_client_bytes,
+                max_body_bytes=lambda: self.gateway.limits.max_body_bytes,
+                observe=partial(self.metrics.observe_refused_connection, "clients"),
+            ),
+        )
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -416,17 +428,25 @@
     )
     await _serve_metrics(stack, node)
     readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
-    protocol = caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS)
+    protocol = _operator_protocol(node, "readiness")
     await stack.enter_async_context(
         serving(readiness, node.settings.readiness_listen_address, protocol=protocol)
     )
 
 
+def _operator_protocol(node: Node, port: str) -> type[HttpToolsProtocol]:
+    """Return the protocol class of a port that is not for clients."""
+    limits = limits_of_process(
+        share=OPERATOR_SHARE, observe=partial(node.metrics.observe_refused_connection, port)
+    )
+    return caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS, limits=limits)
+
+
 async def _serve_metrics(stack: AsyncExitStack, node: Node) -> None:
     """Serve metrics; a host whose metrics port is in use still serves requests."""
     address = f"{node.settings.ip}:{METRICS_PORT}"
     try:
-        protocol = caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS)
+        protocol = _operator_protocol(node, "metrics")
         await stack.enter_async_context(
             serving(node.metrics.app(METRICS_PATH), address, protocol=protocol)
         )
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -12,11 +12,8 @@
 from samphirehall.core.serving import serving
 from samphirehall.forwarding.answers import send_response
 from samphirehall.forwarding.app import EntryApp
-from samphirehall.forwarding.caller_protocol import (
-    CONNECTION_SCOPE_KEY,
-    MAX_HEAD_BYTES,
-    caller_protocol,
-)
+from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY
+from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
 from tests.support.ports import free_address
 
 pytestmark = pytest.mark.anyio
--- a/tests/forwarding/test_completion.py
+++ b/tests/forwarding/test_completion.py
@@ -12,7 +12,7 @@
 from samphirehall.core.results import DEADLINE_UNKNOWN
 from samphirehall.endpoints.events import extract_tokens
 from samphirehall.forwarding import attempt
-from samphirehall.forwarding.caller_protocol import CONNECTION_SCOPE_KEY, CallerConnection
+from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY, CallerConnection
 from tests.support.endpoint import (
     HEAD,
     ScriptedEndpoint,
