Close connections as idle that send bytes of no request

Cause: any byte ended the idle timeout. After an empty line no timer ran at all, and the rest of a refused body was read as long as the client sent it. Change: the idle timeout ends when a request begins; the rest of an answered request's body does not extend it. A request that has arrived still does.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -124,6 +124,7 @@
         def on_message_begin(self) -> None:
             """Start the head timeout, unless it already runs."""
             super().on_message_begin()
+            self._unset_keepalive_if_required()
             shared_limits.mark_used(self)
             self.scope[CONNECTION_SCOPE_KEY] = self._caller  # type: ignore[literal-required]
             self._expect_head()
@@ -197,9 +198,11 @@
         def timeout_keep_alive_handler(self) -> None:
             """Close an idle connection, unless a request has arrived on it.
 
-            After a stall of the process, the event loop runs its timers before it reads.
+            After a stall of the process, the event loop runs its timers before it reads. What
+            follows a response inside a body is the rest of that body, which may have no end.
             """
-            if self._input.has_unread_bytes():
+            has_arrived = self._has_requests() or self._input.has_unread_bytes()
+            if has_arrived and not self._in_body:
                 self.timeout_keep_alive_task = self.loop.call_later(
                     UNREAD_GRACE_SECONDS, self.timeout_keep_alive_handler
                 )
@@ -275,7 +278,6 @@
 
         def _feed(self, data: bytes) -> None:
             """Give received bytes to the parser."""
-            self._unset_keepalive_if_required()
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade as offer:
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -14,6 +14,7 @@
 from samphirehall.forwarding.app import EntryApp
 from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY
 from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
+from samphirehall.forwarding.connection_limits import ConnectionLimits
 from tests.support.ports import free_address
 
 pytestmark = pytest.mark.anyio
@@ -31,10 +32,10 @@
     await send_response(send, 200, [], b"ok")
 
 
-async def exchange(*pieces, pause=0.0, durations=None, app=answer_ok):
+async def exchange(*pieces, pause=0.0, durations=None, app=answer_ok, limits=None):
     """Send pieces with pauses between them and return all bytes received until the close."""
     address = free_address()
-    protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)
+    protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS, limits=limits)
     host, _, port = address.rpartition(":")
     received = b""
     async with (
@@ -227,6 +228,32 @@
         assert started == 61 and received > 61 * 2**20
 
 
+class TestLimits:
+    async def test_running_request_is_answered_before_its_connection_is_closed(self):
+        refused = []
+        limits = ConnectionLimits(9, lambda: 10_000, refused.append)
+        answer = await exchange(REQUEST * 1000, app=answer_later, limits=limits)
+        assert answer.count(b"200 OK") in (1, 2) and answer.endswith(b"ok")
+        assert refused == ["memory"] and (limits.connections, limits.buffered_bytes) == (0, 0)
+
+    async def test_body_that_has_not_arrived_makes_room(self):
+        refused = []
+        limits = ConnectionLimits(9, lambda: 10_000, refused.append)
+
+        async def read_body(scope, receive, send):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n"
+        answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
+        assert answer == b"" and refused == ["memory"]
+
+    async def test_connection_beyond_the_limit_is_refused_as_not_run(self):
+        limits = ConnectionLimits(0, lambda: 10_000)
+        answer = await exchange(limits=limits)
+        assert b" 503 " in answer and b"samphire-run: not-run" in answer
+
+
 class TestRefusalBehindARunningAnswer:
     @pytest.mark.parametrize(
         "refused",
--- a/tests/gateway/test_unread_requests.py
+++ b/tests/gateway/test_unread_requests.py
@@ -53,6 +53,29 @@
             with anyio.fail_after(3 * IDLE_SECONDS), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
 
+    # Guards against connections that stay open for good, by bytes that belong to no request.
+    @pytest.mark.parametrize("first", [b"", GET])
+    async def test_empty_line_does_not_end_the_idle_timeout(self, first):
+        ingress = idle_ingress()
+        async with ingress.serving, await ingress.connect() as stream:
+            if first:
+                await stream.send(first)
+                await read_answer(stream)
+            await stream.send(b"\r\n")
+            with anyio.fail_after(3 * IDLE_SECONDS), pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+
+    async def test_rest_of_a_refused_body_is_not_read_for_good(self):
+        ingress = Ingress(answer, CallerLimits(max_body_bytes=1000, idle_timeout=IDLE_SECONDS))
+        async with ingress.serving, await ingress.connect() as stream:
+            await stream.send(
+                GET.replace(b"GET", b"POST")[:-2] + b"Content-Length: 99999999\r\n\r\n"
+            )
+            with anyio.fail_after(6 * IDLE_SECONDS), pytest.raises(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(b"x" * 2000)
+                    await anyio.sleep(0.001)
+
     async def test_raised_timeout_applies_to_a_connection_without_a_request(self):
         ingress = idle_ingress()
         async with ingress.serving, await ingress.connect() as stream:
