--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -193,14 +193,14 @@
         self.streams = self.context.streams
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
+        self.client_limits = limits_of_process(
+            max_connections=settings.max_client_connections,
+            max_buffered_bytes=settings.max_client_bytes,
+            max_body_bytes=lambda: self.gateway.limits.max_body_bytes,
+            observe=partial(self.metrics.observe_refused_connection, "clients"),
+        )
         self.ingress = IngressState(
-            lambda: self.gateway.limits,
-            connection_limits=limits_of_process(
-                max_connections=settings.max_client_connections,
-                max_buffered_bytes=settings.max_client_bytes,
-                max_body_bytes=lambda: self.gateway.limits.max_body_bytes,
-                observe=partial(self.metrics.observe_refused_connection, "clients"),
-            ),
+            lambda: self.gateway.limits, connection_limits=self.client_limits
         )
         self._add_gauges()
 
@@ -209,6 +209,16 @@
         gauge("configuration_version", "Version in force.", lambda: self.gateway.version)
         gauge("endpoints", "Endpoints listed.", lambda: len(list(self.context.fleet.states())))
         gauge("open_requests", "Requests not answered.", lambda: self.ingress.open_requests)
+        gauge(
+            "client_connections",
+            "Connections of clients that are open.",
+            lambda: self.client_limits.connections,
+        )
+        gauge(
+            "client_waiting_bytes",
+            "Bytes of clients' requests that do not run yet, and of unread responses.",
+            lambda: self.client_limits.buffered_bytes,
+        )
         gauge(
             "live_hosts",
             "Hosts of the zone heard lately, this one among them.",
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -270,6 +270,15 @@
         answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
         assert answer == b"" and refused == ["memory"]
 
+    async def test_unread_responses_make_room(self):
+        async def answer_long(scope, receive, send):
+            await send_response(send, 200, [], b"x" * 2**24)
+
+        refused = []
+        limits = ConnectionLimits(9, lambda: 2**20, refused.append)
+        answer = await exchange(REQUEST, app=answer_long, limits=limits, pause=0.2)
+        assert len(answer) < 2**24 and refused == ["memory"]
+
     async def test_connection_beyond_the_limit_is_refused_as_not_run(self):
         limits = ConnectionLimits(0, lambda: 10_000)
         answer = await exchange(limits=limits)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry
 
 from samphirehall.core.results import NO_ENDPOINT, OK
+from samphirehall.forwarding.connection_limits import RefusalReason
 from samphirehall.gateway.metrics import GatewayMetrics
 from samphirehall.gateway.request_state import RequestState, SendOutcome
 from samphirehall.gateway.types import Customer
@@ -58,6 +59,11 @@
         assert value("samphire_streams_total", {"kind": "new", "outcome": "went-on"}) == 1
         assert value("samphire_streams_total", {"kind": "taken-up", "outcome": "refused"}) == 1
 
+    def test_refused_connections_are_counted_by_port_and_reason(self, registry, metrics):
+        metrics.observe_refused_connection("clients", RefusalReason.MEMORY)
+        labels = {"port": "clients", "reason": "memory"}
+        assert registry.get_sample_value("samphire_connections_refused_total", labels) == 1
+
     def test_failures_are_counted_by_endpoint_until_it_is_unlisted(self, registry, metrics):
         sends = [("e1", "run", SendOutcome.NOT_SENT), ("e2", "run", SendOutcome.NOT_RUN)]
         metrics.observe_request(request_state(*sends), NO_ENDPOINT, 0.01)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -83,6 +83,10 @@
         assert (settings.min_peer_port, settings.max_peer_port) == (7780, 7795)
         assert settings.duties == ("usage_report", "autoscale")
 
+    def test_limits_on_clients_are_optional(self):
+        settings = parse_settings(settings_text(**{"limits.client_connections": "90"}), file="f")
+        assert (settings.max_client_connections, settings.max_client_bytes) == (90, 0)
+
     def test_every_problem_is_listed(self):
         text = settings_text(**{"node": None, "platform.address": "nowhere", "bounds.grace_s": "x"})
         with pytest.raises(SettingsError) as caught:
