--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -1,93 +1,36 @@
 """HTTP protocol of uvicorn with limits on the time and size of a request head."""
 
 import asyncio
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
-
-from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, TOO_LARGE, Result
-from samphirehall.forwarding.answers import (
-    JSON,
-    Headers,
-    Scope,
-    error_body,
-    result_headers,
-)
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from samphirehall.core.results import BAD_REQUEST, CALL_TIMEOUT, OVERLOADED, TOO_LARGE, Result
+from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY, CallerConnection
+from samphirehall.forwarding.caller_heads import head_without_upgrade, refusal
 from samphirehall.forwarding.caller_input import (
+    PIECE_COST_BYTES,
     TURN_BYTES,
     InputControl,
     UnparsedInput,
     may_read,
 )
+from samphirehall.forwarding.connection_limits import (
+    HEADER_BYTES,
+    ConnectionLimits,
+    Held,
+    RefusalReason,
+    limits_of_process,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 UNREAD_GRACE_SECONDS = 0.05  # in which the event loop reads what has arrived
-CONNECTION_SCOPE_KEY = "samphire.connection"
 TARGET_SCOPE_KEY = "samphire.target"
 
 
-def _do_nothing() -> None:
-    """Do nothing, as another server owns the connection."""
-
-
-def _has_no_requests() -> bool:
-    """Return that no request is known to wait, as another server owns the connection."""
-    return False
-
-
-class CallerConnection:
-    """Connection of a caller, with callbacks for when it closes.
-
-    Parameters
-    ----------
-    close : callable
-        Closes the connection, even while a response is being sent.
-    has_requests : callable
-        Returns whether requests that have been read wait for the present response to end.
-    """
-
-    __slots__ = ("_callbacks", "_closed", "close", "has_requests")
-
-    def __init__(
-        self,
-        close: Callable[[], None] = _do_nothing,
-        has_requests: Callable[[], bool] = _has_no_requests,
-    ) -> None:
-        self.close = close
-        self.has_requests = has_requests
-        self._closed = False
-        self._callbacks: list[Callable[[], None]] = []
-
-    def mark_closed(self) -> None:
-        """Record that the connection closed and run the callbacks."""
-        self._closed = True
-        for callback in self._callbacks:
-            callback()
-
-    @contextmanager
-    def notify_on_close(self, on_close: Callable[[], None]) -> Iterator[None]:
-        """Call `on_close` if the connection closes inside the context or has closed before it."""
-        self._callbacks.append(on_close)
-        try:
-            if self._closed:
-                on_close()
-            yield
-        finally:
-            self._callbacks.remove(on_close)
-
-
-def caller_connection(scope: Scope) -> CallerConnection:
-    """Return the connection of a request.
-
-    Under another server the connection is unknown and never reported as closed.
-    """
-    return scope.get(CONNECTION_SCOPE_KEY) or CallerConnection()
-
-
-def caller_protocol(*, head_timeout: float) -> type[HttpToolsProtocol]:
+def caller_protocol(
+    *, head_timeout: float, limits: ConnectionLimits | None = None
+) -> type[HttpToolsProtocol]:
     """Return the uvicorn protocol class for connections of callers.
 
     Parameters
@@ -95,7 +38,10 @@
     head_timeout : float
         Seconds in which the head of a request must arrive, counted from its first byte;
         for the first request, from the opening of the connection.
+    limits : ConnectionLimits, optional
+        Limits on all connections together; by default those of the process.
     """
+    shared_limits = limits or limits_of_process()
 
     class CallerProtocol(HttpToolsProtocol):
         """Refuses a request whose head is late or too long, and notices a caller that closes.
@@ -106,9 +52,13 @@
         _head_timer: asyncio.TimerHandle | None = None
         _head_bytes = 0
         _in_head = True
+        _in_body = False
+        _framing_bytes = 0  # received since the last byte of a body or the end of a request
         _has_refused = False
         _is_ending = False
         _offers_upgrade = False
+        _request_bytes = 0  # of the request that is being parsed
+        _queued_bytes = 0  # of the request that waits for the running one
         _head_is_overdue = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -118,7 +68,11 @@
             self._input = InputControl(transport, self._reads_on)
             self.flow = self._input
             self._caller = CallerConnection(transport.close, self._has_requests)
-            self.expect_first_head()
+            if shared_limits.admit(self):
+                self.expect_first_head()
+            else:
+                detail = f"{shared_limits.max_connections} connections are open"
+                self._refuse(RefusalReason.TOO_MANY, OVERLOADED, detail)
 
         def expect_first_head(self) -> None:
             """Start the timeout of the first head when the connection opens."""
@@ -127,9 +81,13 @@
         def connection_lost(self, exc: Exception | None) -> None:
             """Cancel the head timeout and report the connection as closed."""
             self._cancel_head_timer()
-            self._input.stop_checking()
+            self._input.release()
             self._unparsed.clear()
+            shared_limits.remove(self)
             super().connection_lost(exc)
+            self._unset_keepalive_if_required()  # uvicorn keeps the timer of a reset connection
+            # Reference cycles would keep them until the garbage collector finds them.
+            self.scope = self.headers = None  # type: ignore[assignment]
             self._caller.mark_closed()
 
         def data_received(self, data: bytes) -> None:
@@ -143,6 +101,22 @@
             self._is_ending = True
             self._close_if_done()
 
+        def has_unread_bytes(self) -> bool:
+            """Return whether received bytes wait to be read."""
+            return self._input.has_unread_bytes()
+
+        def close_for_room(self, reason: RefusalReason) -> None:
+            """Close the connection, once requests that have been read are answered.
+
+            A caller that does not read its responses has them no longer.
+            """
+            self._unparsed.clear()
+            if self.flow.write_paused or reason == RefusalReason.UNUSED:
+                shared_limits.record(reason, self._client_name(), "closed to make room")
+                self.transport.abort()
+            else:
+                self._refuse(reason, OVERLOADED, "connections of callers hold too many bytes")
+
         def head_seconds(self) -> float:
             """Return the seconds in which a head must arrive."""
             return head_timeout
@@ -154,6 +128,8 @@
         def on_message_begin(self) -> None:
             """Start the head timeout, unless it already runs."""
             super().on_message_begin()
+            self._unset_keepalive_if_required()
+            shared_limits.mark_used(self)
             self.scope[CONNECTION_SCOPE_KEY] = self._caller  # type: ignore[literal-required]
             self._expect_head()
 
@@ -162,19 +138,38 @@
             super().on_url(url)
             self.scope[TARGET_SCOPE_KEY] = self.url  # type: ignore[literal-required]
 
+        def on_header(self, name: bytes, value: bytes) -> None:
+            """Add a header, but no trailer: it would grow the headers of a request without end."""
+            if self._in_head:
+                self._request_bytes += HEADER_BYTES + len(name) + len(value)
+                super().on_header(name, value)
+
+        def on_body(self, body: bytes) -> None:
+            """Reset the count of bytes that belong to no body."""
+            self._framing_bytes = 0
+            if not self.cycle.response_complete:
+                self._request_bytes += len(body)
+            super().on_body(body)
+
         def on_headers_complete(self) -> None:
             """Cancel the head timeout and reset the size count."""
             self._in_head = False
+            self._framing_bytes = 0
             self._head_bytes = 0
             self._cancel_head_timer()
             if self.parser.should_upgrade():
                 self._offers_upgrade = True
                 return
+            self._in_body = True
             super().on_headers_complete()
 
         def on_message_complete(self) -> None:
             """Read on once a body is whole, however long, so that a close is noticed."""
             if not self._offers_upgrade:
+                self._in_body = False
+                self._framing_bytes = 0
+                self._queued_bytes = self._request_bytes if self.pipeline else 0
+                self._request_bytes = 0
                 super().on_message_complete()
                 self._input.update()
 
@@ -183,19 +178,38 @@
             if self._has_refused and not self.pipeline:
                 self.transport.close()
             super().on_response_complete()
+            if self._head_timer is not None:  # the head of the next request has begun
+                self._unset_keepalive_if_required()
+            self._queued_bytes = 0
+            self._update_held()
             self._parse_soon()
             self._close_if_done()
 
+        def pause_writing(self) -> None:
+            """Stop to parse and read requests whose responses the caller would not read."""
+            super().pause_writing()
+            self._input.update()
+            self.loop.call_soon(self._update_held)  # closes no connection inside its own write
+
+        def resume_writing(self) -> None:
+            """Parse and read on."""
+            super().resume_writing()
+            self._input.update()
+            self._update_held()
+            self._parse_soon()
+
         def send_400_response(self, msg: str) -> None:
             """Refuse a request that is not valid HTTP."""
-            self._refuse(BAD_REQUEST, msg)
+            self._refuse(RefusalReason.INVALID, BAD_REQUEST, msg)
 
         def timeout_keep_alive_handler(self) -> None:
             """Close an idle connection, unless a request has arrived on it.
 
-            After a stall of the process, the event loop runs its timers before it reads.
+            After a stall of the process, the event loop runs its timers before it reads. What
+            follows a response inside a body is the rest of that body, which may have no end.
             """
-            if self._input.has_unread_bytes():
+            has_arrived = self._has_requests() or self._input.has_unread_bytes()
+            if has_arrived and not self._in_body:
                 self.timeout_keep_alive_task = self.loop.call_later(
                     UNREAD_GRACE_SECONDS, self.timeout_keep_alive_handler
                 )
@@ -208,11 +222,33 @@
         def _has_requests(self) -> bool:
             return bool(self.pipeline) or bool(self._unparsed)
 
+        def _may_parse(self) -> bool:
+            """Return whether no request waits and the caller reads its responses."""
+            return not self.pipeline and not self.flow.write_paused
+
         def _reads_on(self) -> bool:
+            if self.flow.write_paused and self._has_requests():
+                return False
             cycle = self.cycle
             takes_body = cycle is not None and cycle.more_body and not cycle.response_complete
             return may_read(len(self._unparsed), len(cycle.body) if takes_body else 0)
 
+        def _client_name(self) -> str:
+            return self.client[0] if self.client else ""
+
+        def _update_held(self) -> None:
+            """Tell the limits what this connection holds."""
+            if self._has_refused or self.transport.is_closing():
+                return
+            unread = self.transport.get_write_buffer_size() if self.flow.write_paused else 0
+            unparsed = len(self._unparsed)
+            cycle = self.cycle
+            is_behind = cycle is not None and not (cycle.response_complete or cycle.more_body)
+            unread_ahead = unread if self._has_requests() else 0
+            ahead = self._queued_bytes + unread_ahead + (unparsed if is_behind else 0)
+            waiting = unparsed + unread + self._request_bytes + self._queued_bytes
+            shared_limits.update(self, Held(waiting, ahead, unread_ahead))
+
         def _parse_soon(self) -> None:
             if self._unparsed:
                 self.loop.call_soon(self._parse)
@@ -222,17 +258,18 @@
             if self.parser is None:  # the connection is lost
                 return
             left = TURN_BYTES
-            while self._unparsed and not self.pipeline and left > 0:
+            while self._unparsed and self._may_parse() and left > 0:
                 piece = self._unparsed.take()
-                left -= len(piece)
+                left -= len(piece) + PIECE_COST_BYTES
                 self._parse_piece(piece)
                 if not self._takes_input():
                     self._unparsed.clear()
                     return
-            if not self.pipeline:
+            if self._may_parse():
                 self._parse_soon()
             self._close_if_done()
             self._input.update()
+            self._update_held()
 
         def _close_if_done(self) -> None:
             """Close a connection that is being shut down, unless requests are unanswered."""
@@ -246,7 +283,6 @@
 
         def _feed(self, data: bytes) -> None:
             """Give received bytes to the parser."""
-            self._unset_keepalive_if_required()
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade as offer:
@@ -261,7 +297,7 @@
             """
             self._offers_upgrade = False
             if self.parser.get_method() == b"CONNECT":
-                self._refuse(BAD_REQUEST, "CONNECT is not supported")
+                self._refuse(RefusalReason.INVALID, BAD_REQUEST, "CONNECT is not supported")
                 return
             head = head_without_upgrade(
                 self.parser.get_method(), self.url, self.parser.get_http_version(), self.headers
@@ -274,10 +310,20 @@
             """Parse a piece, and refuse a head that is too long."""
             if self._in_head:
                 self._head_bytes += len(piece)
+            else:
+                self._framing_bytes += len(piece)
             self._feed(piece)
             if self._in_head and self._head_bytes > self.max_head_bytes():
                 self._refuse(
-                    TOO_LARGE, f"request head is longer than {self.max_head_bytes()} bytes"
+                    RefusalReason.LONG_HEAD,
+                    TOO_LARGE,
+                    f"request head is longer than {self.max_head_bytes()} bytes",
+                )
+            elif not self._in_head and self._framing_bytes > self.max_head_bytes():
+                self._refuse(
+                    RefusalReason.FRAMING,
+                    TOO_LARGE,
+                    f"over {self.max_head_bytes()} bytes belong to no head and no body",
                 )
 
         def _expect_head(self) -> None:
@@ -299,10 +345,12 @@
                 self._head_timer = self.loop.call_later(UNREAD_GRACE_SECONDS, self._on_head_timeout)
                 return
             self._refuse(
-                CALL_TIMEOUT, f"request head did not arrive within {self.head_seconds()} s"
+                RefusalReason.LATE_HEAD,
+                CALL_TIMEOUT,
+                f"request head did not arrive within {self.head_seconds()} s",
             )
 
-        def _refuse(self, result: Result, detail: str) -> None:
+        def _refuse(self, reason: RefusalReason, result: Result, detail: str) -> None:
             """Refuse a request and close the connection.
 
             Requests before it are answered first, and it then gets no answer. What arrives
@@ -310,8 +358,15 @@
             """
             if self.transport.is_closing():
                 return
+            shared_limits.record(reason, self._client_name(), detail)
+            shared_limits.retire(self)
+            if self._in_head and self.headers:
+                self.headers.clear()  # a turn of the event loop may refuse hundreds of heads
+            if self._in_body and self.cycle.response_complete:
+                self.transport.close()  # a second answer would be taken for the next request's
+                return
             if self.cycle is None or self.cycle.response_complete:
-                self.transport.write(_refusal(result, detail))
+                self.transport.write(refusal(result, detail))
                 self.transport.close()
                 return
             is_refused_one = self.cycle.more_body
@@ -326,36 +381,3 @@
             self._cancel_head_timer()
 
     return CallerProtocol
-
-
-def head_without_upgrade(method: bytes, target: bytes, version: str, headers: Headers) -> bytes:
-    """Return the head of a request without its offer to change the protocol.
-
-    Parameters
-    ----------
-    method, target : bytes
-        Of the request line.
-    version : str
-        Version of HTTP.
-    headers : list of pairs of bytes
-        Names in lower case, and values.
-    """
-    lines = [b"%b %b HTTP/%b" % (method, target, version.encode())]
-    for name, value in headers:
-        if name == b"connection":
-            tokens = [token.strip() for token in value.split(b",")]
-            value = b", ".join(token for token in tokens if token.lower() != b"upgrade")
-        if name != b"upgrade" and (value or name != b"connection"):
-            lines.append(name + b": " + value)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def _refusal(result: Result, detail: str) -> bytes:
-    body = error_body(SamphireError(result, detail), "")
-    headers = [
-        *result_headers(result, "", JSON),
-        (b"content-length", str(len(body)).encode()),
-        (b"connection", b"close"),
-    ]
-    lines = [name + b": " + value + b"\r\n" for name, value in headers]
-    return b"".join([STATUS_LINE[result.http_status], *lines, b"\r\n", body])
--- a/samphirehall/platform/settings.py
+++ b/samphirehall/platform/settings.py
@@ -60,6 +60,9 @@
         Hedged requests of a service over all hosts as a fraction of its requests; 0 for none.
     contracts : frozenset of str
         Names of what the deployment asks for beyond the common.
+    max_client_connections, max_client_bytes : int
+        Connections of clients that may be open at once, and bytes that they may hold together;
+        0 for limits that follow from those of the process.
     """
 
     host: str
@@ -89,6 +92,8 @@
     first_start: bool
     hedging_max_share: float = 0.0
     contracts: frozenset[str] = frozenset()
+    max_client_connections: int = 0
+    max_client_bytes: int = 0
 
 
 def settings_path() -> str:
@@ -149,6 +154,12 @@
         first_start=fields.optional("bootstrap") == "true",
         hedging_max_share=fields.share("hedging.max_share", HEDGING_VARIABLE),
         contracts=frozenset(name.strip() for name in fields.optional("contracts").split(",")),
+        max_client_connections=fields.integer(
+            "limits.client_connections", fields.optional("limits.client_connections") or "0"
+        ),
+        max_client_bytes=fields.integer(
+            "limits.client_bytes", fields.optional("limits.client_bytes") or "0"
+        ),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -6,15 +6,19 @@
 import signal
 import sys
 from contextlib import AsyncExitStack
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from samphirehall.admission.quota import QuotaBounds
 from samphirehall.core.clock import boot_seconds, wall_seconds
 from samphirehall.core.log import configure_logging, dropped_line_count
 from samphirehall.core.serving import serving
 from samphirehall.core.stopping import StopSchedule
+from samphirehall.forwarding.caller_protocol import caller_protocol
+from samphirehall.forwarding.connection_limits import limits_of_process
 from samphirehall.gateway.agreed_time import AgreedTime
 from samphirehall.gateway.catch_up import CatchUp
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
@@ -78,6 +82,8 @@
 FINAL_SAVE_TIMEOUT_SECONDS = 0.2
 MAX_FINAL_SAVES = 3  # the hub may write the same rows meanwhile
 IDLE_CHECK_INTERVAL_SECONDS = 0.05
+OPERATOR_HEAD_TIMEOUT_SECONDS = 10.0  # of readiness checks and scrapes
+OPERATOR_SHARE = 1 / 16  # of the limits on connections, for readiness checks and for scrapes
 
 _log = logging.getLogger(__name__)
 
@@ -195,7 +201,15 @@
         self.streams = self.context.streams
         calls = ScalingCalls(self._order_count, self._order_stage)
         self.scaling = EndpointScaler(self.context, calls)
-        self.ingress = IngressState(lambda: self.gateway.limits)
+        self.client_limits = limits_of_process(
+            max_connections=settings.max_client_connections,
+            max_buffered_bytes=settings.max_client_bytes,
+            max_body_bytes=lambda: self.gateway.limits.max_body_bytes,
+            observe=partial(self.metrics.observe_refused_connection, "clients"),
+        )
+        self.ingress = IngressState(
+            lambda: self.gateway.limits, connection_limits=self.client_limits
+        )
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -203,6 +217,16 @@
         gauge("configuration_version", "Version in force.", lambda: self.gateway.version)
         gauge("endpoints", "Endpoints listed.", lambda: len(list(self.context.fleet.states())))
         gauge("open_requests", "Requests not answered.", lambda: self.ingress.open_requests)
+        gauge(
+            "client_connections",
+            "Connections of clients that are open.",
+            lambda: self.client_limits.connections,
+        )
+        gauge(
+            "client_waiting_bytes",
+            "Bytes of clients' requests that do not run yet, and of unread responses.",
+            lambda: self.client_limits.buffered_bytes,
+        )
         gauge(
             "live_hosts",
             "Hosts of the zone heard lately, this one among them.",
@@ -429,14 +453,28 @@
     )
     await _serve_metrics(stack, node)
     readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
-    await stack.enter_async_context(serving(readiness, node.settings.readiness_listen_address))
+    protocol = _operator_protocol(node, "readiness")
+    await stack.enter_async_context(
+        serving(readiness, node.settings.readiness_listen_address, protocol=protocol)
+    )
+
+
+def _operator_protocol(node: Node, port: str) -> type[HttpToolsProtocol]:
+    """Return the protocol class of a port that is not for clients."""
+    limits = limits_of_process(
+        share=OPERATOR_SHARE, observe=partial(node.metrics.observe_refused_connection, port)
+    )
+    return caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS, limits=limits)
 
 
 async def _serve_metrics(stack: AsyncExitStack, node: Node) -> None:
     """Serve metrics; a host whose metrics port is in use still serves requests."""
     address = f"{node.settings.ip}:{METRICS_PORT}"
     try:
-        await stack.enter_async_context(serving(node.metrics.app(METRICS_PATH), address))
+        protocol = _operator_protocol(node, "metrics")
+        await stack.enter_async_context(
+            serving(node.metrics.app(METRICS_PATH), address, protocol=protocol)
+        )
     except OSError as error:
         extra = {"address": address, "reason": os.strerror(error.errno or 0)}
         _log.warning("metrics-unavailable", extra=extra)
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -12,11 +12,9 @@
 from samphirehall.core.serving import serving
 from samphirehall.forwarding.answers import send_response
 from samphirehall.forwarding.app import EntryApp
-from samphirehall.forwarding.caller_protocol import (
-    CONNECTION_SCOPE_KEY,
-    MAX_HEAD_BYTES,
-    caller_protocol,
-)
+from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY
+from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
+from samphirehall.forwarding.connection_limits import ConnectionLimits
 from tests.support.ports import free_address
 
 pytestmark = pytest.mark.anyio
@@ -34,10 +32,10 @@
     await send_response(send, 200, [], b"ok")
 
 
-async def exchange(*pieces, pause=0.0, durations=None, app=answer_ok):
+async def exchange(*pieces, pause=0.0, durations=None, app=answer_ok, limits=None):
     """Send pieces with pauses between them and return all bytes received until the close."""
     address = free_address()
-    protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)
+    protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS, limits=limits)
     host, _, port = address.rpartition(":")
     received = b""
     async with (
@@ -157,6 +155,154 @@
         assert b"samphire-result: 2000" in answer and b"200 OK" not in answer
 
 
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "trailers": (b"1\r\nx\r\n0\r\n", b"a:b\r\n"),
+    "trailer name": (b"1\r\nx\r\n0\r\n", b"a"),
+    "chunk extension": (b"1;", b"a"),
+    "chunk size": (b"", b"0"),
+}
+
+
+class TestFraming:
+    # Guards against memory that grows, and connections that stay, by bytes that are no body.
+    @pytest.mark.parametrize("kind", ENDLESS)
+    async def test_endless_framing_closes_the_connection(self, kind):
+        begin, more = ENDLESS[kind]
+        headers = []
+
+        async def wait_for_body(scope, receive, send):
+            headers.append(scope["headers"])
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        await exchange(CHUNKED + begin, more * (2 * MAX_HEAD_BYTES), app=wait_for_body)
+        assert len(headers) == 1 and len(headers[0]) == 2
+
+    @pytest.mark.parametrize("app", [answer_ok, answer_later])
+    async def test_short_trailers_are_dropped_and_the_connection_stays(self, app):
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        body = b"1;a=b\r\nx\r\n" * 10_000 + b"0\r\nHost: other\r\n\r\n"
+        assert (await exchange(CHUNKED + body + last, app=app)).count(b"200 OK") == 2
+
+    async def test_endless_trailers_behind_an_answer_add_no_second_answer(self):
+        trailers = b"1\r\nx\r\n0\r\n" + b"a:b\r\n" * MAX_HEAD_BYTES
+        answer = await exchange(CHUNKED, trailers, pause=0.02)
+        assert answer.count(b"HTTP/1.1") == 1
+
+    async def test_empty_lines_without_end_close_the_connection(self):
+        answer = await exchange(REQUEST, b"\r\n" * MAX_HEAD_BYTES, pause=0.02)
+        assert answer.count(b"200 OK") == 1
+
+
+class TestUnreadAnswers:
+    # Guards against a process that ends because clients send ahead and read nothing.
+    async def test_requests_wait_unparsed_until_their_answers_are_read(self):
+        started, connections = 0, []
+
+        async def answer_long(scope, receive, send):
+            nonlocal started
+            started += 1
+            await send_response(send, 200, [], b"x" * 2**20)
+
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        received = 0
+
+        class Protocol(caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)):
+            def connection_made(self, transport):
+                super().connection_made(transport)
+                connections.append(self)
+
+        async with (
+            serving(answer_long, address, protocol=Protocol),
+            await anyio.connect_tcp(host, int(port)) as stream,
+        ):
+            await stream.send(REQUEST * 60 + last)
+            await anyio.sleep(0.2)
+            assert started < 20 and len(connections[0].pipeline) <= 1
+            with anyio.fail_after(5), pytest.raises(anyio.EndOfStream):
+                while True:
+                    received += len(await stream.receive())
+        assert started == 61 and received > 61 * 2**20
+
+
+class TestReset:
+    # Guards against memory that 700 connects and resets a second took for 75 s each.
+    async def test_reset_connection_leaves_no_timer(self):
+        connections = []
+
+        class Protocol(caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)):
+            def connection_made(self, transport):
+                super().connection_made(transport)
+                connections.append(self)
+
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        async with serving(answer_ok, address, protocol=Protocol):
+            stream = await anyio.connect_tcp(host, int(port))
+            await stream.send(REQUEST)
+            await stream.receive()
+            assert connections[0].timeout_keep_alive_task is not None
+            connections[0].connection_lost(ConnectionResetError())
+            assert connections[0].timeout_keep_alive_task is None
+            await stream.aclose()
+
+
+class TestLimits:
+    async def test_running_request_is_answered_before_its_connection_is_closed(self):
+        refused = []
+        limits = ConnectionLimits(9, lambda: 10_000, refused.append)
+        answer = await exchange(REQUEST * 1000, app=answer_later, limits=limits)
+        assert answer.count(b"200 OK") in (1, 2) and answer.endswith(b"ok")
+        assert refused == ["memory"] and (limits.connections, limits.buffered_bytes) == (0, 0)
+
+    async def test_body_that_has_not_arrived_makes_room(self):
+        refused = []
+        limits = ConnectionLimits(9, lambda: 10_000, refused.append)
+
+        async def read_body(scope, receive, send):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n"
+        answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
+        assert answer == b"" and refused == ["memory"]
+
+    # Guards against ordinary clients that pay for others: a body is not sent ahead.
+    async def test_arriving_body_does_not_count_as_sent_ahead(self):
+        class Recorded(ConnectionLimits):
+            def update(self, connection, held):
+                held_bytes.append((held.waiting, held.ahead))
+
+        held_bytes = []
+
+        async def read_body(scope, receive, send):
+            while (await receive()).get("more_body"):
+                pass
+            await send_response(send, 200, [(b"connection", b"close")], b"ok")
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+        limits = Recorded(9, lambda: 10_000)
+        assert b"200 OK" in await exchange(head + b"x" * 200_000, app=read_body, limits=limits)
+        assert max(held_bytes)[0] > 100_000 and not any(ahead for _, ahead in held_bytes)
+
+    async def test_unread_responses_make_room(self):
+        async def answer_long(scope, receive, send):
+            await send_response(send, 200, [], b"x" * 2**24)
+
+        refused = []
+        limits = ConnectionLimits(9, lambda: 2**20, refused.append)
+        answer = await exchange(REQUEST, app=answer_long, limits=limits, pause=0.2)
+        assert len(answer) < 2**24 and refused == ["memory"]
+
+    async def test_connection_beyond_the_limit_is_refused_as_not_run(self):
+        limits = ConnectionLimits(0, lambda: 10_000)
+        answer = await exchange(limits=limits)
+        assert b" 503 " in answer and b"samphire-run: not-run" in answer
+
+
 class TestRefusalBehindARunningAnswer:
     @pytest.mark.parametrize(
         "refused",
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -99,6 +99,10 @@
             made = parse_settings(settings_text(**changes), file="f")
             assert (made.quota_window, made.quota_overrun, made.quota_slack) == expected
 
+    def test_limits_on_clients_are_optional(self):
+        settings = parse_settings(settings_text(**{"limits.client_connections": "90"}), file="f")
+        assert (settings.max_client_connections, settings.max_client_bytes) == (90, 0)
+
     def test_every_problem_is_listed(self):
         text = settings_text(**{"node": None, "platform.address": "nowhere", "bounds.grace_s": "x"})
         with pytest.raises(SettingsError) as caught:
