Learn the speed of each engine from the prefill times of all hosts

Cause: one prefill rate stands for all engines of a service and stage. With a third of the engines at 1.7 and two thirds at 0.7 of the nominal speed, large prompts sent to slow engines are late.

Change: EngineSpeeds keeps a robust running mean of each engine's own speed, apart from temporary slowness, with a dead band around the common speed. Prefill candidates can be weighted by speed. Nothing uses it in the gateway yet.

--- a/samphirehall/gateway/engine_candidates.py
+++ b/samphirehall/gateway/engine_candidates.py
@@ -7,9 +7,9 @@
 engines of its zone. The load decides only among these.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
-from samphirehall.core.rendezvous import ranked
+from samphirehall.core.rendezvous import ranked, ranked_by_size
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import MIN_PREFIX_FETCH_TOKENS
 from samphirehall.gateway.types import Prompt
@@ -18,6 +18,13 @@
 PREFILL_CANDIDATES = 3
 DECODE_CANDIDATES = 4  # of a host; the loss of half of them leaves a choice
 
+# Returns the lasting speed of an engine as a multiple of that of its stage.
+SpeedFactor = Callable[[EndpointState], float]
+
+
+def _equal_speed(engine: EndpointState) -> float:
+    return 1.0
+
 
 def sharing_key(prompt: Prompt) -> str:
     """Return the part of a prompt by which it is assigned to prefill engines.
@@ -32,12 +39,17 @@
 
 
 def prefill_candidates(
-    engines: Sequence[EndpointState], prompt: Prompt, *, width: int = 1
+    engines: Sequence[EndpointState],
+    prompt: Prompt,
+    *,
+    width: int = 1,
+    speed: SpeedFactor = _equal_speed,
 ) -> list[EndpointState]:
     """Return the prefill engines that may read a prompt, the one that should cache it first.
 
     Engines of all zones are candidates: moving a read prompt between zones takes a tenth of
-    the time of reading its shared part once more in each zone.
+    the time of reading its shared part once more in each zone. Engines are candidates in
+    proportion to their speed, and at least one is not slower than the average.
 
     Parameters
     ----------
@@ -47,8 +59,20 @@
         Parts of the prompt.
     width : int
         Factor of the number of candidates.
+    speed : callable
+        Lasting speeds of the engines.
     """
-    return _first(engines, sharing_key(prompt), width * PREFILL_CANDIDATES)
+    count = width * PREFILL_CANDIDATES
+    by_id = {engine.listed.endpoint_id: engine for engine in engines}
+    if len(by_id) <= count:
+        return list(by_id.values())
+    speeds = {name: speed(engine) for name, engine in by_id.items()}
+    order = ranked_by_size(speeds, sharing_key(prompt))
+    chosen, average = order[:count], sum(speeds.values()) / len(speeds)
+    if all(speeds[name] < average for name in chosen):
+        fast = (name for name in order[count:] if speeds[name] >= average)
+        chosen[-1:] = [next(fast, chosen[-1])]
+    return [by_id[name] for name in chosen]
 
 
 def decode_candidates(
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -86,6 +86,8 @@
         failure penalty of the decode engine.
     considered : int
         Number of engines among which they were chosen.
+    fetch_time : float
+        Seconds of the fetch from the prefix source.
     """
 
     dedicated_prefill: EngineView | None
@@ -95,6 +97,7 @@
     queue_wait: float
     time_to_first_event: float
     considered: int = 0
+    fetch_time: float = 0.0
 
     @property
     def prefill_engine(self) -> EngineView:
@@ -192,7 +195,9 @@
         else _full_batch_penalty(decode, limits)
     )
     first_event = wait + prefill_time + kv_transfer_overhead + decode_delay
-    return GenerationPlan(prefill, decode, source, uncached, wait, first_event)
+    return GenerationPlan(
+        prefill, decode, source, uncached, wait, first_event, fetch_time=fetch_time
+    )
 
 
 def _choose_prefix_source(
--- /dev/null
+++ b/samphirehall/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how requests share the endpoints, learned by all hosts together."""
--- /dev/null
+++ b/samphirehall/scheduling/engine_speed.py
@@ -0,0 +1,350 @@
+"""Speed of each engine, learned by all hosts together from the prefill times that they measure.
+
+Speeds are logarithms of prompt tokens per second of an engine in the prefill stage. Hosts whose
+common rates differ can therefore exchange them, and they stay right when a common rate moves or
+the engine changes its stage. The common rate of a service and stage serves as the reference from
+which a speed must differ clearly before it is used.
+
+The estimate of an engine is a robust running mean: the distance of a sample from it is bounded,
+slow samples weigh less, as a call may have waited behind prompts that its host did not know of, and
+each sample that disagrees reduces the confidence, so that a lasting change is learned within a few
+samples. Samples of one engine change no other estimate.
+"""
+
+import math
+from collections.abc import Callable, Container, Iterable
+from dataclasses import dataclass
+
+MAX_STEP = 0.5  # largest distance of a sample from the estimate that counts; a factor of 1.65
+NOISE = 0.25  # distance within which a sample agrees with the estimate
+# Of a sample that is slower than the estimate: it may be by an unknown queue or temporary slowness.
+SLOW_WEIGHT = 0.4
+QUEUED_WEIGHT = 0.5  # factor for a sample whose queue explains some but not all of its time
+DISAGREEMENT_DECAY = 0.85  # of the confidence, for each sample that disagrees
+MAX_WEIGHT = 12.0  # confidence limit; equals the memory of an estimate in samples
+MAX_SAMPLE_WEIGHT = 3.0  # of several samples that a peer sent as one
+PRIOR_WEIGHT = 1.5  # of the common speed; two or three samples have to agree against it
+DEAD_BAND = math.log(1.25)  # differences from the common speed below this are ignored
+SHARING_THRESHOLD = 0.15  # difference from the common speed above which samples are exchanged
+MIN_FACTOR, MAX_FACTOR = 0.2, 4.0  # bounds of what an engine's own samples may claim
+FRESH_SECONDS = 30.0  # age of the last sample after which an estimate approaches 1 again
+FADING_SECONDS = 15.0  # time constant of that
+LIFETIME_SECONDS = 120.0  # after the last sample; hardly anything is left then
+SHARED_SECONDS = 6.0  # for which samples are exchanged after the last sign of a difference
+MIN_SLOWDOWN = 0.4  # distance of a sample that counts as temporary slowness
+SLOWDOWN_SECONDS = 0.4  # time constant of temporary slowness; little is left after a second
+MIN_TOKENS = 500  # a shorter prefill takes less time than the rest of the call
+MIN_READING_FRACTION = 0.25  # of the time of a call, whatever the measured overhead
+
+# Engine's incarnation, logarithmic speed, and weight.
+SpeedSample = tuple[str, float, float]
+# Returns the logarithmic speed of the engines of an engine's service and stage; None if it is not
+# listed.
+CommonSpeed = Callable[[str], float | None]
+
+
+@dataclass(slots=True, frozen=True)
+class SpeedRange:
+    """What the time of one call says about the speed of its engine.
+
+    Parameters
+    ----------
+    slowest, fastest : float
+        Logarithmic speeds that explain the time if there was neither queue nor fetch, and if the
+        whole expected queue was ahead of the call; equal if none was expected.
+    weight : float
+        Up to 1; less if the time depends little on the speed.
+    """
+
+    slowest: float
+    fastest: float
+    weight: float
+
+
+def speed_range(
+    tokens: float,
+    tokens_ahead: float,
+    seconds: float,
+    overhead: float,
+    *,
+    fetch_seconds: float = 0.0,
+) -> SpeedRange | None:
+    """Return what a call says about the speed of its engine; None if it says too little.
+
+    Parameters
+    ----------
+    tokens, tokens_ahead : float
+        Prompt tokens of the call, and those expected ahead of it in the queue, at the speed of the
+        prefill stage: twice as many for an engine that is in a stage of half that speed.
+    seconds, overhead : float
+        Duration of the call, and the part of it besides prefill and queue.
+    fetch_seconds : float
+        Expected seconds of a fetch of cached parts; it may have taken twice as long, or none.
+    """
+    if tokens < MIN_TOKENS or seconds <= 0:
+        return None
+    reading = max(seconds - overhead, MIN_READING_FRACTION * seconds)
+    shortest = max(reading - 2 * fetch_seconds, MIN_READING_FRACTION * seconds)
+    return SpeedRange(
+        math.log(tokens / reading),
+        math.log((tokens + tokens_ahead) / min(reading, shortest)),
+        (reading / seconds) ** 2,
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class SpeedReport:
+    """Estimate of one engine as sent to another host.
+
+    Parameters
+    ----------
+    engine : str
+        Incarnation of the engine.
+    speed : float
+        Logarithmic speed.
+    weight : float
+        Confidence, in samples.
+    age : float
+        Seconds since the last sample.
+    slowdown : float
+        Present temporary slowness, as the logarithm of a factor.
+    """
+
+    engine: str
+    speed: float
+    weight: float
+    age: float
+    slowdown: float
+
+
+@dataclass(slots=True)
+class _Estimate:
+    """Estimate of one engine, and the samples of this host that were not sent yet."""
+
+    speed: float
+    weight: float = 0.0
+    sampled_at: float = float("-inf")
+    slowdown: float = 0.0
+    slow_at: float = float("-inf")
+    shared_until: float = float("-inf")
+    unsent_sum: float = 0.0
+    unsent_weight: float = 0.0
+
+    def slowdown_at(self, now: float) -> float:
+        """Return what is left of the temporary slowness."""
+        return self.slowdown * math.exp(-max(0.0, now - self.slow_at) / SLOWDOWN_SECONDS)
+
+    def difference(self, common: float, now: float) -> float:
+        """Return the logarithm of the lasting speed by that of the common one, without band."""
+        excess = max(0.0, now - self.sampled_at - FRESH_SECONDS)
+        share = self.weight / (self.weight + PRIOR_WEIGHT)
+        return (self.speed - common) * share * math.exp(-excess / FADING_SECONDS)
+
+    def add(self, speed: float, weight: float) -> None:
+        """Add a sample whose distance and weight are bounded already."""
+        if abs(speed - self.speed) > NOISE:
+            self.weight *= DISAGREEMENT_DECAY
+        total = self.weight + weight
+        if total > 0:
+            self.speed += (speed - self.speed) * weight / total
+        self.weight = min(MAX_WEIGHT, total)
+
+    def keep_unsent(self, speed: float, weight: float) -> None:
+        """Keep a sample for other hosts; as many as count, the later ones weighing more."""
+        scale = min(1.0, max(0.0, MAX_SAMPLE_WEIGHT - weight) / (self.unsent_weight or 1.0))
+        self.unsent_sum = self.unsent_sum * scale + speed * weight
+        self.unsent_weight = self.unsent_weight * scale + weight
+
+    def renew_sharing(self, common: float, now: float) -> None:
+        """Have samples exchanged for a while if the estimate differs from the common speed."""
+        if abs(self.difference(common, now)) > SHARING_THRESHOLD:
+            self.shared_until = now + SHARED_SECONDS
+
+
+class EngineSpeeds:
+    """Estimated speeds of engines by incarnation; a restarted engine starts without one."""
+
+    def __init__(self) -> None:
+        self._estimates: dict[str, _Estimate] = {}
+
+    def __len__(self) -> int:
+        return len(self._estimates)
+
+    def factor(self, engine: str, common: float, *, now: float) -> float:
+        """Return the present speed of an engine as a multiple of the common one.
+
+        Parameters
+        ----------
+        engine : str
+            Incarnation of the engine.
+        common : float
+            Logarithmic speed of the engines of its service and stage.
+        now : float
+            Boot clock in seconds.
+        """
+        known = self._estimates.get(engine)
+        if known is None:
+            return 1.0
+        slowdown = known.slowdown_at(now)
+        if slowdown < DEAD_BAND:
+            slowdown = 0.0
+        difference = _outside_band(known.difference(common, now)) - slowdown
+        return min(max(math.exp(difference), MIN_FACTOR), MAX_FACTOR)
+
+    def lasting_factor(self, engine: str, common: float, *, now: float) -> float:
+        """Return the lasting speed of an engine as a multiple of the common one."""
+        known = self._estimates.get(engine)
+        if known is None:
+            return 1.0
+        difference = _outside_band(known.difference(common, now))
+        return min(max(math.exp(difference), MIN_FACTOR), MAX_FACTOR)
+
+    def record(self, engine: str, measured: SpeedRange, common: float, *, now: float) -> None:
+        """Record a call of this host.
+
+        An estimate between the bounds of a call that met a queue is left as it is.
+
+        Parameters
+        ----------
+        engine : str
+            Incarnation of the engine.
+        measured : SpeedRange
+            What the call says.
+        common : float
+            Logarithmic speed of the engines of its service and stage.
+        now : float
+            Boot clock in seconds.
+        """
+        known = self._estimates.get(engine)
+        reference = known.speed if known is not None else common
+        speed = min(max(reference, measured.slowest), measured.fastest)
+        is_queued = measured.fastest > measured.slowest
+        if is_queued and speed == reference:
+            if known is not None:
+                known.sampled_at = now
+            return
+        distance = speed - reference
+        if known is None:
+            if abs(distance) <= NOISE:
+                return
+            known = self._estimates[engine] = _Estimate(reference)
+        weight = measured.weight
+        if distance < 0:
+            weight *= SLOW_WEIGHT * (QUEUED_WEIGHT if is_queued else 1.0)
+        if not is_queued:
+            known.slowdown, known.slow_at = _slowdown(known, -distance, now), now
+        bounded = reference + min(max(distance, -MAX_STEP), MAX_STEP)
+        known.add(bounded, weight)
+        known.sampled_at = now
+        known.keep_unsent(bounded, weight)
+        known.renew_sharing(common, now)
+
+    def take_samples(self, count: int, *, now: float) -> list[SpeedSample]:
+        """Return samples of this host that others need, at most `count`; they count as sent.
+
+        These are the samples of engines that seem to differ from the common speed at any host,
+        normal samples included. Others are not sent, so that equal engines cause no messages.
+        """
+        self._expire(now)
+        samples: list[SpeedSample] = []
+        for engine, known in self._estimates.items():
+            if len(samples) >= count:
+                break
+            if known.unsent_weight > 0 and known.shared_until > now:
+                weight = known.unsent_weight
+                samples.append((engine, known.unsent_sum / weight, weight))
+                known.unsent_sum = known.unsent_weight = 0.0
+        return samples
+
+    def receive_samples(
+        self, samples: Iterable[SpeedSample], common: CommonSpeed, *, now: float
+    ) -> list[SpeedSample]:
+        """Record samples that a peer sent, at the hub; return those of listed engines."""
+        taken = []
+        for engine, speed, sent_weight in samples:
+            reference = common(engine)
+            if reference is None:
+                continue
+            taken.append((engine, speed, sent_weight))
+            known = self._estimates.setdefault(engine, _Estimate(reference))
+            distance = speed - known.speed
+            if distance < -MIN_SLOWDOWN:
+                known.slowdown, known.slow_at = _slowdown(known, -distance, now), now
+            bounded = known.speed + min(max(distance, -MAX_STEP), MAX_STEP)
+            known.add(bounded, min(sent_weight, MAX_SAMPLE_WEIGHT))
+            known.sampled_at = now
+            known.renew_sharing(reference, now)
+        return taken
+
+    def shared_engines(self, *, now: float) -> list[str]:
+        """Return the engines whose estimates are exchanged."""
+        self._expire(now)
+        return [name for name, known in self._estimates.items() if known.shared_until > now]
+
+    def report(self, engine: str, *, now: float) -> SpeedReport:
+        """Return the estimate of a known engine for another host."""
+        known = self._estimates[engine]
+        age = max(0.0, now - known.sampled_at)
+        return SpeedReport(engine, known.speed, known.weight, age, known.slowdown_at(now))
+
+    def receive_reports(
+        self,
+        reports: Iterable[SpeedReport],
+        common: CommonSpeed,
+        *,
+        now: float,
+        min_gain: float,
+    ) -> None:
+        """Take over estimates of another host.
+
+        Parameters
+        ----------
+        reports : iterable of SpeedReport
+            What the host sent.
+        common : callable
+            See `CommonSpeed`.
+        now : float
+            Boot clock in seconds.
+        min_gain : float
+            An own estimate is replaced by one of at least so many times its weight. A hub that
+            has just started thus replaces no better estimate.
+        """
+        for report in reports:
+            reference = common(report.engine)
+            if reference is None:
+                continue
+            known = self._estimates.setdefault(report.engine, _Estimate(reference))
+            if report.weight >= known.weight * min_gain:
+                known.speed = report.speed
+                known.weight = min(report.weight, MAX_WEIGHT)
+                known.sampled_at = max(known.sampled_at, now - report.age)
+            if report.slowdown > known.slowdown_at(now):
+                known.slowdown, known.slow_at = report.slowdown, now
+            known.renew_sharing(reference, now)
+
+    def keep_only(self, engines: Container[str]) -> None:
+        """Forget all other engines, which are gone."""
+        for engine in [name for name in self._estimates if name not in engines]:
+            del self._estimates[engine]
+
+    def _expire(self, now: float) -> None:
+        for engine in [
+            name
+            for name, known in self._estimates.items()
+            if now - known.sampled_at > LIFETIME_SECONDS
+        ]:
+            del self._estimates[engine]
+
+
+def _outside_band(difference: float) -> float:
+    return difference if abs(difference) > DEAD_BAND else 0.0
+
+
+def _slowdown(known: _Estimate, distance: float, now: float) -> float:
+    """Return the temporary slowness after a sample that is slower than the estimate.
+
+    A sample at the lasting speed ends it.
+    """
+    if distance < MIN_SLOWDOWN:
+        return 0.0 if distance < NOISE else known.slowdown_at(now)
+    return min(max(known.slowdown_at(now), distance), -math.log(MIN_FACTOR))
