Use the speed of each engine in the choice of engines

Cause: all engines of a service and stage are planned with one prefill rate.

Change: the view of an engine has the common rate times the engine's factor, prefill candidates are weighted by lasting speed, and each prefill is recorded as a sample of its engine, also if it met a queue or a fetch. A clear change of a lasting factor is logged; two gauges count engines that differ. The common rate learns from the same calls as before.

Test: tests/gateway/test_engine_rates.py (7), tests/scheduling, test_generation.py and test_metrics.py pass.

--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -17,6 +17,7 @@
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
+from samphirehall.scheduling.engine_speed import EngineSpeeds
 
 DECODE_PREFILL_SPEED_FRACTION = 0.5  # of a prefill engine's, as stated by the platform
 INITIAL_KV_TRANSFER_OVERHEAD_SECONDS = 0.05  # until measured
@@ -57,6 +58,8 @@
         Endpoints, their loads and their crashes.
     prefill_rates : dict
         Measured prefill rate by service and stage.
+    speeds : EngineSpeeds
+        Speed of each engine, measured by all hosts.
     kv_transfer_overhead : RunningAverage
         Measured seconds from the send to a decode engine until its first event, for prompts
         that another engine has prefilled.
@@ -92,6 +95,7 @@
     crashes: CrashTracker = field(default_factory=CrashTracker)
     random_source: random.Random = field(default_factory=random.Random)
     prefill_rates: dict[tuple[str, Stage], PrefillRate] = field(default_factory=dict)
+    speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
     kv_transfer_overhead: RunningAverage = field(
         default_factory=lambda: RunningAverage(INITIAL_KV_TRANSFER_OVERHEAD_SECONDS)
     )
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -20,6 +20,7 @@
 from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.engine_identity import is_listed_process
+from samphirehall.gateway.engine_rates import record_prefill
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
     acquire_repeats,
@@ -507,11 +508,9 @@
 def _record_prefill_rate(
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan, seconds: float
 ) -> None:
-    """Record the prefill time, and update the rate if the engine had no other prefill queued."""
+    """Record the prefill time of a request."""
     request_state.extra_log_fields["read_in"] = round(seconds, 4)
-    if plan.prefill_engine.tokens_ahead == 0 and plan.prefix_source is None:
-        rate = context.prefill_rate(request_state.service.name, plan.prefill_engine.stage)
-        rate.record(plan.uncached_tokens, seconds)
+    record_prefill(context, plan, seconds)
 
 
 def _record_first_event(
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -11,6 +11,7 @@
 
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.engine_candidates import decode_candidates, prefill_candidates
+from samphirehall.gateway.engine_rates import engine_rate, lasting_factor
 from samphirehall.gateway.exchange import limit_error, within_limits
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import EngineView, GenerationPlan, plan_generation
@@ -142,7 +143,12 @@
         for stage in (Stage.PREFILL, Stage.DECODE)
     )
     candidates = [
-        *prefill_candidates(prefillers, prompt, width=width),
+        *prefill_candidates(
+            prefillers,
+            prompt,
+            width=width,
+            speed=lambda engine: lasting_factor(context, engine.listed),
+        ),
         *decode_candidates(decoders, host=context.host, zone=context.zone, width=width),
     ]
     return plan_generation(
@@ -187,7 +193,7 @@
     listed = endpoint.listed
     stage = listed.stage or Stage.DECODE
     load = context.loads.total_load(listed.endpoint_id, now=context.clock())
-    rate = context.prefill_rate(request_state.service.name, stage)
+    tokens_per_second, overhead = engine_rate(context, listed)
     return EngineView(
         listed.endpoint_id,
         listed.address,
@@ -197,8 +203,8 @@
         load.tokens_up_to(request_state.rank),
         sum(load.pending_prefill_tokens),
         endpoint.cache.cached_tokens(prompt.parts) if endpoint.cache else 0,
-        rate.tokens_per_second,
-        rate.overhead,
+        tokens_per_second,
+        overhead,
         endpoint.failure_penalty(),
         listed.software_version,
     )
--- a/samphirehall/gateway/prefill_rate.py
+++ b/samphirehall/gateway/prefill_rate.py
@@ -48,6 +48,11 @@
         """Seconds of a call besides prefill."""
         return self._overhead
 
+    @property
+    def sample_count(self) -> int:
+        """Number of recorded calls, up to `MAX_SAMPLES`."""
+        return len(self._samples)
+
     def record(self, tokens: float, seconds: float) -> None:
         """Record a call that prefilled `tokens` without waiting in a queue, and refit."""
         self._samples.append((tokens, seconds))
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -19,6 +19,7 @@
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
 from samphirehall.gateway.duty import Duty, current_grant, may_act
 from samphirehall.gateway.endpoint_counts import CountOrder
+from samphirehall.gateway.engine_rates import lasting_factors
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.ingress import IngressState, ingress_app, ingress_protocol
@@ -225,6 +226,16 @@
             "Endpoints that take only a stated rate of requests from all hosts.",
             lambda: self.context.limits.limited_count,
         )
+        gauge(
+            "engines_slow",
+            "Engines whose lasting speed is clearly below that of their service and stage.",
+            lambda: sum(factor < 1.0 for factor in lasting_factors(self.context)),
+        )
+        gauge(
+            "engines_fast",
+            "Engines whose lasting speed is clearly above that of their service and stage.",
+            lambda: sum(factor > 1.0 for factor in lasting_factors(self.context)),
+        )
         gauge(
             "parts_blocked",
             "Parts of prompts that have crashed engines and are refused.",
@@ -365,6 +376,7 @@
             self.metrics.remove_unlisted_endpoints(self.context.fleet)
             listed = {state.listed.incarnation for state in self.context.fleet.states()}
             self.context.limits.keep_only(listed)
+            self.context.speeds.keep_only(listed)
             while self.context.fleet.lost:
                 endpoint_id = self.context.fleet.lost.pop()
                 self.context.crashes.confirm(endpoint_id, now=boot_seconds())
--- a/samphirehall/scheduling/engine_speed.py
+++ b/samphirehall/scheduling/engine_speed.py
@@ -33,6 +33,8 @@
 SHARED_SECONDS = 6.0  # for which samples are exchanged after the last sign of a difference
 MIN_SLOWDOWN = 0.4  # distance of a sample that counts as temporary slowness
 SLOWDOWN_SECONDS = 0.4  # time constant of temporary slowness; little is left after a second
+NOTABLE_CHANGE = math.log(1.2)  # of a lasting factor, for the log
+NOTE_INTERVAL_SECONDS = 10.0  # between log lines on one engine
 MIN_TOKENS = 500  # a shorter prefill takes less time than the rest of the call
 MIN_READING_FRACTION = 0.25  # of the time of a call, whatever the measured overhead
 
@@ -127,6 +129,8 @@
     slowdown: float = 0.0
     slow_at: float = float("-inf")
     shared_until: float = float("-inf")
+    noted_factor: float = 1.0
+    noted_at: float = float("-inf")
     unsent_sum: float = 0.0
     unsent_weight: float = 0.0
 
@@ -239,6 +243,19 @@
         known.keep_unsent(bounded, weight)
         known.renew_sharing(common, now)
 
+    def take_notable_change(
+        self, engine: str, common: float, *, now: float
+    ) -> tuple[float, float] | None:
+        """Return the lasting factor last returned and the present one if they differ clearly."""
+        known = self._estimates.get(engine)
+        if known is None or now - known.noted_at < NOTE_INTERVAL_SECONDS:
+            return None
+        before, factor = known.noted_factor, self.lasting_factor(engine, common, now=now)
+        if abs(math.log(factor / before)) < NOTABLE_CHANGE:
+            return None
+        known.noted_factor, known.noted_at = factor, now
+        return before, factor
+
     def take_samples(self, count: int, *, now: float) -> list[SpeedSample]:
         """Return samples of this host that others need, at most `count`; they count as sent.
 
