Exchange the speeds of engines between hosts

Cause: with many hosts, each sees an engine only every few seconds and learns its speed alone.

Change: a member update carries the newest samples of engines that differ, a hub update the hub's estimates, and a hub update to other zones the zone's samples as well. The fields are at the end and empty while engines are equal, which costs one byte in a member update and two in a hub update. All fields are decoded within bounds, and engines that are not listed are left out.

--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -420,7 +420,10 @@
         )
         loads = decode_loads(update.loads)
         self._context.loads.receive(update.host, loads, update.demand, now=now)
+        if update.process not in self._zone_processes:
+            self._updates.speeds.add_member()
         self._zone_processes.add(update.process)
+        self._updates.speeds.receive_from_member(update.speed_samples, now=now)
         for window, counts in update.usage.items():
             self._peer_usage.receive(update.process, window, HostCounts(*counts))
         self._apply_news(update.news, now)
@@ -468,6 +471,7 @@
         for other in update.others:
             self._record_zone(other, now)
         view.count_hosts(now=now)
+        self._updates.speeds.receive_from_own_hub(update.speed_reports, now=now)
         self._apply_news(update.news, now)
         is_known = self._take_endpoints(update.changes, None, summary.hub, address, now)
         self._record_list(None, update.list_age, is_known, now)
@@ -487,6 +491,9 @@
         for process, windows in update.usage.items():
             for window, counts in windows.items():
                 self._peer_usage.receive(process, window, HostCounts(*counts))
+        self._updates.speeds.receive_from_other_hub(
+            update.speed_reports, update.speed_samples, now=now
+        )
         self._apply_news(update.news, now)
         self._updates.zone_news.add(update.news)
         # The age that a zone without a reader states is an echo of another zone's.
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -22,6 +22,10 @@
 MAX_RATE = 1e15  # requests or tokens per second
 MAX_HOSTS = 100_000  # of one zone
 MAX_WINDOW = 10**WINDOW_KEY_DIGITS - 1
+MAX_LOG_SPEED = 2_000  # hundredths of the logarithm of prompt tokens per second
+MAX_SPEED_WEIGHT = 2_000  # hundredths of a sample
+MAX_SPEED_AGE = 10_000  # tenths of a second
+MAX_SPEEDS = 64  # in one message
 
 MIN_COMPRESSED_BYTES = 800  # a shorter message fits one packet
 MAX_MESSAGE_BYTES = 1024 * 1024  # after decompression
@@ -39,6 +43,15 @@
 # As `LimitReport`.
 _Limit = tuple[str, Annotated[float, msgspec.Meta(ge=-1, le=MAX_RATE)], _Age]
 
+_LogSpeed = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOG_SPEED)]
+_SpeedWeight = Annotated[int, msgspec.Meta(ge=0, le=MAX_SPEED_WEIGHT)]
+_SpeedAge = Annotated[int, msgspec.Meta(ge=0, le=MAX_SPEED_AGE)]
+# As `SpeedSample`, and the fields of `SpeedReport`.
+EncodedSpeedSample = tuple[str, _LogSpeed, _SpeedWeight]
+EncodedSpeedReport = tuple[str, _LogSpeed, _SpeedWeight, _SpeedAge, _LogSpeed]
+_SpeedSamples = Annotated[list[EncodedSpeedSample], msgspec.Meta(max_length=MAX_SPEEDS)]
+_SpeedReports = Annotated[list[EncodedSpeedReport], msgspec.Meta(max_length=MAX_SPEEDS)]
+
 # Whether a usage window is closed, and its requests by customer.
 EncodedCounts = tuple[bool, dict[str, Count]]
 
@@ -118,6 +131,8 @@
     list_age : float or None
         Seconds since the endpoint list of this host surely held all changes, while it reads the
         store.
+    speed_samples : list
+        Measured speeds of engines that differ from others; see `SpeedSample`.
     """
 
     host: Name
@@ -136,6 +151,7 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    speed_samples: _SpeedSamples = []
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -201,6 +217,10 @@
         See `MemberUpdate`.
     list_age : float or None
         Seconds since the endpoint list of the sender surely held all that any host knew.
+    speed_samples : list
+        See `MemberUpdate`; for other hubs.
+    speed_reports : list
+        Estimated speeds of engines that differ from others; see `SpeedReport`.
     """
 
     summary: ZoneSummary
@@ -218,6 +238,8 @@
     limits: list[_Limit] = []
     settled_window: _LatestWindow = -1
     list_age: _Age | None = None
+    speed_samples: _SpeedSamples = []
+    speed_reports: _SpeedReports = []
 
 
 Message = MemberUpdate | HubUpdate
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -10,6 +10,7 @@
 from samphirehall.gateway.endpoint_limits import LimitReport
 from samphirehall.gateway.news import NewsQueue
 from samphirehall.gateway.rows import ChangeSet, RowChange, TableFollower
+from samphirehall.gateway.speed_exchange import SpeedExchange
 from samphirehall.gateway.usage_reports import ReportProgress
 from samphirehall.gateway.usage_windows import (
     MAX_PUBLISHED_WINDOWS,
@@ -73,6 +74,8 @@
         News that this host, as the hub, has yet to send to its members and to other hubs.
     stored_window : int
         Latest usage window that all live hosts of the zone have closed and this hub has stored.
+    speeds : SpeedExchange
+        Engine speeds in the updates.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         self.zone_news = NewsQueue()
         self.cross_zone_news = NewsQueue()
         self.stored_window = NO_WINDOW
+        self.speeds = SpeedExchange(context)
         self._own_limits = context.limits.open_channel()
         self._zone_limits = context.limits.open_channel()
         self._cross_zone_limits = context.limits.open_channel()
@@ -191,17 +195,23 @@
             encode_changes(self._endpoints.replica.recent_changes(now=now)) if reads else None,
             self._context.limits.reports(self._own_limits, now=now),
             self._progress.settled_window,
+            speed_samples=self.speeds.samples_for_hub(now=now),
         )
 
     def zone_update(self, *, now: float) -> HubUpdate:
         """Return the state of the zone for its members; the caller adds what they need seldom."""
         limits = self._context.limits.reports(self._zone_limits, now=now)
-        return self._hub_update(self.zone_news.take(), limits, now)
+        update = self._hub_update(self.zone_news.take(), limits, now)
+        update.speed_reports = self.speeds.reports_for_members(now=now)
+        return update
 
     def cross_zone_update(self, *, now: float) -> HubUpdate:
         """Return the state of the zone for other hubs."""
         limits = self._context.limits.reports(self._cross_zone_limits, now=now)
-        return self._hub_update(self.cross_zone_news.take(), limits, now)
+        update = self._hub_update(self.cross_zone_news.take(), limits, now)
+        update.speed_samples = self.speeds.samples_for_hubs(now=now)
+        update.speed_reports = self.speeds.reports_for_hubs(now=now)
+        return update
 
     def _hub_update(self, news: News, limits: list[LimitReport], now: float) -> HubUpdate:
         contact = self._view.contact
--- a/tests/gateway/test_odd_datagrams.py
+++ b/tests/gateway/test_odd_datagrams.py
@@ -80,9 +80,13 @@
     member_update(news=News(part_crashes=[("d1/1", NAN, ("p",))])),
     member_update(news=News(cached_prompts=[("d1", [("p", 2**63)])])),
     member_update(changes=EncodedChanges(POSITION, StoreVersion(2**63, 1))),
+    member_update(speed_samples=[("d1/0", 2**62, 1)]),
+    member_update(speed_samples=[("d1/0", 1000, -1)]),
+    member_update(speed_samples=[("d1/0", 1000, 100)] * 65),
     member_update(host=""),
     hub_update(agreed_time=NAN),
     hub_update(blocked_parts=[(["p"], NAN)]),
+    hub_update(speed_reports=[("d1/0", 1000, 100, 2**62, 0)]),
     hub_update(summary=ZoneSummary("b", "h8", "127.0.0.1:9", 2**40, -1, {}, {})),
 ]
 PLAIN, COMPRESSED = b"\x00", b"\x01"
