Place the stages of engines by their speed

Cause: the number of prefill engines follows the common rate, which is near that of the fast engines, and any engine of a zone may take up prefill.

Of the engines of a zone, the fastest takes up prefill and the slowest gives it up. With equal speeds nothing changes.

Test: tests/gateway/test_decisions.py and test_versions_without_decoders.py pass.

--- a/samphirehall/gateway/endpoint_counts.py
+++ b/samphirehall/gateway/endpoint_counts.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from samphirehall.gateway.types import EngineLimits, ListedEndpoint, Service, Stage
@@ -17,6 +17,13 @@
 DECODE_UTILIZATION_FRACTION = 0.25
 MIN_DECODE_ENGINES = 2  # tolerates the loss of one
 
+# Returns the speed of an engine as a multiple of that of its stage.
+EngineSpeed = Callable[[ListedEndpoint], float]
+
+
+def _equal_speed(engine: ListedEndpoint) -> float:
+    return 1.0
+
 
 @dataclass(slots=True, frozen=True)
 class EngineDemand:
@@ -162,7 +169,10 @@
 
 
 def desired_stage_change(
-    engines: Iterable[ListedEndpoint], demand: EngineDemand
+    engines: Iterable[ListedEndpoint],
+    demand: EngineDemand,
+    *,
+    speed: EngineSpeed = _equal_speed,
 ) -> tuple[str, Stage] | None:
     """Return one engine whose stage should change, and the new stage, or None.
 
@@ -176,6 +186,9 @@
         Ready engines of one service.
     demand : EngineDemand
         Demand over a period longer than a stage change takes.
+    speed : callable
+        Speeds of the engines. Of the engines of a zone, the fastest takes up prefill and the
+        slowest gives it up.
     """
     members = sorted(engines, key=lambda engine: engine.endpoint_id)
     prefill_engines = [engine for engine in members if engine.stage is Stage.PREFILL]
@@ -190,12 +203,12 @@
             for engine in decode_engines
             if len(versions) == 1 or versions[engine.software_version] > MIN_DECODE_ENGINES
         ]
-        return _choose_spare_engine(spare, Stage.PREFILL)
+        return _choose_spare_engine(spare, Stage.PREFILL, speed)
     if (
         len(decode_engines) < demand.decode_engines
         and len(prefill_engines) - 1 >= demand.prefill_engines
     ):
-        return _choose_spare_engine(prefill_engines, Stage.DECODE)
+        return _choose_spare_engine(prefill_engines, Stage.DECODE, speed)
     return None
 
 
@@ -226,21 +239,22 @@
         prefill_engines = [engine for engine in members if engine.stage is Stage.PREFILL]
         willing = [engine for engine in prefill_engines if engine.endpoint_id not in unwilling]
         if len(prefill_engines) == len(members) and willing:
-            return _in_largest_zone(willing).endpoint_id, Stage.DECODE
+            return _of_largest_zone(willing)[0].endpoint_id, Stage.DECODE
     return None
 
 
-def _in_largest_zone(engines: Sequence[ListedEndpoint]) -> ListedEndpoint:
-    """Return an engine of the zone with the most engines."""
+def _of_largest_zone(engines: Sequence[ListedEndpoint]) -> list[ListedEndpoint]:
+    """Return the engines of the zone with the most engines."""
     (zone, _), *_ = Counter(engine.zone for engine in engines).most_common(1)
-    return next(engine for engine in engines if engine.zone == zone)
+    return [engine for engine in engines if engine.zone == zone]
 
 
 def _choose_spare_engine(
-    engines: Sequence[ListedEndpoint], new_stage: Stage
+    engines: Sequence[ListedEndpoint], new_stage: Stage, speed: EngineSpeed
 ) -> tuple[str, Stage] | None:
     """Return an engine of the zone with the most engines, or None if no zone has two."""
     zones = Counter(engine.zone for engine in engines)
     if max(zones.values(), default=0) < 2:
         return None
-    return _in_largest_zone(engines).endpoint_id, new_stage
+    choose = max if new_stage is Stage.PREFILL else min
+    return choose(_of_largest_zone(engines), key=speed).endpoint_id, new_stage
