Compare the speed of an engine with those of other engines too

Cause: under heavy load, hidden queues make all engines seem slower than the common rate, which follows the fastest calls.

Change: an engine's speed is used only if it also differs from the fast or slow engines of its service, by more the less its samples agree. The request streams of compared runs of the model no longer depend on the message losses.

Test: 44 tests in tests/scheduling, test_engine_rates.py and test_speed_exchange.py pass.

--- a/samphirehall/gateway/endpoint_counts.py
+++ b/samphirehall/gateway/endpoint_counts.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from samphirehall.gateway.types import EngineLimits, ListedEndpoint, Service, Stage
@@ -16,13 +16,7 @@
 # Of the slots; a full batch decodes more slowly and runs out of KV cache.
 DECODE_UTILIZATION_FRACTION = 0.25
 MIN_DECODE_ENGINES = 2  # tolerates the loss of one
-
-# Returns the speed of an engine as a multiple of that of its stage.
-EngineSpeed = Callable[[ListedEndpoint], float]
-
-
-def _equal_speed(engine: ListedEndpoint) -> float:
-    return 1.0
+NO_SPEEDS: Mapping[str, float] = {}
 
 
 @dataclass(slots=True, frozen=True)
@@ -171,8 +165,7 @@
 def desired_stage_change(
     engines: Iterable[ListedEndpoint],
     demand: EngineDemand,
-    *,
-    speed: EngineSpeed = _equal_speed,
+    speeds: Mapping[str, float] = NO_SPEEDS,
 ) -> tuple[str, Stage] | None:
     """Return one engine whose stage should change, and the new stage, or None.
 
@@ -186,9 +179,9 @@
         Ready engines of one service.
     demand : EngineDemand
         Demand over a period longer than a stage change takes.
-    speed : callable
-        Speeds of the engines. Of the engines of a zone, the fastest takes up prefill and the
-        slowest gives it up.
+    speeds : dict
+        Speeds of engines by id, 1 if absent. Of the engines of a zone, the fastest takes up
+        prefill and the slowest gives it up.
     """
     members = sorted(engines, key=lambda engine: engine.endpoint_id)
     prefill_engines = [engine for engine in members if engine.stage is Stage.PREFILL]
@@ -203,12 +196,12 @@
             for engine in decode_engines
             if len(versions) == 1 or versions[engine.software_version] > MIN_DECODE_ENGINES
         ]
-        return _choose_spare_engine(spare, Stage.PREFILL, speed)
+        return _choose_spare_engine(spare, Stage.PREFILL, speeds)
     if (
         len(decode_engines) < demand.decode_engines
         and len(prefill_engines) - 1 >= demand.prefill_engines
     ):
-        return _choose_spare_engine(prefill_engines, Stage.DECODE, speed)
+        return _choose_spare_engine(prefill_engines, Stage.DECODE, speeds)
     return None
 
 
@@ -250,11 +243,14 @@
 
 
 def _choose_spare_engine(
-    engines: Sequence[ListedEndpoint], new_stage: Stage, speed: EngineSpeed
+    engines: Sequence[ListedEndpoint], new_stage: Stage, speeds: Mapping[str, float]
 ) -> tuple[str, Stage] | None:
     """Return an engine of the zone with the most engines, or None if no zone has two."""
     zones = Counter(engine.zone for engine in engines)
     if max(zones.values(), default=0) < 2:
         return None
     choose = max if new_stage is Stage.PREFILL else min
-    return choose(_of_largest_zone(engines), key=speed).endpoint_id, new_stage
+    chosen = choose(
+        _of_largest_zone(engines), key=lambda engine: speeds.get(engine.endpoint_id, 1.0)
+    )
+    return chosen.endpoint_id, new_stage
--- a/samphirehall/gateway/engine_candidates.py
+++ b/samphirehall/gateway/engine_candidates.py
@@ -7,7 +7,7 @@
 engines of its zone. The load decides only among these.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from samphirehall.core.rendezvous import ranked, ranked_by_size
 from samphirehall.gateway.fleet import EndpointState
@@ -17,13 +17,7 @@
 # The first caches the shared part; the others take over if it is busy or fails.
 PREFILL_CANDIDATES = 3
 DECODE_CANDIDATES = 4  # of a host; the loss of half of them leaves a choice
-
-# Returns the lasting speed of an engine as a multiple of that of its stage.
-SpeedFactor = Callable[[EndpointState], float]
-
-
-def _equal_speed(engine: EndpointState) -> float:
-    return 1.0
+NO_SPEEDS: Mapping[str, float] = {}
 
 
 def sharing_key(prompt: Prompt) -> str:
@@ -43,7 +37,7 @@
     prompt: Prompt,
     *,
     width: int = 1,
-    speed: SpeedFactor = _equal_speed,
+    speeds: Mapping[str, float] = NO_SPEEDS,
 ) -> list[EndpointState]:
     """Return the prefill engines that may read a prompt, the one that should cache it first.
 
@@ -59,18 +53,18 @@
         Parts of the prompt.
     width : int
         Factor of the number of candidates.
-    speed : callable
-        Lasting speeds of the engines.
+    speeds : dict
+        Lasting speeds of engines by id, as multiples of that of their stage; 1 if absent.
     """
     count = width * PREFILL_CANDIDATES
     by_id = {engine.listed.endpoint_id: engine for engine in engines}
     if len(by_id) <= count:
         return list(by_id.values())
-    speeds = {name: speed(engine) for name, engine in by_id.items()}
-    order = ranked_by_size(speeds, sharing_key(prompt))
-    chosen, average = order[:count], sum(speeds.values()) / len(speeds)
-    if all(speeds[name] < average for name in chosen):
-        fast = (name for name in order[count:] if speeds[name] >= average)
+    sizes = {name: speeds.get(name, 1.0) for name in by_id}
+    order = ranked_by_size(sizes, sharing_key(prompt))
+    chosen, average = order[:count], sum(sizes.values()) / len(sizes)
+    if all(sizes[name] < average for name in chosen):
+        fast = (name for name in order[count:] if sizes[name] >= average)
         chosen[-1:] = [next(fast, chosen[-1])]
     return [by_id[name] for name in chosen]
 
--- a/samphirehall/gateway/engine_rates.py
+++ b/samphirehall/gateway/engine_rates.py
@@ -2,13 +2,13 @@
 
 import logging
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Mapping
 
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.context import DECODE_PREFILL_SPEED_FRACTION, GatewayContext
 from samphirehall.gateway.generation_plan import GenerationPlan
 from samphirehall.gateway.types import ListedEndpoint, Stage
-from samphirehall.scheduling.engine_speed import CommonSpeed, speed_range
+from samphirehall.scheduling.engine_speed import CommonSpeed, SpeedReference, speed_range
 
 # Measured calls of a service and stage before single engines are compared with it. The prior may
 # be far from the rate of all engines, which must not look like a difference of one.
@@ -22,17 +22,27 @@
     rate = context.prefill_rate(listed.service, listed.stage or Stage.DECODE)
     if not len(context.speeds):
         return rate.tokens_per_second, rate.overhead
-    common = _common_speed(context, listed)
-    factor = context.speeds.factor(listed.incarnation, common, now=context.clock())
+    reference = _reference(context, listed)
+    factor = context.speeds.factor(listed.incarnation, reference, now=context.clock())
     return rate.tokens_per_second * factor, rate.overhead
 
 
-def lasting_factor(context: GatewayContext, listed: ListedEndpoint) -> float:
-    """Return the lasting speed of an engine as a multiple of that of its service and stage."""
+def lasting_factors(
+    context: GatewayContext, engines: Iterable[ListedEndpoint]
+) -> Mapping[str, float]:
+    """Return the lasting speeds of engines by id, as multiples of their service's and stage's."""
     if not len(context.speeds):
-        return 1.0
-    common = _common_speed(context, listed)
-    return context.speeds.lasting_factor(listed.incarnation, common, now=context.clock())
+        return dict.fromkeys((listed.endpoint_id for listed in engines), 1.0)
+    references: dict[tuple[str, Stage | None], SpeedReference] = {}
+    factors = {}
+    for listed in engines:
+        key = listed.service, listed.stage
+        if key not in references:
+            references[key] = _reference(context, listed)
+        factors[listed.endpoint_id] = context.speeds.lasting_factor(
+            listed.incarnation, references[key], now=context.clock()
+        )
+    return factors
 
 
 def record_prefill(context: GatewayContext, plan: GenerationPlan, seconds: float) -> None:
@@ -62,7 +72,8 @@
         return
     now, common = context.clock(), math.log(rate.tokens_per_second / fraction)
     context.speeds.record(listed.incarnation, measured, common, now=now)
-    change = context.speeds.take_notable_change(listed.incarnation, common, now=now)
+    reference = _reference(context, listed)
+    change = context.speeds.take_notable_change(listed.incarnation, reference, now=now)
     if change is not None:
         before, factor = change
         log_decision(
@@ -90,11 +101,22 @@
     return find
 
 
-def lasting_factors(context: GatewayContext) -> Iterator[float]:
-    """Yield the lasting speeds of all engines."""
-    for state in context.fleet.states():
-        if state.listed.stage is not None:
-            yield lasting_factor(context, state.listed)
+def count_uneven(context: GatewayContext) -> tuple[int, int]:
+    """Return the numbers of engines that are clearly slower and clearly faster than others."""
+    engines = [state.listed for state in context.fleet.states() if state.listed.stage is not None]
+    factors = lasting_factors(context, engines).values()
+    return sum(factor < 1.0 for factor in factors), sum(factor > 1.0 for factor in factors)
+
+
+def _reference(context: GatewayContext, listed: ListedEndpoint) -> SpeedReference:
+    """Return what the speed of an engine is compared with."""
+    engines = (
+        state.listed.incarnation
+        for state in context.fleet.states()
+        if state.listed.service == listed.service and state.listed.ready
+    )
+    common = _common_speed(context, listed)
+    return context.speeds.reference(engines, common, now=context.clock())
 
 
 def _common_speed(context: GatewayContext, listed: ListedEndpoint) -> float:
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -11,7 +11,7 @@
 
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.engine_candidates import decode_candidates, prefill_candidates
-from samphirehall.gateway.engine_rates import engine_rate, lasting_factor
+from samphirehall.gateway.engine_rates import engine_rate, lasting_factors
 from samphirehall.gateway.exchange import limit_error, within_limits
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import EngineView, GenerationPlan, plan_generation
@@ -147,7 +147,7 @@
             prefillers,
             prompt,
             width=width,
-            speed=lambda engine: lasting_factor(context, engine.listed),
+            speeds=lasting_factors(context, [engine.listed for engine in prefillers]),
         ),
         *decode_candidates(decoders, host=context.host, zone=context.zone, width=width),
     ]
--- a/samphirehall/gateway/scaling.py
+++ b/samphirehall/gateway/scaling.py
@@ -22,7 +22,7 @@
     missing_decode_engine,
     supply_by_zone,
 )
-from samphirehall.gateway.engine_rates import lasting_factor
+from samphirehall.gateway.engine_rates import lasting_factors
 from samphirehall.gateway.fleet import STAGE_CHANGE_TIMEOUT_SECONDS
 from samphirehall.gateway.types import GatewayConfiguration, ListedEndpoint, Service, Stage
 from samphirehall.routing.stream_versions import STREAM_LIFETIME_SECONDS
@@ -119,11 +119,12 @@
             for endpoint in listed
             if endpoint.service == service.name and endpoint.stage is Stage.DECODE
         )
-        factors = [
-            lasting_factor(context, endpoint)
+        prefillers = [
+            endpoint
             for endpoint in listed
             if endpoint.service == service.name and endpoint.stage is Stage.PREFILL
         ]
+        factors = lasting_factors(context, prefillers).values()
         rate = context.prefill_rate(service.name, Stage.PREFILL).tokens_per_second
         rate *= sum(factors) / len(factors) if factors else 1.0
         tokens = context.loads.prefill_demand(
@@ -207,9 +208,8 @@
         is_urgent = change is not None and self._has_lost_decode_engines(
             engines[change[0]], now=now
         )
-        change = change or desired_stage_change(
-            engines.values(), demand, speed=lambda engine: lasting_factor(self._context, engine)
-        )
+        speeds = lasting_factors(self._context, engines.values())
+        change = change or desired_stage_change(engines.values(), demand, speeds)
         due_since = self._due_since(service.name, change[1] if change else None, now=now)
         if change is None or not (is_urgent or now - due_since >= STAGE_CHANGE_DELAY_SECONDS):
             return
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -19,7 +19,7 @@
 from samphirehall.gateway.context import GatewayContext, RepeatLimits
 from samphirehall.gateway.duty import Duty, current_grant, may_act
 from samphirehall.gateway.endpoint_counts import CountOrder
-from samphirehall.gateway.engine_rates import lasting_factors
+from samphirehall.gateway.engine_rates import count_uneven
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.ingress import IngressState, ingress_app, ingress_protocol
@@ -229,12 +229,12 @@
         gauge(
             "engines_slow",
             "Engines whose lasting speed is clearly below that of their service and stage.",
-            lambda: sum(factor < 1.0 for factor in lasting_factors(self.context)),
+            lambda: count_uneven(self.context)[0],
         )
         gauge(
             "engines_fast",
             "Engines whose lasting speed is clearly above that of their service and stage.",
-            lambda: sum(factor > 1.0 for factor in lasting_factors(self.context)),
+            lambda: count_uneven(self.context)[1],
         )
         gauge(
             "parts_blocked",
--- a/samphirehall/scheduling/engine_speed.py
+++ b/samphirehall/scheduling/engine_speed.py
@@ -25,6 +25,11 @@
 MAX_SAMPLE_WEIGHT = 3.0  # of several samples that a peer sent as one
 PRIOR_WEIGHT = 1.5  # of the common speed; two or three samples have to agree against it
 DEAD_BAND = math.log(1.25)  # differences from the common speed below this are ignored
+# Added to the dead band between engines, by the weight: estimates from contradictory samples have a
+# weight of 2 to 4 and scatter by 0.3; consistent ones reach 6 to 12.
+UNCERTAINTY = 0.6
+MIN_KNOWN_WEIGHT = 1.0  # of an estimate with which others are compared
+OUTER_FRACTION = 0.1  # of the engines on either side, with which others are not compared
 SHARING_THRESHOLD = 0.15  # difference from the common speed above which samples are exchanged
 MIN_FACTOR, MAX_FACTOR = 0.2, 4.0  # bounds of what an engine's own samples may claim
 FRESH_SECONDS = 30.0  # age of the last sample after which an estimate approaches 1 again
@@ -119,6 +124,26 @@
     slowdown: float
 
 
+@dataclass(slots=True, frozen=True)
+class SpeedReference:
+    """What the speed of an engine is compared with, all as logarithms.
+
+    Under heavy load, all engines seem slower than the common rate, which follows the fastest calls.
+    An engine therefore has to differ from other engines as well before its speed is used.
+
+    Parameters
+    ----------
+    common : float
+        Common speed of the service and stage.
+    slow, fast : float
+        Speeds of the slow and the fast engines of the service, without the outermost ones.
+    """
+
+    common: float
+    slow: float
+    fast: float
+
+
 @dataclass(slots=True)
 class _Estimate:
     """Estimate of one engine, and the samples of this host that were not sent yet."""
@@ -144,6 +169,20 @@
         share = self.weight / (self.weight + PRIOR_WEIGHT)
         return (self.speed - common) * share * math.exp(-excess / FADING_SECONDS)
 
+    def lasting_difference(self, reference: SpeedReference, now: float) -> float:
+        """Return the difference from the common speed if it is clear, or else 0."""
+        difference = self.difference(reference.common, now)
+        band = DEAD_BAND + UNCERTAINTY / max(self.weight, 0.1)
+        if difference < 0:
+            is_distinct = self.speed < reference.fast - band
+        else:
+            is_distinct = self.speed > reference.slow + band
+        return difference if is_distinct and abs(difference) > DEAD_BAND else 0.0
+
+    def is_old(self, now: float) -> bool:
+        """Return whether the last sample is too old for a comparison with other engines."""
+        return now - self.sampled_at > FRESH_SECONDS
+
     def add(self, speed: float, weight: float) -> None:
         """Add a sample whose distance and weight are bounded already."""
         if abs(speed - self.speed) > NOISE:
@@ -174,34 +213,46 @@
     def __len__(self) -> int:
         return len(self._estimates)
 
-    def factor(self, engine: str, common: float, *, now: float) -> float:
-        """Return the present speed of an engine as a multiple of the common one.
+    def reference(self, engines: Iterable[str], common: float, *, now: float) -> SpeedReference:
+        """Return what the speed of an engine is compared with.
 
         Parameters
         ----------
-        engine : str
-            Incarnation of the engine.
+        engines : iterable of str
+            Incarnations of all engines of its service.
         common : float
             Logarithmic speed of the engines of its service and stage.
         now : float
             Boot clock in seconds.
         """
+        speeds = [
+            (
+                known.speed
+                if known is not None and known.weight >= MIN_KNOWN_WEIGHT and not known.is_old(now)
+                else common
+            )
+            for known in map(self._estimates.get, engines)
+        ]
+        speeds.sort()
+        if not speeds:
+            return SpeedReference(common, common, common)
+        outside = int(OUTER_FRACTION * len(speeds))
+        return SpeedReference(common, speeds[outside], speeds[-1 - outside])
+
+    def factor(self, engine: str, reference: SpeedReference, *, now: float) -> float:
+        """Return the present speed of an engine as a multiple of the common one."""
         known = self._estimates.get(engine)
         if known is None:
             return 1.0
         slowdown = known.slowdown_at(now)
         if slowdown < DEAD_BAND:
             slowdown = 0.0
-        difference = _outside_band(known.difference(common, now)) - slowdown
-        return min(max(math.exp(difference), MIN_FACTOR), MAX_FACTOR)
+        return _bounded_factor(known.lasting_difference(reference, now) - slowdown)
 
-    def lasting_factor(self, engine: str, common: float, *, now: float) -> float:
+    def lasting_factor(self, engine: str, reference: SpeedReference, *, now: float) -> float:
         """Return the lasting speed of an engine as a multiple of the common one."""
         known = self._estimates.get(engine)
-        if known is None:
-            return 1.0
-        difference = _outside_band(known.difference(common, now))
-        return min(max(math.exp(difference), MIN_FACTOR), MAX_FACTOR)
+        return 1.0 if known is None else _bounded_factor(known.lasting_difference(reference, now))
 
     def record(self, engine: str, measured: SpeedRange, common: float, *, now: float) -> None:
         """Record a call of this host.
@@ -244,13 +295,13 @@
         known.renew_sharing(common, now)
 
     def take_notable_change(
-        self, engine: str, common: float, *, now: float
+        self, engine: str, reference: SpeedReference, *, now: float
     ) -> tuple[float, float] | None:
         """Return the lasting factor last returned and the present one if they differ clearly."""
         known = self._estimates.get(engine)
         if known is None or now - known.noted_at < NOTE_INTERVAL_SECONDS:
             return None
-        before, factor = known.noted_factor, self.lasting_factor(engine, common, now=now)
+        before, factor = known.noted_factor, self.lasting_factor(engine, reference, now=now)
         if abs(math.log(factor / before)) < NOTABLE_CHANGE:
             return None
         known.noted_factor, known.noted_at = factor, now
@@ -353,8 +404,8 @@
             del self._estimates[engine]
 
 
-def _outside_band(difference: float) -> float:
-    return difference if abs(difference) > DEAD_BAND else 0.0
+def _bounded_factor(difference: float) -> float:
+    return min(max(math.exp(difference), MIN_FACTOR), MAX_FACTOR)
 
 
 def _slowdown(known: _Estimate, distance: float, now: float) -> float:
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -314,14 +314,10 @@
         speeds = {"d1": 0.7, "d2": 1.7, "p1": 1.7, "p2": 0.7}
         members = [engine(f"d{n}") for n in range(4)]
         members += [engine(f"p{n}", Stage.PREFILL) for n in range(4)]
-
-        def change(demand):
-            return desired_stage_change(
-                members, demand, speed=lambda item: speeds.get(item.endpoint_id, 1.0)
-            )
-
-        assert change(EngineDemand(9.0, 0.2)) == ("d2", Stage.PREFILL)
-        assert change(EngineDemand(0.2, 9.0)) == ("p2", Stage.DECODE)
+        change = desired_stage_change(members, EngineDemand(9.0, 0.2), speeds)
+        assert change == ("d2", Stage.PREFILL)
+        change = desired_stage_change(members, EngineDemand(0.2, 9.0), speeds)
+        assert change == ("p2", Stage.DECODE)
 
     def test_last_decode_engine_of_a_zone_does_not_change(self):
         members = [engine("d", zone="a"), engine("p", Stage.PREFILL, zone="a")]
--- a/tests/gateway/test_engine_rates.py
+++ b/tests/gateway/test_engine_rates.py
@@ -8,8 +8,8 @@
 from samphirehall.gateway.engine_rates import (
     MIN_COMMON_CALLS,
     common_speed,
+    count_uneven,
     engine_rate,
-    lasting_factor,
     lasting_factors,
     record_prefill,
 )
@@ -20,6 +20,10 @@
 TOKENS_PER_SECOND, OVERHEAD, TOKENS = 30_000.0, 0.03, 9_000
 
 
+def lasting_factor(gateway_context, listed):
+    return lasting_factors(gateway_context, [listed])[listed.endpoint_id]
+
+
 def make_plan(listed, *, ahead=0):
     view = EngineView(
         listed.endpoint_id, listed.address, "a", listed.stage, 0, ahead, ahead, 0, 1.0, 0.03
@@ -55,7 +59,7 @@
         assert slow == pytest.approx(0.5 * TOKENS_PER_SECOND, rel=0.2)
         assert normal == gateway_context.prefill_rate("model", Stage.PREFILL).tokens_per_second
         assert overhead == pytest.approx(OVERHEAD, abs=0.03)
-        assert sorted(lasting_factors(gateway_context))[1:] == [1.0, 1.0, 1.0]
+        assert count_uneven(gateway_context) == (1, 0)
 
     def test_first_calls_teach_the_common_rate_only(self, site):
         gateway_context, engines, call = site
@@ -68,7 +72,7 @@
             for _ in range(15):
                 for listed in engines:
                     call(listed, factor=factor)
-        assert list(lasting_factors(gateway_context)) == [1.0] * 4
+        assert count_uneven(gateway_context) == (0, 0)
         rate = gateway_context.prefill_rate("model", Stage.PREFILL).tokens_per_second
         assert rate == pytest.approx(0.5 * TOKENS_PER_SECOND, rel=0.2)
 
--- a/tests/gateway/test_speed_exchange.py
+++ b/tests/gateway/test_speed_exchange.py
@@ -7,7 +7,7 @@
 import pytest
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.gateway.engine_rates import common_speed, lasting_factor
+from samphirehall.gateway.engine_rates import common_speed, lasting_factors
 from samphirehall.gateway.speed_exchange import (
     MEMBER_REFRESH_SECONDS,
     REPORTS_PER_DATAGRAM,
@@ -20,7 +20,7 @@
 from samphirehall.scheduling.engine_speed import SpeedRange
 from tests.gateway.helpers import MODEL, context, engine
 from tests.gateway.test_odd_datagrams import member_update
-from tests.gateway.test_zone_exchange import Host, hub_and_members, start, until
+from tests.gateway.test_zone_exchange import EndpointTable, Host, hub_and_members, start, until
 from tests.support.table import FaultyTable
 
 pytestmark = pytest.mark.anyio
@@ -36,8 +36,20 @@
         gateway_context.speeds.record(listed.incarnation, measured, common, now=boot_seconds())
 
 
-def factor_of(host, name="d1"):
-    return lasting_factor(host.context, host.context.fleet.endpoint(name).listed)
+def lasting_factor(gateway_context, name="d1"):
+    listed = gateway_context.fleet.endpoint(name).listed
+    return lasting_factors(gateway_context, [listed])[name]
+
+
+def factor_of(host):
+    return lasting_factor(host.context)
+
+
+def several_engines():
+    endpoints = EndpointTable()
+    for name in ("d2", "d3"):
+        endpoints.put(name, state="ready")
+    return endpoints
 
 
 async def taught_by(teacher, hosts):
@@ -58,8 +70,8 @@
 class TestExchange:
     async def test_speed_reaches_all_hosts_of_all_zones_and_one_that_starts(self):
         async with anyio.create_task_group() as group:
-            table = FaultyTable()
-            here, endpoints = await start(group, "abc", table=table)
+            table, endpoints = FaultyTable(), several_engines()
+            here, _ = await start(group, "abc", table=table, endpoints=endpoints)
             there, _ = await start(group, "xyz", table=table, endpoints=endpoints, zone="b")
             _, members = hub_and_members(here)
             for host in (members[0], *here, *there):
@@ -73,7 +85,7 @@
 
     async def test_estimates_outlive_the_hub(self):
         async with anyio.create_task_group() as group:
-            hosts, _ = await start(group, "abcd")
+            hosts, _ = await start(group, "abcd", endpoints=several_engines())
             hub, members = hub_and_members(hosts)
             await taught_by(members[0], hosts)
             hub.scope.cancel()
@@ -127,8 +139,7 @@
         now = boot_seconds()
         reports = SpeedExchange(one).reports_for_members(now=now)
         SpeedExchange(other).receive_from_own_hub(reports, now=now)
-        listed = one.fleet.endpoint("e0").listed
-        assert lasting_factor(other, listed) == pytest.approx(lasting_factor(one, listed), rel=0.03)
+        assert lasting_factor(other, "e0") == pytest.approx(lasting_factor(one, "e0"), rel=0.03)
 
     def test_update_of_an_earlier_version_has_no_speeds(self):
         fields = msgspec.msgpack.decode(msgspec.msgpack.encode(member_update()))
--- a/tests/scheduling/test_engine_speed.py
+++ b/tests/scheduling/test_engine_speed.py
@@ -25,6 +25,7 @@
     MIN_FACTOR,
     EngineSpeeds,
     SpeedRange,
+    SpeedReference,
     speed_range,
 )
 from tests.gateway.helpers import ENGINE, engine
@@ -37,6 +38,7 @@
 SECONDS, LEARNING_SECONDS = 60.0, 20.0
 LATENCY_TARGET, MAX_GAP = 0.6, 0.15
 COMMON = math.log(NOMINAL)
+REFERENCE = SpeedReference(COMMON, COMMON, COMMON)
 MIN_CALLS = 6
 
 
@@ -68,7 +70,7 @@
     """Hosts that see each other's load and samples late, and engines that prefill in order."""
 
     def __init__(self, speeds, *, seed, learn, rate=50.0, slowdown=lambda number, now: 1.0):
-        self.source = random.Random(seed)
+        self.source, self.losses = random.Random(seed), random.Random(seed)
         self.learn, self.rate, self.slowdown = learn, rate, slowdown
         self.hosts = [Host(number) for number in range(HOSTS)]
         self.hubs = {host.zone: host for host in reversed(self.hosts)}
@@ -101,14 +103,22 @@
         ]
         return sum(late) / len(late)
 
-    def factors(self, host):
-        return [
-            host.speeds.lasting_factor(
-                item.state.listed.incarnation, host.common(item.state.listed.stage), now=SECONDS
+    def reference(self, host, stage, now):
+        names = [item.state.listed.incarnation for item in self.engines.values()]
+        return host.speeds.reference(names, host.common(stage), now=now)
+
+    def lasting(self, host, now):
+        reference = self.reference(host, Stage.PREFILL, now)
+        return {
+            item.state.listed.endpoint_id: host.speeds.lasting_factor(
+                item.state.listed.incarnation, reference, now=now
             )
             for item in self.engines.values()
             if item.state.listed.stage is Stage.PREFILL
-        ]
+        }
+
+    def factors(self, host):
+        return list(self.lasting(host, SECONDS).values())
 
     def arrive(self, *, now):
         self.at(now + self.source.expovariate(self.rate), self.arrive)
@@ -125,15 +135,11 @@
         self.results.append((now, kind, done - now))
 
     def plan(self, host, prompt, now):
-        def lasting(state):
-            common = host.common(state.listed.stage)
-            return host.speeds.lasting_factor(state.listed.incarnation, common, now=now)
-
         states = [item.state for item in self.engines.values()]
         readers = [state for state in states if state.listed.stage is Stage.PREFILL]
         decoders = [state for state in states if state.listed.stage is Stage.DECODE]
         chosen = [
-            *prefill_candidates(readers, prompt, speed=lasting),
+            *prefill_candidates(readers, prompt, speeds=self.lasting(host, now)),
             *decode_candidates(decoders, host=host.name, zone=host.zone),
         ]
         views = [self.view(host, state, prompt, now) for state in chosen]
@@ -148,8 +154,8 @@
         known = [e for e in item.prefills if e[2] is host or e[0] <= now - LOAD_DELAY]
         streams = sum(e[2] is host or e[0] <= now - LOAD_DELAY for e in item.streams)
         pending = sum(entry[3] for entry in known)
-        rate, common = host.rates[listed.stage], host.common(listed.stage)
-        factor = host.speeds.factor(listed.incarnation, common, now=now)
+        rate, reference = host.rates[listed.stage], self.reference(host, listed.stage, now)
+        factor = host.speeds.factor(listed.incarnation, reference, now=now)
         return EngineView(
             listed.endpoint_id,
             listed.address,
@@ -207,15 +213,15 @@
             self.sent += len(samples)
             for zone, hub in self.hubs.items():
                 delay = SPEED_DELAY * (1 if zone == host.zone else 2)
-                if samples and hub is not host and self.source.random() > LOST_MESSAGES:
+                if samples and hub is not host and self.losses.random() > LOST_MESSAGES:
                     self.at(now + delay, self.give_samples, hub, samples)
         for zone, hub in self.hubs.items():
             names = hub.speeds.shared_engines(now=now)
-            self.source.shuffle(names)
+            self.losses.shuffle(names)
             reports = [hub.speeds.report(name, now=now) for name in names[:12]]
             self.sent += len(reports)
             for host in self.hosts:
-                if host.zone == zone and host is not hub and self.source.random() > LOST_MESSAGES:
+                if host.zone == zone and host is not hub and self.losses.random() > LOST_MESSAGES:
                     self.at(now + SPEED_DELAY, self.give_reports, host, reports)
 
     def common_of(self, host):
@@ -302,36 +308,37 @@
 class TestEstimate:
     @pytest.mark.parametrize("factor", [0.5, 0.7, 1.4, 1.7])
     def test_lasting_speed_is_learned(self, factor):
-        assert taught(factor).lasting_factor("e/1", COMMON, now=1.0) == pytest.approx(
+        assert taught(factor).lasting_factor("e/1", REFERENCE, now=1.0) == pytest.approx(
             factor, rel=0.15
         )
 
     def test_small_differences_are_ignored(self):
         for factor in (0.85, 1.0, 1.18):
-            assert taught(factor).factor("e/1", COMMON, now=0.0) == 1.0
+            assert taught(factor).factor("e/1", REFERENCE, now=0.0) == 1.0
 
     def test_one_sample_changes_no_lasting_speed(self):
         for factor in (0.1, 0.5):
-            assert taught(factor, count=1).lasting_factor("e/1", COMMON, now=0.0) == 1.0
+            assert taught(factor, count=1).lasting_factor("e/1", REFERENCE, now=0.0) == 1.0
 
     def test_estimate_stays_right_when_the_common_rate_moves(self):
         speeds = taught(0.5)
-        before = speeds.lasting_factor("e/1", COMMON, now=0.0)
-        after = speeds.lasting_factor("e/1", COMMON - math.log(2) / 2, now=0.0)
+        before = speeds.lasting_factor("e/1", REFERENCE, now=0.0)
+        moved = SpeedReference(COMMON - math.log(2) / 2, COMMON, COMMON)
+        after = speeds.lasting_factor("e/1", moved, now=0.0)
         assert after == pytest.approx(before * math.sqrt(2), rel=0.1)
 
     def test_temporary_slowness_is_over_after_a_second(self):
         speeds = taught(1.0, count=1)
         for _ in range(2):
             speeds.record("e/1", measured(0.4), COMMON, now=5.0)
-        assert speeds.factor("e/1", COMMON, now=5.0) < 0.5
-        assert speeds.factor("e/1", COMMON, now=6.5) >= 0.7
+        assert speeds.factor("e/1", REFERENCE, now=5.0) < 0.5
+        assert speeds.factor("e/1", REFERENCE, now=6.5) >= 0.7
 
     def test_queue_that_was_shorter_than_expected_looks_like_no_fast_engine(self):
         speeds = EngineSpeeds()
         for _ in range(20):
             speeds.record("e/1", measured(0.9, queued=4.0), COMMON, now=0.0)
-        assert speeds.factor("e/1", COMMON, now=0.0) == 1.0
+        assert speeds.factor("e/1", REFERENCE, now=0.0) == 1.0
 
     def test_queue_that_was_longer_than_expected_looks_like_no_slow_engine(self):
         speeds = EngineSpeeds()
@@ -339,34 +346,34 @@
             is_misjudged = number % 5 == 0
             call = measured(0.3, queued=2.0) if is_misjudged else measured(1.0)
             speeds.record("e/1", call, COMMON, now=number / 10)
-            assert speeds.factor("e/1", COMMON, now=number / 10) == 1.0
+            assert speeds.factor("e/1", REFERENCE, now=number / 10) == 1.0
 
     @pytest.mark.parametrize("claimed", [1e-6, 1e6])
     def test_lying_engine_is_believed_within_bounds(self, claimed):
         speeds = taught(claimed, count=200)
-        assert MIN_FACTOR <= speeds.factor("e/1", COMMON, now=0.0) <= MAX_FACTOR
+        assert MIN_FACTOR <= speeds.factor("e/1", REFERENCE, now=0.0) <= MAX_FACTOR
 
     def test_restarted_engine_starts_at_the_common_speed(self):
         speeds = taught(0.5)
-        assert speeds.factor("e/2", COMMON, now=0.0) == 1.0
+        assert speeds.factor("e/2", REFERENCE, now=0.0) == 1.0
         speeds.keep_only({"e/2"})
         assert len(speeds) == 0
 
     def test_estimate_without_samples_returns_to_the_common_speed(self):
         speeds = taught(0.5)
-        assert speeds.factor("e/1", COMMON, now=FRESH_SECONDS - 1) < 0.6
-        assert 0.6 < speeds.factor("e/1", COMMON, now=FRESH_SECONDS + 10) < 0.9
-        assert speeds.factor("e/1", COMMON, now=FRESH_SECONDS + 40) == 1.0
+        assert speeds.factor("e/1", REFERENCE, now=FRESH_SECONDS - 1) < 0.6
+        assert 0.6 < speeds.factor("e/1", REFERENCE, now=FRESH_SECONDS + 10) < 0.9
+        assert speeds.factor("e/1", REFERENCE, now=FRESH_SECONDS + 40) == 1.0
         assert speeds.shared_engines(now=LIFETIME_SECONDS + 1) == [] and len(speeds) == 0
 
     @given(st.lists(st.tuples(st.sampled_from("abc"), st.floats(0.05, 20), st.floats(1, 5))))
     def test_samples_move_no_other_estimate_and_each_by_a_bounded_step(self, calls):
         speeds, names = EngineSpeeds(), "abc"
         for number, (name, factor, queued) in enumerate(calls):
-            before = {n: speeds.lasting_factor(n, COMMON, now=number) for n in names}
+            before = {n: speeds.lasting_factor(n, REFERENCE, now=number) for n in names}
             speeds.record(name, measured(factor, queued=queued), COMMON, now=number)
             for n in names:
-                after = speeds.lasting_factor(n, COMMON, now=number)
+                after = speeds.lasting_factor(n, REFERENCE, now=number)
                 if n != name:
                     assert after == before[n]
                 else:
@@ -389,14 +396,14 @@
 
     def test_hub_that_has_started_replaces_no_better_estimate(self):
         speeds, started = taught(0.5), taught(0.9, count=1)
-        before = speeds.factor("e/1", COMMON, now=5.0)
+        before = speeds.factor("e/1", REFERENCE, now=5.0)
         started.receive_samples([("e/1", COMMON, 0.4)], common, now=5.0)
         report = started.report("e/1", now=5.0)
         speeds.receive_reports([report], common, now=5.0, min_gain=0.5)
-        assert speeds.factor("e/1", COMMON, now=5.0) == before
+        assert speeds.factor("e/1", REFERENCE, now=5.0) == before
         fresh = EngineSpeeds()
         fresh.receive_reports([speeds.report("e/1", now=5.0)], common, now=5.0, min_gain=0.5)
-        assert fresh.factor("e/1", COMMON, now=5.0) == before
+        assert fresh.factor("e/1", REFERENCE, now=5.0) == before
 
     def test_sharing_ends_when_the_difference_does(self):
         hub, member = taught(0.5), EngineSpeeds()
@@ -426,11 +433,14 @@
     def speed(self, state):
         return uneven(int(state.listed.endpoint_id[1:]))
 
+    def speeds(self):
+        return {state.listed.endpoint_id: self.speed(state) for state in self.states}
+
     def test_one_candidate_is_fast_and_fast_engines_own_more_prompts(self):
         owners = 0
         for number in range(600):
             prompt = Prompt("m", (PromptPart(f"s{number}", 600), PromptPart("x", 600)), 1200, 5)
-            chosen = prefill_candidates(self.states, prompt, speed=self.speed)
+            chosen = prefill_candidates(self.states, prompt, speeds=self.speeds())
             assert len(set(map(id, chosen))) == 3
             assert any(self.speed(state) > 1 for state in chosen)
             owners += self.speed(chosen[0]) > 1
@@ -438,10 +448,12 @@
 
     def test_prompts_that_share_a_part_keep_their_candidates(self):
         one, other = (
-            prefill_candidates(self.states, self.prompt(n), speed=self.speed) for n in (1, 2)
+            prefill_candidates(self.states, self.prompt(n), speeds=self.speeds()) for n in (1, 2)
         )
         assert one == other
 
     def test_equal_speeds_give_the_same_candidates_as_none(self):
-        chosen = prefill_candidates(self.states, self.prompt(1), speed=lambda state: 1.0)
+        chosen = prefill_candidates(
+            self.states, self.prompt(1), speeds=dict.fromkeys(map(str, range(9)), 1.0)
+        )
         assert chosen == prefill_candidates(self.states, self.prompt(1))
