--- a/tests/scheduling/test_engine_speed.py
+++ b/tests/scheduling/test_engine_speed.py
@@ -268,11 +268,15 @@
         learned = Site(uneven, seed=3, learn=True, slowdown=slow_in_turn).run()
         assert learned.late_share() <= 0.75 * plain.late_share()
 
-    def test_equal_engines_cause_few_messages_and_no_more_late_prompts(self):
-        plain = Site(lambda number: 1.0, seed=4, learn=False).run()
-        learned = Site(lambda number: 1.0, seed=4, learn=True).run()
+    # At 120 requests a second, most prompts wait in queues that other hosts do not know of yet.
+    @pytest.mark.parametrize(("rate", "messages_per_host"), [(50.0, 1.5), (120.0, 4.0)])
+    def test_equal_engines_are_served_as_before(self, rate, messages_per_host):
+        plain = Site(lambda number: 1.0, seed=4, learn=False, rate=rate).run()
+        learned = Site(lambda number: 1.0, seed=4, learn=True, rate=rate).run()
         assert learned.late_share() <= plain.late_share() + 0.02
-        assert learned.sent / SECONDS <= 1.5 * HOSTS  # full reports would be five times as many
+        assert (
+            learned.sent / SECONDS <= messages_per_host * HOSTS
+        )  # full reports would be 10 a host
         factors = [factor for host in learned.hosts for factor in learned.factors(host)]
         assert sum(factor != 1.0 for factor in factors) <= 0.05 * len(factors)
 
