Move samples and reports of engine speeds into a module of their own

Change: speed_samples.py holds the types that samples, reports and comparisons use.

Test: 45 tests in tests/scheduling, test_engine_rates.py and test_speed_exchange.py pass.

--- a/samphirehall/gateway/engine_rates.py
+++ b/samphirehall/gateway/engine_rates.py
@@ -8,7 +8,7 @@
 from samphirehall.gateway.context import DECODE_PREFILL_SPEED_FRACTION, GatewayContext
 from samphirehall.gateway.generation_plan import GenerationPlan
 from samphirehall.gateway.types import ListedEndpoint, Stage
-from samphirehall.scheduling.engine_speed import CommonSpeed, SpeedReference, speed_range
+from samphirehall.scheduling.speed_samples import CommonSpeed, SpeedReference, speed_range
 
 # Measured calls of a service and stage before single engines are compared with it. The prior may
 # be far from the rate of all engines, which must not look like a difference of one.
--- a/samphirehall/gateway/speed_exchange.py
+++ b/samphirehall/gateway/speed_exchange.py
@@ -18,7 +18,8 @@
     EncodedSpeedReport,
     EncodedSpeedSample,
 )
-from samphirehall.scheduling.engine_speed import EngineSpeeds, SpeedReport, SpeedSample
+from samphirehall.scheduling.engine_speed import EngineSpeeds
+from samphirehall.scheduling.speed_samples import SpeedReport, SpeedSample
 
 SAMPLES_PER_DATAGRAM = 8  # a datagram must fit one packet
 REPORTS_PER_DATAGRAM = 12
--- a/tests/gateway/test_speed_exchange.py
+++ b/tests/gateway/test_speed_exchange.py
@@ -17,7 +17,7 @@
 )
 from samphirehall.gateway.types import Stage
 from samphirehall.gateway.zone_messages import MemberUpdate, decode_datagram
-from samphirehall.scheduling.engine_speed import SpeedRange
+from samphirehall.scheduling.speed_samples import SpeedRange
 from tests.gateway.helpers import MODEL, context, engine
 from tests.gateway.test_odd_datagrams import member_update
 from tests.gateway.test_zone_exchange import EndpointTable, Host, hub_and_members, start, until
--- a/tests/scheduling/test_engine_speed.py
+++ b/tests/scheduling/test_engine_speed.py
@@ -24,10 +24,8 @@
     MAX_STEP,
     MIN_FACTOR,
     EngineSpeeds,
-    SpeedRange,
-    SpeedReference,
-    speed_range,
 )
+from samphirehall.scheduling.speed_samples import SpeedRange, SpeedReference, speed_range
 from tests.gateway.helpers import ENGINE, engine
 
 HOSTS, ZONES, ENGINES = 64, "abcd", 48
