--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -18,6 +18,7 @@
 from samphirehall.gateway.stream_store import StreamStore
 from samphirehall.gateway.types import ListedEndpoint, PromptPart, Stage
 from samphirehall.gateway.wire_codec import WireCodec
+from samphirehall.scheduling.engine_speed import EngineSpeeds
 from samphirehall.scheduling.fair_shares import FairShareTable
 from samphirehall.scheduling.hedging import Hedging
 
@@ -60,6 +61,8 @@
         Endpoints, their loads and their crashes.
     prefill_rates : dict
         Measured prefill rate by service and stage.
+    speeds : EngineSpeeds
+        Speed of each engine, measured by all hosts.
     kv_transfer_overhead : RunningAverage
         Measured seconds from the send to a decode engine until its first event, for prompts
         that another engine has prefilled.
@@ -101,6 +104,7 @@
     crashes: CrashTracker = field(default_factory=CrashTracker)
     random_source: random.Random = field(default_factory=random.Random)
     prefill_rates: dict[tuple[str, Stage], PrefillRate] = field(default_factory=dict)
+    speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
     kv_transfer_overhead: RunningAverage = field(
         default_factory=lambda: RunningAverage(INITIAL_KV_TRANSFER_OVERHEAD_SECONDS)
     )
--- a/samphirehall/gateway/engine_candidates.py
+++ b/samphirehall/gateway/engine_candidates.py
@@ -7,9 +7,9 @@
 engines of its zone. The load decides only among these.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
-from samphirehall.core.rendezvous import ranked
+from samphirehall.core.rendezvous import ranked, ranked_by_size
 from samphirehall.gateway.fleet import EndpointState
 from samphirehall.gateway.generation_plan import MIN_PREFIX_FETCH_TOKENS
 from samphirehall.gateway.types import Prompt
@@ -17,6 +17,7 @@
 # The first caches the shared part; the others take over if it is busy or fails.
 PREFILL_CANDIDATES = 3
 DECODE_CANDIDATES = 4  # of a host; the loss of half of them leaves a choice
+NO_SPEEDS: Mapping[str, float] = {}
 
 
 def sharing_key(prompt: Prompt) -> str:
@@ -32,12 +33,17 @@
 
 
 def prefill_candidates(
-    engines: Sequence[EndpointState], prompt: Prompt, *, width: int = 1
+    engines: Sequence[EndpointState],
+    prompt: Prompt,
+    *,
+    width: int = 1,
+    speeds: Mapping[str, float] = NO_SPEEDS,
 ) -> list[EndpointState]:
     """Return the prefill engines that may read a prompt, the one that should cache it first.
 
     Engines of all zones are candidates: moving a read prompt between zones takes a tenth of
-    the time of reading its shared part once more in each zone.
+    the time of reading its shared part once more in each zone. Engines are candidates in
+    proportion to their speed, and at least one is not slower than the average.
 
     Parameters
     ----------
@@ -47,8 +53,20 @@
         Parts of the prompt.
     width : int
         Factor of the number of candidates.
+    speeds : dict
+        Lasting speeds of engines by id, as multiples of that of their stage; 1 if absent.
     """
-    return _first(engines, sharing_key(prompt), width * PREFILL_CANDIDATES)
+    count = width * PREFILL_CANDIDATES
+    by_id = {engine.listed.endpoint_id: engine for engine in engines}
+    if len(by_id) <= count:
+        return list(by_id.values())
+    sizes = {name: speeds.get(name, 1.0) for name in by_id}
+    order = ranked_by_size(sizes, sharing_key(prompt))
+    chosen, average = order[:count], sum(sizes.values()) / len(sizes)
+    if all(sizes[name] < average for name in chosen):
+        fast = (name for name in order[count:] if sizes[name] >= average)
+        chosen[-1:] = [next(fast, chosen[-1])]
+    return [by_id[name] for name in chosen]
 
 
 def decode_candidates(
--- a/samphirehall/gateway/generation_plan.py
+++ b/samphirehall/gateway/generation_plan.py
@@ -94,6 +94,8 @@
     least_total_wait : float
         Seconds until the first of the considered engines of the stage that prefills has done all
         prefill that waits, of any rank.
+    fetch_time : float
+        Seconds of the fetch from the prefix source.
     """
 
     dedicated_prefill: EngineView | None
@@ -104,6 +106,7 @@
     time_to_first_event: float
     considered: int = 0
     least_total_wait: float = float("inf")
+    fetch_time: float = 0.0
 
     @property
     def prefill_engine(self) -> EngineView:
@@ -209,7 +212,9 @@
         else _full_batch_penalty(decode, limits)
     )
     first_event = wait + prefill_time + kv_transfer_overhead + decode_delay
-    return GenerationPlan(prefill, decode, source, uncached, wait, first_event)
+    return GenerationPlan(
+        prefill, decode, source, uncached, wait, first_event, fetch_time=fetch_time
+    )
 
 
 def _choose_prefix_source(
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -22,6 +22,10 @@
 MAX_RATE = 1e15  # requests or tokens per second
 MAX_HOSTS = 100_000  # of one zone
 MAX_WINDOW = 10**WINDOW_KEY_DIGITS - 1
+MAX_LOG_SPEED = 2_000  # hundredths of the logarithm of prompt tokens per second
+MAX_SPEED_WEIGHT = 2_000  # hundredths of a sample
+MAX_SPEED_AGE = 10_000  # tenths of a second
+MAX_SPEEDS = 64  # in one message
 
 MIN_COMPRESSED_BYTES = 800  # a shorter message fits one packet
 MAX_MESSAGE_BYTES = 1024 * 1024  # after decompression
@@ -47,6 +51,14 @@
 # Customer, level of the common bucket, units asked for per second at all hosts, and units granted
 # in the zone.
 EncodedQuotaLevel = tuple[Name, _Level, _Units, _Units]
+_LogSpeed = Annotated[int, msgspec.Meta(ge=0, le=MAX_LOG_SPEED)]
+_SpeedWeight = Annotated[int, msgspec.Meta(ge=0, le=MAX_SPEED_WEIGHT)]
+_SpeedAge = Annotated[int, msgspec.Meta(ge=0, le=MAX_SPEED_AGE)]
+# As `SpeedSample`, and the fields of `SpeedReport`.
+EncodedSpeedSample = tuple[str, _LogSpeed, _SpeedWeight]
+EncodedSpeedReport = tuple[str, _LogSpeed, _SpeedWeight, _SpeedAge, _LogSpeed]
+_SpeedSamples = Annotated[list[EncodedSpeedSample], msgspec.Meta(max_length=MAX_SPEEDS)]
+_SpeedReports = Annotated[list[EncodedSpeedReport], msgspec.Meta(max_length=MAX_SPEEDS)]
 
 # Whether a usage window is closed, and its requests by customer.
 EncodedCounts = tuple[bool, dict[str, Count]]
@@ -55,7 +67,12 @@
 EncodedShares = dict[str, dict[Name, tuple[_Load, _Load]]]
 
 # Fields at the end of an update, and the values at which they are left out.
-_OPTIONAL: dict[str, object] = {"shares": {}, "quotas": None}
+_OPTIONAL: dict[str, object] = {
+    "shares": {},
+    "quotas": None,
+    "speed_samples": [],
+    "speed_reports": [],
+}
 
 
 class News(msgspec.Struct, array_like=True):
@@ -165,6 +182,8 @@
         Work that this host served and refused; see `ShareExchange`.
     quotas : list or None
         Grants against customers' quotas that the hub may not know; None without quotas.
+    speed_samples : list
+        Measured speeds of engines that differ from others; see `SpeedSample`.
     """
 
     host: Name
@@ -185,6 +204,7 @@
     list_age: _Age | None = None
     shares: EncodedShares = {}
     quotas: list[EncodedQuotaCount] | None = None
+    speed_samples: _SpeedSamples = []
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -255,6 +275,10 @@
         `ShareExchange`.
     quotas : HubQuotas or None
         Grants against customers' quotas; None without quotas.
+    speed_samples : list
+        See `MemberUpdate`; for other hubs.
+    speed_reports : list
+        Estimated speeds of engines that differ from others; see `SpeedReport`.
     """
 
     summary: ZoneSummary
@@ -274,6 +298,8 @@
     list_age: _Age | None = None
     shares: EncodedShares = {}
     quotas: HubQuotas | None = None
+    speed_samples: _SpeedSamples = []
+    speed_reports: _SpeedReports = []
 
 
 Message = MemberUpdate | HubUpdate
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -131,7 +131,7 @@
 
     def test_update_without_quotas_is_encoded_as_before(self):
         encoded = msgspec.msgpack.decode(encode_message(MEMBER)[1:])
-        sent_before = MemberUpdate.__struct_fields__[: -len(("shares", "quotas"))]
+        sent_before = MemberUpdate.__struct_fields__[: -len(("shares", "quotas", "speed_samples"))]
         assert len(encoded) == len(("tag", *sent_before))
         assert decode_datagram(b"\0\0\0\0" + encode_message(MEMBER))[1] == MEMBER
 
