Count no arriving body as sent ahead, and no begun request as idle

Cause: bytes of a long body that the parser had not been given counted as requests sent ahead, so that ordinary clients made room for others; the idle timeout that a response starts could close a connection on which the next request had begun. Change: bytes count as ahead only behind a request that is whole; the timeout is not started while a head arrives.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -178,6 +178,8 @@
             if self._has_refused and not self.pipeline:
                 self.transport.close()
             super().on_response_complete()
+            if self._head_timer is not None:  # the head of the next request has begun
+                self._unset_keepalive_if_required()
             self._queued_bytes = 0
             self._update_held()
             self._parse_soon()
@@ -240,9 +242,10 @@
                 return
             unread = self.transport.get_write_buffer_size() if self.flow.write_paused else 0
             unparsed = len(self._unparsed)
-            is_busy = self.cycle is not None and not self.cycle.response_complete
+            cycle = self.cycle
+            is_behind = cycle is not None and not (cycle.response_complete or cycle.more_body)
             unread_ahead = unread if self._has_requests() else 0
-            ahead = self._queued_bytes + unread_ahead + (unparsed if is_busy else 0)
+            ahead = self._queued_bytes + unread_ahead + (unparsed if is_behind else 0)
             waiting = unparsed + unread + self._request_bytes + self._queued_bytes
             shared_limits.update(self, Held(waiting, ahead, unread_ahead))
 
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -270,6 +270,24 @@
         answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
         assert answer == b"" and refused == ["memory"]
 
+    # Guards against ordinary clients that pay for others: a body is not sent ahead.
+    async def test_arriving_body_does_not_count_as_sent_ahead(self):
+        class Recorded(ConnectionLimits):
+            def update(self, connection, held):
+                held_bytes.append((held.waiting, held.ahead))
+
+        held_bytes = []
+
+        async def read_body(scope, receive, send):
+            while (await receive()).get("more_body"):
+                pass
+            await send_response(send, 200, [(b"connection", b"close")], b"ok")
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+        limits = Recorded(9, lambda: 10_000)
+        assert b"200 OK" in await exchange(head + b"x" * 200_000, app=read_body, limits=limits)
+        assert max(held_bytes)[0] > 100_000 and not any(ahead for _, ahead in held_bytes)
+
     async def test_unread_responses_make_room(self):
         async def answer_long(scope, receive, send):
             await send_response(send, 200, [], b"x" * 2**24)
--- a/tests/gateway/test_unread_requests.py
+++ b/tests/gateway/test_unread_requests.py
@@ -53,6 +53,19 @@
             with anyio.fail_after(3 * IDLE_SECONDS), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
 
+    async def test_request_that_began_behind_another_is_not_idle(self):
+        async def answer_late(request, caller):
+            await anyio.sleep(IDLE_SECONDS / 2)
+            await answer(request, caller)
+
+        ingress = Ingress(answer_late, CallerLimits(idle_timeout=IDLE_SECONDS))
+        async with ingress.serving, await ingress.connect() as stream:
+            await stream.send(GET + GET[:10])
+            assert b"200 OK" in await read_answer(stream)
+            await anyio.sleep(0.8 * IDLE_SECONDS)
+            await stream.send(GET[10:])
+            assert b"200 OK" in await read_answer(stream)
+
     # Guards against connections that stay open for good, by bytes that belong to no request.
     @pytest.mark.parametrize("first", [b"", GET])
     async def test_empty_line_does_not_end_the_idle_timeout(self, first):
