Refuse a request whose target has no path instead of failing

The parser callback raises for a target such as http://h. The connection was taken to be inside a body by then, so the refusal read the cycle of the previous request: with none, it raised itself, and after an answered one it closed the connection without a status. The body begins once the head has been taken.

Both cases of the new test failed before; tests/forwarding/test_caller_protocol.py passes.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -160,8 +160,8 @@
             if self.parser.should_upgrade():
                 self._offers_upgrade = True
                 return
+            super().on_headers_complete()  # raises for a target without a path
             self._in_body = True
-            super().on_headers_complete()
 
         def on_message_complete(self) -> None:
             """Read on once a body is whole, however long, so that a close is noticed."""
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -77,6 +77,14 @@
     async def test_data_that_is_not_http_is_refused_with_a_result_code(self):
         assert b"samphire-result: 2000" in await exchange(b"\x16\x03\x01 not HTTP\r\n\r\n")
 
+    # Guards against a refusal that fails: the connection was closed without an answer, and each
+    # such request on a new connection logged a traceback.
+    @pytest.mark.parametrize("answered", [0, 1])
+    async def test_target_without_a_path_is_refused_with_a_result_code(self, answered):
+        target = b"GET http://h HTTP/1.1\r\nHost: h\r\n\r\n"
+        answer = await exchange(*[REQUEST] * answered, target, pause=0.03)
+        assert b"samphire-result: 2000" in answer and answer.count(b"200 OK") == answered
+
     async def test_pipelined_requests_are_all_answered(self):
         last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
         assert (await exchange(REQUEST * 20 + last)).count(b"200 OK") == 21
