Count the bytes of unfinished targets, headers and trailers

The parser keeps a field until it is whole, and only whole headers were counted. 1,228 connections, the limit with 1,638 descriptors, could hold 64 KB each, 80 MB of the 160 MB of the smallest hosts, and none of it counted against max_client_bytes.

The three cases of the new test failed before (late-head or no refusal in place of memory); tests/forwarding/test_caller_protocol.py passes.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -250,7 +250,9 @@
             is_behind = cycle is not None and not (cycle.response_complete or cycle.more_body)
             unread_ahead = unread if self._has_requests() else 0
             ahead = self._queued_bytes + unread_ahead + (unparsed if is_behind else 0)
-            waiting = unparsed + unread + self._request_bytes + self._queued_bytes
+            # The parser keeps a target, header or trailer until it is whole.
+            head = self._head_bytes + self._framing_bytes
+            waiting = unparsed + unread + head + self._request_bytes + self._queued_bytes
             shared_limits.update(self, Held(waiting, ahead, unread_ahead))
 
         def _parse_soon(self) -> None:
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -320,6 +320,22 @@
         answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
         assert answer == b"" and refused == ["memory"]
 
+    # Guards against memory that nothing counts: a value of a header is kept while it arrives.
+    @pytest.mark.parametrize(
+        "head",
+        [b"GET / HTTP/1.1\r\nX-A: ", b"GET /", CHUNKED + b"1\r\nx\r\n0\r\nX-A: "],
+        ids=["header", "target", "trailer"],
+    )
+    async def test_unfinished_field_counts(self, head):
+        async def read_body(scope, receive, send):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        refused = []
+        limits = ConnectionLimits(9, lambda: 35_000, refused.append)
+        await exchange(head, b"b" * 40_000, app=read_body, limits=limits, pause=0.01)
+        assert refused == ["memory"]
+
     # Guards against ordinary clients that pay for others: a body is not sent ahead.
     async def test_arriving_body_does_not_count_as_sent_ahead(self):
         class Recorded(ConnectionLimits):
