Count no body whose response is complete as waiting

What had arrived of a body that was answered early was counted until the body ended or the connection was closed as idle, up to 75 s later, although it was discarded. Two bodies of 16 MB refused with 413 filled the limit of 32 MB.

The new test failed before (24,040 bytes counted, now under 10,000); tests/forwarding/test_caller_protocol.py passes.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -185,6 +185,8 @@
             if self._head_timer is not None:  # the head of the next request has begun
                 self._unset_keepalive_if_required()
             self._queued_bytes = 0
+            if self._in_body and self.cycle.response_complete:
+                self._request_bytes = 0  # the rest of the body is discarded
             self._update_held()
             self._parse_soon()
             self._close_if_done()
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -336,6 +336,31 @@
         await exchange(head, b"b" * 40_000, app=read_body, limits=limits, pause=0.01)
         assert refused == ["memory"]
 
+    # Guards against ordinary clients that pay for bytes that are no longer kept.
+    async def test_body_whose_response_is_complete_counts_no_longer(self):
+        class Recorded(ConnectionLimits):
+            def update(self, connection, held):
+                super().update(connection, held)
+                held_bytes.append(held.waiting)
+
+        held_bytes, counts = [], []
+
+        async def refuse_early(scope, receive, send):
+            if scope["method"] == "POST":
+                await receive()
+                await receive()
+            await send_response(send, 413, [], b"long")
+            counts.append(len(held_bytes))
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        pieces = [head + b"x" * 20_000, b"x" * 20_000, b"x" * 10_000, b"x" * 10_000 + last]
+        limits = Recorded(9, lambda: 10**9)
+        answer = await exchange(*pieces, app=refuse_early, limits=limits, pause=0.03)
+        assert answer.count(b" 413 ") == 2
+        before, after = held_bytes[: counts[0]], held_bytes[counts[0] :]
+        assert max(before) >= 20_000 and max(after) < 10_000
+
     # Guards against ordinary clients that pay for others: a body is not sent ahead.
     async def test_arriving_body_does_not_count_as_sent_ahead(self):
         class Recorded(ConnectionLimits):
