Close idle connections at the ports for readiness and metrics to make room

As many clients that asked once and stayed, for 75 s each, had every further readiness check refused with 503, and the host was taken for not ready. At the limit the connection that has been idle longest now makes room there. The port of clients is unchanged: a request on its way would be lost.

--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -184,6 +184,8 @@
             super().on_response_complete()
             if self._head_timer is not None:  # the head of the next request has begun
                 self._unset_keepalive_if_required()
+            elif self.timeout_keep_alive_task is not None and not self._has_requests():
+                shared_limits.mark_idle(self)
             self._queued_bytes = 0
             if self._in_body and self.cycle.response_complete:
                 self._request_bytes = 0  # the rest of the body is discarded
--- a/samphirehall/forwarding/connection_limits.py
+++ b/samphirehall/forwarding/connection_limits.py
@@ -38,7 +38,7 @@
     INVALID = "invalid"
     TOO_MANY = "too-many"
     UNREAD = "unread"  # closed with unread responses and requests behind them, to make room
-    UNUSED = "unused"  # closed before its first request, to make room for another
+    UNUSED = "unused"  # closed before its first request, or while idle, to make room for another
     MEMORY = "memory"
 
 
@@ -92,6 +92,9 @@
         Returns the bytes that may wait in all connections together.
     observe : callable
         Called with the reason of each refusal.
+    closes_idle : bool
+        Whether a connection that waits for a further request makes room as well. Clients may
+        send on theirs at any time, and would take a request that is closed with it for lost.
     """
 
     def __init__(
@@ -99,7 +102,10 @@
         max_connections: int,
         max_buffered_bytes: Callable[[], int],
         observe: ObserveRefusal = lambda _: None,
+        *,
+        closes_idle: bool = False,
     ) -> None:
+        self._closes_idle = closes_idle
         self.max_connections = max_connections
         self._observe = observe
         self._max_buffered_bytes = max_buffered_bytes
@@ -135,6 +141,11 @@
         """Record that a request has begun on a connection."""
         self._unused.pop(connection, None)
 
+    def mark_idle(self, connection: LimitedConnection) -> None:
+        """Record that all requests of a connection are answered."""
+        if self._closes_idle and connection in self._held:
+            self._unused[connection] = None
+
     def retire(self, connection: LimitedConnection) -> None:
         """Record that a connection is being closed, and holds nothing that waits."""
         self._unused.pop(connection, None)
@@ -200,6 +211,7 @@
     max_buffered_bytes: int = 0,
     max_body_bytes: Callable[[], int] = lambda: 0,
     observe: ObserveRefusal = lambda _: None,
+    closes_idle: bool = False,
 ) -> ConnectionLimits:
     """Return limits that follow from the descriptors and the memory of this process.
 
@@ -213,6 +225,8 @@
         Returns the longest body; two of them are held at any rate.
     observe : callable
         Called with the reason of each refusal.
+    closes_idle : bool
+        See `ConnectionLimits`.
     """
     connections = max_connections or max(
         1, min(MAX_CONNECTIONS, int(share * CONNECTION_SHARE * descriptor_limit()))
@@ -220,7 +234,12 @@
     buffered = max_buffered_bytes or max(
         int(share * MIN_BUFFERED_BYTES), int(share * MEMORY_SHARE * memory_limit())
     )
-    return ConnectionLimits(connections, lambda: max(buffered, 2 * max_body_bytes()), observe)
+    return ConnectionLimits(
+        connections,
+        lambda: max(buffered, 2 * max_body_bytes()),
+        observe,
+        closes_idle=closes_idle,
+    )
 
 
 def descriptor_limit() -> int:
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -474,7 +474,9 @@
 def _operator_protocol(node: Node, port: str) -> type[HttpToolsProtocol]:
     """Return the protocol class of a port that is not for clients."""
     limits = limits_of_process(
-        share=OPERATOR_SHARE, observe=partial(node.metrics.observe_refused_connection, port)
+        share=OPERATOR_SHARE,
+        observe=partial(node.metrics.observe_refused_connection, port),
+        closes_idle=True,
     )
     return caller_protocol(head_timeout=OPERATOR_HEAD_TIMEOUT_SECONDS, limits=limits)
 
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -388,6 +388,24 @@
         answer = await exchange(REQUEST, app=answer_long, limits=limits, pause=0.2)
         assert len(answer) < 2**24 and refused == ["memory"]
 
+    # Guards against a crowd that asks once and stays, so that a host is taken for not ready.
+    @pytest.mark.parametrize("closes_idle", [True, False])
+    async def test_idle_connection_makes_room_where_the_port_is_not_for_clients(self, closes_idle):
+        limits = ConnectionLimits(1, lambda: 10_000, closes_idle=closes_idle)
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS, limits=limits)
+        async with (
+            serving(answer_ok, address, protocol=protocol),
+            await anyio.connect_tcp(host, int(port)) as first,
+        ):
+            await first.send(REQUEST)
+            assert b"200 OK" in await first.receive()
+            async with await anyio.connect_tcp(host, int(port)) as second:
+                await second.send(REQUEST)
+                with anyio.fail_after(2):
+                    assert (b"200 OK" if closes_idle else b" 503 ") in await second.receive()
+
     async def test_connection_beyond_the_limit_is_refused_as_not_run(self):
         limits = ConnectionLimits(0, lambda: 10_000)
         answer = await exchange(limits=limits)
--- a/tests/forwarding/test_connection_limits.py
+++ b/tests/forwarding/test_connection_limits.py
@@ -43,6 +43,17 @@
         assert limits.admit(FakeConnection(unread=True))
         assert not limits.admit(FakeConnection())
 
+    def test_connection_is_idle_only_between_its_requests(self):
+        limits = ConnectionLimits(1, lambda: 100, closes_idle=True)
+        (used,) = admitted(limits, 1)
+        limits.mark_used(used)
+        assert not limits.admit(FakeConnection())
+        limits.mark_idle(used)
+        limits.mark_used(used)
+        assert not limits.admit(FakeConnection()) and not used.closed
+        limits.mark_idle(used)
+        assert limits.admit(FakeConnection()) and used.closed == [RefusalReason.UNUSED]
+
     def test_unread_responses_make_room_where_all_connections_are_used(self):
         limits = ConnectionLimits(2, lambda: 100)
         ordinary, unread = admitted(limits, 2)
