--- a/samphirehall/forwarding/caller_protocol.py
+++ b/samphirehall/forwarding/caller_protocol.py
@@ -60,6 +60,7 @@
         _request_bytes = 0  # of the request that is being parsed
         _queued_bytes = 0  # of the request that waits for the running one
         _head_is_overdue = False
+        _parses_soon = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start to wait for the first head."""
@@ -94,7 +95,10 @@
             """Parse received bytes, except those behind a request that waits for another one."""
             if self._takes_input():
                 self._unparsed.add(data)
-                self._parse()
+                if self._parses_soon:
+                    self._input.update()
+                else:
+                    self._parse()
 
         def shutdown(self) -> None:
             """Close the connection once all requests that have arrived are answered."""
@@ -160,8 +164,8 @@
             if self.parser.should_upgrade():
                 self._offers_upgrade = True
                 return
+            super().on_headers_complete()  # raises for a target without a path
             self._in_body = True
-            super().on_headers_complete()
 
         def on_message_complete(self) -> None:
             """Read on once a body is whole, however long, so that a close is noticed."""
@@ -180,7 +184,11 @@
             super().on_response_complete()
             if self._head_timer is not None:  # the head of the next request has begun
                 self._unset_keepalive_if_required()
+            elif self.timeout_keep_alive_task is not None and not self._has_requests():
+                shared_limits.mark_idle(self)
             self._queued_bytes = 0
+            if self._in_body and self.cycle.response_complete:
+                self._request_bytes = 0  # the rest of the body is discarded
             self._update_held()
             self._parse_soon()
             self._close_if_done()
@@ -246,12 +254,20 @@
             is_behind = cycle is not None and not (cycle.response_complete or cycle.more_body)
             unread_ahead = unread if self._has_requests() else 0
             ahead = self._queued_bytes + unread_ahead + (unparsed if is_behind else 0)
-            waiting = unparsed + unread + self._request_bytes + self._queued_bytes
+            # The parser keeps a target, header or trailer until it is whole.
+            head = self._head_bytes + self._framing_bytes
+            waiting = unparsed + unread + head + self._request_bytes + self._queued_bytes
             shared_limits.update(self, Held(waiting, ahead, unread_ahead))
 
         def _parse_soon(self) -> None:
-            if self._unparsed:
-                self.loop.call_soon(self._parse)
+            """Parse in the next turn, once however often it is asked for."""
+            if self._unparsed and not self._parses_soon:
+                self._parses_soon = True
+                self.loop.call_soon(self._parse_now)
+
+        def _parse_now(self) -> None:
+            self._parses_soon = False
+            self._parse()
 
         def _parse(self) -> None:
             """Parse until a request waits for another one, or the turn is over."""
--- a/tests/forwarding/test_caller_protocol.py
+++ b/tests/forwarding/test_caller_protocol.py
@@ -13,6 +13,7 @@
 from samphirehall.forwarding.answers import send_response
 from samphirehall.forwarding.app import EntryApp
 from samphirehall.forwarding.caller_connection import CONNECTION_SCOPE_KEY
+from samphirehall.forwarding.caller_input import HEAD_END, PIECE_COST_BYTES, TURN_BYTES
 from samphirehall.forwarding.caller_protocol import MAX_HEAD_BYTES, caller_protocol
 from samphirehall.forwarding.connection_limits import ConnectionLimits
 from tests.support.ports import free_address
@@ -77,6 +78,14 @@
     async def test_data_that_is_not_http_is_refused_with_a_result_code(self):
         assert b"samphire-result: 2000" in await exchange(b"\x16\x03\x01 not HTTP\r\n\r\n")
 
+    # Guards against a refusal that fails: the connection was closed without an answer, and each
+    # such request on a new connection logged a traceback.
+    @pytest.mark.parametrize("answered", [0, 1])
+    async def test_target_without_a_path_is_refused_with_a_result_code(self, answered):
+        target = b"GET http://h HTTP/1.1\r\nHost: h\r\n\r\n"
+        answer = await exchange(*[REQUEST] * answered, target, pause=0.03)
+        assert b"samphire-result: 2000" in answer and answer.count(b"200 OK") == answered
+
     async def test_pipelined_requests_are_all_answered(self):
         last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
         assert (await exchange(REQUEST * 20 + last)).count(b"200 OK") == 21
@@ -228,6 +237,47 @@
         assert started == 61 and received > 61 * 2**20
 
 
+class TestTurns:
+    # Guards against a client that stops the event loop: each read added one more parse to every
+    # later turn, so a long body of short pieces took them all.
+    async def test_long_input_takes_a_bounded_part_of_each_turn(self):
+        parsed = most = 0
+
+        async def read_body(scope, receive, send):
+            while (await receive()).get("more_body"):
+                pass
+            await send_response(send, 200, [(b"connection", b"close")], b"ok")
+
+        class Protocol(caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS)):
+            def _parse_piece(self, piece):
+                nonlocal parsed
+                parsed += 1
+                super()._parse_piece(piece)
+
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        body = HEAD_END * 2**19
+        async with (
+            serving(read_body, address, protocol=Protocol),
+            await anyio.connect_tcp(host, int(port)) as stream,
+            anyio.create_task_group() as group,
+        ):
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body)
+            group.start_soon(stream.send, head + body)
+            answers = []
+            group.start_soon(lambda: receive_into(stream, answers))
+            with anyio.fail_after(10):
+                while not answers:
+                    await anyio.sleep(0)
+                    most, parsed = max(most, parsed), 0
+        assert b"200 OK" in answers[0]
+        assert most <= 2 * TURN_BYTES / PIECE_COST_BYTES
+
+
+async def receive_into(stream, answers):
+    answers.append(await stream.receive())
+
+
 class TestReset:
     # Guards against memory that 700 connects and resets a second took for 75 s each.
     async def test_reset_connection_leaves_no_timer(self):
@@ -270,6 +320,47 @@
         answer = await exchange(head + b"x" * 20_000, app=read_body, limits=limits)
         assert answer == b"" and refused == ["memory"]
 
+    # Guards against memory that nothing counts: a value of a header is kept while it arrives.
+    @pytest.mark.parametrize(
+        "head",
+        [b"GET / HTTP/1.1\r\nX-A: ", b"GET /", CHUNKED + b"1\r\nx\r\n0\r\nX-A: "],
+        ids=["header", "target", "trailer"],
+    )
+    async def test_unfinished_field_counts(self, head):
+        async def read_body(scope, receive, send):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        refused = []
+        limits = ConnectionLimits(9, lambda: 35_000, refused.append)
+        await exchange(head, b"b" * 40_000, app=read_body, limits=limits, pause=0.01)
+        assert refused == ["memory"]
+
+    # Guards against ordinary clients that pay for bytes that are no longer kept.
+    async def test_body_whose_response_is_complete_counts_no_longer(self):
+        class Recorded(ConnectionLimits):
+            def update(self, connection, held):
+                super().update(connection, held)
+                held_bytes.append(held.waiting)
+
+        held_bytes, counts = [], []
+
+        async def refuse_early(scope, receive, send):
+            if scope["method"] == "POST":
+                await receive()
+                await receive()
+            await send_response(send, 413, [], b"long")
+            counts.append(len(held_bytes))
+
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+        last = REQUEST[:-2] + b"Connection: close\r\n\r\n"
+        pieces = [head + b"x" * 20_000, b"x" * 20_000, b"x" * 10_000, b"x" * 10_000 + last]
+        limits = Recorded(9, lambda: 10**9)
+        answer = await exchange(*pieces, app=refuse_early, limits=limits, pause=0.03)
+        assert answer.count(b" 413 ") == 2
+        before, after = held_bytes[: counts[0]], held_bytes[counts[0] :]
+        assert max(before) >= 20_000 and max(after) < 10_000
+
     # Guards against ordinary clients that pay for others: a body is not sent ahead.
     async def test_arriving_body_does_not_count_as_sent_ahead(self):
         class Recorded(ConnectionLimits):
@@ -297,6 +388,24 @@
         answer = await exchange(REQUEST, app=answer_long, limits=limits, pause=0.2)
         assert len(answer) < 2**24 and refused == ["memory"]
 
+    # Guards against a crowd that asks once and stays, so that a host is taken for not ready.
+    @pytest.mark.parametrize("closes_idle", [True, False])
+    async def test_idle_connection_makes_room_where_the_port_is_not_for_clients(self, closes_idle):
+        limits = ConnectionLimits(1, lambda: 10_000, closes_idle=closes_idle)
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        protocol = caller_protocol(head_timeout=HEAD_TIMEOUT_SECONDS, limits=limits)
+        async with (
+            serving(answer_ok, address, protocol=protocol),
+            await anyio.connect_tcp(host, int(port)) as first,
+        ):
+            await first.send(REQUEST)
+            assert b"200 OK" in await first.receive()
+            async with await anyio.connect_tcp(host, int(port)) as second:
+                await second.send(REQUEST)
+                with anyio.fail_after(2):
+                    assert (b"200 OK" if closes_idle else b" 503 ") in await second.receive()
+
     async def test_connection_beyond_the_limit_is_refused_as_not_run(self):
         limits = ConnectionLimits(0, lambda: 10_000)
         answer = await exchange(limits=limits)
