Retry-After waits until the request fits the common bucket

A request that overdraws the common bucket too far was refused with a retry time of 0.1 s whenever the host's own bucket or the level alone allowed one: with 0.5 requests a second and a burst of one, the caller was told 0.1 s where 1.4 s were missing. The time until the request fits now counts.

--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -368,10 +368,14 @@
             return QuotaDecision(Verdict.GRANT, regime, level)
         wait = bucket.seconds_until(now=now)
         if regime is Regime.SHARE:
-            wait = min(wait, self._seconds_until_free(level, knowledge))
+            free_level = self._free_level(knowledge)
+            wait = min(wait, self._seconds_until(free_level, level, knowledge))
+            # Neither the own bucket nor a free level helps a request that does not fit.
+            fitting = units - self._usable_debt(knowledge)
+            wait = max(wait, self._seconds_until(fitting, level, knowledge))
         retry_after = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
         return QuotaDecision(Verdict.REFUSE, regime, level, retry_after)
 
-    def _seconds_until_free(self, level: float, knowledge: QuotaKnowledge) -> float:
-        """Return the seconds until the common level is high enough if nothing else is granted."""
-        return max(0.0, self._free_level(knowledge) - level) / (self.quota.rate * knowledge.part)
+    def _seconds_until(self, wanted: float, level: float, knowledge: QuotaKnowledge) -> float:
+        """Return the seconds until the common level is as wanted if nothing else is granted."""
+        return max(0.0, wanted - level) / (self.quota.rate * knowledge.part)
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -90,6 +90,16 @@
             granted.append(sum(each.verdict is Verdict.GRANT for each in decisions))
         assert 5 < granted[0] < 60 and granted[1] == 0
 
+    def test_retry_time_of_a_request_that_does_not_fit_is_that_until_it_does(self):
+        """Guards against a caller that is told 0.1 s again and again until the level has risen."""
+        quota = Quota(0.5, 1.0)
+        host = host_quota(quota, QuotaBounds(8.0, 0.1, 0.0))
+        empty = knowledge(0.0, demand=0.0, heard=1, known=1)
+        decision = host.decide(1.0, empty, now=0.0, waited=True)
+        missing = 1.0 - QuotaBounds(8.0, 0.1, 0.0).usable_debt(quota)
+        assert decision.verdict is Verdict.REFUSE
+        assert decision.retry_after == pytest.approx(missing / 0.5)
+
     def test_units_given_back_may_be_used_again(self):
         host = host_quota()
         host.decide(9.0, knowledge(), now=0.0)
