Units given back and acknowledged hide no later grants of a host

A host kept the largest count that its hub had ever acknowledged. Once granted units were given back and the hub had counted that too, the host took as many later units for acknowledged: it granted them without an allowance, and a new hub did not count them. The acknowledged count now follows the update that the hub has received, plus what was granted alone since.

The new test failed before (0 outstanding instead of 5); tests/admission/test_quota.py, tests/gateway/test_quota_admission.py and test_quota_exchange.py pass: 70 passed.

--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -229,6 +229,8 @@
     acknowledged : float
         Those of them that the common level includes, or that were granted from the host's equal
         part of the rate, which the common bucket leaves out.
+    granted_alone : float
+        Units granted from the host's equal part since the process started, less those given back.
     demand : OfferedDemand
         What callers ask for at this host.
     """
@@ -241,6 +243,7 @@
         "bounds",
         "demand",
         "granted",
+        "granted_alone",
         "quota",
     )
 
@@ -248,6 +251,7 @@
         self.quota = quota
         self.granted = 0.0
         self.acknowledged = 0.0
+        self.granted_alone = 0.0
         self.demand = OfferedDemand()
         self.bounds = bounds
         self._source = source
@@ -297,10 +301,18 @@
         verdict = Verdict.REFUSE if waited else Verdict.WAIT
         return QuotaDecision(verdict, Regime.FREE, level, MIN_RETRY_SECONDS)
 
+    def acknowledge(self, granted: float, granted_alone: float) -> None:
+        """Record that the common level includes what was granted at an earlier moment.
+
+        That may be less than before, if units have been given back.
+        """
+        self.acknowledged = granted + self.granted_alone - granted_alone
+
     def give_back(self, units: float, *, now: float) -> None:
         """Return the units of a request that was granted but did not run."""
         if self._regime is Regime.ALONE:
             self.acknowledged -= units
+            self.granted_alone -= units
         self.granted -= units
         self.demand.withdraw(units, now=now)
         if self._bucket is not None:
@@ -365,6 +377,7 @@
             self.granted += units
             if regime is Regime.ALONE:
                 self.acknowledged += units
+                self.granted_alone += units
             return QuotaDecision(Verdict.GRANT, regime, level)
         wait = bucket.seconds_until(now=now)
         if regime is Regime.SHARE:
--- a/samphirehall/gateway/quota_exchange.py
+++ b/samphirehall/gateway/quota_exchange.py
@@ -67,6 +67,15 @@
     sent_at: float
 
 
+@dataclass(slots=True)
+class _SentCounts:
+    """Counters in one update of this host."""
+
+    sent_at: float
+    counts: dict[str, tuple[float, float]]  # granted, and demand as sent
+    granted_alone: dict[str, float]
+
+
 class HostQuotas:
     """Quotas of all customers on one host.
 
@@ -98,7 +107,7 @@
         self._epoch = ""
         self._zone_counts: dict[str, _ZoneCount] = {}
         self._hub_state: _HubState | None = None
-        self._sent: OrderedDict[int, tuple[float, dict[str, tuple[float, float]]]] = OrderedDict()
+        self._sent: OrderedDict[int, _SentCounts] = OrderedDict()
         self._acknowledged_at = float("-inf")  # when the latest acknowledged update was sent
         self._acknowledged: dict[str, tuple[float, float]] = {}
         self._updated = anyio.Event()
@@ -238,7 +247,8 @@
             if (granted, demand) != self._acknowledged.get(name, (0.0, 0.0)):
                 counts.append((name, _short(granted), _short(host_quota.outstanding), demand))
         included = {name: (self._customers[name].granted, demand) for name, _, _, demand in counts}
-        self._sent[sequence] = now, included
+        alone = {name: self._customers[name].granted_alone for name in included}
+        self._sent[sequence] = _SentCounts(now, included, alone)
         while len(self._sent) > MAX_UNACKNOWLEDGED:
             self._sent.popitem(last=False)
         return counts
@@ -313,12 +323,10 @@
         self._hub_state = _HubState(levels, quotas.heard, known, now, now - delay)
         sent = self._sent.get(acknowledged)
         if sent is not None:
-            self._acknowledged_at, included = sent
-            self._acknowledged.update(included)
-            for name, (granted, _) in included.items():
-                if name in self._customers:
-                    host_quota = self._customers[name]
-                    host_quota.acknowledged = max(host_quota.acknowledged, granted)
+            self._acknowledged_at = sent.sent_at
+            self._acknowledged.update(sent.counts)
+            for name, (granted, _) in sent.counts.items():
+                self._customers[name].acknowledge(granted, sent.granted_alone[name])
             while self._sent and next(iter(self._sent)) <= acknowledged:
                 self._sent.popitem(last=False)
         self._updated.set()
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from samphirehall.admission.quota import Quota, QuotaBounds
+from samphirehall.admission.quota import Quota, QuotaBounds, Verdict
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import LIMIT_REACHED, NO_ENDPOINT
 from samphirehall.gateway.gateway import Gateway
@@ -126,6 +126,28 @@
             assert len(endpoint.received) == 1
 
 
+def test_units_given_back_and_acknowledged_hide_no_later_grants():
+    """Guards against grants that neither the host nor a new hub counts after a failed endpoint."""
+    customer = Customer("acme", None, Quota(100.0, 100.0))
+    member, hub = (HostQuotas(name, random.Random(1), lambda: 100.0) for name in "mh")
+    for quotas in (member, hub):
+        quotas.set_customers([customer])
+    hub.set_role(is_hub=True, now=100.0)
+
+    def exchange(sequence):
+        hub.receive_member("m", "m/1", member.member_counts(sequence, now=100.0), now=100.0)
+        state = hub.state_for_members(has_load=True, now=100.0)
+        member.receive_hub(state, sequence, delay=0.0, now=100.0)
+
+    exchange(1)
+    assert member.decide(customer, 5.0, waited=True).verdict is Verdict.GRANT
+    exchange(2)
+    member.give_back(customer, 5.0)
+    exchange(3)
+    assert member.decide(customer, 5.0, waited=True).verdict is Verdict.GRANT
+    assert member._customers["acme"].outstanding == 5
+
+
 class TestMessages:
     """Hosts without quotas send more than before, or peers cannot read what hosts send."""
 
