A rate too small for a float does not raise in a refusal

The longest retry time is stated instead.

The new test failed before with ZeroDivisionError; tests/admission/test_quota.py passes: 19 passed.

--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -391,4 +391,6 @@
 
     def _seconds_until(self, wanted: float, level: float, knowledge: QuotaKnowledge) -> float:
         """Return the seconds until the common level is as wanted if nothing else is granted."""
-        return max(0.0, wanted - level) / (self.quota.rate * knowledge.part)
+        missing = max(0.0, wanted - level)
+        rate = self.quota.rate * knowledge.part  # rounded to zero if it is too small for a float
+        return missing / rate if rate > 0 else MAX_RETRY_SECONDS
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -100,6 +100,12 @@
         assert decision.verdict is Verdict.REFUSE
         assert decision.retry_after == pytest.approx(missing / 0.5)
 
+    def test_smallest_rate_that_a_configuration_can_hold_raises_nothing(self):
+        """Guards against a division by a part of the rate that is rounded to zero."""
+        host = host_quota(Quota(5e-324, 1.0), QuotaBounds(8.0, 0.0, 0.0))
+        decision = host.decide(1.0, knowledge(-1.0, heard=1, known=10), now=0.0, waited=True)
+        assert decision.verdict is Verdict.REFUSE and decision.retry_after == 10
+
     def test_units_given_back_may_be_used_again(self):
         host = host_quota()
         host.decide(9.0, knowledge(), now=0.0)
