Zones that do not hear each other no longer share a third one's part

If zones 0 and 2 do not hear each other but both hear zone 1, each counted the hosts of zone 1 as its own side: their buckets filled at 2 / 3 of the rate each. Hubs now tell each other which zones they hear, and a hub leaves out a zone that goes on hearing others which it does not hear.

--- a/samphirehall/admission/quota_ledger.py
+++ b/samphirehall/admission/quota_ledger.py
@@ -45,6 +45,8 @@
     hosts: int
     is_zone: bool
     stale_seconds: float  # silence after which the source no longer counts as heard
+    elsewhere: frozenset[str]  # other zones that it hears, if it is a zone
+    hears_more_since: float = float("inf")  # since when it hears zones that this hub does not
     counts: dict[str, SourceCount] = field(default_factory=dict)
 
 
@@ -139,6 +141,7 @@
         self._told_until = now
         self._known = LargestCount(KNOWN_HOSTS_SECONDS)
         self._hosts = (1, 1)
+        self._sharing: set[str] = set()  # zones that share the common buckets
         self._known.record(1, now=now)
 
     @property
@@ -197,6 +200,7 @@
         *,
         hosts: int = 1,
         is_zone: bool = False,
+        elsewhere: frozenset[str] = frozenset(),
         now: float,
     ) -> dict[str, float]:
         """Record the counters of a member or a zone; return the units that are new, by customer.
@@ -213,6 +217,8 @@
             Number of hosts that the source stands for.
         is_zone : bool
             Whether the source is another zone.
+        elsewhere : frozenset of str
+            Source names of the zones, besides that of this hub, that such a source hears.
         now : float
             Boot clock in seconds.
         """
@@ -221,12 +227,15 @@
         silent = 0.0 if source is None else now - source.heard_at
         continues = source is not None and (source.epoch == epoch or is_zone)
         if source is None or not continues:
-            source = self._sources[name] = _Source(epoch, now, hosts, is_zone, stale)
+            source = self._sources[name] = _Source(epoch, now, hosts, is_zone, stale, elsewhere)
         is_same = source.epoch == epoch
-        if source.hosts != hosts or silent >= source.stale_seconds or not continues:
+        is_known = source.hosts == hosts and source.elsewhere == elsewhere
+        if not is_known or silent >= source.stale_seconds or not continues:
             self._summed_at = float("-inf")
         source.epoch, source.heard_at, source.hosts = epoch, now, hosts
+        source.elsewhere = elsewhere
         part = self._part(now)
+        is_left_out = is_zone and name not in self._sharing
         charged = {}
         for customer, count in counts:
             bucket = self._buckets.get(customer)
@@ -241,6 +250,8 @@
                 units = difference if is_same or difference >= 0 else units
             elif is_zone and silent >= LEFT_OUT_SECONDS:
                 units = 0.0
+            if is_left_out:
+                units = 0.0
             if units:
                 bucket.level(part, now=now)
                 bucket.charge(units)
@@ -272,9 +283,20 @@
         """Return the number of members that are heard."""
         return sum(not source.is_zone for source in self._live(now))
 
+    def zones(self, *, now: float) -> list[str]:
+        """Return the source names of the zones that are heard."""
+        return [
+            name
+            for name, each in self._sources.items()
+            if each.is_zone and self._is_live(each, now)
+        ]
+
+    def _is_live(self, source: _Source, now: float) -> bool:
+        return now - source.heard_at < source.stale_seconds
+
     def _live(self, now: float) -> Iterator[_Source]:
         for source in self._sources.values():
-            if now - source.heard_at < source.stale_seconds:
+            if self._is_live(source, now):
                 yield source
 
     def _part(self, now: float) -> float:
@@ -289,7 +311,10 @@
         self._summed_at = now
         heard, members = 1, defaultdict[str, float](float)
         zones = defaultdict[str, float](float)
-        for source in self._live(now):
+        self._sharing = self._sharing_zones(now)
+        for name, source in self._sources.items():
+            if not self._is_live(source, now) or (source.is_zone and name not in self._sharing):
+                continue
             heard += source.hosts
             sums = zones if source.is_zone else members
             for customer, count in source.counts.items():
@@ -299,3 +324,22 @@
         self._hosts = heard, self._known.record(heard, now=now)
         self._member_demands = dict(members)
         self._demands = {name: members[name] + zones[name] for name in {*members, *zones}}
+
+    def _sharing_zones(self, now: float) -> set[str]:
+        """Return the zones that share the common buckets with this one.
+
+        A zone that goes on hearing others which this one does not is left out: they all would use
+        its part of the rate, without knowing of each other. A new hub has not heard all zones yet.
+        """
+        heard = set(self.zones(now=now))
+        for name in heard:
+            source = self._sources[name]
+            if source.elsewhere <= heard or now < self._told_until:
+                source.hears_more_since = float("inf")
+            else:
+                source.hears_more_since = min(now, source.hears_more_since)
+        return {
+            name
+            for name in heard
+            if now - self._sources[name].hears_more_since < ZONE_STALE_SECONDS
+        }
--- a/samphirehall/gateway/quota_exchange.py
+++ b/samphirehall/gateway/quota_exchange.py
@@ -94,6 +94,8 @@
         Called when a counter has changed that the hub should know soon.
     listed_hosts : int
         Number of hosts that are listed in the store, for a host that has heard none.
+    zone : str
+        Name under which other hubs receive the counters of this zone.
     """
 
     def __init__(self, host: str, random_source: random.Random, clock: Callable[[], float]) -> None:
@@ -113,6 +115,7 @@
         self._updated = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
         self.listed_hosts = 1
+        self.zone = ""
 
     @property
     def active(self) -> bool:
@@ -290,14 +293,21 @@
                 granted, recent = _short(max(0.0, count.granted)), _short(count.recent(now))
                 counts.append((name, granted, recent, _rounded_up(demand)))
         hosts = 1 + ledger.count_members(now=now)
-        return HubQuotas(self._epoch, hosts, *ledger.hosts, counts=counts)
+        zones = ledger.zones(now=now)
+        return HubQuotas(self._epoch, hosts, *ledger.hosts, counts=counts, zones=zones)
 
     def receive_zone(self, zone: str, quotas: HubQuotas | None, *, now: float) -> None:
         """As the hub, receive the counters of another zone."""
         if quotas is None or self._ledger is None:
             return
         self._ledger.record(
-            zone, quotas.epoch, _decoded(quotas.counts), hosts=quotas.hosts, is_zone=True, now=now
+            zone,
+            quotas.epoch,
+            _decoded(quotas.counts),
+            hosts=quotas.hosts,
+            is_zone=True,
+            elsewhere=frozenset(quotas.zones) - {self.zone},
+            now=now,
         )
 
     def receive_hub(
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -147,6 +147,7 @@
         context.loads.on_change = self._record_change
         context.limits.on_change = self._record_change
         context.quotas.on_change = self._record_change
+        context.quotas.zone = zone_source(context.zone)
 
     @property
     def is_hub(self) -> bool:
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -133,6 +133,8 @@
         Levels of the common buckets, for members; one that is not listed is full.
     has_load : bool
         Whether the update holds the load of the zone.
+    zones : list of str
+        Source names of the other zones that the sender hears, for other hubs.
     """
 
     epoch: str
@@ -142,6 +144,7 @@
     counts: list[EncodedQuotaCount] = []
     levels: list[EncodedQuotaLevel] = []
     has_load: bool = True
+    zones: list[str] = []
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, tag="member"):
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -28,6 +28,7 @@
         self.frozen = False
         self.quotas = HostQuotas(name, fleet.random, lambda: fleet.now)
         self.quotas.set_bounds(BOUNDS)
+        self.quotas.zone = f"zone:{zone}"
         self.quotas.listed_hosts = fleet.listed
         self.quotas.set_customers([fleet.customer])
 
@@ -39,6 +40,7 @@
         self.random, self.now, self.numbers, self.loss = random.Random(seed), 0.0, count(), loss
         self.customer, self.quota, self.listed = Customer("c", None, quota), quota, hosts
         self.events, self.granted, self.refused, self.offered = [], [], [], 0
+        self.cut_links = set()  # pairs of zones
         self.cut_zones, self.silent_hosts, self.unheard_hosts = set(), set(), set()
         self.hosts = [_Host(self, f"h{number}", number % 3) for number in range(hosts)]
         self.hubs = {}
@@ -104,7 +106,8 @@
     def to_hubs(self, zone):
         state = self.hubs[zone].quotas.state_for_hubs(now=self.now)
         for other, hub in self.hubs.items():
-            if other != zone and not {zone, other} & self.cut_zones and not hub.frozen:
+            is_cut = {zone, other} & self.cut_zones or frozenset((zone, other)) in self.cut_links
+            if other != zone and not is_cut and not hub.frozen:
                 self.send(lambda hub=hub: self.receive_zone(hub, f"zone:{zone}", state))
 
     def receive_zone(self, hub, zone, state):
@@ -274,6 +277,23 @@
         model.run(28)
         assert model.worst_window() <= 1
 
+    @QUOTAS
+    def test_two_zones_cut_off_from_each_other_but_not_from_the_third(self, quota):
+        """Guards against two zones that both use the part of a third which hears them both."""
+        model = fleet(quota)
+        surge(model, hosts=[host for host in model.hosts if host.zone != 1])
+        model.at(6.0, lambda: model.cut_links.add(frozenset((0, 2))))
+        model.run(28)
+        assert model.worst_window() <= 1
+
+    def test_usual_load_while_a_zone_is_cut_off(self):
+        """Guards against hosts that refuse far below the limit as another zone is gone."""
+        model = fleet()
+        model.load(1, 1, 20, hosts=[host for host in model.hosts if host.zone != 2])
+        model.at(8.0, lambda: model.cut_zones.add(2))
+        model.run(20)
+        assert len(model.refused) <= 0.01 * model.offered
+
     @QUOTAS
     def test_half_of_the_hosts_silent(self, quota):
         model = surge(fleet(quota))
