A hub forgets members that have ended

The ledger of quotas kept a record of each host name that it had ever heard, with the counts of all its customers, and went through all of them up to 50 times a second. Members that are silent for the 60 s of known hosts are dropped now; one that is heard again states what no hub has counted.

The new test failed before (200 records instead of at most 62); tests/admission/test_quota.py, test_limits.py and tests/gateway/test_quota_admission.py pass: 43 passed.

--- a/samphirehall/admission/quota_ledger.py
+++ b/samphirehall/admission/quota_ledger.py
@@ -309,6 +309,7 @@
         if 0 <= now - self._summed_at < SUM_SECONDS:
             return
         self._summed_at = now
+        self._forget_ended(now)
         heard, members = 1, defaultdict[str, float](float)
         zones = defaultdict[str, float](float)
         self._sharing = self._sharing_zones(now)
@@ -325,6 +326,16 @@
         self._member_demands = dict(members)
         self._demands = {name: members[name] + zones[name] for name in {*members, *zones}}
 
+    def _forget_ended(self, now: float) -> None:
+        """Forget members that have ended; they report what is uncounted if they are heard again."""
+        ended = [
+            name
+            for name, source in self._sources.items()
+            if not source.is_zone and now - source.heard_at >= KNOWN_HOSTS_SECONDS
+        ]
+        for name in ended:
+            del self._sources[name]
+
     def _sharing_zones(self, now: float) -> set[str]:
         """Return the zones that share the common buckets with this one.
 
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -165,6 +165,14 @@
             kept.level("c", now=float(second))
         assert kept.hosts == (1, 1)
 
+    def test_ended_members_are_forgotten(self):
+        """Guards against a hub whose memory and work grow with each host that has ever run."""
+        kept = ledger()
+        for second in range(200):
+            kept.record(f"m{second}", "p", counts(5.0), now=float(second))
+            kept.level("c", now=float(second))
+        assert len(kept._sources) <= 62
+
     def test_lowered_limit_also_lowers_the_debt_to_repay(self):
         kept = ledger()
         kept.charge("c", 100.0 + kept.level("c", now=0.0), now=0.0)
