A request that waits for its quota does not begin after the host has stopped

The end of a planned stop ends all running requests, but a request that waited for its hub's update at that moment was granted later and handed to an endpoint, while the process was about to exit. It is refused as not run now, and its units are given back.

--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -176,6 +176,8 @@
             request_state.service.engine is not None and request_state.request.prompt is not None
         )
         run = run_generation if engines else run_plain
+        if self._stopped:  # while the request waited for its quota
+            raise stopping_error()
         remaining = request_state.remaining_time(now=self.context.clock())
         if remaining <= 0:
             raise SamphireError(DEADLINE_NOT_RUN, "the deadline had passed on arrival")
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -8,7 +8,7 @@
 
 from samphirehall.admission.quota import Quota, QuotaBounds, Verdict
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import LIMIT_REACHED, NO_ENDPOINT
+from samphirehall.core.results import LIMIT_REACHED, NO_ENDPOINT, SHUTTING_DOWN
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.quota_exchange import HostQuotas
 from samphirehall.gateway.types import Customer
@@ -113,6 +113,21 @@
         assert 0.02 < gateway.context.clock() - started < 0.2  # a quarter of 0.1 s
         assert results[-1][0].extra_log_fields["quota"]["regime"] == "alone"
 
+    async def test_request_that_waits_as_the_host_stops_does_not_run(self):
+        """Guards against a request that begins after all running ones were ended."""
+        async with scripted_endpoint(answered) as endpoint:
+            gateway, results = gateway_with(QUOTA, endpoint.address, is_hub=False)
+            with pytest.raises(ExceptionGroup):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(serve, gateway)
+                    await anyio.sleep(0.005)
+                    gateway.end_running_requests()
+                    now, quotas = gateway.context.clock(), gateway.context.quotas
+                    assert quotas.member_counts(1, now=now)
+                    quotas.receive_hub(HubQuotas("h/1", 1, 1, 1), 1, delay=0.0, now=now)
+            assert results[-1][1] is SHUTTING_DOWN and not endpoint.received
+            assert quotas._customers["acme"].granted == 0
+
     async def test_update_of_the_hub_ends_the_wait(self):
         async with scripted_endpoint(answered) as endpoint:
             gateway, _ = gateway_with(QUOTA, endpoint.address, is_hub=False)
