samphire-entry publishes the counts of all limits, not of 64

Only the 64 limits with most demand were published. Tokens are always more than requests, so with 33 customers that have both limits the request limits began to be left out, and each host granted the whole rate. All limits with demand are published now, 64 in a fact.

--- a/samphirehall/admission/limit_counts.py
+++ b/samphirehall/admission/limit_counts.py
@@ -13,7 +13,7 @@
 
 FACT_LIFETIME_SECONDS = 3.0
 FACT_KEY = "limits"
-MAX_CUSTOMERS = 64  # of one fact, those with most demand
+MAX_LIMITS = 64  # of one fact; more are published as further facts
 MIN_DEMAND = 0.01  # units per second; a customer with a smaller demand is left out
 
 _Number = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
@@ -40,7 +40,7 @@
         state.fact_store.subscribe(self._apply_fact)
 
     def publish(self, *, now: float) -> int:
-        """Publish the counts of the customers with demand; return their number.
+        """Publish the counts of the limits with demand; return their number.
 
         A host without any publishes as well, as only hosts that are heard share the whole rates.
         """
@@ -48,15 +48,19 @@
         if not self._has_limits():
             return 0
         counts = [each for each in self._limits.counts(now=now) if each[1].demand >= MIN_DEMAND]
-        counts.sort(key=lambda each: each[1].demand, reverse=True)
-        value = [
+        values = [
             (name, round(count.granted, 3), round(count.uncounted, 3), round(count.demand, 3))
-            for name, count in counts[:MAX_CUSTOMERS]
+            for name, count in counts
         ]
-        self._state.fact_store.publish(
-            FactKind.LIMIT_COUNTS, FACT_KEY, value, lifetime=FACT_LIFETIME_SECONDS, now=now
-        )
-        return len(value)
+        for start in range(0, max(1, len(values)), MAX_LIMITS):
+            self._state.fact_store.publish(
+                FactKind.LIMIT_COUNTS,
+                f"{FACT_KEY}/{start // MAX_LIMITS}" if start else FACT_KEY,
+                values[start : start + MAX_LIMITS],
+                lifetime=FACT_LIFETIME_SECONDS,
+                now=now,
+            )
+        return len(values)
 
     def _has_limits(self) -> bool:
         """Return whether the configuration limits the rate of any customer."""
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -1,3 +1,4 @@
+import contextlib
 import random
 
 import pytest
@@ -82,6 +83,25 @@
     assert granted <= 2 * 20 + 3
 
 
+def test_limits_of_many_customers_hold_for_each():
+    """Guards against counts that are left out of a full fact, so that each host grants all."""
+    part = CustomerPart(requests_per_second=20.0, tokens_per_second=1e6)
+    hosts = Hosts(3, part)
+    names = [f"a{number}" for number in range(70)]
+    granted = dict.fromkeys(names, 0)
+    for step in range(200):
+        hosts.now = step / 20
+        if step % 10 == 0:
+            hosts.publish()
+        for limits in hosts.limits:
+            for name in names:
+                with contextlib.suppress(SamphireError):
+                    limits.acquire(name, part, 100.0, hosts=3, now=hosts.now)
+                    limits.release(name, excess_tokens=0.0, now=hosts.now)
+                    granted[name] += 1
+    assert max(granted.values()) <= 1.1 * (10 * 20 + 2 * 20)
+
+
 def test_host_without_limits_publishes_nothing():
     hosts = Hosts(2, CustomerPart())
     hosts.publish()
