--- a/samphirehall/admission/limit_counts.py
+++ b/samphirehall/admission/limit_counts.py
@@ -7,7 +7,7 @@
 from samphirehall.admission.limits import CustomerLimits
 from samphirehall.admission.quota_ledger import SourceCount
 from samphirehall.configuration.version import Configuration
-from samphirehall.core.decoding import Name, convert
+from samphirehall.core.decoding import convert
 from samphirehall.node.facts import Fact, FactKind
 from samphirehall.node.state import NodeState
 
@@ -17,7 +17,8 @@
 MIN_DEMAND = 0.01  # units per second; a customer with a smaller demand is left out
 
 _Number = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
-_Counts = list[tuple[Name, _Number, _Number, _Number]]
+# Names of limits hold those of customers, which the configuration does not restrict.
+_Counts = list[tuple[str, _Number, _Number, _Number]]
 
 
 class LimitCounts:
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -102,6 +102,15 @@
     assert max(granted.values()) <= 1.1 * (10 * 20 + 2 * 20)
 
 
+def test_counts_of_a_customer_with_any_name_are_taken():
+    """Guards against one name by which peers refuse the counts of all customers of a host."""
+    hosts, name = Hosts(2), "a customer\n" + "x" * 190
+    hosts.limits[0].acquire(name, PART, 1.0, hosts=2, now=0.0)
+    hosts.limits[1].acquire("a", PART, 1.0, hosts=2, now=0.0)
+    hosts.publish()
+    assert hosts.limits[1]._ledger.count_members(now=0.0) == 1
+
+
 def test_host_without_limits_publishes_nothing():
     hosts = Hosts(2, CustomerPart())
     hosts.publish()
