Demand that an earlier hub of a zone told ends with it

A hub that restarts without the state of its zone leaves out customers that nobody asks for there. Other hubs kept the demand that the earlier hub had told, without end, and so gave their own hosts too small a share and left the free regime too soon. The counters still go on.

The new test failed before (800 instead of 0); tests/admission/test_quota.py and tests/gateway/test_quota_exchange.py pass: 61 passed.

--- a/samphirehall/admission/quota_ledger.py
+++ b/samphirehall/admission/quota_ledger.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from samphirehall.admission.quota import STALE_SECONDS, Quota, QuotaBounds
 
@@ -234,6 +234,11 @@
             self._summed_at = float("-inf")
         source.epoch, source.heard_at, source.hosts = epoch, now, hosts
         source.elsewhere = elsewhere
+        if not is_same:
+            # The counters may go on, but customers that the new hub leaves out ask for nothing.
+            source.counts = {
+                customer: replace(count, demand=0.0) for customer, count in source.counts.items()
+            }
         part = self._part(now)
         is_left_out = is_zone and name not in self._sharing
         charged = {}
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -149,6 +149,14 @@
         assert charged(kept, "zone:b", "h2", counts(507.0, 7.0), is_zone=True, now=0.3) == 7
         assert charged(kept, "zone:b", "h3", counts(2.0, 2.0), is_zone=True, now=0.6) == 2
 
+    def test_demand_told_by_an_earlier_hub_of_a_zone_ends_with_it(self):
+        """Guards against shares that stay small as a restarted zone no longer has a customer."""
+        kept = ledger()
+        kept.record("zone:b", "h1", counts(500.0, demand=800.0), is_zone=True, now=0.0)
+        kept.record("zone:b", "h2", [], is_zone=True, now=0.3)
+        assert kept.demand("c", now=0.4) == 0
+        assert charged(kept, "zone:b", "h2", counts(502.0, 2.0), is_zone=True, now=0.5) == 2
+
     def test_hosts_that_are_cut_off_keep_their_part_of_the_rate_and_burst(self):
         kept = ledger()
         kept.record("zone:b", "h1", [], hosts=9, is_zone=True, now=0.0)
