Retry-After in a surge waits until the level lasts at the demand

The new test failed before (0.1 instead of 1.21 s); tests/admission/test_quota.py, tests/gateway/test_quota_exchange.py and test_quota_admission.py pass: 79 passed.

--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -330,11 +330,14 @@
 
     def _is_free(self, level: float, units: float, knowledge: QuotaKnowledge) -> bool:
         """Return whether the level is high enough, also for the demand of the next moment."""
+        return self._fits(level, units, knowledge) and level >= self._lasting_level(knowledge)
+
+    def _lasting_level(self, knowledge: QuotaKnowledge) -> float:
+        """Return the level from which requests are granted freely at the present demand."""
         free_level, part = self._free_level(knowledge), knowledge.part
-        if level < free_level or not self._fits(level, units, knowledge):
-            return False
         excess = max(0.0, knowledge.demand - self.quota.rate * part) * DEMAND_HORIZON_SECONDS
-        return level - excess >= free_level or level >= FULL_LEVEL * self.quota.burst * part
+        full_level = FULL_LEVEL * self.quota.burst * part
+        return max(free_level, min(free_level + excess, full_level))
 
     def _is_calm(self, knowledge: QuotaKnowledge) -> bool:
         """Return whether the common level is nearer to the full one than to that of the shares."""
@@ -381,8 +384,8 @@
             return QuotaDecision(Verdict.GRANT, regime, level)
         wait = bucket.seconds_until(now=now)
         if regime is Regime.SHARE:
-            free_level = self._free_level(knowledge)
-            wait = min(wait, self._seconds_until(free_level, level, knowledge))
+            lasting_level = self._lasting_level(knowledge)
+            wait = min(wait, self._seconds_until(lasting_level, level, knowledge))
             # Neither the own bucket nor a free level helps a request that does not fit.
             fitting = units - self._usable_debt(knowledge)
             wait = max(wait, self._seconds_until(fitting, level, knowledge))
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -100,6 +100,13 @@
         assert decision.verdict is Verdict.REFUSE
         assert decision.retry_after == pytest.approx(missing / 0.5)
 
+    def test_retry_time_in_a_surge_is_that_until_the_level_lasts(self):
+        """Guards against a caller that is told 0.1 s while the demand keeps the free regime off."""
+        level = BOUNDS.free_level(QUOTA) + 1
+        decision = host_quota().decide(50.0, knowledge(level, demand=440.0), now=0.0)
+        assert decision.verdict is Verdict.REFUSE
+        assert decision.retry_after == pytest.approx((90.0 - level) / 100.0)
+
     def test_smallest_rate_that_a_configuration_can_hold_raises_nothing(self):
         """Guards against a division by a part of the rate that is rounded to zero."""
         host = host_quota(Quota(5e-324, 1.0), QuotaBounds(8.0, 0.0, 0.0))
