--- a/samphirehall/admission/quota.py
+++ b/samphirehall/admission/quota.py
@@ -229,6 +229,8 @@
     acknowledged : float
         Those of them that the common level includes, or that were granted from the host's equal
         part of the rate, which the common bucket leaves out.
+    granted_alone : float
+        Units granted from the host's equal part since the process started, less those given back.
     demand : OfferedDemand
         What callers ask for at this host.
     """
@@ -241,6 +243,7 @@
         "bounds",
         "demand",
         "granted",
+        "granted_alone",
         "quota",
     )
 
@@ -248,6 +251,7 @@
         self.quota = quota
         self.granted = 0.0
         self.acknowledged = 0.0
+        self.granted_alone = 0.0
         self.demand = OfferedDemand()
         self.bounds = bounds
         self._source = source
@@ -297,10 +301,18 @@
         verdict = Verdict.REFUSE if waited else Verdict.WAIT
         return QuotaDecision(verdict, Regime.FREE, level, MIN_RETRY_SECONDS)
 
+    def acknowledge(self, granted: float, granted_alone: float) -> None:
+        """Record that the common level includes what was granted at an earlier moment.
+
+        That may be less than before, if units have been given back.
+        """
+        self.acknowledged = granted + self.granted_alone - granted_alone
+
     def give_back(self, units: float, *, now: float) -> None:
         """Return the units of a request that was granted but did not run."""
         if self._regime is Regime.ALONE:
             self.acknowledged -= units
+            self.granted_alone -= units
         self.granted -= units
         self.demand.withdraw(units, now=now)
         if self._bucket is not None:
@@ -318,11 +330,14 @@
 
     def _is_free(self, level: float, units: float, knowledge: QuotaKnowledge) -> bool:
         """Return whether the level is high enough, also for the demand of the next moment."""
+        return self._fits(level, units, knowledge) and level >= self._lasting_level(knowledge)
+
+    def _lasting_level(self, knowledge: QuotaKnowledge) -> float:
+        """Return the level from which requests are granted freely at the present demand."""
         free_level, part = self._free_level(knowledge), knowledge.part
-        if level < free_level or not self._fits(level, units, knowledge):
-            return False
         excess = max(0.0, knowledge.demand - self.quota.rate * part) * DEMAND_HORIZON_SECONDS
-        return level - excess >= free_level or level >= FULL_LEVEL * self.quota.burst * part
+        full_level = FULL_LEVEL * self.quota.burst * part
+        return max(free_level, min(free_level + excess, full_level))
 
     def _is_calm(self, knowledge: QuotaKnowledge) -> bool:
         """Return whether the common level is nearer to the full one than to that of the shares."""
@@ -365,13 +380,20 @@
             self.granted += units
             if regime is Regime.ALONE:
                 self.acknowledged += units
+                self.granted_alone += units
             return QuotaDecision(Verdict.GRANT, regime, level)
         wait = bucket.seconds_until(now=now)
         if regime is Regime.SHARE:
-            wait = min(wait, self._seconds_until_free(level, knowledge))
+            lasting_level = self._lasting_level(knowledge)
+            wait = min(wait, self._seconds_until(lasting_level, level, knowledge))
+            # Neither the own bucket nor a free level helps a request that does not fit.
+            fitting = units - self._usable_debt(knowledge)
+            wait = max(wait, self._seconds_until(fitting, level, knowledge))
         retry_after = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
         return QuotaDecision(Verdict.REFUSE, regime, level, retry_after)
 
-    def _seconds_until_free(self, level: float, knowledge: QuotaKnowledge) -> float:
-        """Return the seconds until the common level is high enough if nothing else is granted."""
-        return max(0.0, self._free_level(knowledge) - level) / (self.quota.rate * knowledge.part)
+    def _seconds_until(self, wanted: float, level: float, knowledge: QuotaKnowledge) -> float:
+        """Return the seconds until the common level is as wanted if nothing else is granted."""
+        missing = max(0.0, wanted - level)
+        rate = self.quota.rate * knowledge.part  # rounded to zero if it is too small for a float
+        return missing / rate if rate > 0 else MAX_RETRY_SECONDS
--- a/samphirehall/gateway/quota_exchange.py
+++ b/samphirehall/gateway/quota_exchange.py
@@ -67,6 +67,15 @@
     sent_at: float
 
 
+@dataclass(slots=True)
+class _SentCounts:
+    """Counters in one update of this host."""
+
+    sent_at: float
+    counts: dict[str, tuple[float, float]]  # granted, and demand as sent
+    granted_alone: dict[str, float]
+
+
 class HostQuotas:
     """Quotas of all customers on one host.
 
@@ -85,6 +94,8 @@
         Called when a counter has changed that the hub should know soon.
     listed_hosts : int
         Number of hosts that are listed in the store, for a host that has heard none.
+    zone : str
+        Name under which other hubs receive the counters of this zone.
     """
 
     def __init__(self, host: str, random_source: random.Random, clock: Callable[[], float]) -> None:
@@ -98,12 +109,13 @@
         self._epoch = ""
         self._zone_counts: dict[str, _ZoneCount] = {}
         self._hub_state: _HubState | None = None
-        self._sent: OrderedDict[int, tuple[float, dict[str, tuple[float, float]]]] = OrderedDict()
+        self._sent: OrderedDict[int, _SentCounts] = OrderedDict()
         self._acknowledged_at = float("-inf")  # when the latest acknowledged update was sent
         self._acknowledged: dict[str, tuple[float, float]] = {}
         self._updated = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
         self.listed_hosts = 1
+        self.zone = ""
 
     @property
     def active(self) -> bool:
@@ -238,7 +250,8 @@
             if (granted, demand) != self._acknowledged.get(name, (0.0, 0.0)):
                 counts.append((name, _short(granted), _short(host_quota.outstanding), demand))
         included = {name: (self._customers[name].granted, demand) for name, _, _, demand in counts}
-        self._sent[sequence] = now, included
+        alone = {name: self._customers[name].granted_alone for name in included}
+        self._sent[sequence] = _SentCounts(now, included, alone)
         while len(self._sent) > MAX_UNACKNOWLEDGED:
             self._sent.popitem(last=False)
         return counts
@@ -280,14 +293,21 @@
                 granted, recent = _short(max(0.0, count.granted)), _short(count.recent(now))
                 counts.append((name, granted, recent, _rounded_up(demand)))
         hosts = 1 + ledger.count_members(now=now)
-        return HubQuotas(self._epoch, hosts, *ledger.hosts, counts=counts)
+        zones = ledger.zones(now=now)
+        return HubQuotas(self._epoch, hosts, *ledger.hosts, counts=counts, zones=zones)
 
     def receive_zone(self, zone: str, quotas: HubQuotas | None, *, now: float) -> None:
         """As the hub, receive the counters of another zone."""
         if quotas is None or self._ledger is None:
             return
         self._ledger.record(
-            zone, quotas.epoch, _decoded(quotas.counts), hosts=quotas.hosts, is_zone=True, now=now
+            zone,
+            quotas.epoch,
+            _decoded(quotas.counts),
+            hosts=quotas.hosts,
+            is_zone=True,
+            elsewhere=frozenset(quotas.zones) - {self.zone},
+            now=now,
         )
 
     def receive_hub(
@@ -313,12 +333,10 @@
         self._hub_state = _HubState(levels, quotas.heard, known, now, now - delay)
         sent = self._sent.get(acknowledged)
         if sent is not None:
-            self._acknowledged_at, included = sent
-            self._acknowledged.update(included)
-            for name, (granted, _) in included.items():
-                if name in self._customers:
-                    host_quota = self._customers[name]
-                    host_quota.acknowledged = max(host_quota.acknowledged, granted)
+            self._acknowledged_at = sent.sent_at
+            self._acknowledged.update(sent.counts)
+            for name, (granted, _) in sent.counts.items():
+                self._customers[name].acknowledge(granted, sent.granted_alone[name])
             while self._sent and next(iter(self._sent)) <= acknowledged:
                 self._sent.popitem(last=False)
         self._updated.set()
--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -90,6 +90,29 @@
             granted.append(sum(each.verdict is Verdict.GRANT for each in decisions))
         assert 5 < granted[0] < 60 and granted[1] == 0
 
+    def test_retry_time_of_a_request_that_does_not_fit_is_that_until_it_does(self):
+        """Guards against a caller that is told 0.1 s again and again until the level has risen."""
+        quota = Quota(0.5, 1.0)
+        host = host_quota(quota, QuotaBounds(8.0, 0.1, 0.0))
+        empty = knowledge(0.0, demand=0.0, heard=1, known=1)
+        decision = host.decide(1.0, empty, now=0.0, waited=True)
+        missing = 1.0 - QuotaBounds(8.0, 0.1, 0.0).usable_debt(quota)
+        assert decision.verdict is Verdict.REFUSE
+        assert decision.retry_after == pytest.approx(missing / 0.5)
+
+    def test_retry_time_in_a_surge_is_that_until_the_level_lasts(self):
+        """Guards against a caller that is told 0.1 s while the demand keeps the free regime off."""
+        level = BOUNDS.free_level(QUOTA) + 1
+        decision = host_quota().decide(50.0, knowledge(level, demand=440.0), now=0.0)
+        assert decision.verdict is Verdict.REFUSE
+        assert decision.retry_after == pytest.approx((90.0 - level) / 100.0)
+
+    def test_smallest_rate_that_a_configuration_can_hold_raises_nothing(self):
+        """Guards against a division by a part of the rate that is rounded to zero."""
+        host = host_quota(Quota(5e-324, 1.0), QuotaBounds(8.0, 0.0, 0.0))
+        decision = host.decide(1.0, knowledge(-1.0, heard=1, known=10), now=0.0, waited=True)
+        assert decision.verdict is Verdict.REFUSE and decision.retry_after == 10
+
     def test_units_given_back_may_be_used_again(self):
         host = host_quota()
         host.decide(9.0, knowledge(), now=0.0)
@@ -133,6 +156,14 @@
         assert charged(kept, "zone:b", "h2", counts(507.0, 7.0), is_zone=True, now=0.3) == 7
         assert charged(kept, "zone:b", "h3", counts(2.0, 2.0), is_zone=True, now=0.6) == 2
 
+    def test_demand_told_by_an_earlier_hub_of_a_zone_ends_with_it(self):
+        """Guards against shares that stay small as a restarted zone no longer has a customer."""
+        kept = ledger()
+        kept.record("zone:b", "h1", counts(500.0, demand=800.0), is_zone=True, now=0.0)
+        kept.record("zone:b", "h2", [], is_zone=True, now=0.3)
+        assert kept.demand("c", now=0.4) == 0
+        assert charged(kept, "zone:b", "h2", counts(502.0, 2.0), is_zone=True, now=0.5) == 2
+
     def test_hosts_that_are_cut_off_keep_their_part_of_the_rate_and_burst(self):
         kept = ledger()
         kept.record("zone:b", "h1", [], hosts=9, is_zone=True, now=0.0)
@@ -149,6 +180,14 @@
             kept.level("c", now=float(second))
         assert kept.hosts == (1, 1)
 
+    def test_ended_members_are_forgotten(self):
+        """Guards against a hub whose memory and work grow with each host that has ever run."""
+        kept = ledger()
+        for second in range(200):
+            kept.record(f"m{second}", "p", counts(5.0), now=float(second))
+            kept.level("c", now=float(second))
+        assert len(kept._sources) <= 62
+
     def test_lowered_limit_also_lowers_the_debt_to_repay(self):
         kept = ledger()
         kept.charge("c", 100.0 + kept.level("c", now=0.0), now=0.0)
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
-from samphirehall.admission.quota import Quota, QuotaBounds
+from samphirehall.admission.quota import Quota, QuotaBounds, Verdict
 from samphirehall.core.errors import SamphireError
-from samphirehall.core.results import LIMIT_REACHED, NO_ENDPOINT
+from samphirehall.core.results import LIMIT_REACHED, NO_ENDPOINT, SHUTTING_DOWN
 from samphirehall.gateway.gateway import Gateway
 from samphirehall.gateway.quota_exchange import HostQuotas
 from samphirehall.gateway.types import Customer
@@ -113,6 +113,21 @@
         assert 0.02 < gateway.context.clock() - started < 0.2  # a quarter of 0.1 s
         assert results[-1][0].extra_log_fields["quota"]["regime"] == "alone"
 
+    async def test_request_that_waits_as_the_host_stops_does_not_run(self):
+        """Guards against a request that begins after all running ones were ended."""
+        async with scripted_endpoint(answered) as endpoint:
+            gateway, results = gateway_with(QUOTA, endpoint.address, is_hub=False)
+            with pytest.raises(ExceptionGroup):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(serve, gateway)
+                    await anyio.sleep(0.005)
+                    gateway.end_running_requests()
+                    now, quotas = gateway.context.clock(), gateway.context.quotas
+                    assert quotas.member_counts(1, now=now)
+                    quotas.receive_hub(HubQuotas("h/1", 1, 1, 1), 1, delay=0.0, now=now)
+            assert results[-1][1] is SHUTTING_DOWN and not endpoint.received
+            assert quotas._customers["acme"].granted == 0
+
     async def test_update_of_the_hub_ends_the_wait(self):
         async with scripted_endpoint(answered) as endpoint:
             gateway, _ = gateway_with(QUOTA, endpoint.address, is_hub=False)
@@ -126,6 +141,28 @@
             assert len(endpoint.received) == 1
 
 
+def test_units_given_back_and_acknowledged_hide_no_later_grants():
+    """Guards against grants that neither the host nor a new hub counts after a failed endpoint."""
+    customer = Customer("acme", None, Quota(100.0, 100.0))
+    member, hub = (HostQuotas(name, random.Random(1), lambda: 100.0) for name in "mh")
+    for quotas in (member, hub):
+        quotas.set_customers([customer])
+    hub.set_role(is_hub=True, now=100.0)
+
+    def exchange(sequence):
+        hub.receive_member("m", "m/1", member.member_counts(sequence, now=100.0), now=100.0)
+        state = hub.state_for_members(has_load=True, now=100.0)
+        member.receive_hub(state, sequence, delay=0.0, now=100.0)
+
+    exchange(1)
+    assert member.decide(customer, 5.0, waited=True).verdict is Verdict.GRANT
+    exchange(2)
+    member.give_back(customer, 5.0)
+    exchange(3)
+    assert member.decide(customer, 5.0, waited=True).verdict is Verdict.GRANT
+    assert member._customers["acme"].outstanding == 5
+
+
 class TestMessages:
     """Hosts without quotas send more than before, or peers cannot read what hosts send."""
 
