--- a/samphirehall/gateway/engine_rates.py
+++ b/samphirehall/gateway/engine_rates.py
@@ -13,6 +13,9 @@
 # Measured calls of a service and stage before single engines are compared with it. The prior may
 # be far from the rate of all engines, which must not look like a difference of one.
 MIN_COMMON_CALLS = 6
+# Prefills that should take less tell nothing of an engine's speed: hosts with a part of a core, and
+# the network, add tens of milliseconds at random.
+MIN_MEASURED_SECONDS = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -60,6 +63,8 @@
         rate.record(plan.uncached_tokens, seconds)
     if rate.sample_count < MIN_COMMON_CALLS:
         return
+    if plan.uncached_tokens / rate.tokens_per_second < MIN_MEASURED_SECONDS:
+        return
     fraction = _stage_fraction(engine.stage)
     measured = speed_range(
         plan.uncached_tokens / fraction,
--- a/tests/gateway/test_engine_rates.py
+++ b/tests/gateway/test_engine_rates.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import random
 
 import pytest
 
@@ -96,6 +97,18 @@
         common = gateway_context.prefill_rate("model", Stage.DECODE).tokens_per_second
         assert rate == pytest.approx(before * common, rel=0.01)
 
+    def test_delays_of_hosts_do_not_make_equal_engines_that_prefill_fast_uneven(self, site):
+        """Else fast engines are taken for slow ones, and requests refused while they are free."""
+        gateway_context, engines, _ = site
+        source = random.Random(1)
+        for _ in range(100):
+            for number, listed in enumerate(engines):
+                delay = source.uniform(0.0, 0.03) * (number + 1)
+                seconds = 0.015 + delay
+                record_prefill(gateway_context, make_plan(listed), seconds)
+        assert count_uneven(gateway_context) == (0, 0)
+        assert len(set(lasting_factors(gateway_context, engines).values())) == 1
+
     def test_change_is_logged_once(self, site, caplog):
         caplog.set_level(logging.INFO)
         _, engines, call = site
