--- a/tests/admission/test_quota.py
+++ b/tests/admission/test_quota.py
@@ -173,6 +173,17 @@
         kept.charge("c", 10.0, now=1.0)
         assert kept.level("c", now=1.5) == pytest.approx(5.0)
 
+    def test_zones_that_are_cut_off_for_longer_than_a_minute_stay_within_the_rate_together(self):
+        """Guards against two zones that each grant the whole rate after a long cut."""
+        zones = [ledger(), ledger()]
+        for kept in zones:
+            kept.record("zone:other", "h1", [], hosts=9, is_zone=True, now=0.0)
+            kept.record_known(18, now=0.0)
+            for second in range(70):
+                kept.level("c", now=float(second))
+        parts = [heard / known for heard, known in (kept.hosts for kept in zones)]
+        assert sum(parts) <= 1
+
     def test_ended_hosts_are_known_for_a_minute(self):
         kept = ledger()
         kept.record("zone:b", "h1", [], hosts=9, is_zone=True, now=0.0)
