--- a/tests/gateway/test_generation.py
+++ b/tests/gateway/test_generation.py
@@ -334,17 +334,27 @@
         assert not decode.received
 
 
+RUN_ENDS_WITHIN_SECONDS = 0.5  # after its client has left
+
+
 class TestClientsAndLoad:
     async def test_client_disconnect_ends_the_run(self):
+        started = anyio.Event()
+
         async def slow(received, writer):
             writer.write(stream_head(received) + chunk(EVENTS[0]))
+            started.set()
             await asyncio.sleep(5)
 
         async with scripted_endpoint(slow) as decode:
             gateway, _ = gateway_with(d1=decode)
-            with anyio.move_on_after(0.1):
-                await serve(gateway)
-            await asyncio.sleep(0.05)
+            async with anyio.create_task_group() as group:
+                group.start_soon(serve, gateway)
+                await started.wait()
+                group.cancel_scope.cancel()
+            with anyio.fail_after(RUN_ENDS_WITHIN_SECONDS):
+                while not decode.aborted_requests:
+                    await asyncio.sleep(0.005)
             assert decode.aborted_requests == 1
             assert not gateway.context.loads.local_loads()
 
