--- a/samphirehall/gateway/share_exchange.py
+++ b/samphirehall/gateway/share_exchange.py
@@ -34,12 +34,18 @@
 
     def for_members(self, *, now: float) -> EncodedShares:
         """Return the work of all zones, for the members of this hub."""
-        return self._take(self._to_members, lambda shares: shares.total_rates(now=now), now)
+
+        def told_rates(shares: FairShares) -> Rates:
+            return shares.total_rates(now=now) if shares.is_worth_telling() else {}
+
+        return self._take(self._to_members, told_rates, now)
 
     def for_zones(self, *, now: float) -> EncodedShares:
         """Return the work of this zone, for the other hubs."""
 
         def zone_rates(shares: FairShares) -> Rates:
+            if not shares.is_worth_telling():
+                return {}
             others = [name for name in shares.sources if not name.startswith(_MEMBER)]
             return shares.total_rates(now=now, without=others)
 
--- a/samphirehall/scheduling/fair_shares.py
+++ b/samphirehall/scheduling/fair_shares.py
@@ -14,6 +14,7 @@
 DECAY_SECONDS = 4.0  # some times a request's duration, and shorter than a change of the load
 COMPUTATION_INTERVAL_SECONDS = 0.05  # between computations of the share; hosts hear less often
 MIN_REFUSED_FRACTION = 0.01  # of the served work; below it the service counts as keeping up
+MIN_TOLD_FRACTION = 0.005  # of the served work, from which hubs tell others of it
 PICTURE_AGE_SECONDS = 0.15  # by which hosts know late what other hosts send to engines
 # Factors of the bound of the wait for customers that were served nothing, just their share, and
 # far more.
@@ -160,6 +161,12 @@
                 works[customer].add(-work.served, -work.refused)
         return self._rates(works, now)
 
+    def is_worth_telling(self) -> bool:
+        """Return whether so much work is refused that other hosts may soon need the shares."""
+        served = sum(work.served for work in self._total.values())
+        refused = sum(work.refused for work in self._total.values())
+        return refused > MIN_TOLD_FRACTION * served
+
     def fair_rate(self, *, now: float) -> float | None:
         """Return the fair share in tokens per second; None while all demand is met."""
         scale = self._scale(now)
