Observability: answers to hosts that catch up, and how long a hub's event loop is late

A hub that did not deliver configurations logged nothing of it: neither who waits, nor whether the caller has left, nor whether the hub gets to run. catch-up-answers counts calls, callers that had left, open calls and the wait for a place, once a second at most; hub-updates adds datagrams received, the most taken at one go without a turn of the event loop, and the longest time between two ticks of 0.1 s. No decision changes.

--- a/samphirehall/core/network.py
+++ b/samphirehall/core/network.py
@@ -38,6 +38,13 @@
     return raw
 
 
+def is_readable(raw: socket.socket) -> bool:
+    """Return whether data or an end of stream has arrived that has not been read."""
+    poll = select.poll()
+    poll.register(raw, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class TcpStream(httpcore.AsyncNetworkStream):
     """A TCP connection as a network stream of httpcore.
 
@@ -120,11 +127,7 @@
 
     def get_extra_info(self, info: str) -> Any:
         """Return whether the socket is readable; an idle connection is if the peer closed it."""
-        if info != "is_readable":
-            return None
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(self._socket) if info == "is_readable" else None
 
 
 class TcpBackend(httpcore.AnyIOBackend):
--- a/samphirehall/gateway/catch_up.py
+++ b/samphirehall/gateway/catch_up.py
@@ -10,7 +10,7 @@
 import logging
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 import anyio
 import msgspec
@@ -20,6 +20,7 @@
 from samphirehall.core.decoding import DecodingError, decode
 from samphirehall.core.errors import FrameError
 from samphirehall.core.frames import FrameStream
+from samphirehall.core.network import is_readable, raw_socket
 from samphirehall.gateway.rows import NO_VERSION, RowChange, Rows, StoreVersion, TableReplica
 
 CALL_TIMEOUT_SECONDS = 0.5  # a response within a region takes milliseconds
@@ -29,6 +30,7 @@
 # All hosts of a zone may ask at once: answers sent one after the other arrive in time, and the
 # datagrams of the hub wait on its link for few of them.
 MAX_CONCURRENT_ANSWERS = 4
+COUNTS_LOG_INTERVAL_SECONDS = 1.0
 
 CALL_ERRORS = (
     OSError,
@@ -80,6 +82,28 @@
     rows: bytes
 
 
+@dataclass(slots=True)
+class AnswerCounts:
+    """What a host has answered since the last log line.
+
+    Parameters
+    ----------
+    calls : int
+        Calls that reached a place, or did not in time.
+    callers_left : int
+        Those whose caller had closed the connection before the answer.
+    most_open : int
+        Most calls open at the same moment.
+    longest_wait : float
+        Longest time in seconds that a call waited for a place.
+    """
+
+    calls: int = 0
+    callers_left: int = 0
+    most_open: int = 0
+    longest_wait: float = 0.0
+
+
 # Class names and the order of fields go on the wire between hosts.
 _MESSAGES = (CatchUpRequest, CatchUpAnswer)
 _encode_rows = msgspec.msgpack.Encoder().encode
@@ -116,6 +140,9 @@
         self._sources: dict[tuple[str, int], None] = {}
         self._requested = anyio.Event()
         self._answers = anyio.Semaphore(MAX_CONCURRENT_ANSWERS)
+        self._open_calls = 0
+        self._counts = AnswerCounts()
+        self._counts_logged_at = float("-inf")
 
     def set_document(self, content: bytes) -> None:
         """Set the document in force, which other hosts can fetch."""
@@ -140,19 +167,40 @@
                 await anyio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _serve(self, stream: SocketStream) -> None:
+        self._open_calls += 1
         try:
             async with stream:
                 with anyio.fail_after(CALL_TIMEOUT_SECONDS):
-                    frames = FrameStream(stream, _MESSAGES)
-                    request = await frames.receive()
-                    if not isinstance(request, CatchUpRequest):
-                        raise FrameError(f"{type(request).__name__} is no request")
-                    async with self._answers:
-                        await frames.send(self._answer(request))
-                        with contextlib.suppress(anyio.EndOfStream):
-                            await stream.receive()  # the peer closes once it has the answer
+                    await self._serve_call(stream)
         except CALL_ERRORS as error:
             _log.warning("peer-call-failed", extra={"reason": repr(error)})
+        finally:
+            self._open_calls -= 1
+            self._log_counts(now=boot_seconds())
+
+    async def _serve_call(self, stream: SocketStream) -> None:
+        frames = FrameStream(stream, _MESSAGES)
+        request = await frames.receive()
+        if not isinstance(request, CatchUpRequest):
+            raise FrameError(f"{type(request).__name__} is no request")
+        self._counts.calls += 1
+        self._counts.most_open = max(self._counts.most_open, self._open_calls)
+        waits_since = boot_seconds()
+        async with self._answers:
+            waited = boot_seconds() - waits_since
+            self._counts.longest_wait = max(self._counts.longest_wait, waited)
+            self._counts.callers_left += is_readable(raw_socket(stream))
+            await frames.send(self._answer(request))
+            with contextlib.suppress(anyio.EndOfStream):
+                await stream.receive()  # the peer closes once it has the answer
+
+    def _log_counts(self, *, now: float) -> None:
+        if now - self._counts_logged_at < COUNTS_LOG_INTERVAL_SECONDS:
+            return
+        self._counts_logged_at = now
+        counts, self._counts = self._counts, AnswerCounts()
+        extra = {**asdict(counts), "longest_wait": round(counts.longest_wait, 4)}
+        _log.info("catch-up-answers", extra=extra)
 
     def _answer(self, request: CatchUpRequest) -> CatchUpAnswer:
         is_newer = self._configuration_version() > request.configuration_version
--- a/samphirehall/gateway/datagrams.py
+++ b/samphirehall/gateway/datagrams.py
@@ -33,6 +33,8 @@
         parsed = parse_address(address)
         if parsed is None:
             raise OSError(f"{address!r} is no IP address and port")
+        self._received = 0
+        self._longest_batch = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             self._socket.setblocking(False)
@@ -54,11 +56,19 @@
             reason = os.strerror(error.errno or 0)
             _log.warning("peer-unreachable", extra={"peer": address[0], "reason": reason})
 
+    def take_received(self) -> tuple[int, int]:
+        """Return the datagrams received since the last call, and the most taken at one go."""
+        counts = self._received, self._longest_batch
+        self._received = self._longest_batch = 0
+        return counts
+
     async def receive(self) -> AsyncIterator[bytes]:
         """Yield datagrams as they arrive."""
         while True:
             await anyio.wait_readable(self._socket)
-            for data in self._pending():
+            for batch, data in enumerate(self._pending(), 1):
+                self._received += 1
+                self._longest_batch = max(self._longest_batch, batch)
                 yield data
 
     def _pending(self) -> Iterator[bytes]:
--- a/samphirehall/gateway/list_knowledge.py
+++ b/samphirehall/gateway/list_knowledge.py
@@ -14,21 +14,28 @@
 class StandstillMeter:
     """Tells how old what is handled now may be, as this process may have stood still."""
 
-    __slots__ = ("_delay", "_delayed_until", "_ticked_at")
+    __slots__ = ("_delay", "_delayed_until", "_longest_gap", "_ticked_at")
 
     def __init__(self, *, now: float) -> None:
         self._ticked_at = now
         self._delay = 0.0
         self._delayed_until = now
+        self._longest_gap = 0.0
 
     def tick(self, *, now: float) -> None:
         """Record that the process runs; called periodically, and more often than is measured."""
         gap = now - self._ticked_at
+        self._longest_gap = max(self._longest_gap, gap)
         if gap > MAX_TICK_SECONDS:
             self._delay = gap + (self._delay if now < self._delayed_until else 0.0)
             self._delayed_until = now + SETTLE_SECONDS
         self._ticked_at = now
 
+    def take_longest_gap(self) -> float:
+        """Return the longest time in seconds between two ticks since the last call."""
+        longest, self._longest_gap = self._longest_gap, 0.0
+        return longest
+
     def delay(self, *, now: float) -> float:
         """Return the seconds since what is handled now may have been sent."""
         gap = now - self._ticked_at
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -365,8 +365,15 @@
                 budget.spend(self._send_to_listed(udp, update, members), now=now)
             if now - logged_at >= HUB_TRAFFIC_LOG_INTERVAL_SECONDS:
                 logged_at = now
-                sent = {"members": len(members), "sent_bytes": budget.take_sent_bytes()}
-                _log.info("hub-updates", extra=sent)
+                received, longest_batch = udp.take_received()
+                traffic = {
+                    "members": len(members),
+                    "sent_bytes": budget.take_sent_bytes(),
+                    "received": received,
+                    "longest_batch": longest_batch,
+                    "longest_gap": round(self._standstill.take_longest_gap(), 3),
+                }
+                _log.info("hub-updates", extra=traffic)
             shortest = _interval(len(members))
             await anyio.sleep(
                 budget.pause(shortest=shortest, longest=HUB_HEARTBEAT_SECONDS, now=now)
