--- a/tests/gateway/test_catch_up.py
+++ b/tests/gateway/test_catch_up.py
@@ -110,6 +110,28 @@
             group.cancel_scope.cancel()
         assert 0 < most_at_once <= MAX_CONCURRENT_ANSWERS
 
+    async def test_callers_that_have_left_get_no_answer(self):
+        hub, address = hub_with_list()
+        answered = []
+        make_answer = hub._answer
+        hub._answer = lambda request: answered.append(request) or make_answer(request)
+        async with anyio.create_task_group() as group:
+            group.start_soon(hub.run)
+            for _ in range(MAX_CONCURRENT_ANSWERS):
+                hub._answers.acquire_nowait()
+            for _ in range(2 * MAX_CONCURRENT_ANSWERS):
+                async with await connect(address) as stream:
+                    await FrameStream(stream, _MESSAGES).send(CatchUpRequest(0, NO_VERSION))
+            await anyio.sleep(0.1)
+            for _ in range(MAX_CONCURRENT_ANSWERS):
+                hub._answers.release()
+            caller = Caller()
+            caller.may_close.set()
+            with anyio.fail_after(2.0):
+                await caller.run(address)
+            group.cancel_scope.cancel()
+        assert caller.answer is not None and len(answered) == 1
+
     def test_answer_is_small_enough_for_a_zone_that_starts(self):
         hub, _ = hub_with_list()
         answer = hub._answer(CatchUpRequest(0, NO_VERSION))
--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -13,7 +13,7 @@
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway.agreed_time import AgreedTime
-from samphirehall.gateway.catch_up import CatchUp
+from samphirehall.gateway.catch_up import MAX_CONCURRENT_ANSWERS, CatchUp
 from samphirehall.gateway.crashes import (
     CONFIRMATION_TIMEOUT_SECONDS,
     MIN_CRASHES_FOR_QUARANTINE,
@@ -55,6 +55,7 @@
 
 pytestmark = pytest.mark.anyio
 
+CONFIGURATION_SECONDS = 2.0  # in which a configuration has to be in force
 ENTRY = {"service": "model", "address": "127.0.0.1:1", "zone": "a", "slots": 6, "stage": "decode"}
 
 
@@ -64,11 +65,14 @@
     def __init__(self):
         self.era, self.version, self.rows, self.history = 1, 1, {}, []
         self.calls, self.refused = [], set()
+        self.configurations = ConfigurationTable(self.refused)
         self.put("d1", state="ready")
 
     def put(self, key, **fields):
+        self.put_value(key, json.dumps({**ENTRY, **fields}).encode() if fields else None)
+
+    def put_value(self, key, value):
         self.version += 1
-        value = json.dumps({**ENTRY, **fields}).encode() if fields else None
         change = RowChange(key, StoreVersion(self.era, self.version), value)
         self.history.append(change)
         self.rows.pop(key, None)
@@ -83,6 +87,14 @@
         return _Source(self, host)
 
 
+class ConfigurationTable(EndpointTable):
+    """The configuration of the same store."""
+
+    def __init__(self, refused):
+        self.era, self.version, self.rows, self.history = 1, 1, {}, []
+        self.calls, self.refused = [], refused
+
+
 class _Source:
     def __init__(self, table, host):
         self._table, self._host = table, host
@@ -129,6 +141,14 @@
             feed_wait=0.2,
             switch=reading,
         )
+        self.configurations = TableFollower(
+            endpoints.configurations.source(name),
+            "configurations",
+            lambda change: self.take_configuration(change.value, "store"),
+            poll_delay=0.1,
+            feed_wait=0.2,
+            switch=reading,
+        )
         self.catch_up = CatchUp(
             address, lambda: self.version, self.endpoints.replica, self.take_configuration
         )
@@ -152,7 +172,8 @@
 
     def take_configuration(self, content, source):
         self.taken.append(content)
-        self.version = int(content)
+        self.version = max(self.version, int(content))
+        self.catch_up.set_document(content)
 
     def apply(self, change):
         if change.value is None:
@@ -177,6 +198,7 @@
                 group.start_soon(self.exchange.run)
                 group.start_soon(self.catch_up.run)
                 group.start_soon(self.endpoints.run)
+                group.start_soon(self.configurations.run)
 
 
 async def until(condition, seconds=4.0):
@@ -324,6 +346,40 @@
             group.cancel_scope.cancel()
 
 
+def stop_answers(host):
+    """Let the calls of hosts that catch up wait at a host that goes on to send datagrams."""
+    for _ in range(MAX_CONCURRENT_ANSWERS):
+        host.catch_up._answers.acquire_nowait()
+
+
+class TestHubThatDoesNotDeliver:
+    async def test_members_behind_a_hub_that_does_not_answer_read_the_configuration_themselves(
+        self,
+    ):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcdef")
+            hub, members = hub_and_members(hosts)
+            stop_answers(hub)
+            endpoints.configurations.put_value("configuration", b"7")
+            await until(lambda: hub.version == 7, 1.0)
+            await until(lambda: all(host.version == 7 for host in members), CONFIGURATION_SECONDS)
+            await until(lambda: not any(host.endpoints.reading for host in members), 6.0)
+            group.cancel_scope.cancel()
+
+    async def test_members_behind_a_hub_that_does_not_answer_ask_each_other_without_the_store(
+        self,
+    ):
+        async with anyio.create_task_group() as group:
+            hosts, endpoints = await start(group, "abcdef")
+            hub, members = hub_and_members(hosts)
+            endpoints.refused.update(host.context.host for host in hosts)
+            stop_answers(hub)
+            for host in (hub, members[0]):
+                host.take_configuration(b"7", "test")
+            await until(lambda: all(host.version == 7 for host in members), CONFIGURATION_SECONDS)
+            group.cancel_scope.cancel()
+
+
 class TestUpdates:
     async def test_loads_and_cached_prompts_reach_other_hosts(self):
         async with anyio.create_task_group() as group:
