Hosts that a slow hub does not serve get configurations elsewhere

Change: after a failed call other hosts are asked, and a host that is late by 0.5 s reads the store for itself, without announcing it. Calls whose caller has left get no answer.

--- a/samphirehall/gateway/catch_up.py
+++ b/samphirehall/gateway/catch_up.py
@@ -1,15 +1,17 @@
 """Exchange of the configuration and the endpoint list between hosts, on request.
 
 Changes of the endpoint list are sent in datagrams; a host that has missed some, or
-learns of a newer configuration, asks the host from which it heard of it. A
-configuration is the document that the operator stored, and is validated like one
-from the store.
+learns of a newer configuration, asks the host from which it heard of it. That host may
+be too slow for all that ask it. After a failed call, others are asked for a while, and
+`CatchUp.late_by` tells for how long no host has delivered. A configuration is the document
+that the operator stored, and is validated like one from the store.
 """
 
 import contextlib
 import logging
+import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 
 import anyio
@@ -17,7 +19,7 @@
 from anyio.abc import SocketStream
 
 from samphirehall.core.clock import boot_seconds
-from samphirehall.core.decoding import DecodingError, decode
+from samphirehall.core.decoding import Address, DecodingError, decode
 from samphirehall.core.errors import FrameError
 from samphirehall.core.frames import FrameStream
 from samphirehall.core.network import is_readable, raw_socket
@@ -30,6 +32,9 @@
 # All hosts of a zone may ask at once: answers sent one after the other arrive in time, and the
 # datagrams of the hub wait on its link for few of them.
 MAX_CONCURRENT_ANSWERS = 4
+HOLD_SECONDS = 0.2  # for which a caller that takes its answer slowly keeps others from theirs
+SOURCE_BACKOFF_SECONDS = 1.0  # after a failed call, in which other hosts are asked
+NEWS_AGE_SECONDS = 2.0  # of what a host has told, unless it tells so again
 COUNTS_LOG_INTERVAL_SECONDS = 1.0
 
 CALL_ERRORS = (
@@ -123,6 +128,11 @@
         The endpoint list.
     apply_configuration : callable
         Applies a document if it is newer; called with its content and its source.
+
+    Attributes
+    ----------
+    other_hosts : callable
+        Returns the addresses of hosts that may have what the host that told of it does not deliver.
     """
 
     def __init__(
@@ -137,8 +147,15 @@
         self._endpoints = endpoints
         self._apply_configuration = apply_configuration
         self._document = b""
-        self._sources: dict[tuple[str, int], None] = {}
+        self._source: Address | None = None
+        self._told_version = 0
+        self._told_position = NO_VERSION
+        self._version_told_at = self._position_told_at = float("-inf")
+        self._late_since = float("-inf")
+        self._source_failed_at = float("-inf")
+        self._random = random.Random()
         self._requested = anyio.Event()
+        self.other_hosts: Callable[[], Sequence[Address]] = tuple
         self._answers = anyio.Semaphore(MAX_CONCURRENT_ANSWERS)
         self._open_calls = 0
         self._counts = AnswerCounts()
@@ -148,11 +165,54 @@
         """Set the document in force, which other hosts can fetch."""
         self._document = zlib.compress(content, COMPRESSION_LEVEL)
 
-    def request(self, address: tuple[str, int]) -> None:
-        """Ask a host soon; called again while this host is behind it."""
-        self._sources[address] = None
+    def request(
+        self, address: Address, *, version: int = 0, position: StoreVersion = NO_VERSION, now: float
+    ) -> None:
+        """Ask a host soon; called again while this host is behind it.
+
+        Parameters
+        ----------
+        address : tuple of str and int
+            Address of the host.
+        version : int
+            Version of the configuration that the host has in force.
+        position : StoreVersion
+            Position of its endpoint list, if changes up to it are missing here.
+        now : float
+            Boot clock in seconds.
+        """
+        if not self._is_behind(now):
+            self._late_since = now
+        if address != self._source:
+            self._source, self._source_failed_at = address, float("-inf")
+        if version:
+            self._told_version, self._version_told_at = version, now
+        if position > NO_VERSION:
+            self._told_position, self._position_told_at = position, now
         self._requested.set()
 
+    def late_by(self, *, now: float) -> float:
+        """Return the seconds for which other hosts have had something newer; 0 if none has."""
+        return now - self._late_since if self._is_behind(now) else 0.0
+
+    def _is_behind(self, now: float) -> bool:
+        """Return whether a host has told lately of something that this host still lacks."""
+        lacks_version = self._configuration_version() < self._told_version
+        lacks_list = (
+            not self._endpoints.has_snapshot or self._endpoints.position < self._told_position
+        )
+        return (lacks_version and now - self._version_told_at < NEWS_AGE_SECONDS) or (
+            lacks_list and now - self._position_told_at < NEWS_AGE_SECONDS
+        )
+
+    def _next_source(self, now: float) -> Address:
+        """Return the host that told of the newest state, or another one after a failed call."""
+        assert self._source is not None
+        if now - self._source_failed_at >= SOURCE_BACKOFF_SECONDS:
+            return self._source
+        others = [address for address in self.other_hosts() if address != self._source]
+        return self._random.choice(others) if others else self._source
+
     async def run(self) -> None:
         """Answer and ask until cancelled."""
         host, _, port = self._address.rpartition(":")
@@ -162,9 +222,9 @@
             while True:
                 await self._requested.wait()
                 self._requested = anyio.Event()
-                sources, self._sources = list(self._sources), {}
-                await self._fetch(sources[-1])
-                await anyio.sleep(RETRY_INTERVAL_SECONDS)
+                while self._is_behind(boot_seconds()):
+                    await self._fetch(self._next_source(boot_seconds()))
+                    await anyio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _serve(self, stream: SocketStream) -> None:
         self._open_calls += 1
@@ -189,9 +249,11 @@
         async with self._answers:
             waited = boot_seconds() - waits_since
             self._counts.longest_wait = max(self._counts.longest_wait, waited)
-            self._counts.callers_left += is_readable(raw_socket(stream))
-            await frames.send(self._answer(request))
-            with contextlib.suppress(anyio.EndOfStream):
+            if is_readable(raw_socket(stream)):
+                self._counts.callers_left += 1
+                return
+            with anyio.move_on_after(HOLD_SECONDS), contextlib.suppress(anyio.EndOfStream):
+                await frames.send(self._answer(request))
                 await stream.receive()  # the peer closes once it has the answer
 
     def _log_counts(self, *, now: float) -> None:
@@ -224,6 +286,8 @@
             listed = decode(_decompress(answer.rows), _rows_decoder) if answer.rows else []
         except CALL_ERRORS as error:
             _log.warning("catch-up-failed", extra={"peer": source, "reason": repr(error)})
+            if address == self._source:
+                self._source_failed_at = boot_seconds()
             return
         sizes = {"document_bytes": len(answer.configuration), "row_bytes": len(answer.rows)}
         _log.info("caught-up", extra={"peer": source, "rows": len(listed), **sizes})
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -133,7 +133,13 @@
             progress,
         )
         self._roles = ZoneRoles(
-            context, directory, endpoints, reading, self._view, now=boot_seconds()
+            context,
+            directory,
+            endpoints,
+            reading,
+            self._view,
+            lambda now: catch_up.late_by(now=now),
+            now=boot_seconds(),
         )
         self._shares = ShareExchange(context.fair_shares)
         self._rejections = RejectionLog(_log, "peer-unreadable")
@@ -144,6 +150,7 @@
         self._changed = anyio.Event()
         self._zone_changed = anyio.Event()
         self._cross_zone_changed = anyio.Event()
+        catch_up.other_hosts = self._other_hosts
         context.loads.on_change = self._record_change
         context.limits.on_change = self._record_change
         context.quotas.on_change = self._record_change
@@ -200,6 +207,13 @@
             return None
         return frozenset(others) | frozenset(self._view.members.live(now=now))
 
+    def _other_hosts(self) -> list[Address]:
+        """Return the addresses of the live hosts of this zone and of the hubs of others."""
+        listed = self._directory.hosts
+        names = self.live_hosts(now=boot_seconds())
+        hubs = [address for _, address in self._directory.hubs.values()]
+        return [listed[name] for name in names if name in listed] + hubs
+
     def live_hosts(self, *, now: float) -> list[str]:
         """Return the names of the live hosts of this zone, including this one."""
         return self._view.live_hosts(is_hub=self.is_hub, now=now)
@@ -294,7 +308,7 @@
 
     def _member_update(self, *, now: float) -> MemberUpdate:
         update = self._updates.member_update(now=now)
-        update.list_age = self._list_age(now) if self._endpoints.reading else None
+        update.list_age = self._list_age(now) if self._view.reads_for_zone else None
         update.shares = self._shares.for_hub(now=now)
         return update
 
@@ -459,7 +473,7 @@
         is_known = self._take_endpoints(update.changes, update.store_age, update.host, address, now)
         self._record_list(update.host, update.list_age, is_known, now)
         if update.configuration_version > self._configuration_version():
-            self._catch_up.request(address)
+            self._catch_up.request(address, version=update.configuration_version, now=now)
         self._record_zone_change()
 
     def _apply_hub_update(
@@ -468,7 +482,7 @@
         if update.summary.hub == self._context.host:
             return
         if update.configuration_version > self._configuration_version():
-            self._catch_up.request(address)
+            self._catch_up.request(address, version=update.configuration_version, now=now)
         self._progress.record(update.settled_window)
         for parts, age in update.blocked_parts:
             self._context.crashes.parts.receive_block(parts, age, now=now)
@@ -580,7 +594,7 @@
         replica = self._endpoints.replica
         is_behind = not replica.has_snapshot or changes.position > replica.position
         if not replica.apply_change_set(decode_changes(changes), now=now) and is_behind:
-            self._catch_up.request(address)
+            self._catch_up.request(address, position=changes.position, now=now)
         return replica.has_snapshot and changes.position <= replica.position
 
     def _record_list(
--- a/samphirehall/gateway/zone_roles.py
+++ b/samphirehall/gateway/zone_roles.py
@@ -1,6 +1,7 @@
 """Roles that one host has at present: hub, reader of the store, candidate for the duties."""
 
 import logging
+from collections.abc import Callable
 
 from samphirehall.core.log import log_decision
 from samphirehall.gateway.context import GatewayContext
@@ -15,6 +16,9 @@
 )
 from samphirehall.gateway.zone_view import StoreContact, ZoneView
 
+LATE_SECONDS = 0.5  # after which a host reads what it lacks from the store
+OWN_READING_SECONDS = 3.0  # since it was late, as whoever did not deliver may be slow for seconds
+
 _log = logging.getLogger(__name__)
 
 
@@ -33,6 +37,8 @@
         Switched on while this host reads the store.
     view : ZoneView
         What this host knows of the zones.
+    late_by : callable
+        Returns the seconds for which this host has lacked what other hosts have; see `CatchUp`.
     now : float
         Boot clock in seconds at the start.
 
@@ -49,6 +55,7 @@
         endpoints: TableFollower,
         reading: Switch,
         view: ZoneView,
+        late_by: Callable[[float], float],
         *,
         now: float,
     ) -> None:
@@ -57,6 +64,8 @@
         self._endpoints = endpoints
         self._reading = reading
         self._view = view
+        self._late_by = late_by
+        self._reads_for_itself_until = float("-inf")
         self._election = HubElection(context.host, context.zone, now=now)
         self._hub_since = now
         self.acts_as_hub = Switch()
@@ -100,18 +109,26 @@
         return True
 
     def choose_reader(self, *, now: float) -> None:
-        """Decide whether this host reads the store."""
+        """Decide whether this host reads the store, for its zone or only for itself."""
         age = now - self._endpoints.last_response_at
         if self.is_hub:
             self._record_own_contact(age, now)
             readers = self._view.other_readers(max_age=STORE_TIMEOUT_SECONDS, now=now)
             reads = hub_should_read(
-                readers, host=self._context.host, reads=self._reading.on, own_store_age=age
+                readers,
+                host=self._context.host,
+                reads=self._view.reads_for_zone,
+                own_store_age=age,
             )
         else:
             reads = self.hub is not None and self._member_should_read(now)
+        reason = "no other host is heard that reads" if reads else "another host reads"
+        self._view.reads_for_zone = reads
+        if self._late_by(now) >= LATE_SECONDS:
+            self._reads_for_itself_until = now + OWN_READING_SECONDS
+        if not reads and self._reads_for_itself_until > now:
+            reads, reason = True, "other hosts do not deliver what they tell of"
         if reads != self._reading.on:
-            reason = "no other host is heard that reads" if reads else "another host reads"
             log_decision(_log, "reader", reason, reads=reads, hub=self.hub)
         self._reading.set(reads)
 
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -177,7 +177,7 @@
         self._unacknowledged[self._sequence] = loads
         while len(self._unacknowledged) > MAX_UNACKNOWLEDGED:
             self._unacknowledged.popitem(last=False)
-        reads = self._endpoints.reading
+        reads = self._view.reads_for_zone
         age = now - self._endpoints.last_response_at
         return MemberUpdate(
             self._context.host,
@@ -222,7 +222,7 @@
             self._configuration_version(),
             min(now - contact.at, MAX_AGE_SECONDS),
             contact.reader,
-            self._endpoints.reading or contact.reader in self._view.members.live(now=now),
+            self._view.reads_for_zone or contact.reader in self._view.members.live(now=now),
             encode_changes(self._endpoints.replica.recent_changes(now=now)),
             news,
             blocked_parts=[
--- a/samphirehall/gateway/zone_view.py
+++ b/samphirehall/gateway/zone_view.py
@@ -41,6 +41,8 @@
         Live hosts as listed by the hub that this host follows.
     contact : StoreContact
         Latest contact of the zone with the store, as told by the hub or, at the hub, by any host.
+    reads_for_zone : bool
+        Whether this host reads the store for its zone, and not only for itself.
     """
 
     def __init__(self, host: str, zone: str) -> None:
@@ -52,6 +54,7 @@
         self.members = ZoneMembers()
         self.listed_members: list[str] = []
         self.contact = StoreContact()
+        self.reads_for_zone = False
 
     @property
     def most_hosts(self) -> int:
--- a/tests/gateway/test_catch_up.py
+++ b/tests/gateway/test_catch_up.py
@@ -84,7 +84,7 @@
             group.start_soon(host.run)
             with anyio.fail_after(4.0):
                 while not replica.has_snapshot:
-                    host.request(address)
+                    host.request(address, position=POSITION, now=boot_seconds())
                     await anyio.sleep(0.05)
             group.cancel_scope.cancel()
         assert replica.position == POSITION
@@ -110,6 +110,24 @@
             group.cancel_scope.cancel()
         assert 0 < most_at_once <= MAX_CONCURRENT_ANSWERS
 
+    async def test_list_that_is_told_of_often_is_fetched_once(self, caplog):
+        caplog.set_level("INFO")
+        hub, address = hub_with_list()
+        host, replica, _ = catch_up()
+        async with anyio.create_task_group() as group:
+            group.start_soon(hub.run)
+            group.start_soon(host.run)
+            await (await connect(address)).aclose()
+            with anyio.fail_after(4.0):
+                while not replica.has_snapshot:
+                    host.request(address, position=POSITION, now=boot_seconds())
+                    await anyio.sleep(0.001)
+            assert host.late_by(now=boot_seconds()) == 0.0
+            host.request(address, position=POSITION, now=boot_seconds())
+            await anyio.sleep(0.3)
+            group.cancel_scope.cancel()
+        assert [record.message for record in caplog.records].count("caught-up") == 1
+
     async def test_callers_that_have_left_get_no_answer(self):
         hub, address = hub_with_list()
         answered = []
