Hosts that reach no endpoint pass requests on to other hosts

Cause: a host had only its own connections, tried one endpoint after the other, and did not know that it had lost them all.

Nothing is sent while no send fails.

--- a/samphirehall/core/results.py
+++ b/samphirehall/core/results.py
@@ -142,6 +142,14 @@
     75,
     "This host cannot learn whether the key still holds; ask another.",
 )
+NO_PATH = _define(
+    2031,
+    "no-path",
+    503,
+    _NOT_RUN,
+    75,
+    "This host reaches no endpoint, and no other host took the request.",
+)
 INTERNAL_NOT_RUN = _define(
     2099, "internal-not-run", 500, _NOT_RUN, 70, "A fault of this system before anything ran."
 )
--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -316,6 +316,15 @@
         await _Connection(stream).aclose()
         return False
 
+    async def accepts_connections(self, timeout: float) -> bool:
+        """Return whether a new connection can be opened within a time in seconds."""
+        try:
+            stream = await self._connect(timeout)
+        except (httpcore.ConnectTimeout, httpcore.ConnectError):
+            return False
+        await _Connection(stream).aclose()
+        return True
+
     async def aclose(self) -> None:
         """Close idle connections now, and each busy one when its request ends."""
         self._closed = True
--- a/samphirehall/gateway/context.py
+++ b/samphirehall/gateway/context.py
@@ -10,6 +10,7 @@
 from samphirehall.gateway.crashes import CrashTracker
 from samphirehall.gateway.demand import DemandMeter
 from samphirehall.gateway.endpoint_limits import EndpointLimits, host_share
+from samphirehall.gateway.endpoint_paths import EndpointPaths
 from samphirehall.gateway.fleet import Fleet
 from samphirehall.gateway.load import LoadTracker
 from samphirehall.gateway.prefill_rate import PrefillRate, RunningAverage
@@ -85,6 +86,8 @@
         Rates that endpoints take from all hosts together.
     quotas : HostQuotas
         Limits of customers over all hosts.
+    paths : EndpointPaths
+        Whether this host reaches any endpoint.
     endpoint_lost : Event
         Set when an endpoint refuses connections; who waits for it replaces it.
     """
@@ -117,10 +120,12 @@
     fair_shares: FairShareTable | None = None
     limits: EndpointLimits = field(init=False)
     quotas: HostQuotas = field(init=False)
+    paths: EndpointPaths = field(init=False)
     endpoint_lost: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.limits = EndpointLimits(self._host_share)
+        self.paths = EndpointPaths(self.fleet, self.random_source, self.clock)
         self.quotas = HostQuotas(self.host, self.random_source, self.clock)
 
     def owns(self, subject: str) -> bool:
--- a/samphirehall/gateway/fleet.py
+++ b/samphirehall/gateway/fleet.py
@@ -1,7 +1,7 @@
 """Known endpoints, and the recent failures and state that this host has observed."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from samphirehall.core.log import log_decision
@@ -20,6 +20,10 @@
 _log = logging.getLogger(__name__)
 
 
+def _ignore_failure() -> None:
+    """Do nothing."""
+
+
 @dataclass(slots=True)
 class EndpointState:
     """State of one incarnation of an endpoint, as seen by this host.
@@ -32,11 +36,14 @@
         Connections of this host to the endpoint.
     cache : CacheModel or None
         Estimated prefix cache of an engine; None for plain endpoints.
+    on_failure : callable
+        Called when a send to the endpoint has failed or fallen silent.
     """
 
     listed: ListedEndpoint
     connections: EndpointConnections
     cache: CacheModel | None = None
+    on_failure: Callable[[], None] = _ignore_failure
     consecutive_failures: int = 0
     failure_rate: float = 0.0
     backoff_until: float = 0.0
@@ -81,6 +88,7 @@
         disconnected : bool
             Whether a connection broke or was refused, as it is when the endpoint restarts.
         """
+        self.on_failure()
         self.may_have_restarted |= disconnected
         self.consecutive_failures += 1
         self.failure_rate = FAILURE_RATE_DECAY * self.failure_rate + 1 - FAILURE_RATE_DECAY
@@ -97,6 +105,8 @@
     def record_silence(self, is_silent: bool) -> None:
         """Record that a send fell silent for too long and goes on, or was heard or ended."""
         self.silent_sends += 1 if is_silent else -1
+        if is_silent:
+            self.on_failure()
 
     def is_preferred(self, *, now: float) -> bool:
         """Return whether the endpoint is neither in backoff nor silent to a send."""
@@ -120,6 +130,7 @@
 
     `retired` collects connections to close, and `lost` the ids of endpoints that
     disappeared without announcing that they leave. `versions` holds the listed software versions.
+    `on_failure` is called when a send to any of them has failed or fallen silent.
     """
 
     def __init__(self) -> None:
@@ -128,6 +139,7 @@
         self.versions = ListedVersions()
         self.retired: list[EndpointConnections] = []
         self.lost: list[str] = []
+        self.on_failure: Callable[[], None] = _ignore_failure
 
     def __contains__(self, endpoint_id: object) -> bool:
         return endpoint_id in self._states
@@ -171,7 +183,9 @@
             self._retire(known)
         cache = CacheModel(engine_limits.kv_cache_tokens) if engine_limits else None
         connections = EndpointConnections(listed.address)
-        self._states[listed.endpoint_id] = EndpointState(listed, connections, cache)
+        self._states[listed.endpoint_id] = EndpointState(
+            listed, connections, cache, on_failure=lambda: self.on_failure()
+        )
         self._log_change("endpoint-listed", listed)
 
     def suspend(self, endpoint_id: str) -> None:
--- a/samphirehall/gateway/gateway.py
+++ b/samphirehall/gateway/gateway.py
@@ -1,7 +1,7 @@
 """Entry point of all requests: authentication, routing, limits and dispatch."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -21,6 +21,7 @@
 from samphirehall.gateway.crashes import fingerprint
 from samphirehall.gateway.exchange import check_quarantine
 from samphirehall.gateway.generation import run_generation
+from samphirehall.gateway.passing import RequestPassing, no_path_error
 from samphirehall.gateway.plain import run_plain
 from samphirehall.gateway.quota_admission import charged_to_quota, is_limited
 from samphirehall.gateway.request_state import Caller, RequestState, log_refusal
@@ -34,6 +35,7 @@
 
 
 Observe = Callable[[RequestState, Result, float], None]
+_Run = Callable[[GatewayContext, RequestState, Caller], Awaitable[Result]]
 
 
 def _ignore_request(request_state: RequestState, result: Result, seconds: float) -> None:
@@ -54,6 +56,8 @@
     ----------
     stop_schedule : StopSchedule or None
         Times of a planned stop that has begun.
+    passing : RequestPassing or None
+        Passes requests on while this host reaches no endpoint; without it, they fail here.
     """
 
     def __init__(self, context: GatewayContext, observe: Observe = _ignore_request) -> None:
@@ -61,6 +65,7 @@
         self._observe = observe
         self._routes: RouteTable | None = None
         self.stop_schedule: StopSchedule | None = None
+        self.passing: RequestPassing | None = None
         self._running: set[anyio.CancelScope] = set()
         self._stopped = False
 
@@ -102,9 +107,18 @@
         for scope in self._running:
             scope.cancel()
 
-    async def serve(self, request: Request, caller: Caller) -> None:
+    async def serve(self, request: Request, caller: Caller, *, passed: bool = False) -> None:
         """Serve one request and log its result.
 
+        Parameters
+        ----------
+        request : Request
+            Request of a client.
+        caller : Caller
+            Receives the response.
+        passed : bool
+            Whether another host has passed the request on; it is not passed on again.
+
         Raises
         ------
         SamphireError
@@ -114,16 +128,17 @@
         try:
             request_state = self._accept(request)
             check_quarantine(self.context, request_state)
+            run = self._choose_run(request_state, passed=passed)
         except SamphireError as error:
             seconds = now - request.received_at
             log_refusal(request.request_id, error, version=self.version, seconds=seconds)
             raise
         try:
-            if is_limited(request_state):
+            if is_limited(request_state) and not request_state.passed_on:
                 async with charged_to_quota(self.context.quotas, request_state, self.context.clock):
-                    result = await self._run(request_state, caller)
+                    result = await self._run(request_state, caller, run)
             else:
-                result = await self._run(request_state, caller)
+                result = await self._run(request_state, caller, run)
         except SamphireError as error:
             self._finish(request_state, error.result, error.detail)
             raise
@@ -157,9 +172,6 @@
         deadline = request.received_at + timeout
         if not takes_request(self.stop_schedule, deadline, now=self.context.clock()):
             raise stopping_error()
-        self.context.repeat_budget(service_name).record_request(now=request.received_at)
-        if self.context.hedging is not None:
-            self.context.hedging.record_request(service_name)
         return RequestState(
             request,
             route,
@@ -171,11 +183,29 @@
             fingerprint(request, route),
         )
 
-    async def _run(self, request_state: RequestState, caller: Caller) -> Result:
-        engines = (
-            request_state.service.engine is not None and request_state.request.prompt is not None
+    def _choose_run(self, request_state: RequestState, *, passed: bool) -> _Run:
+        """Return how to serve a request; only one that is served here is counted here.
+
+        Raises
+        ------
+        SamphireError
+            Another host has passed the request on, and this one reaches no endpoint either.
+        """
+        if self.context.paths.lost and passed:
+            raise no_path_error("no endpoint can be reached from this host")
+        if self.context.paths.lost and self.passing is not None:
+            request_state.passed_on = True
+            return self.passing.pass_on
+        service = request_state.service
+        self.context.repeat_budget(service.name).record_request(
+            now=request_state.request.received_at
         )
-        run = run_generation if engines else run_plain
+        if self.context.hedging is not None:
+            self.context.hedging.record_request(service.name)
+        engines = service.engine is not None and request_state.request.prompt is not None
+        return run_generation if engines else run_plain
+
+    async def _run(self, request_state: RequestState, caller: Caller, run: _Run) -> Result:
         if self._stopped:  # while the request waited for its quota
             raise stopping_error()
         remaining = request_state.remaining_time(now=self.context.clock())
@@ -189,6 +219,7 @@
                 self._running.discard(scope)
         if self._stopped:
             raise self._cut_by_stop_error(request_state)
+        self.context.paths.suspect()
         result = DEADLINE_UNKNOWN if request_state.tried_endpoints else DEADLINE_NOT_RUN
         raise SamphireError(result, "no complete response by the deadline")
 
--- a/samphirehall/gateway/host_directory.py
+++ b/samphirehall/gateway/host_directory.py
@@ -14,6 +14,7 @@
 from samphirehall.core.decoding import Address, DecodingError, Name, convert, parse_address
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import RejectionLog, log_decision
+from samphirehall.routing.other_hosts import OtherHost
 
 HOST_PREFIX = "hosts/"
 HUB_PREFIX = "hubs/"
@@ -100,6 +101,19 @@
 
         return await _try(refresh)
 
+    async def load_all(self) -> dict[str, OtherHost] | None:
+        """Return the hosts of all zones by name; None if the store did not answer."""
+        hosts: dict[str, OtherHost] = {}
+
+        async def load() -> None:
+            for row in await self._table.scan(HOST_PREFIX):
+                zone, _, name = row.key.removeprefix(HOST_PREFIX).partition("/")
+                address = parse_address(row.value)
+                if address is not None:
+                    hosts[name] = OtherHost(name, zone, address[0])
+
+        return hosts if await _try(load) else None
+
     async def _register_and_load(self, entry: Write) -> set[str]:
         """Write an entry and read those of the zone; return the names of the listed hosts."""
         await self._table.transact([], [entry])
--- a/samphirehall/gateway/request_state.py
+++ b/samphirehall/gateway/request_state.py
@@ -94,6 +94,8 @@
         Whether a prefill engine has already read the prompt for a decode engine.
     on_trial : bool
         Whether the request runs although a part of its prompt is in quarantine.
+    passed_on : bool
+        Whether another host serves the request, and counts it.
     stream_version : str or None
         Software version that the events of the stream must come from; None before the first event.
     extra_log_fields : dict
@@ -120,6 +122,7 @@
     silent_sends: int = 0
     prefill_done: bool = False
     on_trial: bool = False
+    passed_on: bool = False
     stream_version: str | None = None
     extra_log_fields: dict[str, Any] = field(default_factory=dict)
 
--- a/samphirehall/gateway/wire_codec.py
+++ b/samphirehall/gateway/wire_codec.py
@@ -64,6 +64,9 @@
     ----------
     request_headers : callable
         Returns the headers of a send.
+    passed_headers : callable
+        Returns the headers with which a request is passed on to another host, from the request and
+        the seconds until its deadline.
     matches_request : callable
         Returns whether response headers answer the request with a given id.
     reports_not_run : callable
@@ -85,6 +88,7 @@
     """
 
     request_headers: Callable[[Request, Dispatch], Headers]
+    passed_headers: Callable[[Request, float], Headers]
     matches_request: Callable[[str, Headers], bool]
     reports_not_run: Callable[[int, Headers], bool]
     is_signed: Callable[[Headers], bool]
--- a/samphirehall/platform/wire.py
+++ b/samphirehall/platform/wire.py
@@ -195,8 +195,7 @@
     if dispatch.resume_after is not None:
         headers = [pair for pair in headers if pair[0] != LAST_EVENT_HEADER]
         headers.append((LAST_EVENT_HEADER, str(dispatch.resume_after).encode()))
-    remaining = max(MIN_DEADLINE_MILLISECONDS, int(dispatch.remaining / SECONDS_PER_MILLISECOND))
-    headers.append((DEADLINE_HEADER, str(remaining).encode()))
+    headers.append(_deadline_header(dispatch.remaining))
     headers.append((INCARNATION_HEADER, dispatch.endpoint.endpoint_id.encode()))
     if dispatch.customer is not None:
         headers.append((CUSTOMER_HEADER, dispatch.customer.encode()))
@@ -212,6 +211,17 @@
     return headers
 
 
+def passed_headers(request: Request, remaining: float) -> Headers:
+    """Encode the headers with which a request is passed on to another host, as its client would."""
+    key = [] if request.key is None else [(API_KEY_HEADER, request.key.encode("latin-1"))]
+    return [*request.headers, *key, _deadline_header(remaining)]
+
+
+def _deadline_header(remaining: float) -> tuple[bytes, bytes]:
+    milliseconds = max(MIN_DEADLINE_MILLISECONDS, int(remaining / SECONDS_PER_MILLISECOND))
+    return DEADLINE_HEADER, str(milliseconds).encode()
+
+
 def matches_request(request_id: str, headers: Headers) -> bool:
     """Return whether an answer with these headers echoes the id of a request."""
     echoed = next((value for name, value in headers if name == REQUEST_ID_HEADER), None)
@@ -282,6 +292,7 @@
 
 WIRE_CODEC = WireCodec(
     request_headers,
+    passed_headers,
     matches_request,
     reports_not_run,
     is_signed,
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -29,6 +29,7 @@
 from samphirehall.gateway.host_directory import HostDirectory
 from samphirehall.gateway.ingress import IngressState, ingress_app, ingress_protocol
 from samphirehall.gateway.metrics import GatewayMetrics
+from samphirehall.gateway.passing import RequestPassing
 from samphirehall.gateway.quarantine_store import QuarantineStore
 from samphirehall.gateway.readiness import readiness_app
 from samphirehall.gateway.rows import RowChange, Switch, TableFollower, keep_known_rows
@@ -156,9 +157,13 @@
             self.endpoints.replica,
             self._receive_configuration,
         )
+        directory = HostDirectory(self.store, settings.host, settings.zone, address)
+        self.passing = RequestPassing(self.context, directory.load_all, settings.max_peer_port)
+        if settings.max_peer_port != settings.min_peer_port:
+            self.gateway.passing = self.passing
         self.exchange = ZoneExchange(
             self.context,
-            HostDirectory(self.store, settings.host, settings.zone, address),
+            directory,
             address,
             self.endpoints,
             reading,
@@ -243,6 +248,11 @@
             "Whether this host reads the store for its zone.",
             lambda: self.endpoints.reading,
         )
+        gauge(
+            "endpoint_paths_lost",
+            "Whether this host can connect to no endpoint, and passes requests on.",
+            lambda: self.context.paths.lost,
+        )
         gauge(
             "duty_held",
             "Whether this host holds the duty of usage reports and orders.",
@@ -442,6 +452,8 @@
         group.start_soon(node.endpoints.run)
         group.start_soon(node.close_retired)
         group.start_soon(node.exchange.run)
+        group.start_soon(node.context.paths.run)
+        group.start_soon(node.passing.run)
         group.start_soon(node.catch_up.run)
         group.start_soon(node.duty.run)
         group.start_soon(node.save_usage_periodically)
@@ -463,6 +475,13 @@
     await stack.enter_async_context(
         serving(app, node.settings.client_listen_address, protocol=ingress_protocol(node.ingress))
     )
+    if node.gateway.passing is not None:
+        serve_passed = partial(node.gateway.serve, passed=True)
+        hosts_app = ingress_app(node.ingress, wire.decode_request, serve_passed)
+        address = f"{node.settings.ip}:{node.settings.max_peer_port}"
+        await stack.enter_async_context(
+            serving(hosts_app, address, protocol=ingress_protocol(node.ingress))
+        )
     await _serve_metrics(stack, node)
     readiness = readiness_app(lambda: node.is_ready, READINESS_PATH)
     protocol = _operator_protocol(node, "readiness")
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -158,7 +158,7 @@
 
 
 @contextlib.asynccontextmanager
-async def scripted_endpoint(script):
+async def scripted_endpoint(script, *, ip="127.0.0.1", port=0):
     """Serve requests by `script`, an async function of one request and the stream writer.
 
     A received request is a dict of lower-case headers with ``:method``, ``:target`` and ``:body``.
@@ -195,7 +195,7 @@
         finally:
             writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(serve, ip, port)
     host, port = server.sockets[0].getsockname()
     endpoint.address = f"{host}:{port}"
     endpoint.refuse = server.close
--- a/tests/programs/test_cut_off_hosts.py
+++ b/tests/programs/test_cut_off_hosts.py
@@ -160,6 +160,12 @@
             await anyio.sleep(0.05)
 
 
+async def until_true(condition, seconds):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
 async def cut_off(cuts, host, *, refuses):
     """Cut a host off while callers send it requests, until it has to serve again."""
     cuts.refuses = refuses
@@ -186,6 +192,31 @@
                 assert system.runs(f"book-{number}") == system.runs(f"chat-{number}") == 1
             assert len(system.plain.received[-1][":body"]) == 100_000
 
+    async def test_client_that_leaves_ends_the_run_of_its_passed_request(self, cuts):
+        async with running_system(cuts, "ab") as system:
+            host = system.hosts[0]
+            await cut_off(cuts, host, refuses=True)
+            aborted = system.plain.aborted_requests
+            with anyio.move_on_after(0.5):
+                await host.send("/read/long", "left")
+            await until_true(lambda: system.runs("left") == 1, 0.5)
+            await until_true(lambda: system.plain.aborted_requests == aborted + 1, 0.5)
+
+    async def test_request_is_refused_at_once_while_all_hosts_have_lost_their_paths(self, cuts):
+        async with running_system(cuts, "aab") as system:
+            for host in system.hosts[1:]:
+                cuts.hosts.add(host.name)
+            await cut_off(cuts, system.hosts[0], refuses=True)
+            for host in system.hosts:
+                with anyio.move_on_after(0.6):
+                    while (await host.send("/read/x", "probe")).status != 503:
+                        await anyio.sleep(0.05)
+            for host in system.hosts:
+                with anyio.fail_after(0.3):
+                    answer = await host.send("/book/x", "refused", method="POST")
+                assert answer.status == 503 and b"not-run" in dict(answer.headers).values()
+            assert system.runs("refused") == 0
+
     async def test_host_uses_its_own_paths_again_when_they_are_back(self, cuts, caplog):
         caplog.set_level(logging.INFO)
         async with running_system(cuts, "ab") as system:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -42,7 +42,7 @@
         self._settings = folder / f"host-{number}.conf"
         self._process: asyncio.subprocess.Process | None = None
         self._is_ending = False
-        peer_port = self._address().rpartition(":")[2]
+        peer_ports = [self._address().rpartition(":")[2] for _ in range(2)]
         fields = {
             **SETTINGS,
             "node": f"front-{number}",
@@ -50,7 +50,7 @@
             "ip": self._ip,
             "listen.front": self.callers,
             "listen.ready": self._readiness,
-            "port_range": f"{peer_port},{peer_port}",
+            "port_range": ",".join(peer_ports),
             "platform.address": store,
             "cloud.address": duties,
             "bounds.report_window_s": "2",
