Hosts without paths to endpoints report no crashes

Now a crash is confirmed only if this host can connect to another endpoint. The new test fails without the check.

--- a/samphirehall/gateway/crashes.py
+++ b/samphirehall/gateway/crashes.py
@@ -100,6 +100,10 @@
         unconfirmed = self._unconfirmed.setdefault(endpoint_id, deque(maxlen=MAX_REQUESTS))
         unconfirmed.append((now, crash))
 
+    def is_suspect(self, endpoint_id: str) -> bool:
+        """Return whether a connection to an endpoint broke, and it is not known why."""
+        return endpoint_id in self._unconfirmed
+
     def confirm(self, endpoint_id: str, *, now: float) -> None:
         """Confirm the recent crashes of an endpoint that is gone."""
         for recorded_at, crash in self._unconfirmed.pop(endpoint_id, ()):
--- a/samphirehall/gateway/endpoint_paths.py
+++ b/samphirehall/gateway/endpoint_paths.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.3  # over a lost packet's first repetition between near zones
 MIN_CHECK_INTERVAL_SECONDS = 0.5  # while the paths are good
 RETURN_CHECK_INTERVAL_SECONDS = 0.25  # while they are lost
+FRESH_SECONDS = 0.1  # a check is not repeated within this time
 
 _log = logging.getLogger(__name__)
 
@@ -50,6 +51,7 @@
         self._clock = clock
         self._suspected = anyio.Event()
         self._lost = False
+        self._checked_at = float("-inf")
         self.lost_event = anyio.Event()
         fleet.on_failure = self.suspect
 
@@ -62,17 +64,37 @@
         """Check the paths soon, as a send has failed."""
         self._suspected.set()
 
+    async def may_blame(self, endpoint_id: str, *, now: float) -> bool:
+        """Return whether an endpoint that cannot be connected to is at fault, and not the paths.
+
+        The paths are checked unless they just were. An endpoint that is the only one is at fault.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint that cannot be connected to.
+        now : float
+            Boot clock in seconds.
+        """
+        listed = (state.listed for state in self._fleet.states() if state.listed.ready)
+        if all(endpoint.endpoint_id == endpoint_id for endpoint in listed):
+            return True
+        if not self._lost and now - self._checked_at >= FRESH_SECONDS:
+            await self._check(now)
+        return not self._lost
+
     async def run(self) -> None:
         """Check the paths after failed sends, and periodically while they are lost."""
         while True:
             if not self._lost:
                 await self._suspected.wait()
             self._suspected = anyio.Event()
-            await self._check()
+            await self._check(self._clock())
             interval = RETURN_CHECK_INTERVAL_SECONDS if self._lost else MIN_CHECK_INTERVAL_SECONDS
             await anyio.sleep(interval)
 
-    async def _check(self) -> None:
+    async def _check(self, now: float) -> None:
+        self._checked_at = now
         listed = [state for state in self._fleet.states() if state.listed.ready]
         self._random.shuffle(listed)
         few, more = listed[:FEW_ENDPOINTS], listed[FEW_ENDPOINTS:MANY_ENDPOINTS]
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -169,7 +169,8 @@
     """Update the crash records of the endpoint and the request with the outcome of a send.
 
     A broken response makes the endpoint a suspect. If it refuses a new connection, now or for
-    a later request, the suspicion is confirmed. A whole response clears the request.
+    a later request, the suspicion is confirmed, unless this host reaches no endpoint at all. A
+    whole response clears the request.
     """
     now = context.clock()
     endpoint_id = endpoint.listed.endpoint_id
@@ -194,10 +195,18 @@
             endpoint.connection_checks -= 1
         if refuses:
             endpoint.record_refusal()
-            context.endpoint_lost.set()
-            context.crashes.confirm(endpoint_id, now=context.clock())
+            await _confirm_crash(context, endpoint_id)
     elif outcome is SendOutcome.NOT_SENT:
-        context.endpoint_lost.set()
-        context.crashes.confirm(endpoint_id, now=now)
+        await _confirm_crash(context, endpoint_id)
     elif outcome is SendOutcome.ANSWERED:
         context.crashes.clear(request_state.fingerprint, request_state.shared_part_ids, now=now)
+
+
+async def _confirm_crash(context: GatewayContext, endpoint_id: str) -> None:
+    """Confirm the suspicion of an endpoint that cannot be connected to."""
+    context.endpoint_lost.set()
+    now = context.clock()
+    if context.crashes.is_suspect(endpoint_id) and await context.paths.may_blame(
+        endpoint_id, now=now
+    ):
+        context.crashes.confirm(endpoint_id, now=context.clock())
--- a/tests/gateway/test_endpoint_paths.py
+++ b/tests/gateway/test_endpoint_paths.py
@@ -7,10 +7,14 @@
 
 from samphirehall.core.clock import boot_seconds
 from samphirehall.gateway.endpoint_paths import MANY_ENDPOINTS
+from samphirehall.gateway.exchange import update_crash_tracker
+from samphirehall.gateway.request_state import RequestState, SendOutcome
 from tests.gateway.helpers import (
     DESK,
+    ROUTES,
     context,
     listed,
+    request,
     response_bytes,
     scripted_endpoint,
 )
@@ -71,6 +75,15 @@
                 await anyio.sleep(0.5)
                 assert not created.paths.lost and not created.paths.lost_event.is_set()
 
+    @pytest.mark.parametrize("sound", [0, 1])
+    async def test_crash_is_reported_only_while_another_endpoint_is_reached(self, sound):
+        async with checked_paths(sound=sound, gone=3) as (created, _):
+            route = next(route for route in ROUTES if route.name == "read")
+            crashed = created.fleet.endpoint(f"d{sound}")
+            state = RequestState(request(), route, DESK, None, 0, boot_seconds() + 1.0, 1)
+            await update_crash_tracker(created, state, crashed, SendOutcome.BROKEN)
+            assert len(created.crashes.unpublished) == sound
+
     async def test_nothing_is_connected_to_without_a_failed_send(self):
         async with checked_paths(sound=3, gone=0) as (created, endpoints):
             await anyio.sleep(0.7)
