Limit the length of completion streams, which are kept whole

A faulty engine that sends valid events without end filled the memory of samphire-entry, which keeps all events of a stream to continue it elsewhere: a completion of 8 tokens held 543 to 609 MB (traced) when its engine sent 64 MB in 3 s. Only a single event was limited. Now a stream may have 64 KiB and 2 KiB for each token that was asked for; a longer one is broken.

Read, and limited already: all other bodies (read_body with a limit), heads (64 and 100 KiB), frames between hosts (4 MiB); the gateway keeps no events and is tested for endless heads, bodies, chunks and trailers.

--- a/samphirehall/endpoints/events.py
+++ b/samphirehall/endpoints/events.py
@@ -48,9 +48,14 @@
         The only request whose events are accepted.
     next_index : int
         Index of the first event expected.
+    max_bytes : float
+        Longest stream that is accepted, in bytes.
     """
 
-    def __init__(self, request_id: str, *, next_index: int = 0) -> None:
+    def __init__(
+        self, request_id: str, *, next_index: int = 0, max_bytes: float = float("inf")
+    ) -> None:
+        self._bytes_left = max_bytes
         self._id_prefix = f"id: {request_id}:".encode()
         self._partial_event = bytearray()
         self.next_index = next_index
@@ -62,7 +67,8 @@
         Raises
         ------
         BrokenStreamError
-            An event belongs to another request, is missing, malformed or too long.
+            An event belongs to another request, is missing, malformed or too long, or the
+            stream is.
         """
         buffer = self._partial_event
         searched = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
@@ -72,6 +78,8 @@
             self._check_partial_event()
             return EventBatch(b"", [], self.done)
         content = bytes(buffer[: end + len(EVENT_SEPARATOR)])
+        if len(content) > self._bytes_left:
+            raise BrokenStreamError("the stream is too long for the tokens that were asked for")
         data, done, index = [], self.done, self.next_index
         for event in content[:end].split(EVENT_SEPARATOR):
             if done:
@@ -85,6 +93,7 @@
         del buffer[: len(content)]
         self._check_partial_event()
         self.next_index, self.done = index, done
+        self._bytes_left -= len(content)
         return EventBatch(content, data, done)
 
     def discard_partial_event(self) -> None:
--- a/samphirehall/forwarding/completion.py
+++ b/samphirehall/forwarding/completion.py
@@ -33,6 +33,8 @@
 
 MAX_ATTEMPTS_WITHOUT_EVENTS = 4  # while no event of the answer has been received
 MAX_TOTAL_ATTEMPTS = 16  # all attempts, once the answer has begun
+MAX_STREAM_BYTES = 65_536  # of a stream without tokens
+MAX_BYTES_PER_TOKEN = 2048  # of an event, which holds a token and its frame
 NO_ENDPOINT_TIMEOUT_SECONDS = 1.0
 TRIAL_TIMEOUT_SECONDS = 0.5
 TRIAL_POLL_INTERVAL_SECONDS = 0.05
@@ -58,7 +60,7 @@
     """
     _refuse_quarantined(context, run)
     context.retry_budget.record_first_attempt()
-    reader = EventReader(run.request_id)
+    reader = _event_reader(run)
     failed: set[str] = set()
     for retries in range(MAX_TOTAL_ATTEMPTS):
         if retries:
@@ -71,7 +73,7 @@
                 raise run.build_error(str(error)) from error
             log_decision(_log, "restart", str(error), request=run.request_id)
             run.discard_events()
-            reader = EventReader(run.request_id)
+            reader = _event_reader(run)
             continue
         try:
             await _run_attempt(context, run, reader, decision, request, sink)
@@ -84,6 +86,12 @@
     raise run.build_error(f"{MAX_TOTAL_ATTEMPTS} attempts failed")
 
 
+def _event_reader(run: CompletionRun) -> EventReader:
+    """Return a reader of a stream whose events are all kept, so that their length is limited."""
+    max_bytes = MAX_STREAM_BYTES + run.max_tokens * MAX_BYTES_PER_TOKEN
+    return EventReader(run.request_id, max_bytes=max_bytes)
+
+
 def _refuse_quarantined(context: EntryContext, run: CompletionRun) -> None:
     if _suspicion(context, run) is Suspicion.QUARANTINED:
         detail = "endpoints crashed while they ran this request"
--- a/tests/forwarding/test_faulty_answers.py
+++ b/tests/forwarding/test_faulty_answers.py
@@ -1,6 +1,7 @@
 """Answers that a faulty endpoint repeats, breaks off in the head, or gives in mid-stream."""
 
 import asyncio
+import tracemalloc
 
 import anyio
 import msgspec
@@ -15,11 +16,12 @@
     send_remaining_events,
     streamed_tokens,
 )
-from tests.support.endpoint import HEAD, ScriptedEndpoint
+from tests.support.endpoint import HEAD, ScriptedEndpoint, chunk, event
 from tests.support.entry import ask, complete, entry_context, running_app
 
 pytestmark = pytest.mark.anyio
 
+MAX_KEPT_BYTES = 8 * 2**20  # with the buffers of both sides; far more is sent
 ERROR_TEXT = b"stack trace of the engine"
 
 
@@ -186,3 +188,27 @@
                     headers = [(b"idempotency-key", b"k1"), (b"samphire-deadline", b"1.0")]
                     reply = await ask(app, "/services/bookings/x", b"{}", headers=headers)
         assert reply.status >= 500 and reply.run == "unknown"
+
+
+class TestEventsWithoutEnd:
+    @pytest.mark.parametrize("stream", [True, False], ids=["stream", "whole"])
+    async def test_events_of_a_faulty_engine_without_end_do_not_fill_the_memory(self, stream):
+        async def script(exchange, writer):
+            if exchange.method != "POST":
+                writer.write(answer(404))
+                return
+            writer.write(HEAD)
+            for index in range(2000):
+                writer.write(chunk(event(exchange.request_id, index, " " * 32_768)))
+                await writer.drain()
+
+        async with entry(script) as (app, _, _):
+            tracemalloc.start()
+            try:
+                headers = [(b"samphire-deadline", b"3.0")]
+                reply = await complete(app, stream=stream, tokens=TOKENS, headers=headers)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+        assert peak <= MAX_KEPT_BYTES
+        assert b"[DONE]" not in reply.body
