--- a/tests/gateway/test_passing.py
+++ b/tests/gateway/test_passing.py
@@ -2,12 +2,14 @@
 
 import contextlib
 
+import anyio
 import pytest
 
 from samphirehall.admission.quota import Quota
 from samphirehall.core.clock import boot_seconds
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.results import (
+    DEADLINE_UNKNOWN,
     NO_CONFIGURATION,
     NO_PATH,
     OUTCOME_UNKNOWN,
@@ -44,6 +46,10 @@
     writer.write(response_bytes(received, received[":body"] or b"taken"))
 
 
+async def stand_still(received, writer):
+    await anyio.sleep_forever()
+
+
 async def cut_before_the_answer(received, writer):
     writer.transport.abort()
 
@@ -125,6 +131,14 @@
             assert raised.value.result is STREAM_CUT
             assert caller.body == b"data: 1\n\n" and not caller.complete
 
+    async def test_host_that_stands_still_holds_one_request_until_its_deadline(self):
+        async with neighbours(stand_still) as hosts:
+            with pytest.raises(SamphireError) as raised:
+                await hosts.serve(request("/read/x", now=boot_seconds() - 0.7))
+            assert raised.value.result is DEADLINE_UNKNOWN
+            caller = await hosts.serve(request("/read/x", request_id="r2"))
+            assert caller.status == 200 and len(hosts.far.received) == 1
+
     async def test_request_is_sent_as_its_client_sent_it(self):
         async with neighbours(take) as hosts:
             await hosts.serve(request("/read/x", now=boot_seconds() - 0.4))
