Hosts pass requests on to the hosts they know while the store is away

A host that had lost its paths read the other hosts from the store, and had none if the store did not answer. It begins with the hosts of its zone and the hubs of others. The new test failed before: not served 3 s after the cut.

--- a/samphirehall/gateway/catch_up.py
+++ b/samphirehall/gateway/catch_up.py
@@ -94,7 +94,7 @@
     Parameters
     ----------
     calls : int
-        Calls that reached a place, or did not in time.
+        Calls received.
     callers_left : int
         Those whose caller had closed the connection before the answer.
     most_open : int
--- a/samphirehall/gateway/host_directory.py
+++ b/samphirehall/gateway/host_directory.py
@@ -101,9 +101,14 @@
 
         return await _try(refresh)
 
-    async def load_all(self) -> dict[str, OtherHost] | None:
-        """Return the hosts of all zones by name; None if the store did not answer."""
-        hosts: dict[str, OtherHost] = {}
+    async def load_all(self) -> dict[str, OtherHost]:
+        """Return the hosts of all zones by name; those known here if the store does not answer."""
+        hosts = {
+            name: OtherHost(name, self._zone, address[0]) for name, address in self.hosts.items()
+        }
+        hosts |= {
+            name: OtherHost(name, zone, address[0]) for zone, (name, address) in self.hubs.items()
+        }
 
         async def load() -> None:
             for row in await self._table.scan(HOST_PREFIX):
@@ -112,7 +117,8 @@
                 if address is not None:
                     hosts[name] = OtherHost(name, zone, address[0])
 
-        return hosts if await _try(load) else None
+        await _try(load)
+        return hosts
 
     async def _register_and_load(self, entry: Write) -> set[str]:
         """Write an entry and read those of the zone; return the names of the listed hosts."""
--- a/samphirehall/gateway/passing.py
+++ b/samphirehall/gateway/passing.py
@@ -36,7 +36,6 @@
 
 PASSED_PURPOSE = "passed"  # purpose of a send to another host
 LIST_INTERVAL_SECONDS = 5.0  # between two readings of the hosts, while the paths are lost
-LIST_RETRY_SECONDS = 0.5  # after the store did not answer
 RETRY_AFTER_SECONDS = 0.3  # hosts in backoff are tried again soon
 # Results of a host that does not take a request, so that another may.
 _NOT_TAKEN = frozenset(str(result.code).encode() for result in (NO_PATH, SHUTTING_DOWN))
@@ -53,7 +52,7 @@
     context : GatewayContext
         Paths, wire format and clock of this host.
     read_hosts : callable
-        Returns the hosts of all zones by name; None if they cannot be read.
+        Returns the hosts of all zones by name.
     port : int
         Port on which all hosts take such requests.
     """
@@ -61,7 +60,7 @@
     def __init__(
         self,
         context: GatewayContext,
-        read_hosts: Callable[[], Awaitable[Mapping[str, OtherHost] | None]],
+        read_hosts: Callable[[], Awaitable[Mapping[str, OtherHost]]],
         port: int,
     ) -> None:
         self._context = context
@@ -74,11 +73,7 @@
         paths = self._context.paths
         while True:
             await paths.lost_event.wait()
-            hosts = await self._read_hosts()
-            if hosts is None:
-                await anyio.sleep(LIST_RETRY_SECONDS)
-                continue
-            self._hosts.update(hosts)
+            self._hosts.update(await self._read_hosts())
             await anyio.sleep(LIST_INTERVAL_SECONDS)
 
     async def pass_on(
--- a/tests/programs/test_cut_off_hosts.py
+++ b/tests/programs/test_cut_off_hosts.py
@@ -192,6 +192,12 @@
                 assert system.runs(f"book-{number}") == system.runs(f"chat-{number}") == 1
             assert len(system.plain.received[-1][":body"]) == 100_000
 
+    async def test_requests_are_passed_on_while_the_store_is_away(self, cuts):
+        async with running_system(cuts, "aa") as system:
+            system.store.faults.status = 503
+            await cut_off(cuts, system.hosts[0], refuses=True)
+            assert await system.hosts[0].serves("/chat/x", PROMPT)
+
     async def test_client_that_leaves_ends_the_run_of_its_passed_request(self, cuts):
         async with running_system(cuts, "ab") as system:
             host = system.hosts[0]
