A host that reaches no other host refuses after one try

While all other hosts were in backoff, a request tried five of them, each for up to 0.5 s. Now it tries the one whose backoff ends first. The new test failed before.

--- a/samphirehall/routing/other_hosts.py
+++ b/samphirehall/routing/other_hosts.py
@@ -57,7 +57,8 @@
     def choose(self, *, now: float) -> list[OtherHost]:
         """Return the hosts to try one after the other, those of this zone first.
 
-        Bytes between zones are paid for, and take longer. Hosts in backoff come last.
+        Bytes between zones are paid for, and take longer. One host in backoff comes last, so that a
+        request for which no host can be reached is refused soon.
 
         Parameters
         ----------
@@ -71,4 +72,4 @@
         near = [host for host in available if host.zone == self._zone][:MAX_TRIED_IN_ZONE]
         far = [host for host in available if host.zone != self._zone]
         in_backoff.sort(key=lambda host: self._backoff_until[host.name])
-        return [*near, *far, *in_backoff][:MAX_TRIED_HOSTS]
+        return [*near, *far, *in_backoff[:1]][:MAX_TRIED_HOSTS]
--- a/tests/routing/test_other_hosts.py
+++ b/tests/routing/test_other_hosts.py
@@ -36,6 +36,12 @@
         names = [host.name for host in others.choose(now=5.0 + BACKOFF_SECONDS)]
         assert names == ["a0", "b1"]
 
+    def test_one_host_is_asked_while_all_are_in_backoff(self):
+        others, hosts = other_hosts("aabb")
+        for number, host in enumerate(hosts.values()):
+            others.record_refusal(host, now=5.0 + number / 100)
+        assert [host.name for host in others.choose(now=5.1)] == ["a0"]
+
     def test_requests_are_spread_over_the_hosts(self):
         others, _ = other_hosts("bbbb")
         assert len({others.choose(now=0.0)[0].name for _ in range(50)}) == 4
