--- a/tests/programs/test_node.py
+++ b/tests/programs/test_node.py
@@ -470,3 +470,12 @@
         lines = printed.err.splitlines()
         assert status == SETTINGS_INVALID.exit_status and len(lines) == 2
         assert "platform.address" in lines[0] and "bounds.lease_ms" in lines[1]
+
+
+async def test_hang_up_before_the_interpreter_runs_does_not_end_the_process(tmp_path):
+    environment = {**os.environ, PATH_VARIABLE: str(tmp_path / "missing.conf")}
+    command = [sys.executable, "-m", "samphirehall.programs.start_node"]
+    process = await anyio.open_process(command, cwd=ROOT, env=environment)
+    await anyio.sleep(0.005)
+    process.send_signal(signal.SIGHUP)
+    assert await process.wait() == SETTINGS_INVALID.exit_status
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -91,8 +91,10 @@
             self.is_ready = self.is_running and await self._asks_ready()
             if not self.is_running and not self._is_ending and self._process is not None:
                 self._is_ending = True
+                status = self._process.returncode
                 self._records.ended_hosts.append(
-                    f"host {self.number} ended by itself: {self.log.read_text()[-1000:]}"
+                    f"host {self.number} ended by itself with {status}: "
+                    f"{self.log.read_text()[-1000:]}"
                 )
             await asyncio.sleep(READY_CHECK_SECONDS)
 
