Let the process of the memory case see a limit of its memory

The process derives its own limits from those that it sees; a limit of 512 MB gives it those of a small machine.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Streams with long bodies, inside the limits of the configuration, at one machine."""
 
 import asyncio
+import resource
 import sys
 import time
 from pathlib import Path
@@ -21,6 +22,7 @@
 )
 
 MEMORY_MB = 300  # of a machine
+VISIBLE_MB = 512  # a limit of the process, of which its own limits are a fraction
 MAX_BODY_BYTES = 4_194_304  # of the configuration
 BODY_BYTES = 4_000_000 if TROUBLE else 17_000
 CLIENTS = 100  # one request each
@@ -124,6 +126,8 @@
     store.put("op", "config", CONFIGURATION)
     ports = choose_ports(["127.0.0.11"])
     machine = Machine(1, "a", folder, record, store, cloud, ports)
+    # Its own limits follow from this one; the platform ends it above MEMORY_MB, long before.
+    machine.limits = {resource.RLIMIT_DATA: VISIBLE_MB * 2**20}
     machines.append(machine)
     machine.start()
     await wait_until_ready(machines)
