--- a/review/support-2/standins.py
+++ b/review/standins_2.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses of a script
 START = time.monotonic()
