Leave out usage windows whose report a restored store may have lost

The holder of the duty stored the sum of a window, reported it and was killed; the store came back from a copy without that sum. The next holder added the window up again.

Cause: the next holder left out the windows that had ended only if it had never heard of a settled window. What it had heard came with the updates of hubs and was one report behind. Ruled out: counts that arrive late (the sum was missing, not different), and the lease (tokens rose as they should).

Change: a sum that was lost is of a window that had ended before the table was restored. Each host notes the last window that had ended when it first knew of the table's era. If the newest stored sum is of an earlier era, windows up to that one without a sum are left out, whatever the host has heard; later ones are reported. A sum that is stored again keeps the era in which it was stored first, so that it does not hide others that are still lost, and a host of the first start that sees the era rise does the same.

`test_window_settled_by_another_host_...` now observes the era when the table is restored, as the loop of each host does every second: a host that first learns of the era 15 s later can't tell the window after the settled one from one that was reported. Its assertions are unchanged.

--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -3,9 +3,11 @@
 The holder adds up the counts that hosts have saved or sent, stores the sum
 conditionally on its absence, and reports only the stored sum, so that a later
 holder can only report the same sum again. A restored store may lack sums that were
-reported: hubs therefore tell each other the latest window whose sum was stored, and
-only the host that stored it may store it again. A window without a sum is then left
-out, as a second report with other counts would be worse than none.
+reported, all of windows that had ended before it was restored. Only the host that stored
+such a sum may store it again; other windows without a sum that had ended by then are left
+out, as a second report with other counts would be worse than none. A sum is stored under
+the era in which it was stored first, so that a newest sum of an earlier era shows that later
+ones may be lost.
 """
 
 import contextlib
@@ -92,18 +94,18 @@
 
 @dataclass(slots=True)
 class ReportProgress:
-    """Latest window whose sum any holder of the duty has stored, as far as this host knows.
+    """Latest window of which any holder of the duty may have stored the sum.
 
     Attributes
     ----------
     settled_window : int
-        That window, `NO_WINDOW` without one.
+        That window as far as this host knows, `NO_WINDOW` without one.
     """
 
     settled_window: int = NO_WINDOW
 
     def record(self, window: int) -> None:
-        """Record that the sum of a window was stored."""
+        """Record that the sum of a window was stored, or may have been."""
         self.settled_window = max(self.settled_window, window)
 
 
@@ -143,7 +145,23 @@
     next_window: int | None = None
     first_start: bool = False
     progress: ReportProgress = field(default_factory=ReportProgress)
-    _own_sums: dict[int, dict[str, int]] = field(default_factory=dict)
+    _own_sums: dict[int, _StoredSum] = field(default_factory=dict)
+    _era: int = NO_ERA
+    _ended_by_era: int = NO_WINDOW
+
+    def observe_era(self, agreed_now: float) -> None:
+        """Note the last window that had ended when this host first knew of the table's era.
+
+        Sums of an earlier era that the table has lost are of that window or earlier ones. A host
+        that knew of an earlier era tells others, which may not have heard of the last report.
+        """
+        era = self.table.era
+        if era == self._era:
+            return
+        self._ended_by_era = int(agreed_now / self.window_seconds) - 1
+        if self._era != NO_ERA:
+            self.progress.record(self._ended_by_era)
+        self._era = era
 
     async def report_due(self, agreed_now: float) -> None:
         """Report each window whose sum is final; stop at the first that must wait.
@@ -155,7 +173,7 @@
         """
         last = int((agreed_now - WINDOW_CLOSE_DELAY_SECONDS) / self.window_seconds) - 1
         if self.next_window is None:
-            self.next_window = await self._first_unreported(last)
+            self.next_window = await self._first_unreported(last, agreed_now)
         while self.next_window <= last:
             window = self.next_window
             try:
@@ -177,19 +195,18 @@
         log_decision(_log, "usage-left-out", reason, window=window)
         self.next_window = window + 1
 
-    async def _first_unreported(self, last: int) -> int:
+    async def _first_unreported(self, last: int, agreed_now: float) -> int:
         """Return the window to report first.
 
         This is the last window with a stored sum, since its report may have been lost. If the
-        store was restored since that sum was stored, later windows may have been reported as well;
-        a host that does not know how many leaves out all that have ended.
+        table was restored since that sum was stored, later windows may have been reported as well.
         """
         plausible = range(last - MAX_UNREPORTED_WINDOWS, last + RETAINED_WINDOWS + 1)
         newest = _newest_sum(await self.table.scan(SUMS_PREFIX), plausible)
+        self.observe_era(agreed_now)
         newest_era = newest[1].era if newest else NO_ERA
-        may_be_lost = newest_era != self.table.era and (bool(newest) or not self.first_start)
-        if may_be_lost and self.progress.settled_window == NO_WINDOW:
-            self.progress.record(last)
+        if newest_era != self._era and (newest or not self.first_start):
+            self.progress.record(self._ended_by_era)
         if newest:
             return max(newest[0], last - RETAINED_WINDOWS)
         rows = await self.table.scan(COUNTS_PREFIX)
@@ -202,13 +219,13 @@
             return False
         return await self._stored_sum(window) is None
 
-    async def _stored_sum(self, window: int) -> dict[str, int] | None:
+    async def _stored_sum(self, window: int) -> _StoredSum | None:
         key = sum_key(window)
         row = (await self.table.read([key])).get(key)
-        return None if row is None else self._counts_in(row, window)
+        return None if row is None else self._sum_in(row, window)
 
-    def _counts_in(self, row: Row, window: int) -> dict[str, int]:
-        """Return the counts of a stored sum, or those that this host stored before.
+    def _sum_in(self, row: Row, window: int) -> _StoredSum:
+        """Return a stored sum, or the one that this host stored before.
 
         Raises
         ------
@@ -216,7 +233,7 @@
             The row holds no sum, and this host stored none.
         """
         try:
-            return _decode_sum(row).counts
+            return _decode_sum(row)
         except DecodingError:
             if window in self._own_sums:
                 return self._own_sums[window]
@@ -229,27 +246,29 @@
         stored = await self._stored_sum(window)
         if stored is not None:
             self._record_sum(window, stored)
-            return stored
+            return stored.counts
         total = self._own_sums.get(window)
         if total is None:
             counts_by_process = await self._counts_by_process(window)
             if self._must_wait(window, counts_by_process, agreed_now):
                 return None
-            total = _add_counts(counts_by_process.values())
-        value = msgspec.to_builtins(_StoredSum(self.table.era, total))
-        writes = [Write(sum_key(window), value), Write(sum_key(window - RETAINED_WINDOWS), None)]
+            total = _StoredSum(self.table.era, _add_counts(counts_by_process.values()))
+        writes = [
+            Write(sum_key(window), msgspec.to_builtins(total)),
+            Write(sum_key(window - RETAINED_WINDOWS), None),
+        ]
         result = await self.table.transact([Check(sum_key(window), ABSENT)], writes)
         if not result.committed:
-            total = self._counts_in(result.conflicts[0], window)
+            total = self._sum_in(result.conflicts[0], window)
         self._record_sum(window, total)
         if result.committed:
             await self._delete_counts(window - RETAINED_WINDOWS)
-        return total
+        return total.counts
 
-    def _record_sum(self, window: int, counts: dict[str, int]) -> None:
+    def _record_sum(self, window: int, total: _StoredSum) -> None:
         """Remember a stored sum, to store it again if the store loses it."""
         self.progress.record(window)
-        self._own_sums[window] = counts
+        self._own_sums[window] = total
         for old in [other for other in self._own_sums if other < window - RETAINED_WINDOWS]:
             del self._own_sums[old]
 
@@ -307,6 +326,7 @@
     """
     while True:
         await anyio.sleep(SAVE_INTERVAL_SECONDS)
+        reports.observe_era(agreed_now())
         if not may_act(boot_seconds()):
             reports.next_window = None
             continue
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -205,9 +205,10 @@
         assert (await table.read([sum_key(20)]))[sum_key(20)].value["counts"] == {"acme": 3}
 
     async def test_window_settled_by_another_host_is_not_reported_with_other_counts(self):
-        table, _, sent, former = await self.settled_and_lost()
+        table, clock, sent, former = await self.settled_and_lost()
         reports = reports_of(table, sent, ["a"])
         reports.progress.record(former.progress.settled_window)
+        reports.observe_era(clock.now)
         await self.counted(table, Clock(106.0), "a", 1)
         await reports.report_due(110.5 + 10.0)
         assert [window for window, _ in sent.windows].count(20) == 1
@@ -222,6 +223,49 @@
         await reports.report_due(110.5 + 10.0)
         assert 21 in [window for window, _ in sent.windows]
 
+    # Guards against a second report with other counts by a host that knows of earlier reports only.
+    async def test_host_that_missed_the_last_report_leaves_it_out_after_a_restoration(self):
+        table, _, sent, former = await self.settled_and_lost()
+        reports = reports_of(table, sent, ())
+        reports.progress.record(former.progress.settled_window - 1)
+        await reports.report_due(106.0)
+        assert sent.windows == [(20, {"acme": 3})]
+
+    # Guards against the loss of reports for windows that no earlier holder can have reported.
+    async def test_window_that_ended_after_a_restoration_was_seen_is_reported_once(self):
+        table, clock, sent, _ = await self.settled_and_lost()
+        reports = reports_of(table, sent, ())
+        reports.observe_era(clock.now)
+        await self.counted(table, Clock(106.0), "a", 1)
+        await reports.report_due(110.5)
+        assert sent.windows == [(20, {"acme": 3}), (21, {"acme": 1})]
+
+    # Guards against a sum that is stored again and hides that the sums after it are lost.
+    async def test_sums_lost_behind_one_that_was_stored_again_are_left_out(self):
+        table, clock, sent, former = await self.settled_and_lost(hosts=())
+        former.next_window = 20
+        await former.report_due(clock.now)
+        assert sent.windows == [(20, {"acme": 3})] * 2
+        await self.counted(table, Clock(106.0), "a", 1)
+        await reports_of(table, sent, ()).report_due(110.5)
+        assert {window for window, _ in sent.windows} == {20}
+
+    # Guards against a second report of the first window of a system, before which no sum is stored.
+    async def test_first_report_of_a_system_is_not_repeated_after_a_restoration(self):
+        table, sent = FaultyTable(), ReportRecorder()
+        table.store.era = 1
+        first, second = reports_of(table, sent, ()), reports_of(table, sent, ())
+        first.first_start = second.first_start = True
+        second.observe_era(104.0)
+        copy = table.store.copy()
+        await self.counted(table, Clock(101.0), "a", 3)
+        await first.report_due(105.5)
+        assert sent.windows == [(20, {"acme": 3})]
+        table.store.restore(copy)
+        await self.counted(table, Clock(101.0), "late", 5)
+        await second.report_due(106.0)
+        assert sent.windows == [(20, {"acme": 3})]
+
     async def test_sum_stored_by_an_earlier_version_is_reported(self):
         table, sent = FaultyTable(), ReportRecorder()
         await table.transact([], [Write(sum_key(20), {"acme": 7})])
