Store the sum of a usage window only under the lease of the duty

A holder that stands still between the check of its lease and the storing of a sum may wake up after another host has reported that window and the store has lost the sum again.

Cause: the sum was stored on condition that there is none, whoever holds the duty by then.

No further call.

Test: test_host_whose_lease_was_taken_over_stores_no_sum; without the check in the transaction the sum is stored.

--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -13,7 +13,7 @@
 import contextlib
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable, Container, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -25,6 +25,7 @@
 from samphirehall.core.decoding import DecodingError, Unsigned, convert
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.core.log import log_decision
+from samphirehall.gateway.duty import SCOPE
 from samphirehall.gateway.usage_windows import (
     COUNTS_PREFIX,
     MAX_ROWS_PER_CALL,
@@ -92,6 +93,20 @@
     return f"{SUMS_PREFIX}{window:0{WINDOW_KEY_DIGITS}d}"
 
 
+def _conflicting_sum(conflicts: Iterable[Row], window: int) -> Row:
+    """Return the row of a sum that was stored before.
+
+    Raises
+    ------
+    LeaseLostError
+        There is none, so that the lease has changed.
+    """
+    for row in conflicts:
+        if row.key == sum_key(window) and row.version != ABSENT:
+            return row
+    raise LeaseLostError(SCOPE, "another host has taken over")
+
+
 @dataclass(slots=True)
 class ReportProgress:
     """Latest window of which any holder of the duty may have stored the sum.
@@ -133,6 +148,9 @@
         Whether the whole system starts for the first time, so that nothing was reported before.
     progress : ReportProgress
         What this host and others have settled.
+    lease_checks : callable
+        Returns the conditions under which a sum is stored, that this host still holds the duty;
+        raises `LeaseLostError` if it does not.
     """
 
     table: Table
@@ -145,6 +163,7 @@
     next_window: int | None = None
     first_start: bool = False
     progress: ReportProgress = field(default_factory=ReportProgress)
+    lease_checks: Callable[[], Sequence[Check]] = lambda: ()
     _own_sums: dict[int, _StoredSum] = field(default_factory=dict)
     _era: int = NO_ERA
     _ended_by_era: int = NO_WINDOW
@@ -170,6 +189,8 @@
         ------
         PlatformUnavailableError
             The store or the platform did not respond.
+        LeaseLostError
+            This host does not hold the duty any more.
         """
         last = int((agreed_now - WINDOW_CLOSE_DELAY_SECONDS) / self.window_seconds) - 1
         if self.next_window is None:
@@ -257,9 +278,10 @@
             Write(sum_key(window), msgspec.to_builtins(total)),
             Write(sum_key(window - RETAINED_WINDOWS), None),
         ]
-        result = await self.table.transact([Check(sum_key(window), ABSENT)], writes)
+        checks = [*self.lease_checks(), Check(sum_key(window), ABSENT)]
+        result = await self.table.transact(checks, writes)
         if not result.committed:
-            total = self._sum_in(result.conflicts[0], window)
+            total = self._sum_in(_conflicting_sum(result.conflicts, window), window)
         self._record_sum(window, total)
         if result.committed:
             await self._delete_counts(window - RETAINED_WINDOWS)
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -185,6 +185,7 @@
             lambda window: self.exchange.view.others_closed(window, now=boot_seconds()),
             first_start=settings.first_start,
             progress=self.report_progress,
+            lease_checks=lambda: [current_grant(self.duty).lease_check],
         )
         self.quarantine_store = QuarantineStore(
             self.store,
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -3,8 +3,8 @@
 import anyio
 import pytest
 
-from samphirehall.authority.lease import LeaseLostError
-from samphirehall.backing.table import Write
+from samphirehall.authority.lease import LeaseLostError, lease_key
+from samphirehall.backing.table import Check, Write
 from samphirehall.core.errors import PlatformUnavailableError
 from samphirehall.gateway import duty as duty_module
 from samphirehall.gateway.duty import Duty
@@ -266,6 +266,19 @@
         await second.report_due(106.0)
         assert sent.windows == [(20, {"acme": 3})]
 
+    # Guards against a sum with other counts by a host that stood still while another one reported.
+    async def test_host_whose_lease_was_taken_over_stores_no_sum(self):
+        table, sent = FaultyTable(), ReportRecorder()
+        key = lease_key("duties")
+        await table.transact([], [Write(key, "a")])
+        await table.transact([], [Write(key, "b")])
+        await self.counted(table, Clock(101.0), "a", 3)
+        reports = reports_of(table, sent, ())
+        reports.next_window, reports.lease_checks = 20, lambda: [Check(key, 1)]
+        with pytest.raises(LeaseLostError):
+            await reports.report_due(105.5)
+        assert await table.read([sum_key(20)]) == {} and sent.windows == []
+
     async def test_sum_stored_by_an_earlier_version_is_reported(self):
         table, sent = FaultyTable(), ReportRecorder()
         await table.transact([], [Write(sum_key(20), {"acme": 7})])
