Ask an engine on each new connection whether it is the listed process

What callers saw: whole answers that held events of two software versions (ORDER). An engine ended and started again under its id with a newer version. Streams that began there before the endpoint list said so counted as streams of the listed version, and went on at an engine of that one when the engine ended again.

Cause: the version of a stream was taken from the list as of the choice of the engine. Whether the engine is still the listed process was asked only before a stream that has begun goes on. Ruled out: the choice where a stream goes on, as each engine that took one over was of the recorded version.

Change: a connection leads to one process as long as it lives. Streams of resumable routes and their prefills are sent only on a connection on which the engine has said when it started, and if that is what the list said; the question is asked once for a connection, before the first request. An engine that turns out to be another process is not sent the request, and another one is chosen. The list may also change between the choice and the send: an engine that is listed with another version by then is not used, nor is one that was renewed while the prompt was read. The check before a stream goes on uses the same connections, so that the engine can't restart between the question and the request.

Cost: one round trip and one probe for a new connection to an engine, none on kept connections. Weighed: to ask before each first event (a probe for each stream), and to correct records once the list changes (a stream can break before that).

Streams that an older host begins may still be recorded at the wrong version until the last one is replaced.

--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -45,10 +45,45 @@
     """No connection could be opened; no byte of the request was sent."""
 
 
+class WrongProcessError(NotSentError):
+    """Another process than the expected one responds at the address of an endpoint."""
+
+
 class IncompleteResponseError(Exception):
     """The request was sent, but no whole response arrived."""
 
 
+@dataclass(slots=True, frozen=True)
+class ProcessCheck:
+    """Call by which a new connection is found to lead to the expected process.
+
+    A connection belongs to one process, so that it is checked once.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    target : bytes
+        Path and query.
+    headers : list of pairs of bytes
+        All headers.
+    timeout : float
+        Seconds in which the response has to arrive.
+    max_bytes : int
+        Maximum length of its body.
+    accepts : callable
+        Returns whether the process is the expected one from the body of its response, which is
+        None if no whole one arrived.
+    """
+
+    method: str
+    target: bytes
+    headers: Headers
+    timeout: float
+    max_bytes: int
+    accepts: Callable[[bytes | None], bool]
+
+
 @dataclass(slots=True)
 class Response:
     """A response whose head has arrived and whose body is read on demand.
@@ -106,6 +141,7 @@
         self._no_stray_bytes = True
         self._turn = Turn()
         self.carried = CarriedIds()
+        self.is_checked = False
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
 
     @property
@@ -145,6 +181,17 @@
             await self._skip_stray_response()
         raise IncompleteResponseError("only responses to other requests arrived")
 
+    async def ask(self, check: ProcessCheck) -> bytes | None:
+        """Return the body of the response to a check, or None if no whole one arrives in time."""
+        head = h11.Request(method=check.method, target=check.target, headers=check.headers)
+        try:
+            with anyio.fail_after(check.timeout):
+                await self.send(head, b"")
+                response = await self.next_response(None)
+                return await response.read(max_bytes=check.max_bytes)
+        except (IncompleteResponseError, TimeoutError):
+            return None
+
     async def _next_final_response(self) -> object:
         """Return the next event that is no informational response."""
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
@@ -252,6 +299,7 @@
         matches: ResponseMatcher | None,
         request_id: str | None = None,
         must_not_repeat: bool = False,
+        check: ProcessCheck | None = None,
     ) -> AsyncIterator[Response]:
         """Send a request and yield its response with the body unread.
 
@@ -277,11 +325,13 @@
             Whether the request must not be repeated. It then uses a connection that was idle
             only briefly, or a new one, since a write to a closed connection leaves open
             whether the request ran.
+        check : ProcessCheck, optional
+            Check that the connection has to pass before the request is sent.
 
         Raises
         ------
         NotSentError
-            No connection could be opened.
+            No connection could be opened, or it leads to another process.
         IncompleteResponseError
             No whole response arrived.
         """
@@ -294,6 +344,8 @@
             connection = await self._acquire(
                 MAX_NON_REPEATABLE_IDLE_SECONDS if must_not_repeat else None, request_id
             )
+        if check is not None:
+            connection = await self._checked(connection, check)
         if request_id is not None:
             connection.carried.add(request_id)
         try:
@@ -302,6 +354,17 @@
         finally:
             await self._release(connection)
 
+    async def confirm(self, check: ProcessCheck) -> None:
+        """Hold a connection ready that has passed a check.
+
+        Raises
+        ------
+        NotSentError
+            No connection could be opened, or it leads to another process.
+        """
+        connection = await self._acquire(None, None)
+        await self._release(await self._checked(connection, check))
+
     async def refuses_connections(self) -> bool:
         """Return whether the endpoint refuses a new connection, as a process that ended does.
 
@@ -366,6 +429,30 @@
             raise NotSentError(str(error)) from error
         return _Connection(stream)
 
+    async def _checked(self, connection: _Connection, check: ProcessCheck) -> _Connection:
+        """Return a connection that has passed a check: this one, or a new one in its place.
+
+        A process that is accepted without a whole response is sent the request on a connection
+        on which no late response to the check can arrive.
+
+        Raises
+        ------
+        NotSentError
+            The connection leads to another process, or no new one could be opened.
+        """
+        if connection.is_checked:
+            return connection
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(connection.aclose)
+            body = await connection.ask(check)
+            if not check.accepts(body):
+                raise WrongProcessError(f"another process responds at {self._host}:{self._port}")
+            if connection.reusable:
+                connection.is_checked = True
+                stack.pop_all()
+                return connection
+        return await self._open()
+
     async def _connect(self, timeout: float) -> TcpStream:
         return await self._backend.connect_tcp(
             self._host, self._port, timeout=timeout, socket_options=SOCKET_OPTIONS
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -7,7 +7,12 @@
 from samphirehall.core.errors import SamphireError
 from samphirehall.core.log import log_decision
 from samphirehall.core.results import OUTCOME_UNKNOWN, OVERLOADED, PART_QUARANTINED, QUARANTINED
-from samphirehall.gateway.connections import IncompleteResponseError, NotSentError, Response
+from samphirehall.gateway.connections import (
+    IncompleteResponseError,
+    NotSentError,
+    ProcessCheck,
+    Response,
+)
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, Crash, request_part
 from samphirehall.gateway.fleet import EndpointState
@@ -27,9 +32,12 @@
     request_state: RequestState,
     endpoint: EndpointState,
     dispatch: Dispatch,
+    check: ProcessCheck | None = None,
 ) -> AsyncIterator[Response]:
     """Send the client request to an endpoint and yield the response with its body unread.
 
+    With a check, it is sent only on a connection that has passed it.
+
     Raises
     ------
     NotSentError, IncompleteResponseError
@@ -44,6 +52,7 @@
         matches=lambda found: wire_codec.matches_request(request.request_id, found),
         request_id=request.request_id,
         must_not_repeat=not (request_state.route.repeatable or dispatch.prefill_only),
+        check=check,
     ) as response:
         now = context.clock()
         rate = wire_codec.endpoint_limit(response.headers)
--- a/samphirehall/gateway/generation.py
+++ b/samphirehall/gateway/generation.py
@@ -23,9 +23,13 @@
     record_served,
     request_share,
 )
-from samphirehall.gateway.connections import IncompleteResponseError, NotSentError
+from samphirehall.gateway.connections import (
+    IncompleteResponseError,
+    NotSentError,
+    ProcessCheck,
+)
 from samphirehall.gateway.context import GatewayContext
-from samphirehall.gateway.engine_identity import is_listed_process
+from samphirehall.gateway.engine_identity import is_listed_process, process_check
 from samphirehall.gateway.engine_rates import record_prefill
 from samphirehall.gateway.exchange import (
     SEND_ERRORS,
@@ -44,7 +48,7 @@
     next_plan,
     with_ready_decode_engine,
 )
-from samphirehall.gateway.generation_plan import GenerationPlan
+from samphirehall.gateway.generation_plan import EngineView, GenerationPlan
 from samphirehall.gateway.plain import no_answer_error
 from samphirehall.gateway.relay import (
     Delivery,
@@ -338,10 +342,11 @@
 
     A silent prefill of a request that may have run ends only if another engine can take over.
     """
-    prefill_engine = context.fleet.endpoint(plan.prefill_engine.endpoint_id)
+    prefill_engine = _planned_engine(context, plan.prefill_engine)
     if prefill_engine is None:
         return None
     dispatch = _make_dispatch(context, request_state, plan, prefill_engine, None)
+    check = _process_check(context, request_state, prefill_engine)
     started = context.clock()
     outcome = SendOutcome.CUT
     timeout = plan.time_to_first_event * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_SECONDS
@@ -357,7 +362,9 @@
     try:
         with silence as limit, _count_pending_prefill(context, request_state, plan):
             limit.restart(timeout)
-            async with send_request(context, request_state, prefill_engine, dispatch) as response:
+            async with send_request(
+                context, request_state, prefill_engine, dispatch, check
+            ) as response:
                 body = await response.read(max_bytes=MAX_HANDLE_BYTES)
         outcome = SendOutcome.NOT_RUN
         if response.status == 200:
@@ -379,6 +386,21 @@
     return None
 
 
+def _planned_engine(context: GatewayContext, view: EngineView) -> EndpointState | None:
+    """Return an engine of a plan; None if it is gone, or listed with another version since."""
+    endpoint = context.fleet.endpoint(view.endpoint_id)
+    if endpoint is None or endpoint.listed.software_version != view.software_version:
+        return None
+    return endpoint
+
+
+def _process_check(
+    context: GatewayContext, request_state: RequestState, engine: EndpointState
+) -> ProcessCheck | None:
+    """Return the check of new connections for a stream that may go on at another engine."""
+    return process_check(context, engine) if request_state.route.resumable else None
+
+
 async def _decode(
     context: GatewayContext,
     request_state: RequestState,
@@ -388,7 +410,7 @@
     recording: Recording | None,
 ) -> bool:
     """Decode on one engine and record the outcome; return whether it completed the response."""
-    decode_engine = context.fleet.endpoint(plan.decode.endpoint_id)
+    decode_engine = _planned_engine(context, plan.decode)
     if decode_engine is None:
         return False
     outcome, is_engine_at_fault = SendOutcome.CUT, True
@@ -466,7 +488,8 @@
                 _record_first_event(context, request_state, plan, delivery, started, kv_handle)
             pending_prefill.close()
 
-        async with send_request(context, request_state, decode_engine, dispatch) as response:
+        check = _process_check(context, request_state, decode_engine)
+        async with send_request(context, request_state, decode_engine, dispatch, check) as response:
             if response.status != 200 or not context.wire_codec.is_signed(response.headers):
                 return await handle_failure_response(
                     context.wire_codec, request_state, delivery, response, limit
--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -235,10 +235,15 @@
     software version.
     """
     now = context.clock()
+    version = plan.decode.software_version
     planned = context.fleet.endpoint(plan.decode.endpoint_id)
-    if planned is not None and planned.listed.ready and not planned.is_changing(now=now):
+    if (
+        planned is not None
+        and planned.listed.ready
+        and planned.listed.software_version == version
+        and not planned.is_changing(now=now)
+    ):
         return plan
-    version = plan.decode.software_version
     candidates = _candidates(context, request_state, Stage.DECODE, version)
     prompt = request_state.request.prompt
     assert prompt is not None
