Soak: restore the store from older copies, and renew engines under their ids

Restorations bring the store back from a copy of up to 4 s before; renewed engines may have another software version, are listed up to 0.7 s later and break streams off until then. Answers name the version of each event, and ORDER is checked. The new series have a random source of their own, so the other disruptions of a seed are as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,13 @@
 import time
 from collections.abc import Callable
 
-from tests.soak.endpoints import TOKENS, plain_body, read_message, stream_event
+from tests.soak.endpoints import (
+    TOKENS,
+    plain_body,
+    read_message,
+    split_versions,
+    stream_event,
+)
 from tests.soak.records import Records, Sent
 
 TIMEOUT_SECONDS = 3.0
@@ -91,6 +97,8 @@
             async with asyncio.timeout(PATIENCE_SECONDS):
                 first, headers, answer = await read_message(reader)
             sent.status, sent.is_whole = int(first.split(" ")[1]), True
+            if kind == "chat" and sent.status == 200:
+                answer, sent.versions = split_versions(answer)
             sent.is_right = sent.status != 200 or answer == _right_answer(kind, request_id, body)
         except (TimeoutError, ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import re
 from dataclasses import dataclass, field
 
 from tests.soak.records import Records, Run
@@ -13,6 +14,10 @@
 SLOW_SECONDS = 0.3
 MUTE_SECONDS = 1.3  # a sound endpoint may fall silent for a second or so
 FAULT_SHARE = 0.5  # of requests, while a fault lasts
+VERSIONS = ("1.0", "2.0")
+ENTRY_DELAY_SECONDS = 0.7  # at most, from the start of an engine until the store has its entry
+
+_VERSION = re.compile(rb"data: (\d\.\d) ")
 
 
 def stream_event(request_id: str, number: int) -> bytes:
@@ -20,6 +25,17 @@
     return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
 
 
+def versioned(event: bytes, version: str) -> bytes:
+    """Return an event that names the software version of its engine."""
+    return event.replace(b"data: ", f"data: {version} ".encode())
+
+
+def split_versions(answer: bytes) -> tuple[bytes, set[str]]:
+    """Return an answer without the versions that its events name, and these versions."""
+    versions = set(_VERSION.findall(answer))
+    return _VERSION.sub(b"data: ", answer), {version.decode() for version in versions}
+
+
 def plain_body(request_id: str, body: bytes) -> bytes:
     """Return the body of an answer that is no stream."""
     return f"{request_id} {len(body)}".encode()
@@ -63,37 +79,65 @@
     stage: str | None = None
     fault: str = ""
     address: str = field(default_factory=free_address)
+    version: str = VERSIONS[0]
+    born: int = 1
+    _running: list[Run] = field(default_factory=list)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _server: asyncio.Server | None = None
 
     def entry(self) -> dict[str, object]:
         """Return its entry in the endpoint list."""
         fields = {"service": self.service, "address": self.address, "zone": "a", "slots": 64}
-        fields |= {"state": "ready", "born": 1, "version": "1.0"}
+        fields |= {"state": "ready", "born": self.born, "version": self.version}
         return fields | ({"stage": self.stage} if self.stage else {})
 
     @contextlib.asynccontextmanager
     async def serving(self):
         """Serve until the context ends."""
-        host, _, port = self.address.rpartition(":")
-        async with await asyncio.start_server(self._serve, host, int(port)):
+        await self._listen()
+        try:
             yield self
+        finally:
+            self._server.close()
+
+    async def _listen(self):
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def renew(self, seconds: float) -> None:
+        """End, and start again after a while with another software version; hold no state."""
+        self._server.close()
+        for run in self._running:
+            run.is_broken = True
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.version, self.born = self.chance.choice(VERSIONS), self.born + 1
+        await self._listen()
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 first, headers, body = await read_message(reader)
                 await self._answer(*first.split(" ")[:2], headers, body, writer)
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, method, target, headers, body, writer):
         if target == "/report":
-            writer.write(_response(200, b'{"born":1,"stage":"decode"}'))
+            writer.write(_response(200, b'{"born":%d,"stage":"decode"}' % self.born))
         elif target.startswith(("/health", "/order", "/kv-")):
             writer.write(_response(200))
         else:
             run = Run(headers["x-request-id"], self.name, body, headers.get("x-tenant", ""))
             self.records.runs.append(run)
-            await self._run(run, headers, writer)
+            self._running.append(run)
+            try:
+                await self._run(run, headers, writer)
+            finally:
+                self._running.remove(run)
 
     async def _run(self, run, headers, writer):
         fault = self.fault if self.chance.random() < FAULT_SHARE else ""
@@ -119,6 +163,7 @@
         writer.write(_response(200, plain_body(run.request_id, run.body), extra, run.request_id))
 
     async def _run_stream(self, run, fault, extra, last, writer):
+        version = self.version
         lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *_signed(run.request_id), *extra]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(last + 1, TOKENS + 1):
@@ -128,7 +173,7 @@
                 writer.transport.abort()
                 return
             await asyncio.sleep(MUTE_SECONDS if number == 3 and fault == "mute" else NORMAL_SECONDS)
-            event = stream_event(run.request_id, number)
+            event = versioned(stream_event(run.request_id, number), version)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         writer.write(b"0\r\n\r\n")
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,6 +5,8 @@
 
 STORE_FAULTS = ("silent", "status", "slow", "lose_answers", "drop_history")
 ENDPOINT_FAULTS = ("slow", "mute", "reset", "busy", "closing")
+RESTORE = "restore"  # the store is away, and comes back from an older copy
+RENEW = "renew"  # an engine ends, and starts again under its id with another software version
 CONFIGURATION_CHANGES = ("route", "idle", "timeout", "body", "key")
 UNPLANNED = ("kill", "freeze")  # a host that suffers one is excused for a while
 PLANNED = ("stop", "hang_up")
@@ -66,9 +68,10 @@
             self._endpoint_faults,
             self._endpoint_faults,
         )
-        self.actions = sorted(
-            (action for make in series for action in make(chance)), key=lambda action: action.at
-        )
+        actions = [action for make in series for action in make(chance)]
+        # From a source of its own, so that the other series of a seed stay as they are.
+        actions += self._replacements(random.Random(f"replacements {self.seed}"))
+        self.actions = sorted(actions, key=lambda action: action.at)
 
     @property
     def is_calm(self) -> bool:
@@ -111,6 +114,19 @@
             for at in self._times(chance, 2.0, 6.0)
         ]
 
+    def _replacements(self, chance: random.Random) -> list[Action]:
+        """Return restorations of the store, and renewals of engines, which are the last two."""
+        restorations = [
+            Action(at, "store", None, RESTORE, chance.uniform(0.1, 1.0))
+            for at in self._times(chance, 5.0, 12.0)
+        ]
+        engines = range(self.endpoints - 2, self.endpoints)
+        renewals = [
+            Action(at, "endpoint", chance.choice(engines), RENEW, chance.uniform(0.2, 1.0))
+            for at in self._times(chance, 2.0, 6.0)
+        ]
+        return restorations + renewals
+
     def _endpoint_faults(self, chance: random.Random) -> list[Action]:
         return [
             Action(
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -34,6 +34,8 @@
         Status of the answer; None without one.
     is_whole, is_right : bool
         Whether the answer was whole, and was this request's.
+    versions : set of str
+        Software versions of the engines that wrote it.
     ended_at : float
         When the answer or the connection ended.
     """
@@ -47,6 +49,7 @@
     is_whole: bool = False
     is_right: bool = True
     ended_at: float = float("inf")
+    versions: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -92,7 +95,7 @@
 
 def broken_promises(records: Records) -> list[str]:
     """Return a line for each promise that was broken."""
-    checks = (_lost, _twice, _refused, _mixed, _unasked, _denied, _late, _ambiguous_usage)
+    checks = (_lost, _twice, _refused, _mixed, _unasked, _denied, _late, _ambiguous_usage, _joined)
     return [*records.ended_hosts, *(line for check in checks for line in check(records))]
 
 
@@ -161,6 +164,11 @@
     return []
 
 
+def _joined(records: Records) -> list[str]:
+    """An answer holds events of two software versions."""
+    return [f"ORDER {sent}" for sent in records.sent if len(sent.versions) > 1]
+
+
 def _ambiguous_usage(records: Records) -> list[str]:
     counts: dict[int, dict[str, int]] = {}
     return [
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -4,16 +4,19 @@
 import contextlib
 import random
 import time
+from collections import deque
 from pathlib import Path
 
 from tests.platform.standin import platform_standin
 from tests.platform.test_decoding import CONFIGURATION
 from tests.soak.callers import Caller
-from tests.soak.endpoints import Endpoint
+from tests.soak.endpoints import ENTRY_DELAY_SECONDS, Endpoint
 from tests.soak.hosts import Host
-from tests.soak.plan import Action, Plan
+from tests.soak.plan import RENEW, RESTORE, Action, Plan
 from tests.soak.records import Records, broken_promises
 
+COPY_INTERVAL_SECONDS = 0.5
+MAX_COPIES = 8  # of the store; the oldest one is some seconds old
 START_SECONDS = 10.0  # in which all hosts are ready
 RECOVERY_SECONDS = 12.0  # after the last disruption
 MIN_SERVED_SHARE = 0.25  # of the requests after the recovery
@@ -48,7 +51,7 @@
             "tenants": [{"name": "acme", "api_keys": ["k1"]}],
             "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 3000},
         }
-        self._write()
+        self.write()
 
     def idle_timeout(self) -> float:
         """Return the idle timeout in force, in seconds."""
@@ -71,9 +74,10 @@
             extra = {**ROUTES[0], "name": f"r{version}", "prefix": f"/extra{version}/"}
             self._document["routes"] = [*self._document["routes"][: len(ROUTES)], extra]
         self._document["version"] += self._chance.randint(1, 3)
-        self._write()
+        self.write()
 
-    def _write(self) -> None:
+    def write(self) -> None:
+        """Write the newest version."""
         self._store.put("op", "config", self._document)
 
 
@@ -94,6 +98,8 @@
         self._folder = folder
         self._chance = random.Random(plan.seed + 1)
         self._hosts: list[Host] = []
+        self._copies: deque = deque(maxlen=MAX_COPIES)
+        self._renewing: set[str] = set()
         self._endpoints = [
             Endpoint(f"t{number}", "t", self.records, self._chance)
             for number in range(plan.endpoints - 2)
@@ -107,6 +113,7 @@
         """Play the plan; return a line for each promise that was broken."""
         async with contextlib.AsyncExitStack() as stack:
             store, duties = await stack.enter_async_context(platform_standin())
+            store.era = 1
             for endpoint in self._endpoints:
                 await stack.enter_async_context(endpoint.serving())
                 store.put("servers", endpoint.name, endpoint.entry())
@@ -122,6 +129,7 @@
 
     async def _play(self, store, operator: Operator) -> None:
         background = [asyncio.create_task(host.watch()) for host in self._hosts]
+        background.append(asyncio.create_task(self._copy_store(store)))
         try:
             await self._wait_until_ready(START_SECONDS)
             background += [
@@ -173,6 +181,10 @@
     async def _act(self, action: Action, store, operator: Operator) -> None:
         if action.kind == "configuration":
             operator.change(action.how)
+        elif action.how == RESTORE:
+            await self._restore_store(store, operator, action)
+        elif action.how == RENEW:
+            await self._renew(self._endpoints[action.target], store, action)
         elif action.kind == "store":
             await _disturb_store(store.faults, action)
         elif action.kind == "endpoint":
@@ -183,6 +195,34 @@
         else:
             await self._disturb_host(self._hosts[action.target], action)
 
+    async def _copy_store(self, store) -> None:
+        while True:
+            self._copies.append(store.copy())
+            await asyncio.sleep(COPY_INTERVAL_SECONDS)
+
+    async def _restore_store(self, store, operator: Operator, action: Action) -> None:
+        """Bring the store back from a copy; operator and endpoints write again what they wrote."""
+        copy = self._chance.choice(self._copies)
+        store.faults.status = 503
+        await asyncio.sleep(action.seconds)
+        store.restore(copy)
+        store.faults.status = None
+        operator.write()
+        for endpoint in self._endpoints:
+            store.put("servers", endpoint.name, endpoint.entry())
+
+    async def _renew(self, endpoint: Endpoint, store, action: Action) -> None:
+        """Renew an engine, which breaks streams off until its entry says so."""
+        if endpoint.name in self._renewing:
+            return
+        self._renewing.add(endpoint.name)
+        await endpoint.renew(action.seconds)
+        endpoint.fault = "reset"
+        await asyncio.sleep(self._chance.uniform(0.0, ENTRY_DELAY_SECONDS))
+        endpoint.fault = ""
+        store.put("servers", endpoint.name, endpoint.entry())
+        self._renewing.remove(endpoint.name)
+
     async def _disturb_host(self, host: Host, action: Action) -> None:
         if action.kind == "hang_up":
             host.hang_up()
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -25,6 +25,7 @@
     "TWICE": records([sent()], [run(), run()]),
     "REFUSED": records([sent(status=503)], [run()]),
     "MIXED": records([sent(is_right=False)], [run()]),
+    "ORDER": records([sent(kind="chat", versions={"1.0", "2.0"})], [run()]),
     "UNASKED body": records([sent()], [Run("r", "t0", b"x", "acme")]),
     "UNASKED customer": records([sent()], [Run("r", "t0", b"", "other")]),
     "UNASKED id": records([sent()], [run("other")]),
