Wait for a lost grant where a restored store has no lease, on a first start as well

What callers could see: two holders of one duty at the same time (ONE). A process of the first start took an absent lease row for one that never existed for as long as it ran, also after the store came back from a copy made before the first lease.

Cause: the first start was taken for a fact about the process; it says something about the era of the table that the process saw first.

Change: it counts in that era only.

Test: test_first_lease_lost_by_a_restoration_is_not_taken_while_its_grant_may_last failed before. No row or message changes.

--- a/samphirehall/authority/lease.py
+++ b/samphirehall/authority/lease.py
@@ -274,7 +274,8 @@
     candidate : str
         Incarnation of this process.
     first_start : bool
-        Whether the whole system starts for the first time, so that no lease can have been lost.
+        Whether the whole system starts for the first time, and the table was not restored since,
+        so that no lease can have been lost.
     now : float
         Boot clock in seconds.
     """
--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -75,6 +75,7 @@
         self._clock = clock
         self._sleep = sleep
         self._first_start = first_start
+        self._first_era: int | None = None
         self._grant: LeaseGrant | None = None
         self._observation: LeaseObservation | None = None
         self._lease_row: LeaseRow | None = None
@@ -224,17 +225,17 @@
             lease, renewal = await self._read_rows()
         except PlatformUnavailableError:
             return
-        now = self._clock()
-        self._lease_row = decode_lease(lease, era=self._table.era)
-        self._observation = update_observation(
-            self._observation, lease, renewal, era=self._table.era, now=now
-        )
+        now, era = self._clock(), self._table.era
+        if self._first_era is None:
+            self._first_era = era
+        self._lease_row = decode_lease(lease, era=era)
+        self._observation = update_observation(self._observation, lease, renewal, era=era, now=now)
         decision = decide_takeover(
             self._lease_row,
             self._observation,
             self._times,
             candidate=self._holder,
-            first_start=self._first_start,
+            first_start=self._first_start and era == self._first_era,
             now=now,
         )
         if decision.take_over and not self._stopped:
--- a/tests/authority/test_restored_lease.py
+++ b/tests/authority/test_restored_lease.py
@@ -39,9 +39,14 @@
         self.numbers = {}
         self.highest = (0, "")
 
-    def start(self, name):
+    def start(self, name, *, first_start=False):
         return LeaseManager(
-            Connection(self.table), "s", holder=name, times=TIMES, clock=lambda: self.now
+            Connection(self.table),
+            "s",
+            holder=name,
+            times=TIMES,
+            clock=lambda: self.now,
+            first_start=first_start,
         )
 
     def save(self):
@@ -108,6 +113,22 @@
         await first.step()
         assert first.grant(now=world.now)
 
+    # Guards against two holders if the store loses the first lease of a system.
+    async def test_first_lease_lost_by_a_restoration_is_not_taken_while_its_grant_may_last(self):
+        world = World()
+        world.table.store.era = 1
+        first, second = (world.start(f"host-{name}/1", first_start=True) for name in "ab")
+        world.save()
+        await first.step()
+        await second.step()
+        world.restore()
+        assert world.grant(first)
+        await second.step()
+        assert world.grant(second) is None
+        world.now += FULL_WAIT_SECONDS
+        await second.step()
+        assert world.grant(second)
+
     @pytest.mark.parametrize("released", [True, False], ids=["released", "absent"])
     async def test_lease_free_in_the_copy_is_not_taken_while_a_lost_grant_may_last(self, released):
         world = World()
