A silent engine confirms no crash

What callers could see: a request blamed for a crash that never was, and refused in quarantine. An engine that does not say in time when it started, while the store does not answer either, is not sent a stream; this counted as a connection that could not be opened.

Change: it counts as a send that the engine did not run, and the engine backs off as after any other failure. Another process at the address still confirms the crash of the former one.

Test: test_silence_of_an_engine_confirms_no_crash fails with the former outcome.

--- a/samphirehall/gateway/connections.py
+++ b/samphirehall/gateway/connections.py
@@ -49,6 +49,10 @@
     """Another process than the expected one responds at the address of an endpoint."""
 
 
+class UnknownProcessError(NotSentError):
+    """A new connection was opened, but nothing shows that it leads to the expected process."""
+
+
 class IncompleteResponseError(Exception):
     """The request was sent, but no whole response arrived."""
 
@@ -446,7 +450,8 @@
             stack.push_async_callback(connection.aclose)
             body = await connection.ask(check)
             if not check.accepts(body):
-                raise WrongProcessError(f"another process responds at {self._host}:{self._port}")
+                error = UnknownProcessError if body is None else WrongProcessError
+                raise error(f"the process at {self._host}:{self._port} was not accepted")
             if connection.reusable:
                 connection.is_checked = True
                 stack.pop_all()
--- a/samphirehall/gateway/engine_identity.py
+++ b/samphirehall/gateway/engine_identity.py
@@ -7,7 +7,12 @@
 import logging
 
 from samphirehall.core.log import log_decision
-from samphirehall.gateway.connections import NotSentError, ProcessCheck, WrongProcessError
+from samphirehall.gateway.connections import (
+    NotSentError,
+    ProcessCheck,
+    UnknownProcessError,
+    WrongProcessError,
+)
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.fleet import EndpointState
 
@@ -37,6 +42,8 @@
             is_listed = started_at == listed.started_at_milliseconds
         if not is_listed:
             endpoint.may_have_restarted = True
+            if body is None:
+                endpoint.record_failure(now=context.clock())
             log_decision(
                 _log,
                 "engine-uncertain",
@@ -59,7 +66,7 @@
         return True
     try:
         await endpoint.connections.confirm(check)
-    except WrongProcessError:
+    except (WrongProcessError, UnknownProcessError):
         return False
     except NotSentError:
         endpoint.record_failure(now=context.clock(), unreachable=True, disconnected=True)
--- a/samphirehall/gateway/exchange.py
+++ b/samphirehall/gateway/exchange.py
@@ -12,6 +12,7 @@
     NotSentError,
     ProcessCheck,
     Response,
+    UnknownProcessError,
 )
 from samphirehall.gateway.context import GatewayContext
 from samphirehall.gateway.crashes import MIN_CRASHES_FOR_QUARANTINE, Crash, request_part
@@ -120,6 +121,8 @@
 
 def outcome_from_error(error: Exception) -> SendOutcome:
     """Return the outcome of a send that raised one of `SEND_ERRORS`."""
+    if isinstance(error, UnknownProcessError):
+        return SendOutcome.NOT_RUN  # it may be sound, so that this confirms no crash
     if isinstance(error, NotSentError):
         return SendOutcome.NOT_SENT
     if isinstance(error, TimeoutError):
--- a/tests/gateway/test_restarted_engines.py
+++ b/tests/gateway/test_restarted_engines.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from samphirehall.core.clock import boot_seconds
 from samphirehall.core.results import RunState
+from samphirehall.gateway.crashes import Crash
 from tests.gateway.helpers import response_bytes
 from tests.gateway.test_stream_versions import (
     BEGINS,
@@ -141,6 +143,18 @@
             caller, error = await host.serve("first", parts=b"own:60000")
         assert error is None and caller.complete and not streams_at(running["p1"])
 
+    # Guards against a crash that is blamed on a request, as a sound engine was silent for a while.
+    async def test_silence_of_an_engine_confirms_no_crash(self):
+        silent = ReportingEngine(OLD, LISTED, silence=SILENCE_SECONDS)
+        async with engines(d1=silent) as running, Host(FaultyTable()) as host:
+            host.list("d1", running["d1"], OLD, born=LISTED)
+            host.context.store_age = lambda: LONG_SECONDS
+            crash = Crash(1, f"d1/{LISTED}", ())
+            host.context.crashes.record_unconfirmed("d1", crash, now=boot_seconds())
+            _, error = await host.serve("first")
+            assert error.result.run is RunState.NOT_RUN
+            assert host.context.crashes.is_suspect("d1")
+
     # Guards against a question to the engine for each stream.
     async def test_engine_is_asked_once_for_a_connection(self):
         script = ReportingEngine(OLD, LISTED)
