--- a/samphirehall/gateway/generation_choice.py
+++ b/samphirehall/gateway/generation_choice.py
@@ -229,9 +229,10 @@
 def with_ready_decode_engine(
     context: GatewayContext, request_state: RequestState, plan: GenerationPlan
 ) -> GenerationPlan | None:
-    """Return the plan with another decode engine if its own one accepts no new requests any more.
+    """Return the plan with another decode engine if its own one can no longer be used.
 
-    The prefill may have taken seconds. None is returned without such an engine of the same
+    It may accept no new requests any more, or be listed with another software version, as the
+    prefill may have taken seconds. None is returned without such an engine of the same
     software version.
     """
     now = context.clock()
--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -166,7 +166,7 @@
     lease_checks: Callable[[], Sequence[Check]] = lambda: ()
     _own_sums: dict[int, _StoredSum] = field(default_factory=dict)
     _era: int = NO_ERA
-    _ended_by_era: int = NO_WINDOW
+    _last_ended_window: int = NO_WINDOW
 
     def observe_era(self, agreed_now: float) -> None:
         """Note the last window that had ended when this host first knew of the table's era.
@@ -177,9 +177,9 @@
         era = self.table.era
         if era == self._era:
             return
-        self._ended_by_era = int(agreed_now / self.window_seconds) - 1
+        self._last_ended_window = int(agreed_now / self.window_seconds) - 1
         if self._era != NO_ERA:
-            self.progress.record(self._ended_by_era)
+            self.progress.record(self._last_ended_window)
         self._era = era
 
     async def report_due(self, agreed_now: float) -> None:
@@ -227,7 +227,7 @@
         self.observe_era(agreed_now)
         newest_era = newest[1].era if newest else NO_ERA
         if newest_era != self._era and (newest or not self.first_start):
-            self.progress.record(self._ended_by_era)
+            self.progress.record(self._last_ended_window)
         if newest:
             return max(newest[0], last - RETAINED_WINDOWS)
         rows = await self.table.scan(COUNTS_PREFIX)
