Report the windows that a holder which outlives a restoration had not reported

Cause: only the bound that all hosts know was used. A holder that lives knows more: as long as no other host can have succeeded it, the sums of earlier eras are its own.

Change: `LeaseManager.exclusive_fencing` tells until when no candidate can have taken the lease over (the grant and the time for orders in delivery). If the store's era rises within that time, the holder states in its updates that no earlier era settled a later window; the next holder then leaves out only what was settled. The store's client calls back at the first answer of a new era, so that the moment is known exactly. A window that is left out counts as settled.

Tests: test_next_holder_reports_what_a_surviving_holder_had_not (fails before for the survivor; holds for one that may have been succeeded); the random runs of tests/authority/test_restored_lease.py check that nobody else holds a lease while a process knows that it cannot have been succeeded.

Neighbours of the build before: `settled_era` is the last field of both updates, 0 by default. Older hosts ignore it; from them it is 0, and the next holder falls back to the bound.

--- a/samphirehall/authority/lease_manager.py
+++ b/samphirehall/authority/lease_manager.py
@@ -77,6 +77,7 @@
         self._first_start = first_start
         self._first_era: int | None = None
         self._grant: LeaseGrant | None = None
+        self._last_grant: LeaseGrant | None = None
         self._observation: LeaseObservation | None = None
         self._lease_row: LeaseRow | None = None
         self._counter = 0
@@ -128,6 +129,22 @@
             )
         return grant
 
+    def exclusive_fencing(self, *, now: float) -> int | None:
+        """Return the fencing number of this process if no other one can have succeeded it yet.
+
+        That is so for a while after its grant has ended, as candidates wait for orders in
+        delivery. Its orders may not be sent any more by then.
+
+        Parameters
+        ----------
+        now : float
+            Boot clock in seconds.
+        """
+        last = self._last_grant
+        if last is None or now >= last.expires_at + self._times.delivery_limit:
+            return None
+        return last.fencing
+
     async def run(
         self, poll_interval: Callable[[], float], *, may_poll: Callable[[], bool] = lambda: True
     ) -> None:
@@ -160,6 +177,7 @@
         starts.
         """
         grant, self._grant = self._grant, None
+        self._last_grant = None
         self._stopped = True
         if grant is None or grant.era != self._table.era:
             return
@@ -202,11 +220,13 @@
         if grant.era != self._table.era:
             self._drop_grant(grant, RESTORED)
         elif taken_over:
+            self._last_grant = None
             self._drop_grant(grant, "another process has taken the lease over")
         elif self._clock() >= grant.expires_at:
             self._drop_grant(grant, "the grant expired while it was being renewed")
         elif renewed:
             self._grant = dataclasses.replace(grant, expires_at=grant_expiry(sent_at, self._times))
+            self._last_grant = self._grant
 
     async def _resolve_unanswered_renewal(
         self, grant: LeaseGrant, counter: int
@@ -273,6 +293,7 @@
             self._grant = LeaseGrant(
                 self._scope, self._holder, fencing, expires_at, version, observation.era
             )
+            self._last_grant = self._grant
             log_decision(_log, "takeover", reason, **fields)
 
     async def _write_takeover(
--- a/samphirehall/gateway/duty.py
+++ b/samphirehall/gateway/duty.py
@@ -91,6 +91,10 @@
         settled = is_first or now - self._held_since >= self._holder_gap
         return grant if settled else None
 
+    def exclusive_fencing(self, *, now: float) -> int | None:
+        """Return the fencing number of this host if no other one can have succeeded it by now."""
+        return self._lease_manager.exclusive_fencing(now=now)
+
     async def run(self) -> None:
         """Renew or watch the lease until cancelled."""
         await anyio.sleep(self._random.random() * self._lease_time * CHECK_INTERVAL_FRACTION)
--- a/samphirehall/gateway/usage_reports.py
+++ b/samphirehall/gateway/usage_reports.py
@@ -4,10 +4,11 @@
 conditionally on its absence, and reports only the stored sum, so that a later
 holder can only report the same sum again. A restored store may lack sums that were
 reported, all of windows that had ended before it was restored. Only the host that stored
-such a sum may store it again; other windows without a sum that had ended by then are left
-out, as a second report with other counts would be worse than none. A sum is stored under
-the era in which it was stored first, so that a newest sum of an earlier era shows that later
-ones may be lost.
+such a sum may store it again; other windows without a sum that may have been reported are left
+out, as a second report with other counts would be worse than none. These are all that had
+ended by then, or fewer if the holder outlives the restoration and tells the hubs which window
+it has settled last. A sum is stored under the era in which it was stored first, so that a
+newest sum of an earlier era shows that later ones may be lost.
 """
 
 import contextlib
@@ -115,14 +116,22 @@
     ----------
     settled_window : int
         That window as far as this host knows, `NO_WINDOW` without one.
+    settled_era : int
+        Era of the table of which this host knows that no earlier one settled a later window.
     """
 
     settled_window: int = NO_WINDOW
+    settled_era: int = NO_ERA
 
     def record(self, window: int) -> None:
         """Record that the sum of a window was stored, or may have been."""
         self.settled_window = max(self.settled_window, window)
 
+    def merge(self, window: int, era: int) -> None:
+        """Record what another host knows."""
+        self.record(window)
+        self.settled_era = max(self.settled_era, era)
+
 
 @dataclass(slots=True)
 class UsageReports:
@@ -151,6 +160,9 @@
     lease_checks : callable
         Returns the conditions under which a sum is stored, that this host still holds the duty;
         raises `LeaseLostError` if it does not.
+    exclusive_fencing : callable
+        Returns the fencing number under which this host held the duty last, if no other host can
+        have succeeded it at a time of the boot clock; else None.
     """
 
     table: Table
@@ -164,27 +176,48 @@
     first_start: bool = False
     progress: ReportProgress = field(default_factory=ReportProgress)
     lease_checks: Callable[[], Sequence[Check]] = lambda: ()
+    exclusive_fencing: Callable[..., int | None] = lambda *, now: None
     _own_sums: dict[int, _StoredSum] = field(default_factory=dict)
     _era: int = NO_ERA
+    _first_era: int = NO_ERA
     _last_ended_window: int = NO_WINDOW
+    _known_fencing: int | None = None
+
+    def observe_era(self, agreed_now: float, *, now: float) -> None:
+        """Note what earlier eras may have settled, when this host first knows of the table's era.
 
-    def observe_era(self, agreed_now: float) -> None:
-        """Note the last window that had ended when this host first knew of the table's era.
+        Sums that the table has lost are of windows that had ended. A holder that no other host can
+        have succeeded has stored all of them itself.
 
-        Sums of an earlier era that the table has lost are of that window or earlier ones. A host
-        that knew of an earlier era tells others, which may not have heard of the last report.
+        Parameters
+        ----------
+        agreed_now : float
+            Agreed seconds since 1970.
+        now : float
+            Boot clock in seconds.
         """
         era = self.table.era
         if era == self._era:
             return
         self._last_ended_window = int(agreed_now / self.window_seconds) - 1
-        if self._era != NO_ERA:
-            self.progress.record(self._last_ended_window)
+        if self._era == NO_ERA:
+            self._first_era = era
+        elif self._known_fencing is not None and self._known_fencing == self.exclusive_fencing(
+            now=now
+        ):
+            self.progress.settled_era = era
         self._era = era
 
-    async def report_due(self, agreed_now: float) -> None:
+    async def report_due(self, agreed_now: float, *, now: float) -> None:
         """Report each window whose sum is final; stop at the first that must wait.
 
+        Parameters
+        ----------
+        agreed_now : float
+            Agreed seconds since 1970.
+        now : float
+            Boot clock in seconds.
+
         Raises
         ------
         PlatformUnavailableError
@@ -194,7 +227,10 @@
         """
         last = int((agreed_now - WINDOW_CLOSE_DELAY_SECONDS) / self.window_seconds) - 1
         if self.next_window is None:
-            self.next_window = await self._first_unreported(last, agreed_now)
+            self._known_fencing = None
+            fencing = self.exclusive_fencing(now=now)
+            self.next_window = await self._first_unreported(last, agreed_now, now)
+            self._known_fencing = fencing
         while self.next_window <= last:
             window = self.next_window
             try:
@@ -214,9 +250,10 @@
 
     def _leave_out(self, window: int, reason: str) -> None:
         log_decision(_log, "usage-left-out", reason, window=window)
+        self.progress.record(window)
         self.next_window = window + 1
 
-    async def _first_unreported(self, last: int, agreed_now: float) -> int:
+    async def _first_unreported(self, last: int, agreed_now: float, now: float) -> int:
         """Return the window to report first.
 
         This is the last window with a stored sum, since its report may have been lost. If the
@@ -224,11 +261,14 @@
         """
         plausible = range(last - MAX_UNREPORTED_WINDOWS, last + RETAINED_WINDOWS + 1)
         newest = _newest_sum(await self.table.scan(SUMS_PREFIX), plausible)
-        self.observe_era(agreed_now)
+        self.observe_era(agreed_now, now=now)
         newest_era = newest[1].era if newest else NO_ERA
-        if newest_era != self._era and (newest or not self.first_start):
-            self.progress.record(self._last_ended_window)
+        is_first_era = self.first_start and self._era == self._first_era
+        may_be_lost = newest_era != self._era and (bool(newest) or not is_first_era)
+        if may_be_lost and self.progress.settled_era != self._era:
+            self.progress.merge(self._last_ended_window, self._era)
         if newest:
+            self.progress.record(newest[0])
             return max(newest[0], last - RETAINED_WINDOWS)
         rows = await self.table.scan(COUNTS_PREFIX)
         windows = (key_window(row.key, COUNTS_PREFIX) for row in rows)
@@ -348,11 +388,12 @@
     """
     while True:
         await anyio.sleep(SAVE_INTERVAL_SECONDS)
-        reports.observe_era(agreed_now())
-        if not may_act(boot_seconds()):
+        now = boot_seconds()
+        reports.observe_era(agreed_now(), now=now)
+        if not may_act(now):
             reports.next_window = None
             continue
         try:
-            await reports.report_due(agreed_now())
+            await reports.report_due(agreed_now(), now=now)
         except (PlatformUnavailableError, LeaseLostError) as error:
             _log.warning("usage-unreported", extra={"reason": str(error)})
--- a/samphirehall/gateway/zone_exchange.py
+++ b/samphirehall/gateway/zone_exchange.py
@@ -446,7 +446,7 @@
     def _apply_member_update(self, update: MemberUpdate, address: Address, *, now: float) -> None:
         if update.zone != self._context.zone:
             return
-        self._progress.record(update.settled_window)
+        self._progress.merge(update.settled_window, update.settled_era)
         self._directory.add_host(update.host, update.address)
         members = self._view.members
         if not self.is_hub or not members.record(update, address, now=now):
@@ -483,7 +483,7 @@
             return
         if update.configuration_version > self._configuration_version():
             self._catch_up.request(address, version=update.configuration_version, now=now)
-        self._progress.record(update.settled_window)
+        self._progress.merge(update.settled_window, update.settled_era)
         for parts, age in update.blocked_parts:
             self._context.crashes.parts.receive_block(parts, age, now=now)
         self._context.limits.receive(update.limits, now=now)
--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -178,6 +178,9 @@
         Limits that endpoints state; see `LimitReport`.
     settled_window : int
         Latest usage window known to be settled; -1 if unknown. See `ReportProgress`.
+    settled_era : int
+        Era of the store in which that window is the latest that any earlier era may have settled;
+        0 if unknown.
     list_age : float or None
         Seconds since the endpoint list of this host surely held all changes, while it reads the
         store.
@@ -208,6 +211,7 @@
     shares: EncodedShares = {}
     quotas: list[EncodedQuotaCount] | None = None
     speed_samples: _SpeedSamples = []
+    settled_era: Unsigned = 0
 
 
 class ZoneSummary(msgspec.Struct, array_like=True):
@@ -269,7 +273,7 @@
         Parts of prompts in quarantine, and the seconds since their last crash.
     limits : list
         Limits that endpoints state; see `LimitReport`.
-    settled_window : int
+    settled_window, settled_era : int
         See `MemberUpdate`.
     list_age : float or None
         Seconds since the endpoint list of the sender surely held all that any host knew.
@@ -303,6 +307,7 @@
     quotas: HubQuotas | None = None
     speed_samples: _SpeedSamples = []
     speed_reports: _SpeedReports = []
+    settled_era: Unsigned = 0
 
 
 Message = MemberUpdate | HubUpdate
--- a/samphirehall/gateway/zone_updates.py
+++ b/samphirehall/gateway/zone_updates.py
@@ -197,6 +197,7 @@
             self._progress.settled_window,
             quotas=self._context.quotas.member_counts(self._sequence, now=now),
             speed_samples=self.speeds.samples_for_hub(now=now),
+            settled_era=self._progress.settled_era,
         )
 
     def zone_update(self, *, now: float) -> HubUpdate:
@@ -230,6 +231,7 @@
             ][:MAX_BLOCKED_GROUPS],
             limits=limits,
             settled_window=self._progress.settled_window,
+            settled_era=self._progress.settled_era,
         )
 
     def unstored_usage(self) -> dict[str, dict[int, EncodedCounts]]:
--- a/samphirehall/platform/store.py
+++ b/samphirehall/platform/store.py
@@ -40,6 +40,10 @@
 ObserveCall = Callable[[str, float, bool], None]
 
 
+def _ignore_restoration() -> None:
+    """Do nothing; the default for `Store.on_restored`."""
+
+
 def _ignore_call(kind: str, seconds: float, answered: bool) -> None:
     """Record nothing; the default observer."""
 
@@ -75,12 +79,18 @@
         IP number and port.
     observe : callable
         Called with the kind of each call, its duration in seconds, and whether it was answered.
+
+    Attributes
+    ----------
+    on_restored : callable
+        Called when an answer is the first one of a later era than the answers before.
     """
 
     def __init__(self, address: str, observe: ObserveCall = _ignore_call) -> None:
         self._pool = ConnectionPool(address, connect_timeout=CALL_TIMEOUT_SECONDS)
         self._observe = observe
         self._era: int | None = None
+        self.on_restored: Callable[[], None] = _ignore_restoration
 
     @property
     def era(self) -> int:
@@ -230,10 +240,11 @@
             return self.era
         if era <= self.era:
             return era
-        if self._era is not None:
+        before, self._era = self._era, era
+        if before is not None:
             reason = "the store came back from an older copy"
-            log_decision(_log, "store-restored", reason, era=era, before=self._era)
-        self._era = era
+            log_decision(_log, "store-restored", reason, era=era, before=before)
+            self.on_restored()
         return era
 
 
--- a/samphirehall/programs/node.py
+++ b/samphirehall/programs/node.py
@@ -186,6 +186,10 @@
             first_start=settings.first_start,
             progress=self.report_progress,
             lease_checks=lambda: [current_grant(self.duty).lease_check],
+            exclusive_fencing=self.duty.exclusive_fencing,
+        )
+        self.store.on_restored = lambda: self.reports.observe_era(
+            self.agreed_now(), now=boot_seconds()
         )
         self.quarantine_store = QuarantineStore(
             self.store,
--- a/tests/authority/test_restored_lease.py
+++ b/tests/authority/test_restored_lease.py
@@ -69,6 +69,9 @@
         """Assert that one process holds the lease, and that its number was never another's."""
         grants = [grant for manager in self.managers if (grant := self.grant(manager))]
         assert len({grant.holder for grant in grants}) <= 1
+        for manager in self.managers:
+            if manager.exclusive_fencing(now=self.now) is not None:
+                assert all(self.grant(other) is None for other in self.managers if other != manager)
         for grant in grants:
             assert self.numbers.setdefault(grant.fencing, grant.holder) == grant.holder
             assert (grant.fencing, grant.holder) >= self.highest
@@ -99,6 +102,16 @@
         await world.step(0)
         assert world.grant(world.managers[0]) is None
 
+    async def test_holder_knows_for_how_long_no_other_process_can_succeed_it(self):
+        world = World()
+        await world.step(0)
+        number = world.grant(world.managers[0]).fencing
+        world.now += TIMES.ttl - TIMES.margin
+        assert world.grant(world.managers[0]) is None
+        assert world.managers[0].exclusive_fencing(now=world.now) == number
+        world.now += TIMES.delivery_limit
+        assert world.managers[0].exclusive_fencing(now=world.now) is None
+
     async def test_first_lease_of_the_whole_system_is_taken_at_once(self):
         world = World()
         world.restore()
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -77,10 +77,10 @@
         reports.next_window = 20
         clock.now = 105.5
         await counters[0].save(table)
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == []
         await counters[1].save(table)
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 7})]
 
     async def test_window_is_reported_in_time_without_a_host_that_never_closes_it(self):
@@ -90,9 +90,9 @@
         reports.next_window = 20
         clock.now = 105.5
         await counter.save(table)
-        await reports.report_due(109.0)
+        await reports.report_due(109.0, now=0.0)
         assert sent.windows == []
-        await reports.report_due(110.5)
+        await reports.report_due(110.5, now=0.0)
         assert sent.windows[0] == (20, {"acme": 3})
 
     async def test_counts_that_only_peers_know_are_reported(self):
@@ -110,7 +110,7 @@
         await self.counted(table, Clock(101.0), "a", 3)
         reports = reports_of(table, sent, ["a"], heard)
         reports.next_window = 20
-        await reports.report_due(111.0)
+        await reports.report_due(111.0, now=0.0)
         assert sent.windows[0] == (20, {"acme": 9, "zeta": 1})
 
     async def test_host_without_store_access_closes_its_window_through_peers(self):
@@ -124,7 +124,7 @@
             heard.receive(counter.process, window, counts)
         reports = reports_of(table, sent, ["a"], heard)
         reports.next_window = 20
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
 
     async def test_restarted_host_closes_the_windows_it_missed(self):
@@ -136,7 +136,7 @@
         await again.save(table)
         reports = reports_of(table, sent, ["a"])
         reports.next_window = 20
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
 
     @pytest.mark.parametrize("customers", [0, 1, 59, 60, 61, 750])
@@ -173,34 +173,38 @@
         clock.now = 105.5
         await counter.save(table)
         with pytest.raises(PlatformUnavailableError):
-            await first.report_due(clock.now)
+            await first.report_due(clock.now, now=0.0)
         await self.counted(table, Clock(101.0), "late", 5)
         sent.down = False
         second = reports_of(table, sent, ["a"])
-        await second.report_due(clock.now)
+        await second.report_due(clock.now, now=0.0)
         assert (20, {"acme": 3}) in sent.windows
         assert {counts["acme"] for window, counts in sent.windows if window == 20} == {3}
 
-    async def settled_and_lost(self, *, hosts=("a",)):
+    async def settled_and_lost(self, *, hosts=("a",), fencing=None, restores=True):
         """Report window 20 with the count 3, then lose its sum and rows of it."""
         table, clock, sent = FaultyTable(), Clock(101.0), ReportRecorder()
         table.store.era = 1
         counter = await self.counted(table, clock, "a", 3)
         copy = table.store.copy()
         reports = reports_of(table, sent, hosts)
-        reports.next_window = 20
+        reports.exclusive_fencing = lambda *, now: fencing
+        reports.observe_era(clock.now, now=0.0)
+        if fencing is None:
+            reports.next_window = 20
         clock.now = 105.5
         await counter.save(table)
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
-        table.store.restore(copy)
-        await self.counted(table, Clock(101.0), "late", 5)
+        if restores:
+            table.store.restore(copy)
+            await self.counted(table, Clock(101.0), "late", 5)
         return table, clock, sent, reports
 
     async def test_host_that_settled_a_window_reports_the_same_sum_after_a_restoration(self):
         table, clock, sent, reports = await self.settled_and_lost()
         reports.next_window = 20
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 3})] * 2
         assert (await table.read([sum_key(20)]))[sum_key(20)].value["counts"] == {"acme": 3}
 
@@ -208,19 +212,19 @@
         table, clock, sent, former = await self.settled_and_lost()
         reports = reports_of(table, sent, ["a"])
         reports.progress.record(former.progress.settled_window)
-        reports.observe_era(clock.now)
+        reports.observe_era(clock.now, now=0.0)
         await self.counted(table, Clock(106.0), "a", 1)
-        await reports.report_due(110.5 + 10.0)
+        await reports.report_due(110.5 + 10.0, now=0.0)
         assert [window for window, _ in sent.windows].count(20) == 1
         assert 21 in [window for window, _ in sent.windows]
 
     async def test_started_host_leaves_out_windows_that_a_lost_holder_may_have_reported(self):
         table, clock, sent, _ = await self.settled_and_lost()
         reports = reports_of(table, sent, ["a"])
-        await reports.report_due(clock.now)
+        await reports.report_due(clock.now, now=0.0)
         assert [window for window, _ in sent.windows].count(20) == 1
         await self.counted(table, Clock(106.0), "a", 1)
-        await reports.report_due(110.5 + 10.0)
+        await reports.report_due(110.5 + 10.0, now=0.0)
         assert 21 in [window for window, _ in sent.windows]
 
     # Guards against a second report with other counts by a host that knows of earlier reports only.
@@ -228,26 +232,44 @@
         table, _, sent, former = await self.settled_and_lost()
         reports = reports_of(table, sent, ())
         reports.progress.record(former.progress.settled_window - 1)
-        await reports.report_due(106.0)
+        await reports.report_due(106.0, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
 
     # Guards against the loss of reports for windows that no earlier holder can have reported.
     async def test_window_that_ended_after_a_restoration_was_seen_is_reported_once(self):
         table, clock, sent, _ = await self.settled_and_lost()
         reports = reports_of(table, sent, ())
-        reports.observe_era(clock.now)
+        reports.observe_era(clock.now, now=0.0)
         await self.counted(table, Clock(106.0), "a", 1)
-        await reports.report_due(110.5)
+        await reports.report_due(110.5, now=0.0)
         assert sent.windows == [(20, {"acme": 3}), (21, {"acme": 1})]
 
+    # Guards against the loss of reports for windows that had ended, but were not reported yet.
+    @pytest.mark.parametrize("survives", [True, False])
+    async def test_next_holder_reports_what_a_surviving_holder_had_not(self, survives):
+        table, _, sent, former = await self.settled_and_lost(fencing=7, restores=False)
+        copy = table.store.copy()
+        await self.counted(table, Clock(106.0), "a", 1)
+        if not survives:
+            former.exclusive_fencing = lambda *, now: None
+        table.store.restore(copy)
+        former.observe_era(110.2, now=0.0)
+        await self.counted(table, Clock(106.0), "a", 1)
+        reports = reports_of(table, sent, ())
+        reports.observe_era(110.2, now=0.0)
+        reports.progress.merge(former.progress.settled_window, former.progress.settled_era)
+        await reports.report_due(115.4, now=0.0)
+        assert (21 in [window for window, _ in sent.windows]) is survives
+        assert {counts["acme"] for window, counts in sent.windows if window == 20} == {3}
+
     # Guards against a sum that is stored again and hides that the sums after it are lost.
     async def test_sums_lost_behind_one_that_was_stored_again_are_left_out(self):
         table, clock, sent, former = await self.settled_and_lost(hosts=())
         former.next_window = 20
-        await former.report_due(clock.now)
+        await former.report_due(clock.now, now=0.0)
         assert sent.windows == [(20, {"acme": 3})] * 2
         await self.counted(table, Clock(106.0), "a", 1)
-        await reports_of(table, sent, ()).report_due(110.5)
+        await reports_of(table, sent, ()).report_due(110.5, now=0.0)
         assert {window for window, _ in sent.windows} == {20}
 
     # Guards against a second report of the first window of a system, before which no sum is stored.
@@ -256,14 +278,14 @@
         table.store.era = 1
         first, second = reports_of(table, sent, ()), reports_of(table, sent, ())
         first.first_start = second.first_start = True
-        second.observe_era(104.0)
+        second.observe_era(104.0, now=0.0)
         copy = table.store.copy()
         await self.counted(table, Clock(101.0), "a", 3)
-        await first.report_due(105.5)
+        await first.report_due(105.5, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
         table.store.restore(copy)
         await self.counted(table, Clock(101.0), "late", 5)
-        await second.report_due(106.0)
+        await second.report_due(106.0, now=0.0)
         assert sent.windows == [(20, {"acme": 3})]
 
     # Guards against a sum with other counts by a host that stood still while another one reported.
@@ -276,13 +298,13 @@
         reports = reports_of(table, sent, ())
         reports.next_window, reports.lease_checks = 20, lambda: [Check(key, 1)]
         with pytest.raises(LeaseLostError):
-            await reports.report_due(105.5)
+            await reports.report_due(105.5, now=0.0)
         assert await table.read([sum_key(20)]) == {} and sent.windows == []
 
     async def test_sum_stored_by_an_earlier_version_is_reported(self):
         table, sent = FaultyTable(), ReportRecorder()
         await table.transact([], [Write(sum_key(20), {"acme": 7})])
-        await reports_of(table, sent, ["a"]).report_due(105.5)
+        await reports_of(table, sent, ["a"]).report_due(105.5, now=0.0)
         assert sent.windows == [(20, {"acme": 7})]
 
     async def test_late_write_does_not_revert_a_row(self):
--- a/tests/gateway/test_odd_usage_rows.py
+++ b/tests/gateway/test_odd_usage_rows.py
@@ -37,7 +37,7 @@
         table.store.transact([], [Write(counts_prefix(20) + "b/1", good)])
         reports = self.reports(table, sent)
         reports.next_window = 20
-        await reports.report_due(105.5)
+        await reports.report_due(105.5, now=0.0)
         assert sent == [(20, {"acme": 3})]
 
     @odd_values
@@ -46,7 +46,7 @@
         leave(table, sum_key(20), value)
         reports = self.reports(table, sent)
         reports.next_window = 20
-        await reports.report_due(110.5)
+        await reports.report_due(110.5, now=0.0)
         assert [window for window, _ in sent] in ([20, 21], [21])
         assert all(n >= 0 for _, counts in sent for n in counts.values())
 
@@ -54,10 +54,10 @@
         table, sent = FaultyTable(), []
         reports = self.reports(table, sent)
         reports.next_window = 20
-        await reports.report_due(105.5)
+        await reports.report_due(105.5, now=0.0)
         leave(table, sum_key(20), "odd")
         reports.next_window = 20
-        await reports.report_due(105.5)
+        await reports.report_due(105.5, now=0.0)
         assert sent == [(20, {}), (20, {})]
 
     @pytest.mark.parametrize(
@@ -76,7 +76,7 @@
         table, sent = FaultyTable(), []
         leave(table, key, {"era": 0, "counts": {}})
         reports = self.reports(table, sent)
-        await reports.report_due(50_005.5)
+        await reports.report_due(50_005.5, now=0.0)
         assert [window for window, _ in sent] == [10_000]
 
     @odd_values
