Soak: an engine's connections end with it, and a restoration ends no other fault of the store

Traced in the host's log: the engine ended at 608.15 s; a connection that it was just accepting stayed open, so that it answered a stream at its old version during the half second in which it was down (c2-26), and one at its new version on the same connection afterwards (c2-29). No process does that: connections now belong to one life of an engine. A restoration reused the fault `status`; a `status` fault that began during it ended with status 0, which the store then answered until the end. Restorations have a switch of their own, and each fault ends in the sound state.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -22,7 +22,8 @@
 
     `silent` leaves calls unanswered, `status` answers each call with that status, `slow`
     delays each answer by that many seconds. `lose_answers` applies writes and leaves them
-    unanswered; `drop_history` drops the change history once.
+    unanswered; `drop_history` drops the change history once. `away` refuses all calls until
+    the store is restored, whatever other faults begin or end.
     """
 
     silent: bool = False
@@ -30,6 +31,7 @@
     slow: float = 0.0
     lose_answers: bool = False
     drop_history: bool = False
+    away: bool = False
 
 
 @dataclass(slots=True)
@@ -161,8 +163,8 @@
             if self.faults.silent:
                 await asyncio.sleep(UNANSWERED_SECONDS)
             await asyncio.sleep(self.faults.slow)
-            if self.faults.status is not None:
-                return Response(status_code=self.faults.status)
+            if self.faults.away or self.faults.status is not None:
+                return Response(status_code=self.faults.status or 503)
             answer = await handler(request)
             answer.headers["Store-Era"] = str(self.era)
             if self.faults.lose_answers and request.method == "POST":
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import re
 from dataclasses import dataclass, field
@@ -84,6 +85,7 @@
     _running: list[Run] = field(default_factory=list)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
+    _lives: int = 0
 
     def entry(self) -> dict[str, object]:
         """Return its entry in the endpoint list."""
@@ -102,11 +104,13 @@
 
     async def _listen(self):
         host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        serve = functools.partial(self._serve, self._lives)
+        self._server = await asyncio.start_server(serve, host, int(port))
 
     async def renew(self, seconds: float) -> None:
         """End, and start again after a while with another software version; hold no state."""
         self._server.close()
+        self._lives += 1
         for run in self._running:
             run.is_broken = True
         for writer in self._writers:
@@ -115,11 +119,14 @@
         self.version, self.born = self.chance.choice(VERSIONS), self.born + 1
         await self._listen()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, life, reader, writer):
         self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 first, headers, body = await read_message(reader)
+                if life != self._lives:  # it was being accepted when the engine ended
+                    writer.transport.abort()
+                    break
                 await self._answer(*first.split(" ")[:2], headers, body, writer)
                 await writer.drain()
         self._writers.discard(writer)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -203,10 +203,10 @@
     async def _restore_store(self, store, operator: Operator, action: Action) -> None:
         """Bring the store back from a copy; operator and endpoints write again what they wrote."""
         copy = self._chance.choice(self._copies)
-        store.faults.status = 503
+        store.faults.away = True
         await asyncio.sleep(action.seconds)
         store.restore(copy)
-        store.faults.status = None
+        store.faults.away = False
         operator.write()
         for endpoint in self._endpoints:
             store.put("servers", endpoint.name, endpoint.entry())
@@ -235,9 +235,8 @@
 
 
 async def _disturb_store(faults, action: Action) -> None:
-    sound = getattr(faults, action.how)
     setattr(faults, action.how, {"status": 503, "slow": 0.3}.get(action.how, True))
     if action.how == "drop_history":
         return
     await asyncio.sleep(action.seconds)
-    setattr(faults, action.how, type(sound)() if sound is not None else None)
+    setattr(faults, action.how, getattr(type(faults)(), action.how))
