Leave the settled era out of updates while it is unknown

What others saw: each update of hosts and hubs was 2 to 4 fields longer, as the new last field was sent even at its default and brought the empty ones before it along.

Change: the field is among those that are left out at the end. `test_update_without_quotas_is_encoded_as_before` counts the optional fields by position and now knows the new one; the length that it demands is the same.

Neighbours of the build before: an update without the field is as before; with it, the fields before it are sent at their defaults, which older hosts read.

--- a/samphirehall/gateway/zone_messages.py
+++ b/samphirehall/gateway/zone_messages.py
@@ -71,6 +71,7 @@
     "shares": {},
     "quotas": None,
     "speed_samples": [],
+    "settled_era": 0,
     "speed_reports": [],
 }
 
--- a/tests/gateway/test_quota_admission.py
+++ b/tests/gateway/test_quota_admission.py
@@ -168,7 +168,8 @@
 
     def test_update_without_quotas_is_encoded_as_before(self):
         encoded = msgspec.msgpack.decode(encode_message(MEMBER)[1:])
-        sent_before = MemberUpdate.__struct_fields__[: -len(("shares", "quotas", "speed_samples"))]
+        optional = ("shares", "quotas", "speed_samples", "settled_era")
+        sent_before = MemberUpdate.__struct_fields__[: -len(optional)]
         assert len(encoded) == len(("tag", *sent_before))
         assert decode_datagram(b"\0\0\0\0" + encode_message(MEMBER))[1] == MEMBER
 
