Test of a hub that does not answer: wait for the places that it still holds

In one of two runs of test-clocks beside other tests, the set-up failed with WouldBlock: a member was still catching up when the test took all places for answers at once, and a place is kept for 0.2 s after its answer. The test now waits for each place; it demands the same.

--- a/tests/gateway/test_zone_exchange.py
+++ b/tests/gateway/test_zone_exchange.py
@@ -346,10 +346,10 @@
             group.cancel_scope.cancel()
 
 
-def stop_answers(host):
+async def stop_answers(host):
     """Let the calls of hosts that catch up wait at a host that goes on to send datagrams."""
     for _ in range(MAX_CONCURRENT_ANSWERS):
-        host.catch_up._answers.acquire_nowait()
+        await host.catch_up._answers.acquire()
 
 
 class TestHubThatDoesNotDeliver:
@@ -359,7 +359,7 @@
         async with anyio.create_task_group() as group:
             hosts, endpoints = await start(group, "abcdef")
             hub, members = hub_and_members(hosts)
-            stop_answers(hub)
+            await stop_answers(hub)
             endpoints.configurations.put_value("configuration", b"7")
             await until(lambda: hub.version == 7, 1.0)
             await until(lambda: all(host.version == 7 for host in members), CONFIGURATION_SECONDS)
@@ -373,7 +373,7 @@
             hosts, endpoints = await start(group, "abcdef")
             hub, members = hub_and_members(hosts)
             endpoints.refused.update(host.context.host for host in hosts)
-            stop_answers(hub)
+            await stop_answers(hub)
             for host in (hub, members[0]):
                 host.take_configuration(b"7", "test")
             await until(lambda: all(host.version == 7 for host in members), CONFIGURATION_SECONDS)
